--- /dev/null
+++ b/frostspindle/__init__.py
@@ -0,0 +1,1 @@
+"""frostspindle: the coordinator that runs pinstage's decisions on real sockets."""
--- /dev/null
+++ b/frostspindle/config.py
@@ -0,0 +1,235 @@
+"""The configuration: environment, JSON file and operator's file, read once into the values used.
+
+Owns the LB_* variables, the shape of the JSON that LB_CONFIG names, and that of the operator's TOML
+(`FROSTSPINDLE_OPERATOR`, the example is deploy/tds.toml). Every fault becomes one ConfigError line that
+names the key. It never opens a socket, never keeps the raw document, and leaves the meaning of the
+module's settings to pinstage.settings, the parser that the adapter uses too.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import ipaddress
+import os
+from collections.abc import Mapping
+from pathlib import Path
+from typing import Annotated, Any
+
+import msgspec
+from msgspec import Meta, Struct
+
+from pinstage.interface import Settings
+from pinstage.settings import flatten, read_settings
+
+Address = tuple[str, int]
+STATES = {"active": 1, "leaving": 2, "left": 0}
+
+
+class ConfigError(Exception):
+    """One line that names the key at fault."""
+
+
+class Host(Struct):
+    """One engine as an event of the bus tells it."""
+
+    host: str
+    dial: str = ""
+    site: str = ""
+    kind: str = msgspec.field(default="", name="class")
+    block: int = 0
+    health: str = "active"
+    share: float = 1.0
+    born_ms: float = 0.0
+
+
+class Topology(Struct):
+    hosts: list[Host]
+    seq: int = 0
+    whole: bool = False
+
+
+class BusEvent(Struct):
+    """One numbered change of the engine list; an event without a topology only moves the number."""
+
+    offset: int
+    topology: Topology | None = None
+
+
+class _Known(Struct):
+    offset: int = 0
+    batch: list[BusEvent] = []
+
+
+class _Limits(Struct):
+    memory_mb: Annotated[float, Meta(gt=0)] = 192.0
+    sockets: Annotated[int, Meta(ge=64)] = 1024
+
+
+class _Document(Struct):
+    settings: dict[str, Any]
+    name: str = ""
+    listen: str = ""
+    seed: str = "0"
+    bus: str = ""
+    limits: _Limits = msgspec.field(default_factory=_Limits)
+    known: _Known = msgspec.field(default_factory=_Known)
+
+
+Positive = Annotated[float, Meta(gt=0)]
+Count = Annotated[int, Meta(gt=0)]
+
+
+class TdsEngine(Struct, forbid_unknown_fields=True):
+    """An engine that speaks TDS."""
+
+    name: Annotated[str, Meta(min_length=1)]
+    dial: str
+    cores: Positive = 8.0
+    memory_mb: Positive = 16384.0
+    state: str = "active"
+
+
+class TdsLogin(Struct, forbid_unknown_fields=True):
+    """What a login is served as; application and database match whole, an empty one matches all."""
+
+    cls: Annotated[str, Meta(min_length=1)] = msgspec.field(name="class")
+    application: str = ""
+    database: str = ""
+    deadline_ms: Positive = 10_000.0
+    cost_ms: Annotated[float, Meta(ge=0)] = 0.0
+    memory_mb: Annotated[float, Meta(ge=0)] = 0.0
+
+
+class Tds(Struct, forbid_unknown_fields=True):
+    """The TDS front and its engines."""
+
+    listen: str
+    login: Annotated[list[TdsLogin], Meta(min_length=1)]
+    engine: list[TdsEngine] = []
+    max_sessions: Count = 128
+    max_batch_bytes: Count = 256 * 1024
+    max_result_bytes: Count = 2 * 1024 * 1024
+    login_ms: Positive = 5_000.0
+    idle_ms: Positive = 600_000.0
+    engine_user: str = "frostspindle"
+    engine_password: str = ""
+
+
+class Snmp(Struct, forbid_unknown_fields=True):
+    """The SNMP agent."""
+
+    listen: str
+    community: Annotated[str, Meta(min_length=1)]
+
+
+class Operator(Struct, forbid_unknown_fields=True):
+    """The operator's file: the parts that are off unless set up."""
+
+    tds: Tds | None = None
+    snmp: Snmp | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Config:
+    """The few values that the program uses."""
+
+    name: str
+    listen: Address
+    seed: int
+    sockets: int
+    bus: Address | None
+    known_offset: int
+    known: tuple[BusEvent, ...]
+    settings: Settings
+    classes: tuple[str, ...]
+    kinds: tuple[str, ...]
+    zones: tuple[str, ...]
+    idle_ms: float
+    operator: Operator
+    operator_file: str
+
+
+def address(text: str, key: str) -> Address:
+    """HOST:PORT with a loopback-or-other literal address; names are not looked up."""
+    host, mark, port = text.rpartition(":")
+    try:
+        ipaddress.ip_address(host.strip("[]"))
+        number = int(port)
+    except ValueError:
+        number = -1
+    if not mark or not 0 <= number <= 65535:
+        raise ConfigError(f"{key}: not an address of the form IP:PORT: {text!r}")
+    return host.strip("[]"), number
+
+
+def read_operator(path: str, classes: tuple[str, ...]) -> Operator:
+    """Read the operator's file; also called on SIGHUP, with the running program's classes."""
+    if not path:
+        return Operator()
+    try:
+        operator = msgspec.toml.decode(Path(path).read_bytes(), type=Operator)
+    except OSError as error:
+        raise ConfigError(f"FROSTSPINDLE_OPERATOR: {path}: {error.strerror}") from None
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        raise ConfigError(f"FROSTSPINDLE_OPERATOR: {path}: {_one_line(error)}") from None
+    if operator.tds:
+        address(operator.tds.listen, "tds.listen")
+        names = set()
+        for number, engine in enumerate(operator.tds.engine):
+            address(engine.dial, f"tds.engine[{number}].dial")
+            if engine.state not in STATES:
+                raise ConfigError(f"tds.engine[{number}].state: not one of {', '.join(STATES)}")
+            if engine.name in names:
+                raise ConfigError(f"tds.engine[{number}].name: {engine.name!r} stands there twice")
+            names.add(engine.name)
+        for number, login in enumerate(operator.tds.login):
+            if login.cls not in classes:
+                raise ConfigError(f"tds.login[{number}].class: the settings have no class {login.cls!r}")
+    if operator.snmp:
+        address(operator.snmp.listen, "snmp.listen")
+    return operator
+
+
+def _one_line(error: Exception) -> str:
+    return " ".join(str(error).split())
+
+
+def read(environ: Mapping[str, str] = os.environ) -> Config:
+    """Read everything once; ConfigError names the key that can't be used."""
+    path = environ.get("LB_CONFIG", "")
+    if not path:
+        raise ConfigError("LB_CONFIG: not set")
+    try:
+        document = msgspec.json.decode(Path(path).read_bytes(), type=_Document)
+    except OSError as error:
+        raise ConfigError(f"LB_CONFIG: {path}: {error.strerror}") from None
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        raise ConfigError(f"LB_CONFIG: {path}: {_one_line(error)}") from None
+    listen = environ.get("LB_LISTEN") or document.listen
+    if not listen:
+        raise ConfigError("LB_LISTEN: not set, and no listen in LB_CONFIG")
+    try:
+        seed = int(document.seed, 16)
+    except ValueError:
+        raise ConfigError(f"seed: not a hexadecimal number: {document.seed!r}") from None
+    pairs = flatten(document.settings)
+    try:
+        settings = read_settings(pairs)
+        idle_ms = float(pairs.get("limits.connIdle", 15000.0))
+    except ValueError as error:
+        raise ConfigError(f"settings: {_one_line(error)}") from None
+    categories = document.settings.get("categories", [])
+    classes = tuple(str(c.get("name", number)) for number, c in enumerate(categories))
+    operator_file = environ.get("FROSTSPINDLE_OPERATOR", "")
+    return Config(
+        name=environ.get("LB_NAME") or document.name, listen=address(listen, "LB_LISTEN"), seed=seed,
+        sockets=document.limits.sockets, bus=address(document.bus, "bus") if document.bus else None,
+        known_offset=document.known.offset, known=tuple(document.known.batch), settings=settings,
+        classes=classes, kinds=_names(document.settings, "kinds"),
+        zones=_names(document.settings, "failureDomains"), idle_ms=idle_ms,
+        operator=read_operator(operator_file, classes), operator_file=operator_file)
+
+
+def _names(settings: dict[str, Any], key: str) -> tuple[str, ...]:
+    value = settings.get(key, [])
+    return tuple(value) if isinstance(value, list) else tuple(str(value).split(","))
--- /dev/null
+++ b/frostspindle/core.py
@@ -0,0 +1,394 @@
+"""The core: one task that owns the Controller, the ledger of requests and attempts, and the timers.
+
+Owns each request from the moment a front hands it in until its one final answer, each attempt from the
+module's Send until its one end, and the list of engines as the module was told it. It knows no wire: fronts
+reach it through Ask and submit/left, engine drivers through the Driver interface and note/ended/probed, and
+all of these only put an event into one inbox. It must never choose an engine, a priority, a grant, a wait or
+an answer (pinstage/control.py does), never answer a request twice, and never let the fault of one request
+end the process.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import heapq
+import time
+import traceback
+from collections import deque
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+from typing import Any, Protocol
+
+from frostspindle.events import Events
+from pinstage import interface as api
+from pinstage.control import Controller
+from pinstage.interface import Health, ListKind, Verdict
+
+SERVED, REFUSED, FAILED = "served", "refused", "failed"
+TURN = 64  # events that one turn of the task may take before the sockets get theirs
+
+
+def clock() -> float:
+    """Unix milliseconds, the only time that rules and deadlines are counted in."""
+    return time.time() * 1000.0
+
+
+@dataclass(slots=True, frozen=True)
+class Answer:
+    """A request's one final answer."""
+
+    how: str
+    result: Any = None
+    retry_after_ms: float = 0.0
+
+
+@dataclass(slots=True, eq=False)
+class Ask:
+    """One request as a front hands it in; `settle` is called exactly once unless the client left."""
+
+    front: str
+    cls: int
+    ticket: str
+    statement: str
+    taken_ms: float
+    left_ms: float
+    settle: Callable[[Answer], None]
+    cost_ms: float = 0.0
+    memory_mb: float = 0.0
+    group: int = 0
+    number: int = 0  # the core's own, once taken
+
+
+@dataclass(slots=True, eq=False)
+class Attempt:
+    """One sending of a request to an engine, numbered as the module sent it."""
+
+    ask: Ask
+    number: int
+    engine: int
+    sent_ms: float
+    timeout_ms: float
+    class_name: str
+    grant_mb: float
+    priority: int
+    over: bool = False
+    task: asyncio.Task[None] | None = None  # the driver's
+
+
+@dataclass(slots=True, eq=False)
+class Record:
+    """The ledger's line of a request."""
+
+    ask: Ask
+    answered: str = ""
+    attempts: list[Attempt] = field(default_factory=list)
+    priority: int = 1
+    grant_mb: float = 0.0
+
+
+@dataclass(slots=True)
+class EngineState:
+    """An engine as last told, and the driver that reaches it."""
+
+    entry: api.EngineEntry
+    name: str
+    address: tuple[str, int]
+    driver: Driver
+
+
+class Driver(Protocol):
+    """What the core needs of a kind of engines."""
+
+    def listed(self, engine: EngineState) -> None:
+        """An engine is new or has changed."""
+
+    def start(self, attempt: Attempt) -> None:
+        """Send it; report its one end by Core.ended."""
+
+    def stop(self, attempt: Attempt) -> None:
+        """Free the engine's work; Core.ended follows once the attempt is no longer out."""
+
+    def rank(self, attempt: Attempt) -> None:
+        """The attempt has a new priority."""
+
+    def probe(self, engine: int) -> None:
+        """Ask how the engine does; report by Core.probed."""
+
+    async def close(self) -> None:
+        """Let go of all connections."""
+
+
+@dataclass(slots=True, frozen=True)
+class _Listing:
+    engines: tuple[EngineState, ...]
+    how: int
+    version: int
+
+
+@dataclass(slots=True, frozen=True)
+class _End:
+    attempt: Attempt
+    verdict: int
+    report: tuple[float, ...]
+    result: Any
+    at_ms: float
+
+
+@dataclass(slots=True, frozen=True)
+class _Leave:
+    ask: Ask
+
+
+class Core:
+    """Runs one Controller against fronts and drivers that it knows by their interfaces only."""
+
+    def __init__(self, settings: api.Settings, classes: tuple[str, ...], seed: int, events: Events,
+                 most_open: int = 512) -> None:
+        self.settings, self.classes, self.events, self.most_open = settings, classes, events, most_open
+        self.controller = Controller(settings, seed)
+        self.engines: dict[int, EngineState] = {}
+        self._records: dict[int, Record] = {}
+        self._open = self._numbers = 0
+        self._urgent: deque[Any] = deque()  # the engine list; never waits behind client work
+        self._inbox: deque[Any] = deque()  # bounded: most_open requests, and what their attempts report
+        self._wake = asyncio.Event()
+        self._timers: list[tuple[float, int, Any]] = []  # due, order, token of the module or Record
+        self._order = 0
+        self._does: dict[type, Callable[[float, Any], None]] = {
+            api.Send: self._send, api.Terms: self._terms, api.Cancel: self._cancel,
+            api.Refuse: lambda now, a: self._answer(a.request, Answer(REFUSED, None, a.retry_after_ms)),
+            api.Fail: lambda now, a: self._answer(a.request, Answer(FAILED)),
+            api.Probe: self._probe, api.Watch: lambda now, a: None,
+            api.Remind: lambda now, a: self._at(a.due_at_ms, a.token),
+            api.Log: lambda now, a: self.events.log("module", text=a.text)}
+
+    # What fronts and drivers call.
+
+    @property
+    def open(self) -> int:
+        """Requests taken and not yet answered."""
+        return self._open
+
+    def submit(self, ask: Ask) -> bool:
+        """Take a request; False: full, the front refuses it by itself and the module never hears of it."""
+        if self._open >= self.most_open:
+            self.events.count("full", ask.front, self.classes[ask.cls])
+            return False
+        self._open += 1
+        self._put(ask)
+        return True
+
+    def left(self, ask: Ask) -> None:
+        """The client has gone; nothing is owed."""
+        self._put(_Leave(ask))
+
+    def list_engines(self, engines: Iterable[EngineState], how: int, version: int) -> None:
+        """Word of the engine list; goes before all else."""
+        self._urgent.append(_Listing(tuple(engines), how, version))
+        self._wake.set()
+
+    def note(self, attempt: Attempt, kind: int, value: float) -> None:
+        """Word on an attempt that is out."""
+        if not attempt.over:
+            self._put(api.Note(attempt.ask.number, attempt.number, attempt.engine, kind, value))
+
+    def ended(self, attempt: Attempt, verdict: int, report: tuple[float, ...] = (),
+              result: Any = None) -> None:
+        """The one end of an attempt; whatever a driver says of it later is dropped."""
+        if attempt.over:
+            return
+        attempt.over = True
+        self._put(_End(attempt, verdict, report, result, clock()))
+
+    def probed(self, engine: int, verdict: int, elapsed_ms: float, report: tuple[float, ...] = ()) -> None:
+        self._put(api.Probed(engine, verdict, elapsed_ms, report))
+
+    def may_send(self, attempt: Attempt) -> bool:
+        """Asked by drivers right before the first byte: an engine may have begun to drain meanwhile."""
+        state = self.engines.get(attempt.engine)
+        return not attempt.over and state is not None and state.entry.health == Health.READY
+
+    def _put(self, event: Any) -> None:
+        self._inbox.append(event)
+        self._wake.set()
+
+    # The task.
+
+    async def run(self) -> None:
+        """Own the Controller until cancelled."""
+        loop = asyncio.get_running_loop()
+        while True:
+            if not self._urgent and not self._inbox:
+                self._wake.clear()
+                due = self._timers[0][0] - clock() if self._timers else None
+                timer = loop.call_later(max(0.0, due) / 1000.0, self._wake.set) if due is not None else None
+                await self._wake.wait()
+                if timer:
+                    timer.cancel()
+            now = clock()
+            for _ in range(TURN):
+                if self._urgent:
+                    self._guard(now, self._urgent.popleft())
+                elif self._inbox:
+                    self._guard(now, self._inbox.popleft())
+                else:
+                    break
+            while self._timers and self._timers[0][0] <= now and not self._urgent:
+                due_event = heapq.heappop(self._timers)[2]
+                self._guard(now, due_event if isinstance(due_event, Record) else api.Due(due_event))
+            await asyncio.sleep(0)
+
+    def _guard(self, now: float, event: Any) -> None:
+        """One event; a fault in it costs the request that it is about, never the process."""
+        try:
+            self._step(now, event)
+        except Exception as error:  # noqa: BLE001 - the boundary that keeps one fault from ending all
+            number = self._request_of(event)
+            self.events.count("faults")
+            self.events.log("fault", error=repr(error), of=type(event).__name__, request=number,
+                            at=traceback.format_exc(limit=-3))
+            if number:
+                self._answer(number, Answer(FAILED))
+                record = self._records.pop(number, None)
+                for attempt in record.attempts if record else []:
+                    if not attempt.over:
+                        self.engines[attempt.engine].driver.stop(attempt)
+
+    @staticmethod
+    def _request_of(event: Any) -> int:
+        if isinstance(event, _End):
+            return event.attempt.ask.number
+        if isinstance(event, (Record, _Leave)):
+            return event.ask.number
+        return event.number if isinstance(event, Ask) else getattr(event, "request", 0)
+
+    def _step(self, now: float, event: Any) -> None:
+        if isinstance(event, Ask):
+            self._take(now, event)
+        elif isinstance(event, _End):
+            self._end(now, event)
+        elif isinstance(event, _Listing):
+            self._list(now, event)
+        elif isinstance(event, _Leave):
+            self._leave(now, event.ask.number, "left")
+        elif isinstance(event, Record):
+            # The module answers before the deadline; should it not have, the ledger still owes one answer.
+            if not event.answered:
+                self.events.log("overdue", request=event.ask.number)
+                self._answer(event.ask.number, Answer(FAILED))
+                self._leave(now, event.ask.number, "overdue")
+        else:
+            self._tell(now, event)
+
+    def _tell(self, now: float, event: api.Event) -> None:
+        for action in self.controller.handle(now, event):
+            self._does[type(action)](now, action)
+
+    def _at(self, due_ms: float, what: Any) -> None:
+        self._order += 1
+        heapq.heappush(self._timers, (due_ms, self._order, what))
+
+    # Events.
+
+    def _take(self, now: float, ask: Ask) -> None:
+        self._numbers += 1
+        ask.number = self._numbers
+        record = self._records[ask.number] = Record(ask)
+        left_ms = ask.left_ms - (now - ask.taken_ms)
+        self._at(ask.taken_ms + ask.left_ms, record)
+        self.events.count("taken", ask.front, self.classes[ask.cls])
+        self._tell(now, api.Request(ask.number, ask.cls, 0, 0, left_ms, ask.cost_ms, ask.memory_mb,
+                                    float(ask.group)))
+
+    def _leave(self, now: float, number: int, why: str) -> None:
+        record = self._records.get(number)
+        if record is None:
+            return
+        if not record.answered:
+            record.answered = why
+            self._open -= 1
+            self.events.count(why, record.ask.front, self.classes[record.ask.cls])
+        self._tell(now, api.Left(number))
+        self._forget(record)
+
+    def _list(self, now: float, listing: _Listing) -> None:
+        if listing.how != ListKind.DELTA:
+            listed = {state.entry.engine for state in listing.engines}
+            for missing in self.engines.keys() - listed:
+                gone = self.engines[missing]
+                gone.entry = gone.entry._replace(health=Health.GONE)
+        for state in listing.engines:
+            self.engines[state.entry.engine] = state
+            state.driver.listed(state)
+            self.events.log("engine", name=state.name, health=state.entry.health, since=state.entry.since_ms)
+        entries = tuple(state.entry for state in listing.engines)
+        self._tell(now, api.EngineList(listing.how, listing.version, entries))
+
+    def _end(self, now: float, end: _End) -> None:
+        attempt, ask = end.attempt, end.attempt.ask
+        record, verdict = self._records.get(ask.number), end.verdict
+        self.events.count(f"ended_{Verdict(verdict).name.lower()}", ask.front, self.classes[ask.cls])
+        if verdict not in (Verdict.OK, Verdict.CANCELLED):
+            self.events.log("attempt", request=ask.number, ticket=ask.ticket, attempt=attempt.number,
+                            engine=self.engines[attempt.engine].name, verdict=Verdict(verdict).name,
+                            ms=round(end.at_ms - attempt.sent_ms, 1))
+        if record is not None and verdict == Verdict.OK and not record.answered:
+            self._answer(ask.number, Answer(SERVED, end.result))
+        over = record is None or bool(record.answered)
+        self._tell(now, api.Ended(ask.number, attempt.number, attempt.engine, verdict,
+                                  end.at_ms - attempt.sent_ms, over, 0.0, 0.0, end.report))
+        if record is not None:
+            self._forget(record)
+
+    def _forget(self, record: Record) -> None:
+        if record.answered and all(attempt.over for attempt in record.attempts):
+            self._records.pop(record.ask.number, None)
+
+    # Actions.
+
+    def _send(self, now: float, action: api.Send) -> None:
+        record = self._records[action.request]
+        ask, state = record.ask, self.engines[action.engine]
+        attempt = Attempt(ask, len(record.attempts), action.engine, now,
+                          action.timeout_ms or max(1.0, ask.taken_ms + ask.left_ms - now),
+                          self.classes[ask.cls], record.grant_mb, record.priority)
+        if record.answered or any(not earlier.over for earlier in record.attempts):
+            # Two attempts out at once is the rule that costs most; the module never asks for it.
+            raise RuntimeError("a send while an attempt is out or the request is answered")
+        record.attempts.append(attempt)
+        self.events.count("sent", ask.front, attempt.class_name)
+        state.driver.start(attempt)
+
+    def _terms(self, now: float, action: api.Terms) -> None:
+        record = self._records.get(action.request)
+        if record is None:
+            return
+        changed = record.priority != action.priority
+        record.priority, record.grant_mb = action.priority, action.memory_mb
+        for attempt in record.attempts if changed else []:
+            if not attempt.over:
+                attempt.priority = action.priority
+                self.engines[attempt.engine].driver.rank(attempt)
+
+    def _cancel(self, now: float, action: api.Cancel) -> None:
+        record = self._records.get(action.request)
+        if record is not None and not record.attempts[action.attempt].over:
+            attempt = record.attempts[action.attempt]
+            self.engines[attempt.engine].driver.stop(attempt)
+
+    def _probe(self, now: float, action: api.Probe) -> None:
+        self.events.count("probes")
+        self.engines[action.engine].driver.probe(action.engine)
+
+    def _answer(self, number: int, answer: Answer) -> None:
+        """The one place that settles a request: exactly one final answer."""
+        record = self._records.get(number)
+        if record is None or record.answered:
+            return
+        record.answered = answer.how
+        self._open -= 1
+        self.events.count(answer.how, record.ask.front, self.classes[record.ask.cls])
+        try:
+            record.ask.settle(answer)
+        finally:
+            self._forget(record)
--- /dev/null
+++ b/frostspindle/net/bus.py
@@ -0,0 +1,126 @@
+"""The event bus: keeps the engine list in step.
+
+Owns the one connection to the bus, the number of the last event that came, and the translation of its hosts
+into the module's entries. It must never let its word wait behind client work (it goes to the core's urgent
+side), never hand an event on twice, and never judge an engine by itself.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import zlib
+from collections.abc import Iterable
+
+import msgspec
+
+from frostspindle.config import STATES, Address, BusEvent, Config, Host, address
+from frostspindle.core import Core, Driver, EngineState
+from frostspindle.events import Events
+from pinstage.interface import EngineEntry, Health, ListKind
+
+SILENT_S = 3.5  # the bus writes a line every second
+LINE = 1 << 20  # the longest line that is read
+AGAIN_S, AGAIN_MOST_S = 0.05, 1.0
+_DECODER = msgspec.json.Decoder(BusEvent | int)
+
+
+class Bus:
+    """Reads the events of the bus and hands them to the core."""
+
+    def __init__(self, config: Config, core: Core, driver: Driver, events: Events) -> None:
+        self.config, self.core, self.driver, self.events = config, core, driver, events
+        self.last = 0
+        self._ids: dict[str, int] = {}
+        self._told = False
+
+    def start(self) -> None:
+        """Hand on what the configuration already knows."""
+        for event in self.config.known:
+            self._event(event)
+        self.last = max(self.last, self.config.known_offset)
+
+    async def run(self) -> None:
+        """Follow the bus until cancelled, connecting again whenever it ends or makes no sense."""
+        wait = AGAIN_S
+        while self.config.bus:
+            began = self.last
+            try:
+                await self._follow(self.config.bus)
+            except (OSError, TimeoutError, EOFError, ValueError, msgspec.DecodeError) as error:
+                self.events.count("bus_reconnects")
+                self.events.log("bus", error=repr(error), last=self.last)
+            wait = AGAIN_S if self.last != began else min(AGAIN_MOST_S, wait * 2)
+            await asyncio.sleep(wait)
+
+    async def _follow(self, at: Address) -> None:
+        async with asyncio.timeout(SILENT_S):
+            reader, writer = await asyncio.open_connection(*at, limit=LINE)
+        try:
+            writer.write(b"from %d\n" % self.last)
+            while True:
+                async with asyncio.timeout(SILENT_S):
+                    line = await reader.readline()
+                if not line.endswith(b"\n"):
+                    raise EOFError("the bus ended its connection")
+                word = _DECODER.decode(line)
+                if not isinstance(word, int):
+                    if word.offset > self.last + 1:
+                        raise ValueError(f"event {word.offset} came after {self.last}")
+                    self._event(word)
+                elif word > self.last:
+                    raise ValueError(f"the bus is at {word}, here it is {self.last}")
+        finally:
+            writer.close()
+
+    def _event(self, event: BusEvent) -> None:
+        if event.offset <= self.last:
+            return  # a repeat, as after a reconnect
+        self.last = event.offset
+        if event.topology is None:
+            return
+        states = list(self._states(event.topology.hosts))
+        how = ListKind.FULL if event.topology.whole else ListKind.DELTA
+        if not self._told:
+            self._told, how = True, ListKind.CACHED
+        self.core.list_engines(states, how, event.offset)
+
+    def _states(self, hosts: Iterable[Host]) -> Iterable[EngineState]:
+        for host in hosts:
+            number = self._number(host.host)
+            known = self.core.engines.get(number)
+            if host.health not in STATES:
+                self.events.count("bus_bad_hosts")
+                self.events.log("bus_host", name=host.host, health=host.health)
+                continue
+            try:
+                at = address(host.dial, host.host) if host.dial else ("", 0)
+            except Exception as error:  # noqa: BLE001 - one bad host must not hide the others
+                self.events.count("bus_bad_hosts")
+                self.events.log("bus_host", name=host.host, error=str(error))
+                continue
+            if not at[1]:
+                at = known.address if known else at
+            health = STATES[host.health] if at[1] else Health.GONE
+            entry = EngineEntry(number, self._index(self.config.zones, host.site),
+                                self._index(self.config.kinds, host.kind), host.block, health, host.share,
+                                host.born_ms)
+            yield EngineState(entry, host.host, at, self.driver)
+
+    def _index(self, names: tuple[str, ...], name: str) -> int:
+        if name in names:
+            return names.index(name)
+        self.events.count("bus_unknown_places")
+        return 0
+
+    def _number(self, name: str) -> int:
+        """The same number at every coordinator; the module sorts nothing by it."""
+        if name not in self._ids:
+            tail = name.rpartition("-")[2]
+            try:
+                number = int(tail, 16) & 0xFFFFFFFF
+            except ValueError:
+                number = zlib.crc32(name.encode())
+            while number in self._ids.values():
+                number = (number + 1) & 0xFFFFFFFF
+            self._ids[name] = number
+        return self._ids[name]
--- a/pinstage/adapter.py
+++ b/pinstage/adapter.py
@@ -13,6 +13,7 @@
 
 from pinstage import interface as api
 from pinstage.control import Controller
+from pinstage.settings import parse_settings
 
 
 class WireError(Exception):
@@ -38,7 +39,6 @@
 COST_HINT_BIT = 1
 COST_UNIT = 4096
 MEMORY_UNIT_MB = 4
-EFFECTS = {"repeatable": api.Effect.REPEATABLE, "by_key": api.Effect.BY_KEY, "once": api.Effect.ONCE}
 
 
 def _finite(value: float) -> float:
@@ -126,104 +126,6 @@
 BAIL_OUT_CODE = 5
 
 
-class _Pairs:
-    """Typed look-ups in the path=value lines of a Hello."""
-
-    def __init__(self, text: str) -> None:
-        self.values: dict[str, str] = {}
-        for line in text.splitlines():
-            if line.strip():
-                path, mark, value = line.partition("=")
-                if not mark:
-                    raise ValueError(f"{path}: not a path=value line")
-                self.values[path.strip()] = value.strip()
-
-    def text(self, path: str, default: str | None = None) -> str:
-        value = self.values.get(path, default)
-        if value is None:
-            raise ValueError(f"{path}: missing")
-        return value
-
-    def number(self, path: str, default: float | None = None) -> float:
-        if path not in self.values and default is not None:
-            return default
-        try:
-            value = float(self.text(path))
-        except ValueError:
-            raise ValueError(f"{path}: missing or not a number") from None
-        if not math.isfinite(value):
-            raise ValueError(f"{path}: not a finite number")
-        return value
-
-    def flag(self, path: str, default: bool = False) -> bool:
-        value = self.values.get(path, str(default).lower())
-        if value not in ("true", "false"):
-            raise ValueError(f"{path}: neither true nor false")
-        return value == "true"
-
-    def items(self, path: str) -> list[str]:
-        value = self.values.get(path, "")
-        return value.split(",") if value else []
-
-    def numbers(self, path: str) -> list[float]:
-        try:
-            return [float(v) for v in self.items(path)]
-        except ValueError:
-            raise ValueError(f"{path}: not a list of numbers") from None
-
-    def places(self, path: str) -> frozenset[int] | None:
-        return frozenset(int(v) for v in self.numbers(path)) if path in self.values else None
-
-
-def parse_settings(text: str) -> api.Settings:
-    """Read the settings of a Hello; keys that are not known here are skipped."""
-    p = _Pairs(text)
-    count = int(p.number("categories.count"))
-    threads, loads = p.numbers("domain.classThreads"), p.items("domain.classLoad")
-    waits = p.items("domain.blockedByLoads")
-    classes = []
-    for i in range(count):
-        c = f"categories.{i}."
-        effect = p.text(c + "effect")
-        if effect not in EFFECTS:
-            raise ValueError(f"{c}effect: unknown effect {effect!r}")
-        classes.append(api.ClassSettings(
-            aim_ms=p.number(c + "promise"), deadline_ms=p.number(c + "hardLimit"),
-            worth=p.number(c + "worth", 1.0),
-            aim_stretch=p.number(c + "aimStretch", 0.0), late_share=p.number(c + "lateShare", 0.0),
-            effect=EFFECTS[effect], dedup_scope=p.text(c + "dedupScope", "all"),
-            window_ms=p.number(c + "window", 0.0), in_order=p.flag(c + "inOrder"),
-            stream=p.flag(c + "stream"),
-            threads=int(threads[i]) if i < len(threads) else 1, is_load=i < len(loads) and loads[i] == "true",
-            waits_for_loads=i < len(waits) and waits[i] == "true",
-            only_kinds=p.places(c + "servedOn"), only_zones=p.places(c + "failureDomainsOpen")))
-    parties = int(p.number("parties.count", 0))
-    return api.Settings(
-        classes=tuple(classes), dispatchers=int(p.number("balancers", 1)), number=int(p.number("me", 0)),
-        tenant_quota_per_s=tuple(p.number(f"parties.{i}.allowancePerS", 0.0) for i in range(parties)),
-        kind_cores=tuple(p.numbers("domain.kindCores")) or (1.0,),
-        kind_memory_mb=tuple(p.numbers("domain.sizeMb")) or (0.0,),
-        most_grant=p.number("domain.mostGrant", 1.0),
-        grants=p.flag("domain.grants"), priorities=p.flag("domain.priorities"),
-        says_cost=p.flag("domain.saysCost"),
-        note_period_ms=p.number("domain.notePeriod", 0.0), when_short=p.text("domain.whenShort", "wait"),
-        report_columns=tuple(p.items("report.columns")),
-        reports_in_answers=p.text("report.how", "silent") == "piggyback",
-        subscribe=p.text("discovery", "automatic") == "subscribe",
-        ask_within_ms=p.number("rules.mustAskIn", 0.0),
-        may_cancel=p.flag("limits.cancel"), may_probe=p.flag("limits.probes"),
-        second_copies=p.flag("limits.secondCopies"), retry_after=p.flag("limits.retryAfter"),
-        max_retry_after_ms=p.number("limits.maxRetryAfter", 0.0),
-        max_attempts=int(p.number("limits.mostTries", 1)),
-        connect_timeout_ms=p.number("limits.dialTimeout", 250.0),
-        drain_grace_ms=p.number("rules.stopSendingWithin", 0.0),
-        cold_capacity=p.number("rules.startCapacity", 1.0), warm_within_ms=p.number("rules.warmWithin", 0.0),
-        cold_multiple=p.number("rules.tipMultiple", 1.0), cold_window_ms=p.number("rules.fall", 1000.0),
-        order_pause_ms=p.number("rules.orderPause", 0.0), retry_floor=p.number("rules.extraFloor", 0.0),
-        retry_ratio=p.number("rules.extraRatio", 0.0), retry_span_ms=p.number("rules.resendSpan", 0.0),
-        over_share_worth=p.number("overShareWorth", 1.0))
-
-
 class Host:
     """All instances of one process; each has a controller of its own and they share nothing."""
 
