--- a/frostspindle/__main__.py
+++ b/frostspindle/__main__.py
@@ -19,7 +19,10 @@
 from frostspindle.events import Events
 from frostspindle.net.bus import Bus
 from frostspindle.net.engines import Engines
-from frostspindle.net.platform import Platform
+from frostspindle.net.platform import FRONT, Platform, table_group
+from frostspindle.net.tds.driver import TdsEngines
+from frostspindle.net.tds.front import TdsFront
+from pinstage.interface import ListKind
 
 ACCEPT_S = 0.75  # after SIGTERM new work still comes for up to 0.6 s, and is owed its answer
 FLUSH_S = 0.1  # for the last answers to leave
@@ -31,10 +34,18 @@
     def __init__(self, config: Config) -> None:
         self.config = config
         self.events = Events(config.name)
-        self.core = Core(config.settings, config.classes, config.seed, self.events, config.sockets // 2)
+        classes = [(FRONT, name) for name in config.classes] + [("tds", name) for name in config.plan.classes]
+        self.core = Core(config.settings, classes, config.seed, self.events, config.sockets // 2)
         self.driver = Engines(config, self.core, self.events)
         self.bus = Bus(config, self.core, self.driver, self.events)
         self.platform = Platform(config, self.core, self.events)
+        self.tds: TdsFront | None = None
+        self.tds_driver: TdsEngines | None = None
+        if tds := config.operator.tds:
+            self.tds_driver = TdsEngines(tds, config.plan.kinds, self.core, self.events)
+            self.tds = TdsFront(tds, configuration.address(tds.listen, "tds.listen"), config.plan.classes,
+                                config.seed, self.core, self.events, table_group)
+        self.agent: Any = None
         self.stopping = asyncio.Event()
         self.tasks: list[asyncio.Task[Any]] = []
 
@@ -44,8 +55,21 @@
             task = asyncio.create_task(work)
             task.add_done_callback(self._ended)
             self.tasks.append(task)
+        if self.tds and self.tds_driver:
+            self.tds_driver.configure(self.tds.tds.engine, ListKind.FULL)
+            await self.tds.start()
+        if snmp := self.config.operator.snmp:
+            from frostspindle.net.snmp import Agent  # pysnmp costs memory that only its users pay
+
+            self.agent = Agent(snmp, self.core, self.events, self.sessions)
+            await self.agent.start()
         await self.platform.start()
-        self.events.log("ready", listen=f"{self.config.listen[0]}:{self.platform.port}")
+        self.events.log("ready", listen=f"{self.config.listen[0]}:{self.platform.port}",
+                        tds=self.tds.port if self.tds else None, snmp=self.agent.port if self.agent else None)
+
+    def sessions(self) -> dict[str, int]:
+        """Connections that clients hold now, by front."""
+        return {FRONT: self.platform.connections, "tds": len(self.tds.sessions) if self.tds else 0}
 
     def _ended(self, task: asyncio.Task[Any]) -> None:
         if not task.cancelled() and task.exception() is not None:
@@ -55,12 +79,28 @@
     def reload(self) -> None:
         """SIGHUP: the operator's file again; a file with a fault changes nothing."""
         try:
-            configuration.read_operator(self.config.operator_file, self.config.classes)
+            operator = configuration.read_operator(self.config.operator_file, self.config.classes)
+            if self.tds and self.tds_driver:
+                self._reload_tds(operator.tds)
         except ConfigError as error:
             self.events.log("reload", error=str(error))
             return
         self.events.log("reload")
 
+    def _reload_tds(self, tds: configuration.Tds | None) -> None:
+        """Take engines, their states and logins; what the module was told at the start needs a new start."""
+        assert self.tds and self.tds_driver
+        if tds is None:
+            raise ConfigError("tds: can't be turned off while running")
+        for number, engine in enumerate(tds.engine):
+            if (engine.cores, engine.memory_mb) not in self.config.plan.kinds:
+                raise ConfigError(f"tds.engine[{number}].cores: a size that needs a new start")
+        for number, login in enumerate(tds.login):
+            if login.cls not in self.config.plan.classes:
+                raise ConfigError(f"tds.login[{number}].class: a class that needs a new start")
+        self.tds.tds = self.tds_driver.tds = tds
+        self.tds_driver.configure(tds.engine)
+
     async def stop(self) -> None:
         """Go on accepting for a while, finish what was taken, then let go of everything."""
         self.events.log("stopping", open=self.core.open)
@@ -71,6 +111,11 @@
             await asyncio.sleep(0.02)
         await asyncio.sleep(FLUSH_S)
         await self.platform.close()
+        if self.tds and self.tds_driver:
+            await self.tds.close()
+            await self.tds_driver.close()
+        if self.agent:
+            self.agent.close()
         await self.driver.close()
         for task in self.tasks:
             task.cancel()
--- a/frostspindle/config.py
+++ b/frostspindle/config.py
@@ -129,6 +129,14 @@
     snmp: Snmp | None = None
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class TdsPlan:
+    """What the module is told of TDS: its classes and kinds stand behind the platform's."""
+
+    classes: dict[str, int]
+    kinds: dict[tuple[float, float], int]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Config:
     """The few values that the program uses."""
@@ -147,6 +155,7 @@
     idle_ms: float
     operator: Operator
     operator_file: str
+    plan: TdsPlan
 
 
 def address(text: str, key: str) -> Address:
@@ -221,13 +230,42 @@
     categories = document.settings.get("categories", [])
     classes = tuple(str(c.get("name", number)) for number, c in enumerate(categories))
     operator_file = environ.get("FROSTSPINDLE_OPERATOR", "")
+    operator = read_operator(operator_file, classes)
+    plan = TdsPlan({}, {})
+    if operator.tds:
+        settings, plan = with_tds(settings, classes, operator.tds)
     return Config(
         name=environ.get("LB_NAME") or document.name, listen=address(listen, "LB_LISTEN"), seed=seed,
         sockets=document.limits.sockets, bus=address(document.bus, "bus") if document.bus else None,
         known_offset=document.known.offset, known=tuple(document.known.batch), settings=settings,
         classes=classes, kinds=_names(document.settings, "kinds"),
         zones=_names(document.settings, "failureDomains"), idle_ms=idle_ms,
-        operator=read_operator(operator_file, classes), operator_file=operator_file)
+        operator=operator, operator_file=operator_file, plan=plan)
+
+
+def with_tds(settings: Settings, names: tuple[str, ...], tds: Tds) -> tuple[Settings, TdsPlan]:
+    """The module's settings with the TDS classes and kinds added.
+
+    A request stays among engines that speak as its client does. The module itself sees to that, by its rule on
+    placement: the classes of each front are bound to the kinds of that front's engines.
+    """
+    first = len(settings.kind_cores)
+    kinds: dict[tuple[float, float], int] = {}
+    for engine in tds.engine:
+        kinds.setdefault((engine.cores, engine.memory_mb), first + len(kinds))
+    plan = TdsPlan({}, kinds)
+    here = frozenset(kinds.values())
+    classes = [dataclasses.replace(c, only_kinds=c.only_kinds or frozenset(range(first)))
+               for c in settings.classes]
+    for login in tds.login:
+        if login.cls not in plan.classes:
+            plan.classes[login.cls] = len(classes)
+            classes.append(dataclasses.replace(settings.classes[names.index(login.cls)], only_kinds=here,
+                                               only_zones=None))
+    memory = (settings.kind_memory_mb + (0.0,) * first)[:first]
+    return dataclasses.replace(
+        settings, classes=tuple(classes), kind_cores=settings.kind_cores + tuple(cores for cores, _ in kinds),
+        kind_memory_mb=memory + tuple(size for _, size in kinds)), plan
 
 
 def _names(settings: dict[str, Any], key: str) -> tuple[str, ...]:
--- a/frostspindle/core.py
+++ b/frostspindle/core.py
@@ -15,7 +15,7 @@
 import time
 import traceback
 from collections import deque
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass, field
 from typing import Any, Protocol
 
@@ -56,6 +56,7 @@
     cost_ms: float = 0.0
     memory_mb: float = 0.0
     group: int = 0
+    place: str = ""  # the database, for drivers that need to name it
     number: int = 0  # the core's own, once taken
 
 
@@ -120,6 +121,7 @@
 
 @dataclass(slots=True, frozen=True)
 class _Listing:
+    driver: Driver
     engines: tuple[EngineState, ...]
     how: int
     version: int
@@ -142,7 +144,7 @@
 class Core:
     """Runs one Controller against fronts and drivers that it knows by their interfaces only."""
 
-    def __init__(self, settings: api.Settings, classes: tuple[str, ...], seed: int, events: Events,
+    def __init__(self, settings: api.Settings, classes: Sequence[tuple[str, str]], seed: int, events: Events,
                  most_open: int = 512) -> None:
         self.settings, self.classes, self.events, self.most_open = settings, classes, events, most_open
         self.controller = Controller(settings, seed)
@@ -172,7 +174,7 @@
     def submit(self, ask: Ask) -> bool:
         """Take a request; False: full, the front refuses it by itself and the module never hears of it."""
         if self._open >= self.most_open:
-            self.events.count("full", ask.front, self.classes[ask.cls])
+            self.events.count("full", ask.front, self.classes[ask.cls][1])
             return False
         self._open += 1
         self._put(ask)
@@ -182,9 +184,9 @@
         """The client has gone; nothing is owed."""
         self._put(_Leave(ask))
 
-    def list_engines(self, engines: Iterable[EngineState], how: int, version: int) -> None:
-        """Word of the engine list; goes before all else."""
-        self._urgent.append(_Listing(tuple(engines), how, version))
+    def list_engines(self, driver: Driver, engines: Iterable[EngineState], how: int, version: int) -> None:
+        """Word of one driver's engine list; goes before all else."""
+        self._urgent.append(_Listing(driver, tuple(engines), how, version))
         self._wake.set()
 
     def note(self, attempt: Attempt, kind: int, value: float) -> None:
@@ -296,7 +298,7 @@
         record = self._records[ask.number] = Record(ask)
         left_ms = ask.left_ms - (now - ask.taken_ms)
         self._at(ask.taken_ms + ask.left_ms, record)
-        self.events.count("taken", ask.front, self.classes[ask.cls])
+        self.events.count("taken", ask.front, self.classes[ask.cls][1])
         self._tell(now, api.Request(ask.number, ask.cls, 0, 0, left_ms, ask.cost_ms, ask.memory_mb,
                                     float(ask.group)))
 
@@ -307,27 +309,30 @@
         if not record.answered:
             record.answered = why
             self._open -= 1
-            self.events.count(why, record.ask.front, self.classes[record.ask.cls])
+            self.events.count(why, record.ask.front, self.classes[record.ask.cls][1])
         self._tell(now, api.Left(number))
         self._forget(record)
 
     def _list(self, now: float, listing: _Listing) -> None:
+        # A whole list is whole for its driver only, so the module hears it as a change: what is missing is gone.
+        changed = list(listing.engines)
         if listing.how != ListKind.DELTA:
             listed = {state.entry.engine for state in listing.engines}
-            for missing in self.engines.keys() - listed:
-                gone = self.engines[missing]
-                gone.entry = gone.entry._replace(health=Health.GONE)
-        for state in listing.engines:
+            changed += [EngineState(state.entry._replace(health=Health.GONE), state.name, state.address,
+                                    state.driver)
+                        for number, state in self.engines.items()
+                        if state.driver is listing.driver and number not in listed]
+        for state in changed:
             self.engines[state.entry.engine] = state
             state.driver.listed(state)
             self.events.log("engine", name=state.name, health=state.entry.health, since=state.entry.since_ms)
-        entries = tuple(state.entry for state in listing.engines)
-        self._tell(now, api.EngineList(listing.how, listing.version, entries))
+        entries = tuple(state.entry for state in changed)
+        self._tell(now, api.EngineList(ListKind.DELTA, listing.version, entries))
 
     def _end(self, now: float, end: _End) -> None:
         attempt, ask = end.attempt, end.attempt.ask
         record, verdict = self._records.get(ask.number), end.verdict
-        self.events.count(f"ended_{Verdict(verdict).name.lower()}", ask.front, self.classes[ask.cls])
+        self.events.count(f"ended_{Verdict(verdict).name.lower()}", ask.front, self.classes[ask.cls][1])
         if verdict not in (Verdict.OK, Verdict.CANCELLED):
             self.events.log("attempt", request=ask.number, ticket=ask.ticket, attempt=attempt.number,
                             engine=self.engines[attempt.engine].name, verdict=Verdict(verdict).name,
@@ -351,7 +356,7 @@
         ask, state = record.ask, self.engines[action.engine]
         attempt = Attempt(ask, len(record.attempts), action.engine, now,
                           action.timeout_ms or max(1.0, ask.taken_ms + ask.left_ms - now),
-                          self.classes[ask.cls], record.grant_mb, record.priority)
+                          self.classes[ask.cls][1], record.grant_mb, record.priority)
         if record.answered or any(not earlier.over for earlier in record.attempts):
             # Two attempts out at once is the rule that costs most; the module never asks for it.
             raise RuntimeError("a send while an attempt is out or the request is answered")
@@ -387,7 +392,7 @@
             return
         record.answered = answer.how
         self._open -= 1
-        self.events.count(answer.how, record.ask.front, self.classes[record.ask.cls])
+        self.events.count(answer.how, record.ask.front, self.classes[record.ask.cls][1])
         try:
             record.ask.settle(answer)
         finally:
--- a/frostspindle/net/bus.py
+++ b/frostspindle/net/bus.py
@@ -31,7 +31,6 @@
         self.config, self.core, self.driver, self.events = config, core, driver, events
         self.last = 0
         self._ids: dict[str, int] = {}
-        self._told = False
 
     def start(self) -> None:
         """Hand on what the configuration already knows."""
@@ -80,9 +79,7 @@
             return
         states = list(self._states(event.topology.hosts))
         how = ListKind.FULL if event.topology.whole else ListKind.DELTA
-        if not self._told:
-            self._told, how = True, ListKind.CACHED
-        self.core.list_engines(states, how, event.offset)
+        self.core.list_engines(self.driver, states, how, event.offset)
 
     def _states(self, hosts: Iterable[Host]) -> Iterable[EngineState]:
         for host in hosts:
--- a/frostspindle/net/platform.py
+++ b/frostspindle/net/platform.py
@@ -102,7 +102,6 @@
         self._paths = 0
         self._server: asyncio.Server | None = None
         self._web: _Server | None = None
-        self.closing = False
 
     async def start(self) -> None:
         self._web = _Server(self)
@@ -114,6 +113,10 @@
         assert self._server is not None
         return int(self._server.sockets[0].getsockname()[1])
 
+    @property
+    def connections(self) -> int:
+        return len(self._web.connections) if self._web is not None else 0
+
     async def close(self) -> None:
         if self._server is not None and self._web is not None:
             self._server.close()
@@ -161,7 +164,7 @@
         return await self._next(opened, int(page))
 
     async def _post(self, request: web.BaseRequest, cls: str) -> web.StreamResponse:
-        if len(self._web.connections if self._web else ()) > self.most_connections:
+        if self.connections > self.most_connections:
             self.events.count("full", FRONT, cls if cls in self.classes else "")
             response = _json(503, {"failure": "Busy"})
             response.force_close()
--- /dev/null
+++ b/frostspindle/net/snmp.py
@@ -0,0 +1,137 @@
+"""The SNMP agent: the program's counters, engines and sessions, read-only, by SNMPv2c.
+
+Owns one UDP socket and the objects of mibs/FROSTSPINDLE-MIB.txt, which it fills from the same counters that
+SIGUSR1 prints. It must never change anything (every set is refused), never answer a wrong community, and never
+be imported unless the operator's file sets it up.
+"""
+
+from __future__ import annotations
+
+import bisect
+import logging
+import socket
+import time
+from collections.abc import Callable
+from typing import Any
+
+from pysnmp.carrier.asyncio.dgram import udp
+from pysnmp.entity import config as snmp_config
+from pysnmp.entity.engine import SnmpEngine
+from pysnmp.entity.rfc3413 import cmdrsp, context
+from pysnmp.proto import rfc1902, rfc1905
+from pysnmp.smi import error
+from pysnmp.smi.instrum import AbstractMibInstrumController
+
+from frostspindle.config import Snmp, address
+from frostspindle.core import Core
+from frostspindle.events import Events
+
+ROOT = (1, 3, 6, 1, 4, 1, 32473, 1)
+SCALARS, CLASSES, ENGINES, SESSIONS = (*ROOT, 1, 1), (*ROOT, 1, 2, 1), (*ROOT, 1, 3, 1), (*ROOT, 1, 4, 1)
+FRONTS = {"http": 1, "tds": 2}
+CLASS_COUNTS = ("taken", "full", "sent", "served", "refused", "failed", "left")
+HEALTH = {0: 3, 1: 1, 2: 2}  # the module's numbers to the MIB's: ready, draining, gone
+OLD_MS = 200.0  # a walk reads many objects of one picture; it is drawn anew after this
+Oid = tuple[int, ...]
+
+
+class Objects(AbstractMibInstrumController):
+    """All objects, as one ordered picture."""
+
+    def __init__(self, core: Core, events: Events, sessions: Callable[[], dict[str, int]]) -> None:
+        self.core, self.events, self.sessions = core, events, sessions
+        self._at, self._values, self._order = 0.0, dict[Oid, Any](), list[Oid]()
+
+    def _picture(self) -> dict[Oid, Any]:
+        now = time.monotonic() * 1000.0
+        if self._order and now - self._at < OLD_MS:
+            return self._values
+        events, counts, out = self.events, self.events.counts, {}
+        up = int((time.time() - events.started) * 100) & 0xFFFFFFFF
+        for number, value in enumerate((
+                rfc1902.OctetString(events.name.encode()), rfc1902.TimeTicks(up),
+                rfc1902.Gauge32(self.core.open), rfc1902.Counter64(counts["faults", "", ""]),
+                rfc1902.Counter64(counts["bus_reconnects", "", ""])), 1):
+            out[(*SCALARS, number, 0)] = value
+        for index, (front, cls) in enumerate(self.core.classes, 1):
+            row = (FRONTS[front], index)
+            out[(*CLASSES, 3, *row)] = rfc1902.OctetString(cls.encode())
+            for column, what in enumerate(CLASS_COUNTS, 4):
+                out[(*CLASSES, column, *row)] = rfc1902.Counter64(counts[what, front, cls])
+        for number, state in self.core.engines.items():
+            row = (number + 1,) if number < 0xFFFFFFFF else (number,)
+            out[(*ENGINES, 2, *row)] = rfc1902.OctetString(state.name.encode()[:255])
+            out[(*ENGINES, 3, *row)] = rfc1902.OctetString(f"{state.address[0]}:{state.address[1]}".encode())
+            out[(*ENGINES, 4, *row)] = rfc1902.Integer32(HEALTH[state.entry.health])
+        for front, count in self.sessions().items():
+            out[(*SESSIONS, 2, FRONTS[front])] = rfc1902.Gauge32(count)
+        self._at, self._values, self._order = now, out, sorted(out)
+        return out
+
+    def _allowed(self, name: Oid, context: dict[str, Any]) -> None:
+        context["acFun"]("read", (rfc1902.ObjectName(name), None), **{**context, "idx": 0})
+
+    def read_variables(self, *varBinds: Any, **context: Any) -> list[tuple[Any, Any]]:
+        """GET: each object by its whole name."""
+        values = self._picture()
+        out = []
+        for name, _ in varBinds:
+            oid = tuple(name)
+            self._allowed(ROOT, context)
+            if oid in values:
+                out.append((name, values[oid]))
+            else:
+                known = any(o[:len(oid) - 1] == oid[:-1] for o in self._order) if len(oid) > len(ROOT) else False
+                out.append((name, rfc1905.noSuchInstance if known else rfc1905.noSuchObject))
+        return out
+
+    def read_next_variables(self, *varBinds: Any, **context: Any) -> list[tuple[Any, Any]]:
+        """GETNEXT and GETBULK: the object that follows in order."""
+        values = self._picture()
+        out = []
+        for name, _ in varBinds:
+            self._allowed(ROOT, context)
+            at = bisect.bisect_right(self._order, tuple(name))
+            if at < len(self._order):
+                out.append((rfc1902.ObjectName(self._order[at]), values[self._order[at]]))
+            else:
+                out.append((name, rfc1905.endOfMibView))
+        return out
+
+    def write_variables(self, *varBinds: Any, **context: Any) -> list[tuple[Any, Any]]:
+        """SET: refused, whatever it names."""
+        self.events.count("snmp_sets_refused")
+        raise error.NotWritableError(idx=0)
+
+
+class Agent:
+    """The agent's socket and engine."""
+
+    def __init__(self, snmp: Snmp, core: Core, events: Events, sessions: Callable[[], dict[str, int]]) -> None:
+        self.snmp = snmp
+        self.objects = Objects(core, events, sessions)
+        self.port = 0
+        self._engine: Any = None
+
+    async def start(self) -> None:
+        logging.getLogger("pysnmp").addHandler(logging.NullHandler())
+        sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        sock.setblocking(False)
+        sock.bind(address(self.snmp.listen, "snmp.listen"))
+        self.port = sock.getsockname()[1]
+        self._engine = SnmpEngine()
+        snmp_config.add_transport(self._engine, udp.DOMAIN_NAME, udp.UdpTransport().open_server_mode(sock=sock))
+        snmp_config.add_v1_system(self._engine, "reader", self.snmp.community)
+        # 2: SNMPv2c alone; the community has a view for reading and none for writing.
+        snmp_config.add_vacm_user(self._engine, 2, "reader", "noAuthNoPriv", readSubTree=ROOT)
+        scope = context.SnmpContext(self._engine)
+        scope.unregister_context_name(b"")
+        scope.register_context_name(b"", self.objects)
+        for responder in (cmdrsp.GetCommandResponder, cmdrsp.NextCommandResponder, cmdrsp.BulkCommandResponder,
+                          cmdrsp.SetCommandResponder):
+            responder(self._engine, scope)
+        self._engine.transport_dispatcher.job_started(1)
+
+    def close(self) -> None:
+        if self._engine is not None:
+            self._engine.close_dispatcher()
--- /dev/null
+++ b/frostspindle/net/tds/codec.py
@@ -0,0 +1,391 @@
+"""The codec of TDS 7.4: packets, PRELOGIN, LOGIN7, batches and the tokens of a result.
+
+Owns the byte layouts of MS-TDS and the bounds on what is read. It must never open a socket, never wait, never
+take a length on trust, and never change the bytes of a row: a result is walked to see that it is whole and is
+then passed on as it came. Whatever breaks the layout raises ProtocolError.
+"""
+
+from __future__ import annotations
+
+import struct
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+
+BATCH, RPC, RESULT, ATTENTION, BULK, MANAGER, LOGIN7, SSPI, PRELOGIN = 1, 3, 4, 6, 7, 14, 16, 17, 18
+EOM, IGNORE, RESET_CONNECTION = 0x01, 0x02, 0x08
+HEADER = struct.Struct(">BBHHBB")
+PACKET, LEAST_PACKET, MOST_PACKET = 4096, 512, 32767
+VERSION = 0x74000004
+
+# Tokens.
+COLMETADATA, ERROR, INFO, LOGINACK, ROW, NBCROW, ENVCHANGE = 0x81, 0xAA, 0xAB, 0xAD, 0xD1, 0xD2, 0xE3
+ORDER, RETURNSTATUS, FEATUREEXTACK, DONE, DONEPROC, DONEINPROC = 0xA9, 0x79, 0xAE, 0xFD, 0xFE, 0xFF
+# What DONE says.
+DONE_MORE, DONE_ERROR, DONE_COUNT, DONE_ATTN = 0x01, 0x02, 0x10, 0x20
+ENCRYPT_NOT_SUP, ENCRYPT_OFF = 2, 0
+O_VERSION, O_ENCRYPTION, O_INSTANCE, O_THREAD, O_MARS, O_END = 0, 1, 2, 3, 4, 0xFF
+
+_FIXED = {0x1F: 0, 0x30: 1, 0x32: 1, 0x34: 2, 0x38: 4, 0x3A: 4, 0x3B: 4, 0x3C: 8, 0x3D: 8, 0x3E: 8, 0x7A: 4,
+          0x7F: 8}
+_BYTE_LEN = {0x24: 1, 0x26: 1, 0x68: 1, 0x6D: 1, 0x6E: 1, 0x6F: 1, 0x6A: 3, 0x6C: 3, 0x28: 0, 0x29: 1, 0x2A: 1,
+             0x2B: 1}  # bytes of type information before the values' one-byte lengths
+_SHORT_LEN = {0xA5: 0, 0xAD: 0, 0xA7: 5, 0xAF: 5, 0xE7: 5, 0xEF: 5}  # bytes of collation
+_LONG_LEN = {0x23: 5, 0x63: 5, 0x22: 0}
+_VARIANT, _XML, NVARCHAR = 0x62, 0xF1, 0xE7
+_COLLATION = bytes((0x09, 0x04, 0xD0, 0x00, 0x34))  # US English, case and accent as Windows sorts them
+
+
+class ProtocolError(Exception):
+    """The peer's bytes break the layout of MS-TDS, or pass a bound."""
+
+
+class TooLong(ProtocolError):
+    """A message passes its bound."""
+
+
+@dataclass(slots=True)
+class Message:
+    kind: int
+    status: int
+    body: bytes
+
+
+class Splitter:
+    """Messages out of packets, however the stream was cut or joined."""
+
+    def __init__(self, most: int) -> None:
+        self.most = most  # bytes of one message
+        self._data, self._body = bytearray(), bytearray()
+        self._kind = -1
+
+    def feed(self, data: bytes) -> Iterator[Message]:
+        self._data += data
+        while len(self._data) >= HEADER.size:
+            kind, status, length, _, _, _ = HEADER.unpack_from(self._data)
+            if length < HEADER.size or length > MOST_PACKET:
+                raise ProtocolError(f"a packet of {length} bytes")
+            if kind not in (BATCH, RPC, RESULT, ATTENTION, BULK, MANAGER, LOGIN7, SSPI, PRELOGIN):
+                raise ProtocolError(f"a packet of unknown type {kind}")
+            if self._kind not in (-1, kind):
+                raise ProtocolError(f"a packet of type {kind} inside a message of type {self._kind}")
+            if len(self._body) + length - HEADER.size > self.most:
+                raise TooLong(f"a message of more than {self.most} bytes")
+            if len(self._data) < length:
+                return
+            self._kind = kind
+            self._body += self._data[HEADER.size:length]
+            del self._data[:length]
+            if status & EOM:
+                message = Message(kind, status, bytes(self._body))
+                self._body.clear()
+                self._kind = -1
+                yield message
+
+    @property
+    def partial(self) -> bool:
+        """Bytes of a message are here that is not whole."""
+        return bool(self._data or self._body)
+
+
+def packets(kind: int, body: bytes, size: int = PACKET, status: int = 0) -> bytes:
+    """A message as packets; `status` bits go on the first."""
+    room, out = size - HEADER.size, bytearray()
+    chunks = [body[at:at + room] for at in range(0, len(body), room)] or [b""]
+    for number, chunk in enumerate(chunks):
+        bits = (status if number == 0 else 0) | (EOM if number == len(chunks) - 1 else 0)
+        out += HEADER.pack(kind, bits, HEADER.size + len(chunk), 0, (number + 1) & 0xFF, 0) + chunk
+    return bytes(out)
+
+
+# PRELOGIN and LOGIN7.
+
+
+def read_prelogin(body: bytes) -> dict[int, bytes]:
+    options: dict[int, bytes] = {}
+    at = 0
+    while True:
+        if at >= len(body):
+            raise ProtocolError("a PRELOGIN without an end")
+        option = body[at]
+        if option == O_END:
+            return options
+        if at + 5 > len(body):
+            raise ProtocolError("a PRELOGIN option is cut")
+        offset, length = struct.unpack_from(">HH", body, at + 1)
+        if offset + length > len(body):
+            raise ProtocolError("a PRELOGIN option runs past its message")
+        options[option] = body[offset:offset + length]
+        at += 5
+
+
+def prelogin(options: dict[int, bytes]) -> bytes:
+    head, data = bytearray(), bytearray()
+    start = 5 * len(options) + 1
+    for option, value in options.items():
+        head += struct.pack(">BHH", option, start + len(data), len(value))
+        data += value
+    return bytes(head) + bytes((O_END,)) + bytes(data)
+
+
+@dataclass(slots=True, frozen=True)
+class Login:
+    user: str = ""
+    application: str = ""
+    database: str = ""
+    packet: int = PACKET
+    version: int = VERSION
+
+
+def read_login(body: bytes) -> Login:
+    if len(body) < 94 or struct.unpack_from("<I", body)[0] > len(body):
+        raise ProtocolError("a LOGIN7 is cut")
+    version, packet = struct.unpack_from("<II", body, 4)
+
+    def text(at: int) -> str:
+        offset, count = struct.unpack_from("<HH", body, at)
+        if count > 128 or offset + 2 * count > len(body):
+            raise ProtocolError("a LOGIN7 field runs past its message")
+        return _utf16(body[offset:offset + 2 * count])
+
+    if version >> 24 < 0x72:
+        raise ProtocolError(f"TDS version {version:08x} is older than 7.2")
+    return Login(text(40), text(48), text(68), max(LEAST_PACKET, min(MOST_PACKET, packet or PACKET)), version)
+
+
+def login(user: str, password: str, application: str, database: str, packet: int = PACKET) -> bytes:
+    secret = bytes((((b << 4) | (b >> 4)) & 0xFF) ^ 0xA5 for b in password.encode("utf-16-le"))
+    fields = [b"", user.encode("utf-16-le"), secret, application.encode("utf-16-le"), b"", b"",
+              "frostspindle".encode("utf-16-le"), b"", database.encode("utf-16-le")]
+    offsets, data = bytearray(), bytearray()
+    for value in fields:
+        offsets += struct.pack("<HH", 94 + len(data), len(value) // 2)
+        data += value
+    end = struct.pack("<HH", 94 + len(data), 0)
+    fixed = struct.pack("<IIIIIBBBBiI", VERSION, packet, 1, 0, 0, 0xE0, 0x03, 0, 0, 0, 0x0409)
+    body = fixed + bytes(offsets) + bytes(6) + end * 3 + bytes(4) + bytes(data)
+    return struct.pack("<I", 4 + len(body)) + body
+
+
+def _utf16(data: bytes) -> str:
+    try:
+        return data.decode("utf-16-le")
+    except UnicodeDecodeError:
+        raise ProtocolError("text that is not UTF-16") from None
+
+
+# Batches.
+
+
+def read_batch(body: bytes) -> str:
+    """The statement of a SQL batch, without its ALL_HEADERS."""
+    if len(body) < 4:
+        raise ProtocolError("a batch without its headers")
+    skip = struct.unpack_from("<I", body)[0]
+    if not 4 <= skip <= len(body) or (len(body) - skip) % 2:
+        raise ProtocolError("a batch's headers run past it")
+    return _utf16(body[skip:])
+
+
+def batch(statement: str) -> bytes:
+    return struct.pack("<IIHQI", 22, 18, 2, 0, 1) + statement.encode("utf-16-le")
+
+
+# Tokens that are written here.
+
+
+def _short(text: str) -> bytes:
+    return bytes((len(text),)) + text.encode("utf-16-le")
+
+
+def error(number: int, text: str, severity: int = 16, server: str = "frostspindle") -> bytes:
+    text = text[:2000]
+    body = (struct.pack("<iBBH", number, 1, severity, len(text)) + text.encode("utf-16-le") + _short(server)
+            + _short("") + struct.pack("<I", 1))
+    return struct.pack("<BH", ERROR, len(body)) + body
+
+
+def done(status: int = 0, rows: int = 0) -> bytes:
+    return struct.pack("<BHHQ", DONE, status, 0, rows)
+
+
+def login_ack(database: str, packet: int) -> bytes:
+    name = "frostspindle"
+    ack = b"\x01" + struct.pack(">I", VERSION) + _short(name) + bytes((1, 0, 0, 0))
+    out = struct.pack("<BH", LOGINACK, len(ack)) + ack
+    for kind, new, old in ((1, database, ""), (4, str(packet), str(PACKET))):
+        change = bytes((kind,)) + _short(new) + _short(old)
+        out += struct.pack("<BH", ENVCHANGE, len(change)) + change
+    return out + done()
+
+
+def text_result(columns: tuple[str, ...], rows: list[tuple[str, ...]]) -> bytes:
+    """A result of text columns; stand-ins and examples write it."""
+    out = bytearray(struct.pack("<BH", COLMETADATA, len(columns)))
+    for column in columns:
+        out += struct.pack("<IHBH", 0, 9, NVARCHAR, 8000) + _COLLATION + _short(column)
+    for row in rows:
+        out.append(ROW)
+        for value in row:
+            data = value.encode("utf-16-le")
+            out += struct.pack("<H", len(data)) + data
+    return bytes(out) + done(DONE_COUNT, len(rows))
+
+
+# Walking a result.
+
+
+@dataclass(slots=True)
+class Fault:
+    """An ERROR token."""
+
+    number: int
+    severity: int
+    text: str
+
+
+@dataclass(slots=True)
+class Result:
+    """What a whole answer holds. `tokens` leaves out what speaks of the engine's session only."""
+
+    tokens: bytes = b""
+    faults: list[Fault] = field(default_factory=list)
+    status: int = 0  # of the last DONE
+    rows: int = 0
+    accepted: bool = False  # a LOGINACK came
+
+
+class _Reader:
+    """Bytes taken in order; past the end is a ProtocolError."""
+
+    def __init__(self, data: bytes) -> None:
+        self.data, self.at = data, 0
+
+    def skip(self, count: int) -> int:
+        start = self.at
+        if count < 0 or start + count > len(self.data):
+            raise ProtocolError("a token runs past its message")
+        self.at += count
+        return start
+
+    def number(self, form: str) -> int:
+        size = struct.calcsize("<" + form)
+        return int(struct.unpack_from("<" + form, self.data, self.skip(size))[0])
+
+    def chunk(self, count: int) -> bytes:
+        start = self.skip(count)
+        return self.data[start:start + count]
+
+
+def _column(r: _Reader) -> tuple[str, int]:
+    """One column's type information: how its values are measured."""
+    r.skip(6)
+    kind = r.number("B")
+    if kind in _FIXED:
+        how = ("fixed", _FIXED[kind])
+    elif kind in _BYTE_LEN:
+        r.skip(_BYTE_LEN[kind])
+        how = ("byte", 0)
+    elif kind in _SHORT_LEN:
+        most = r.number("H")
+        r.skip(_SHORT_LEN[kind])
+        how = ("plp", 0) if most == 0xFFFF else ("short", 0)
+    elif kind in _LONG_LEN:
+        r.skip(4 + _LONG_LEN[kind])
+        for _ in range(r.number("B")):
+            r.skip(2 * r.number("H"))
+        how = ("text", 0)
+    elif kind == _VARIANT:
+        r.skip(4)
+        how = ("long", 0)
+    elif kind == _XML:
+        if r.number("B"):
+            r.skip(2 * r.number("B"))
+            r.skip(2 * r.number("B"))
+            r.skip(2 * r.number("H"))
+        how = ("plp", 0)
+    else:
+        raise ProtocolError(f"a column of type {kind:#04x}")
+    r.skip(2 * r.number("B"))
+    return how
+
+
+def _value(r: _Reader, how: tuple[str, int]) -> None:
+    form, size = how
+    if form == "fixed":
+        r.skip(size)
+    elif form == "byte":
+        r.skip(r.number("B"))
+    elif form == "short":
+        size = r.number("H")
+        r.skip(0 if size == 0xFFFF else size)
+    elif form == "long":
+        r.skip(r.number("I"))
+    elif form == "text":
+        if pointer := r.number("B"):
+            r.skip(pointer + 8)
+            r.skip(r.number("I"))
+    elif r.number("Q") != 0xFFFFFFFFFFFFFFFF:
+        while size := r.number("I"):
+            r.skip(size)
+
+
+def read_result(data: bytes) -> Result:
+    """Walk a whole answer of an engine; anything cut, unknown or without a last DONE is a ProtocolError."""
+    r, result, kept = _Reader(data), Result(), bytearray()
+    columns: list[tuple[str, int]] = []
+    last = False
+    while r.at < len(data):
+        start, token = r.at, r.number("B")
+        last = False
+        keep = True
+        if token == COLMETADATA:
+            count = r.number("H")
+            columns = [] if count == 0xFFFF else [_column(r) for _ in range(count)]
+        elif token == ROW:
+            if not columns:
+                raise ProtocolError("a row without columns")
+            for how in columns:
+                _value(r, how)
+            result.rows += 1
+        elif token == NBCROW:
+            if not columns:
+                raise ProtocolError("a row without columns")
+            nulls = r.chunk((len(columns) + 7) // 8)
+            for number, how in enumerate(columns):
+                if not nulls[number // 8] >> (number % 8) & 1:
+                    _value(r, how)
+            result.rows += 1
+        elif token in (DONE, DONEPROC, DONEINPROC):
+            result.status = r.number("H")
+            r.skip(10)
+            last = not result.status & DONE_MORE and token != DONEINPROC
+        elif token == ERROR:
+            result.faults.append(_fault(r.chunk(r.number("H"))))
+        elif token in (INFO, ORDER):
+            r.skip(r.number("H"))
+        elif token == RETURNSTATUS:
+            r.skip(4)
+        elif token in (LOGINACK, ENVCHANGE):
+            r.skip(r.number("H"))
+            result.accepted |= token == LOGINACK
+            keep = False
+        elif token == FEATUREEXTACK:
+            while r.number("B") != 0xFF:
+                r.skip(r.number("I"))
+            keep = False
+        else:
+            raise ProtocolError(f"a token of unknown type {token:#04x}")
+        if keep:
+            kept += data[start:r.at]
+    if not last:
+        raise ProtocolError("an answer without its last DONE")
+    result.tokens = bytes(kept)
+    return result
+
+
+def _fault(body: bytes) -> Fault:
+    r = _Reader(body)
+    number = r.number("i")
+    r.skip(1)
+    severity = r.number("B")
+    return Fault(number, severity, _utf16(r.chunk(2 * r.number("H"))))
--- /dev/null
+++ b/frostspindle/net/tds/front.py
@@ -0,0 +1,256 @@
+"""The TDS front: sessions of clients that speak TDS 7.4.
+
+Owns the listening socket, each session's log-in, its one batch at a time, and the tokens of its answers. It
+must never decide by itself what becomes of a request (no retries, no routing: the core asks the module),
+never give a batch more than one final answer, and never let one session's bytes harm another. Encryption is
+not spoken, and PRELOGIN says so.
+
+The numbers of its ERROR tokens: REFUSED is the documented transient number of a busy service, with the wait in
+its text; FAILED says that the batch may have run; the others say what is not taken here.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable, Iterable
+
+from frostspindle.config import Address, Tds, TdsLogin
+from frostspindle.core import REFUSED as REFUSED_ANSWER
+from frostspindle.core import SERVED, Answer, Ask, Core, clock
+from frostspindle.events import Events
+from frostspindle.net.tds import codec
+
+FRONT = "tds"
+REFUSED, FAILED = 40501, 50001
+UNSUPPORTED, LOGIN_FAILED, TOO_MANY, BAD_STREAM = 50010, 18456, 17809, 4002
+CHUNK = 16 * 1024
+ADVISED_MS = 100.0  # named in a refusal for which the module has no advice
+_NOT_TAKEN = {codec.RPC: "RPC requests are not taken here; send a SQL batch",
+              codec.BULK: "Bulk load is not taken here",
+              codec.MANAGER: "Transactions across batches are not taken here; use autocommit",
+              codec.SSPI: "Integrated log-in is not taken here"}
+
+
+class _Session:
+    """One client's connection."""
+
+    def __init__(self, front: TdsFront, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.front, self.reader, self.writer = front, reader, writer
+        self.splitter = codec.Splitter(front.tds.max_batch_bytes)
+        self.messages: list[codec.Message] = []
+        self.packet = codec.PACKET
+        self.profile: TdsLogin | None = None
+        self.database = ""
+        self.asking: asyncio.Future[Answer] | None = None
+
+    async def message(self) -> codec.Message | None:
+        """The next message, or None at the end of the stream."""
+        while not self.messages:
+            data = await self.reader.read(CHUNK)
+            if not data:
+                return None
+            self.messages += self.splitter.feed(data)
+            if len(self.messages) > 16:
+                raise codec.ProtocolError("too many messages ahead of their answers")
+        return self.messages.pop(0)
+
+    async def send(self, tokens: bytes) -> None:
+        self.writer.write(codec.packets(codec.RESULT, tokens, self.packet))
+        async with asyncio.timeout(30.0):  # a client that does not read gives up its session
+            await self.writer.drain()
+
+    async def fail(self, number: int, text: str, severity: int = 16) -> None:
+        await self.send(codec.error(number, text, severity) + codec.done(codec.DONE_ERROR))
+
+    async def run(self) -> None:
+        front = self.front
+        try:
+            async with asyncio.timeout(front.tds.login_ms / 1000.0):
+                if not await self._log_in():
+                    return
+        except TimeoutError:
+            front.events.count("login_timeouts", FRONT)
+            return
+        while True:
+            try:
+                async with asyncio.timeout(front.tds.idle_ms / 1000.0):
+                    message = await self.message()
+            except TimeoutError:
+                front.events.count("idle_sessions", FRONT)
+                return
+            if message is None:
+                return
+            if message.kind == codec.ATTENTION:
+                await self.send(codec.done(codec.DONE_ATTN))
+            elif message.status & codec.IGNORE:
+                await self.send(codec.done())  # the client took its message back before it was whole
+            elif message.kind == codec.BATCH:
+                if not await self._batch(codec.read_batch(message.body)):
+                    return
+            elif message.kind in _NOT_TAKEN:
+                front.events.count("not_taken", FRONT)
+                await self.fail(UNSUPPORTED, _NOT_TAKEN[message.kind])
+            else:
+                raise codec.ProtocolError(f"a message of type {message.kind} after the log-in")
+
+    async def _log_in(self) -> bool:
+        message = await self.message()
+        if message is not None and message.kind == codec.PRELOGIN:
+            options = codec.read_prelogin(message.body)
+            await self.send(codec.prelogin({
+                codec.O_VERSION: bytes((1, 0, 0, 0, 0, 0)), codec.O_ENCRYPTION: bytes((codec.ENCRYPT_NOT_SUP,)),
+                codec.O_INSTANCE: b"\x00", codec.O_MARS: b"\x00"}))
+            if options.get(codec.O_MARS, b"\x00")[:1] == b"\x01":
+                self.front.events.count("mars_declined", FRONT)
+            message = await self.message()
+        if message is None:
+            return False
+        if message.kind != codec.LOGIN7:
+            raise codec.ProtocolError(f"a message of type {message.kind} in place of a log-in")
+        login = codec.read_login(message.body)
+        self.profile = self.front.profile(login)
+        if self.profile is None:
+            self.front.events.count("logins_refused", FRONT)
+            await self.fail(LOGIN_FAILED, f"Login failed for user '{login.user}': no entry for application "
+                                          f"'{login.application}' and database '{login.database}'", 14)
+            return False
+        self.database = login.database
+        self.front.events.count("logins", FRONT, self.profile.cls)
+        tokens = codec.login_ack(login.database, login.packet)
+        await self.send(tokens)
+        self.packet = login.packet  # from the next message on
+        return True
+
+    async def _batch(self, statement: str) -> bool:
+        """One batch to its one final answer; False: the client has gone."""
+        front, profile = self.front, self.profile
+        assert profile is not None
+        if not statement.strip():
+            await self.send(codec.done())
+            return True
+        answered: asyncio.Future[Answer] = asyncio.get_running_loop().create_future()
+
+        def settle(answer: Answer) -> None:
+            if not answered.done():
+                answered.set_result(answer)
+
+        front.tickets += 1
+        ask = Ask(FRONT, front.classes[profile.cls], f"{front.seed ^ front.tickets:016x}", statement, clock(),
+                  profile.deadline_ms, settle, profile.cost_ms, profile.memory_mb, front.group(statement),
+                  place=self.database)
+        if not front.core.submit(ask):
+            await self.fail(REFUSED, _busy(ADVISED_MS))
+            return True
+        word = asyncio.ensure_future(self.message())  # an Attention, or the end of the stream
+        try:
+            await asyncio.wait((answered, word), return_when=asyncio.FIRST_COMPLETED)
+            if not answered.done():
+                front.core.left(ask)
+                message = word.result()
+                if message is None:
+                    return False
+                if message.kind != codec.ATTENTION:
+                    raise codec.ProtocolError("a message before the answer to the one ahead; MARS is not spoken")
+                await self.send(codec.done(codec.DONE_ATTN))
+                return True
+            # The word that was being waited for belongs to what comes after this answer.
+            await self._answer(answered.result())
+            if word.done():
+                message = word.result()
+                if message is None:
+                    return False
+                self.messages.insert(0, message)
+            return True
+        except BaseException:
+            if not answered.done():
+                front.core.left(ask)
+            raise
+        finally:
+            if not word.done():
+                word.cancel()
+                await asyncio.wait((word,))
+
+    async def _answer(self, answer: Answer) -> None:
+        if answer.how == SERVED:
+            await self.send(answer.result)
+        elif answer.how == REFUSED_ANSWER:
+            await self.fail(REFUSED, _busy(answer.retry_after_ms or ADVISED_MS))
+        else:
+            await self.fail(FAILED, "The request failed. It may have run; do not repeat what must not run twice.")
+
+
+def _busy(wait_ms: float) -> str:
+    return (f"The service is currently busy. Retry the request after {wait_ms / 1000.0:g} seconds. "
+            "The request was not run to an end and can be repeated.")
+
+
+class TdsFront:
+    """All sessions of the TDS front."""
+
+    def __init__(self, tds: Tds, listen: Address, classes: dict[str, int], seed: int, core: Core, events: Events,
+                 group: Callable[[str], int]) -> None:
+        self.tds, self.listen, self.classes, self.core, self.events = tds, listen, classes, core, events
+        self.group, self.seed, self.tickets = group, seed & 0xFFFFFFFFFFFFFFFF, 0
+        self.sessions: set[asyncio.Task[None]] = set()
+        self._server: asyncio.Server | None = None
+
+    def profile(self, login: codec.Login) -> TdsLogin | None:
+        """The first entry of the operator's file whose application and database fit."""
+        return _first(self.tds.login, login)
+
+    async def start(self) -> None:
+        self._server = await asyncio.start_server(self._serve, *self.listen, limit=CHUNK, backlog=128)
+
+    @property
+    def port(self) -> int:
+        assert self._server is not None
+        return int(self._server.sockets[0].getsockname()[1])
+
+    async def close(self) -> None:
+        if self._server is not None:
+            self._server.close()
+        for task in list(self.sessions):
+            task.cancel()
+        await asyncio.gather(*self.sessions, return_exceptions=True)
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        task = asyncio.current_task()
+        assert task is not None
+        session = _Session(self, reader, writer)
+        self.sessions.add(task)
+        try:
+            if len(self.sessions) > self.tds.max_sessions:
+                self.events.count("sessions_refused", FRONT)
+                await session.fail(TOO_MANY, "All sessions are in use; connect again later", 20)
+                return
+            await self._guarded(session.run)
+        except asyncio.CancelledError:
+            pass  # the program ends
+        finally:
+            self.sessions.discard(task)
+            writer.close()
+
+    async def _guarded(self, run: Callable[[], Awaitable[None]]) -> None:
+        """A session's fault ends that session, with an ERROR where one can still be written."""
+        session: _Session = run.__self__  # type: ignore[attr-defined]
+        try:
+            await run()
+        except codec.ProtocolError as error:
+            self.events.count("bad_streams", FRONT)
+            self.events.log("tds_stream", error=str(error))
+            try:
+                await session.fail(BAD_STREAM, f"The incoming TDS stream is incorrect: {error}", 20)
+            except (OSError, TimeoutError):
+                pass
+        except (OSError, TimeoutError):
+            self.events.count("broken_sessions", FRONT)
+        except Exception as error:  # noqa: BLE001 - one session's fault is its own
+            self.events.count("faults")
+            self.events.log("fault", error=repr(error), of="tds session")
+
+
+def _first(logins: Iterable[TdsLogin], login: codec.Login) -> TdsLogin | None:
+    for entry in logins:
+        if entry.application in ("", login.application) and entry.database in ("", login.database):
+            return entry
+    return None
--- /dev/null
+++ b/tests/test_platform.py
@@ -0,0 +1,251 @@
+"""The platform's side over loopback sockets: one story for each thing that goes wrong there."""
+
+import asyncio
+import json
+import os
+import signal
+import subprocess
+import sys
+import tempfile
+import unittest
+import unittest.mock
+from pathlib import Path
+
+from aiohttp import web
+from peers import LOAD, SQL, Bus, EdgeCase, change, host, page, settings
+
+from frostspindle import config as configuration
+from frostspindle.net.platform import table_group
+
+ROOT = Path(__file__).parent.parent
+
+
+class Serving(EdgeCase):
+    async def start(self, count: int = 1, **kw):
+        engines = await self.engines(count)
+        await self.coordinator([host(f"s-{i:08x}", e.port) for i, e in enumerate(engines)], **kw)
+        return engines
+
+    async def test_rows_pass_unchanged_over_all_pages_and_a_repeated_get_gives_them_again(self):
+        (engine,) = await self.start()
+        pages = ["".join(f"{n}-{i}\té \"{i}\"\t{'x' * 900}\n" for i in range(6)) for n in range(12)]
+
+        def script(request, body):
+            number = int(request.path.rpartition("/")[2]) if request.method == "GET" else 0
+            return page(pages[number], 12, **({"X_Page": str(number)} if number else {}))
+        engine.script = script
+        status, body, _ = await self.ask(number=0xABC)
+        rows, paths = list(body["rows"]), []
+        while "next" in body:
+            paths.append((body["next"], None))
+            status, body, _ = await self.call("GET", body["next"])
+            paths[-1] = (paths[-1][0], body)
+            rows += body["rows"]
+        self.assertEqual(rows, [r.split("\t") for r in "".join(pages)[:-1].split("\n")])
+        self.assertTrue(paths, "a long result comes in more than one answer")
+        for path, earlier in paths:
+            self.assertEqual((await self.call("GET", path))[1], earlier)
+        self.assertEqual(engine.of("POST"), [("POST", "/v1/store", SQL)])
+        sent = engine.headers[0]
+        self.assertEqual((sent["X-Ticket"], sent["X-Queue"]), ("0000000000000abc", "lookup"))
+        self.assertIn(sent["X-Priority"], "0123")
+
+    async def test_a_repeatable_request_is_tried_again_when_its_engine_dies_and_a_load_is_not(self):
+        engines = await self.start(2)
+        for engine in engines:
+            engine.script = lambda request, body, e=engine: "kill" if not self.moved(e) else None
+        self.assertEqual((await self.ask(number=1))[:2], (200, {"rows": [["a", "1", "x"]]}))
+        posts = sum(len(e.of("POST")) for e in engines)
+        self.assertEqual(posts, 2)
+        for engine in engines:
+            engine.script = lambda request, body: "kill"
+        status, body, _ = await self.ask(LOAD, number=2)
+        self.assertEqual((status, body), (502, {"failure": "Failed"}))
+        self.assertEqual(sum(len(e.of("POST")) for e in engines), posts + 1)
+
+    def moved(self, engine) -> bool:
+        """True once another engine has had a POST."""
+        return any(other.of("POST") for other in self.peers if other is not engine)
+
+    async def test_a_lost_page_is_an_error_and_never_a_short_result(self):
+        (engine,) = await self.start()
+        engine.script = lambda request, body: (
+            web.Response(status=500) if request.path.endswith("/1") else page("a\t1\tx\n", 2))
+        self.assertEqual((await self.ask(LOAD))[0], 502)
+        self.assertEqual(self.count("served"), 0)
+
+    async def test_an_engine_that_sheds_leaves_a_load_harmless_to_refuse(self):
+        (engine,) = await self.start()
+        engine.script = lambda request, body: web.Response(status=503, headers={"X-Shed": "1"})
+        status, body, _ = await self.ask(LOAD, timeout=600.0)
+        self.assertEqual((status, body), (503, {"failure": "Busy"}))
+        self.assertEqual(self.count("refused"), 1)
+
+    async def test_unreadable_answers_fail_the_attempt_and_are_counted(self):
+        (engine,) = await self.start()
+        for number, answer in enumerate((web.Response(text="a\t1"), page("a\t1"), web.Response(status=418),
+                                         page("a\t1\tx\n", 9999)), 1):
+            engine.script = lambda request, body, a=answer: a if request.method == "POST" else None
+            self.assertEqual((await self.ask(LOAD, number=number))[0], 502)
+            self.assertEqual(self.count("engine_bad_replies"), number)
+
+    async def test_a_silent_engine_is_given_up_before_the_next_attempt_goes_out(self):
+        engines = await self.start(2)
+        order = []
+
+        def script(engine, request):
+            if engine.of("POST") and (len(order) == 0 or order[0] is engine):
+                order.append(engine if not order else request.method)
+                return asyncio.Event().wait()  # the first engine to get work never answers again
+            order.append("again" if request.method == "POST" else "")
+        for engine in engines:
+            engine.script = lambda request, body, e=engine: script(e, request)
+        answer = await self.ask(timeout=3900.0)
+        while "next" in answer[1]:
+            answer = await self.call("GET", answer[1]["next"])
+        self.assertEqual(answer[:2], (200, {"rows": [["a", "1", "x"]]}))
+        self.assertLess(order.index("DELETE"), order.index("again"))
+
+    async def test_a_clients_close_and_its_delete_free_the_engines_work(self):
+        (engine,) = await self.start()
+        engine.script = lambda request, body: (
+            None if request.method == "DELETE" else self.later(web.Response(status=202)))
+        task = asyncio.create_task(self.ask(number=1))
+        await engine.seen("POST")
+        task.cancel()
+        await engine.seen("DELETE")
+        status, body, _ = await self.ask(number=2)
+        self.assertEqual(status, 200)
+        self.assertEqual((await self.call("DELETE", body["next"]))[0], 204)
+        await engine.seen("DELETE", 2)
+        self.assertEqual((self.count("left"), self.program.core.open), (2, 0))
+
+    async def later(self, answer):
+        await asyncio.sleep(0.05)
+        return answer
+
+    async def test_bad_calls_get_4xx_and_are_never_forwarded(self):
+        (engine,) = await self.start()
+        good = {"X-Request-Id": "0" * 16, "X-Timeout-Ms": "900"}
+        for status, method, path, body, headers in (
+                (404, "POST", "/call/none", SQL, good), (404, "POST", "/else", SQL, good),
+                (405, "PATCH", "/call/lookup", SQL, good), (405, "POST", "/ping", SQL, {}),
+                (400, "POST", "/call/lookup", SQL, {**good, "X-Request-Id": "xyz"}),
+                (400, "POST", "/call/lookup", SQL, {"X-Request-Id": "0" * 16}),
+                (400, "POST", "/call/lookup", SQL, {**good, "X-Timeout-Ms": "nan"}),
+                (400, "POST", "/call/lookup", SQL, {**good, "X-Cost-Ms": "-1"}),
+                (400, "POST", "/call/lookup", " ", good), (413, "POST", "/call/lookup", "x" * 70000, good),
+                (415, "POST", "/call/lookup", SQL, {**good, "Content-Encoding": "gzip"}),
+                (404, "GET", "/call/lookup/1-0/0", "", {}), (404, "DELETE", "/call/lookup/1-0/0", "", {})):
+            with self.subTest(status=status, method=method, path=path):
+                self.assertEqual((await self.call(method, path, body, **headers))[0], status)
+        self.assertEqual(engine.calls, [])
+        self.assertEqual((await self.ask())[0], 200, "and the next good call is served")
+
+    async def test_a_fault_of_the_module_costs_one_request(self):
+        await self.start()
+        handle = self.program.core.controller.handle
+
+        def broken(now, event):
+            if getattr(event, "request", 0) == 1 and type(event).__name__ == "Request":
+                raise ZeroDivisionError("for the test")
+            return handle(now, event)
+        self.program.core.controller.handle = broken
+        self.assertEqual((await self.ask(number=1))[0], 502)
+        self.assertEqual((await self.ask(number=2))[0], 200)
+        self.assertEqual((self.count("faults"), self.program.core.open), (1, 0))
+
+    async def test_a_full_program_refuses_at_the_door(self):
+        await self.start()
+        self.program.core.most_open = 0
+        self.assertEqual((await self.ask())[:2], (503, {"failure": "Busy"}))
+        self.assertEqual((self.count("full"), self.count("taken")), (1, 0))
+
+    async def test_a_drain_told_while_an_attempt_waits_for_a_connection_stops_it(self):
+        (engine,) = await self.start()
+        core = self.program.core
+        peer = next(iter(self.program.driver.peers.values()))
+        connector = peer.sessions[0].connector
+        plain = type(connector).__bases__[0].connect
+
+        async def slow(self_, *args, **kw):
+            if self_ is connector:  # the drain comes while the connection is being made
+                core.engines[0].entry = core.engines[0].entry._replace(health=2)
+            return await plain(self_, *args, **kw)
+        with unittest.mock.patch.object(type(connector).__bases__[0], "connect", slow):
+            status, body, _ = await self.ask(LOAD, timeout=500.0)
+        self.assertEqual((status, body), (503, {"failure": "Busy"}))
+        self.assertEqual(engine.of("POST"), [])
+
+
+class BusStories(EdgeCase):
+    async def test_the_bus_is_joined_again_from_the_last_number_and_repeats_are_dropped(self):
+        first, second = await self.engines(2)
+        bus = await Bus().start()
+        self.addCleanup(bus.server.close)
+        known = host("s-00000001", first.port)
+        await self.coordinator([known], bus=bus.port)
+        await bus.joined()
+        bus.say(change(2, host("s-00000002", second.port)), change(2, host("s-00000002", 1, "left")), 2)
+        bus.say(change(3, host("s-00000001", first.port, "leaving")), b"{no json")
+        await bus.joined(2)
+        self.assertEqual(bus.froms, ["from 1", "from 3"])
+        healths = {n: s.entry.health for n, s in self.program.core.engines.items()}
+        self.assertEqual(healths, {1: 2, 2: 1})
+        for number in range(4):
+            self.assertEqual((await self.ask(number=number))[0], 200)
+        self.assertEqual((len(first.of("POST")), len(second.of("POST"))), (0, 4))
+        bus.say(change(5, known))  # event 4 is missing
+        await bus.joined(3)
+        self.assertEqual((bus.froms[-1], self.count("bus_reconnects")), ("from 3", 2))
+
+
+class Process(unittest.TestCase):
+    def start(self, document, **environ):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        path = Path(folder.name, "c.json")
+        path.write_text(document if isinstance(document, str) else json.dumps(document))
+        return subprocess.Popen([sys.executable, "-m", "frostspindle"], cwd=ROOT, stderr=subprocess.PIPE, text=True,
+                                env={**os.environ, "LB_CONFIG": str(path), **environ})
+
+    def test_sigterm_ends_it_with_0_and_the_counters_are_printed(self):
+        process = self.start({"listen": "127.0.0.1:0", "settings": settings()})
+        self.assertEqual(json.loads(process.stderr.readline())["event"], "ready")
+        process.send_signal(signal.SIGUSR1)
+        self.assertEqual(json.loads(process.stderr.readline())["event"], "counters")
+        process.terminate()
+        events = [json.loads(line)["event"] for line in process.communicate(timeout=20)[1].splitlines()]
+        self.assertEqual((process.returncode, events), (0, ["stopping", "counters"]))
+
+    def test_a_bad_configuration_exits_2_with_one_line_naming_the_key(self):
+        good = {"listen": "127.0.0.1:0", "settings": settings()}
+        for key, document in (("LB_CONFIG", "{"), ("settings", {"listen": "127.0.0.1:0"}),
+                              ("LB_LISTEN", {**good, "listen": "nowhere"}), ("seed", {**good, "seed": "zz"}),
+                              ("bus", {**good, "bus": "x"}), ("limits.sockets", {**good, "limits": {"sockets": 1}}),
+                              ("categories.count", {**good, "settings": {}}),
+                              ("domain.kindCores", {**good, "settings": settings(domain={"kindCores": ["a"]})})):
+            with self.subTest(key=key):
+                process = self.start(document)
+                said = process.communicate(timeout=20)[1]
+                self.assertEqual((process.returncode, said.count("\n")), (2, 1), said)
+                self.assertIn(key, said)
+
+
+class Reading(unittest.TestCase):
+    def test_the_group_of_tables_is_found_outside_strings_comments_and_staging(self):
+        for statement, group in (
+                ("SELECT day FROM sales_17.orders WHERE tag = 'x_9.y'", 17), ("-- a_1.b\nSELECT 1 FROM c_2.d", 2),
+                ("/* a_1.b */ INSERT INTO staging.x SELECT * FROM c_31.d", 31), ("SELECT 'it''s a_1.b'", 0),
+                ("INSERT INTO staging_4.x SELECT * FROM big_c_5.d", 5), ('SELECT * FROM "c_8"."d"', 8)):
+            self.assertEqual(table_group(statement), group, statement)
+
+    def test_an_operators_file_names_the_key_at_fault(self):
+        for key, text in (("tds.listen", '[tds]\nlisten="x"\n[[tds.login]]\nclass="lookup"'),
+                          ("class", '[tds]\nlisten="127.0.0.1:0"\n[[tds.login]]\nclass="none"'),
+                          ("extra", "[snmp]\nextra=1"), ("TOML", "[")):
+            with tempfile.NamedTemporaryFile("w", suffix=".toml") as file:
+                file.write(text)
+                file.flush()
+                with self.assertRaisesRegex(configuration.ConfigError, key if key != "TOML" else "OPERATOR"):
+                    configuration.read_operator(file.name, ("lookup",))
--- /dev/null
+++ b/tests/test_tds.py
@@ -0,0 +1,243 @@
+"""TDS over loopback sockets, against stand-ins: one story for each thing that goes wrong there."""
+
+import asyncio
+import random
+import unittest
+
+import pytds
+from peers import LOAD, EdgeCase, TdsClient, TdsEngine
+
+from frostspindle.net.tds import codec, front
+from pinstage.interface import Health
+
+ROWS = codec.text_result(("name",), [("a",), ("b",)])
+
+
+class Tds(EdgeCase):
+    async def start(self, count: int = 1, more: str = "", **kw):
+        self.peers = [await TdsEngine().start() for _ in range(count)]
+        for peer in self.peers:
+            self.addCleanup(peer.server.close)
+        await self.coordinator(operator=self.file(more), **kw)
+        return self.peers
+
+    def file(self, more: str = "", *states: str) -> str:
+        engines = "".join(f'[[tds.engine]]\nname = "t{i}"\ndial = "127.0.0.1:{peer.port}"\n'
+                          f'state = "{states[i] if states else "active"}"\n' for i, peer in enumerate(self.peers))
+        return (f'[tds]\nlisten = "127.0.0.1:0"\n{more}\n'
+                '[[tds.login]]\ndatabase = "loads"\nclass = "load"\ndeadline_ms = 900\ncost_ms = 50\n'
+                '[[tds.login]]\ndatabase = "calls"\nclass = "lookup"\ndeadline_ms = 3000\ncost_ms = 50\n'
+                + engines)
+
+    async def client(self, database: str = "calls") -> TdsClient:
+        client = await TdsClient(self.program.tds.port).open(database)
+        self.addCleanup(client.writer.close)
+        return client
+
+    def faults(self, result: codec.Result) -> list[int]:
+        return [fault.number for fault in result.faults]
+
+    async def test_rows_pass_unchanged_and_sessions_are_used_again(self):
+        (engine,) = await self.start()
+        client = await self.client()
+        self.assertEqual(client.options[codec.O_ENCRYPTION], bytes((codec.ENCRYPT_NOT_SUP,)))
+        for _ in range(3):
+            self.assertEqual((await client.query("SELECT 1")).tokens, ROWS)
+        self.assertEqual((engine.statements, engine.logins), (["SELECT 1"] * 3, 1))
+        self.assertEqual((self.count("taken"), self.count("sent"), self.count("served")), (3, 3, 3))
+
+    async def test_python_tds_reads_rows_and_errors(self):
+        (engine,) = await self.start()
+        engine.script = lambda statement: ROWS if "good" in statement else (
+            codec.error(208, "Invalid object name") + codec.done(codec.DONE_ERROR))
+
+        def use():
+            with pytds.connect("127.0.0.1", "calls", "u", "p", port=self.program.tds.port, autocommit=True,
+                               login_timeout=5, timeout=5) as connection, connection.cursor() as cursor:
+                cursor.execute("good")
+                rows = cursor.fetchall()
+                try:
+                    cursor.execute("bad")
+                except pytds.Error as error:
+                    return rows, str(error)
+        rows, error = await asyncio.to_thread(use)
+        self.assertEqual([tuple(row) for row in rows], [("a",), ("b",)])
+        self.assertIn("Invalid object name", error)
+
+    async def test_packets_may_be_split_and_joined_at_any_byte(self):
+        await self.start()
+        client = TdsClient(self.program.tds.port)
+        client.reader, client.writer = await asyncio.open_connection("127.0.0.1", client.port)
+        self.addCleanup(client.writer.close)
+        head = (codec.packets(codec.PRELOGIN, codec.prelogin({codec.O_VERSION: bytes(6)}))
+                + codec.packets(codec.LOGIN7, codec.login("u", "", "", "calls"), 512))
+        body = codec.packets(codec.BATCH, codec.batch("SELECT '" + "é" * 700 + "'"), 512)
+        for at in range(len(head)):
+            client.writer.write(head[at:at + 1])
+            await client.writer.drain()
+        await client.message()
+        self.assertTrue(codec.read_result((await client.message()).body).accepted)
+        client.writer.write(body)
+        self.assertEqual((await client.message()).body, ROWS)
+        self.assertEqual(self.peers[0].statements, ["SELECT '" + "é" * 700 + "'"])
+
+    async def test_a_refusal_is_a_transient_number_with_the_wait_and_a_failure_another(self):
+        (engine,) = await self.start()
+        client = await self.client("loads")
+        engine.script = lambda statement: codec.error(701, "no memory", 17) + codec.done(codec.DONE_ERROR)
+        self.assertEqual(self.faults(await client.query("INSERT")), [front.FAILED])
+        self.assertEqual(len(engine.statements), 1)
+        engine.server.close()
+        for connections in self.program.tds_driver._idle.values():
+            while connections:
+                connections.pop().close()
+        result = await client.query("INSERT")  # no connection: nothing ran, so it is harmless to refuse
+        self.assertEqual(self.faults(result), [front.REFUSED])
+        self.assertRegex(result.faults[0].text, r"Retry the request after [0-9.]+ seconds")
+        self.assertEqual((self.count("failed"), self.count("refused")), (1, 1))
+
+    async def test_a_deadline_and_a_clients_attention_end_the_engines_work_by_attention(self):
+        (engine,) = await self.start()
+        engine.script = lambda statement: "hang"
+        client = await self.client("loads")
+        self.assertEqual(self.faults(await client.query("INSERT slow")), [front.FAILED])
+        await engine.until(lambda: engine.attentions == 1)
+        client.ask("INSERT again")
+        await engine.until(lambda: len(engine.statements) == 2)
+        client.writer.write(codec.packets(codec.ATTENTION, b""))
+        answer = codec.read_result((await client.message()).body)
+        self.assertTrue(answer.status & codec.DONE_ATTN)
+        await engine.until(lambda: engine.attentions == 2)
+        engine.script = lambda statement: ROWS
+        self.assertEqual((await client.query("INSERT")).tokens, ROWS, "the session lives on")
+        self.assertEqual((self.count("left"), self.count("failed"), self.count("served")), (1, 1, 1))
+
+    async def test_a_load_cut_mid_stream_is_failed_once_and_never_replayed(self):
+        engines = await self.start(2)
+        for engine in engines:
+            engine.script = lambda statement: "cut"
+        client = await self.client("loads")
+        self.assertEqual(self.faults(await client.query("INSERT")), [front.FAILED])
+        self.assertEqual(sum(len(e.statements) for e in engines), 1)
+        self.assertEqual((self.count("failed"), self.count("sent")), (1, 1))
+
+    async def test_a_draining_engine_gets_nothing_new_by_the_file_or_by_its_own_word(self):
+        first, second = await self.start(2)
+        client = await self.client()
+        self.operator_file.write_text(self.file("", "leaving", "active"))
+        self.program.reload()
+        for _ in range(4):
+            self.assertEqual((await client.query("SELECT 1")).tokens, ROWS)
+        self.assertEqual((len(first.statements), len(second.statements)), (0, 4))
+        self.operator_file.write_text(self.file("", "active", "active"))
+        self.program.reload()
+        down = codec.error(6005, "SHUTDOWN is in progress", 14) + codec.done(codec.DONE_ERROR)
+        second.refuse_login, second.script = down, lambda statement: down
+        first.script = lambda statement: ROWS
+        for _ in range(12):
+            self.assertEqual((await client.query("SELECT 2")).tokens, ROWS)
+        self.assertLessEqual(len(second.statements), 5, "one statement may have met the shutdown, none after it")
+        states = {s.name: s.entry for s in self.program.core.engines.values()}
+        self.assertEqual(states["t1"].health, Health.DRAINING)
+        second.refuse_login, second.script = b"", lambda statement: ROWS
+        async with asyncio.timeout(5.0):
+            while states["t1"].health != Health.READY:
+                await asyncio.sleep(0.02)
+                states = {s.name: s.entry for s in self.program.core.engines.values()}
+        self.assertGreater(states["t1"].since_ms, 0.0, "it comes back as a cold engine")
+
+    async def test_random_kills_leave_each_request_counted_once(self):
+        chance = random.Random(20261201)
+        engines = await self.start(3)
+        for engine in engines:
+            engine.script = lambda statement: chance.choices(("kill", "cut", ROWS), (1, 1, 3))[0]
+        answers = {}
+
+        async def one(number: int) -> None:
+            database = "loads" if number % 3 == 0 else "calls"
+            result = await (await self.client(database)).query(f"-- {number}")
+            answers[number] = self.faults(result) or "rows"
+        for start in range(0, 60, 10):
+            await asyncio.gather(*(one(number) for number in range(start, start + 10)))
+        sent = [s for engine in engines for s in engine.statements]
+        for number in range(0, 60, 3):
+            self.assertLessEqual(sent.count(f"-- {number}"), 1, "a load is sent once at most")
+        served = sum(answer == "rows" for answer in answers.values())
+        refused = sum(answer == [front.REFUSED] for answer in answers.values())
+        failed = sum(answer == [front.FAILED] for answer in answers.values())
+        self.assertEqual(served + refused + failed, 60)
+        self.assertGreater(min(served, failed), 0, "the kills reached some requests, and not all")
+        self.assertEqual([self.count(w) for w in ("taken", "served", "refused", "failed", "left", "faults")],
+                         [60, served, refused, failed, 0, 0])
+        self.assertEqual(self.program.core.open, 0)
+
+    async def test_bad_bytes_end_one_session_and_others_live_on(self):
+        await self.start(1, "max_batch_bytes = 4096\nlogin_ms = 200\nmax_sessions = 6")
+        good = await self.client()
+        for bad in (b"GET / HTTP/1.1\r\n\r\n", codec.packets(codec.BATCH, b"\xff\xff\xff\x7f"),
+                    codec.packets(codec.BATCH, bytes(8000)), codec.packets(codec.LOGIN7, bytes(20)),
+                    b"\x01\x01\x00\x03\x00\x00\x00\x00"):
+            client = await self.client()
+            client.writer.write(bad)
+            result = codec.read_result((await client.message()).body)
+            self.assertEqual(self.faults(result), [front.BAD_STREAM])
+            with self.assertRaises(EOFError):
+                await client.message()
+        self.assertEqual((await good.query("SELECT 1")).tokens, ROWS)
+        idle = TdsClient(self.program.tds.port)
+        idle.reader, idle.writer = await asyncio.open_connection("127.0.0.1", idle.port)
+        with self.assertRaises(EOFError, msg="a session that does not log in is closed"):
+            await idle.message()
+        self.assertEqual((self.count("bad_streams"), self.count("login_timeouts")), (5, 1))
+
+    async def test_what_is_not_taken_gets_a_clear_error_and_the_session_goes_on(self):
+        (engine,) = await self.start(1, "max_sessions = 1")
+        client = await self.client()
+        for kind in (codec.RPC, codec.BULK, codec.MANAGER):
+            client.writer.write(codec.packets(kind, b"\x00" * 20))
+            self.assertEqual(self.faults(codec.read_result((await client.message()).body)), [front.UNSUPPORTED])
+        self.assertEqual((await client.query("SELECT 1")).tokens, ROWS)
+        second = TdsClient(self.program.tds.port)
+        second.reader, second.writer = await asyncio.open_connection("127.0.0.1", second.port)
+        self.assertEqual(self.faults(codec.read_result((await second.message()).body)), [front.TOO_MANY])
+        client.writer.close()
+        async with asyncio.timeout(5.0):
+            while self.program.tds.sessions:
+                await asyncio.sleep(0)
+        stranger = await TdsClient(self.program.tds.port).open("elsewhere")
+        self.assertEqual(self.faults(stranger.result), [front.LOGIN_FAILED])
+
+    async def test_an_engines_unreadable_answer_and_a_result_too_long(self):
+        (engine,) = await self.start(1, "max_result_bytes = 2000")
+        client = await self.client("loads")
+        for answer in (b"\x00garbage", ROWS[:-3], b"\xd1" + ROWS, ROWS + b"\xaa"):
+            engine.script = lambda statement, a=answer: a
+            self.assertEqual(self.faults(await client.query("INSERT")), [front.FAILED])
+        self.assertEqual(self.count("engine_bad_replies"), 4)
+        engine.script = lambda statement: codec.text_result(("a",), [("x" * 100,)] * 30)
+        self.assertEqual(self.faults(await client.query("INSERT")), [50003])
+
+    async def test_tds_requests_stay_at_tds_engines(self):
+        await self.start()
+        self.assertEqual((await self.ask(LOAD, timeout=400.0))[0], 503, "no HTTP engine is there")
+        self.assertEqual(self.peers[0].statements, [])
+
+
+class Codec(unittest.TestCase):
+    def test_every_cut_of_a_result_is_found(self):
+        columns = (b"\x81\x05\x00" + b"\x00" * 6 + b"\x26\x04\x01a\x00" + b"\x00" * 6 + b"\x6c\x11\x12\x02\x00"
+                   + b"\x00" * 6 + b"\xe7\xff\xff" + bytes(5) + b"\x00" + b"\x00" * 6 + b"\x38\x00"
+                   + b"\x00" * 6 + b"\x2a\x07\x00")
+        row = (b"\xd1\x04\x01\x00\x00\x00" + b"\x00" + (4).to_bytes(8, "little") + b"\x04\x00\x00\x00a\x00b\x00"
+               + bytes(4) + b"\x07\x00\x00\x00" + b"\x00")
+        nulls = b"\xd2\x17" + b"\x09\x00\x00\x00"
+        whole = columns + row + nulls + codec.done(codec.DONE_COUNT, 2)
+        result = codec.read_result(whole)
+        self.assertEqual((result.rows, result.tokens), (2, whole))
+        for cut in range(len(whole)):
+            with self.assertRaises(codec.ProtocolError):
+                codec.read_result(whole[:cut])
+
+    def test_a_login_is_read_as_it_was_written(self):
+        login = codec.read_login(codec.login("ü", "secret", "app", "db", 8000))
+        self.assertEqual((login.user, login.application, login.database, login.packet), ("ü", "app", "db", 8000))
