--- a/frostspindle/core.py
+++ b/frostspindle/core.py
@@ -25,6 +25,7 @@
 from pinstage.interface import Health, ListKind, Verdict
 
 SERVED, REFUSED, FAILED = "served", "refused", "failed"
+AGAIN_MS = 20.0  # a reminder of the module's that met a fault comes again after this
 TURN = 64  # events that one turn of the task may take before the sockets get theirs
 
 
@@ -249,12 +250,20 @@
             self.events.count("faults")
             self.events.log("fault", error=repr(error), of=type(event).__name__, request=number,
                             at=traceback.format_exc(limit=-3))
-            if number:
-                self._answer(number, Answer(FAILED))
-                record = self._records.pop(number, None)
-                for attempt in record.attempts if record else []:
-                    if not attempt.over:
-                        self.engines[attempt.engine].driver.stop(attempt)
+            if isinstance(event, api.Due):
+                # The module's clock is a chain of reminders: one lost link would stop all its deadlines.
+                self._at(now + AGAIN_MS, event.token)
+            self._give_up(number)
+
+    def _give_up(self, number: int) -> None:
+        """A request that a fault hit: failed, its work freed, and forgotten."""
+        record = self._records.get(number)
+        if record is not None:
+            self._answer(number, Answer(FAILED))
+            self._records.pop(number, None)
+            for attempt in record.attempts:
+                if not attempt.over:
+                    self.engines[attempt.engine].driver.stop(attempt)
 
     @staticmethod
     def _request_of(event: Any) -> int:
@@ -284,7 +293,12 @@
 
     def _tell(self, now: float, event: api.Event) -> None:
         for action in self.controller.handle(now, event):
-            self._does[type(action)](now, action)
+            try:
+                self._does[type(action)](now, action)
+            except Exception as error:  # noqa: BLE001 - the other actions belong to other requests
+                self.events.count("faults")
+                self.events.log("fault", error=repr(error), of=repr(action), at=traceback.format_exc(limit=-3))
+                self._give_up(getattr(action, "request", 0))
 
     def _at(self, due_ms: float, what: Any) -> None:
         self._order += 1
--- a/frostspindle/net/bus.py
+++ b/frostspindle/net/bus.py
@@ -18,9 +18,9 @@
 from frostspindle.events import Events
 from pinstage.interface import EngineEntry, Health, ListKind
 
-SILENT_S = 3.5  # the bus writes a line every second
+SILENT_S, CONNECT_S = 2.2, 0.5  # the bus writes a line every second; its word counts as told after 7 s
 LINE = 1 << 20  # the longest line that is read
-AGAIN_S, AGAIN_MOST_S = 0.05, 1.0
+AGAIN_S, AGAIN_MOST_S = 0.05, 0.5
 _DECODER = msgspec.json.Decoder(BusEvent | int)
 
 
@@ -52,7 +52,7 @@
             await asyncio.sleep(wait)
 
     async def _follow(self, at: Address) -> None:
-        async with asyncio.timeout(SILENT_S):
+        async with asyncio.timeout(CONNECT_S):
             reader, writer = await asyncio.open_connection(*at, limit=LINE)
         try:
             writer.write(b"from %d\n" % self.last)
--- a/frostspindle/net/engines.py
+++ b/frostspindle/net/engines.py
@@ -23,6 +23,7 @@
 ANSWER_S = 1.2  # news come within 250 ms; a query not asked for in 2 s is dropped by its engine
 GIVE_UP_S = 0.3  # how long a DELETE may wait for its answer
 FORGOTTEN_MS = 2100.0  # an engine drops what has not been asked for in 2 s
+RETIRE_S = 30.0
 PAGES, PAGE_BYTES = 64, 64 * 1024  # bounds on what an engine may say a result has
 POOL, POOL_FRESH = 48, 8  # connections to one engine
 NOTES = {"pct": NoteKind.PROGRESS, "overflow": NoteKind.SPILLS, "queued": NoteKind.WAITS}
@@ -146,6 +147,9 @@
             self.core.ended(attempt, Verdict.CONNECT_FAILED)
             return
         attempt.task = self._spawn(self._attempt(peer, attempt))
+        # A task that is cancelled before its first step never runs: nothing was sent, but its end is owed.
+        attempt.task.add_done_callback(
+            lambda task: self.core.ended(attempt, Verdict.CANCELLED) if task.cancelled() else None)
 
     def stop(self, attempt: Attempt) -> None:
         if attempt.task is not None:
@@ -174,8 +178,10 @@
 
     async def _retire(self, peer: _Peer) -> None:
         """A gone engine's connections stay until its attempts have had time to end."""
-        await asyncio.sleep(30.0)
-        await peer.close()
+        try:
+            await asyncio.sleep(RETIRE_S)
+        finally:
+            await peer.close()
 
     # One attempt.
 
@@ -187,29 +193,29 @@
             async with asyncio.timeout(left_s):
                 verdict, report, rows = await self._follow(peer, attempt, call, asked)
         except TimeoutError:
-            await self._give_up(peer, attempt, call, asked[0])
-            self.core.ended(attempt, Verdict.TIMEOUT if call.wired else Verdict.CONNECT_FAILED)
-            return
+            verdict = Verdict.TIMEOUT if call.wired else Verdict.CONNECT_FAILED
         except asyncio.CancelledError:
-            # Not awaited here: whoever cancelled must not wait for an engine that may be silent.
-            self._spawn(self._cancelled(peer, attempt, call, asked[0]))
-            return
+            verdict = Verdict.CANCELLED
         except BadReply as error:
             self.events.count("engine_bad_replies")
             self.events.log("engine_reply", engine=peer.state.name, ticket=attempt.ask.ticket,
                             error=str(error))
-            await self._give_up(peer, attempt, call, asked[0])
-            verdict, report, rows = Verdict.ERROR, (), None
+            verdict = Verdict.ERROR
         except Exception as error:  # noqa: BLE001 - one attempt's fault is its own
             self.events.count("faults")
             self.events.log("fault", error=repr(error), of="attempt", ticket=attempt.ask.ticket)
-            await self._give_up(peer, attempt, call, asked[0])
-            verdict, report, rows = Verdict.ERROR, (), None
-        self.core.ended(attempt, verdict, report, rows)
+            verdict = Verdict.ERROR
+        else:
+            self.core.ended(attempt, verdict, report, rows)
+            return
+        # A task of its own: a further cancel must not cut short what frees the engine.
+        self._spawn(self._free(peer, attempt, call, asked[0], verdict))
 
-    async def _cancelled(self, peer: _Peer, attempt: Attempt, call: _Call, asked_ms: float) -> None:
-        await self._give_up(peer, attempt, call, asked_ms)
-        self.core.ended(attempt, Verdict.CANCELLED)
+    async def _free(self, peer: _Peer, attempt: Attempt, call: _Call, asked_ms: float, verdict: int) -> None:
+        try:
+            await self._give_up(peer, attempt, call, asked_ms)
+        finally:
+            self.core.ended(attempt, verdict)
 
     async def _follow(self, peer: _Peer, attempt: Attempt, call: _Call,
                       asked: list[float]) -> tuple[int, tuple[float, ...], Rows | None]:
--- a/frostspindle/net/platform.py
+++ b/frostspindle/net/platform.py
@@ -302,6 +302,8 @@
         raise Refusal(415, "Content-Encoding: not taken here")
     if (request.content_length or 0) > BODY:
         raise Refusal(413, "the statement is too long")
+    if request.headers.get("Expect", "").lower() == "100-continue":
+        await request.writer.write(b"HTTP/1.1 100 Continue\r\n\r\n")
     parts, size = [], 0
     try:
         async with asyncio.timeout(BODY_S):
--- a/frostspindle/net/tds/driver.py
+++ b/frostspindle/net/tds/driver.py
@@ -219,6 +219,9 @@
 
     def start(self, attempt: Attempt) -> None:
         attempt.task = self._spawn(self._attempt(attempt))
+        # A task that is cancelled before its first step never runs: nothing was sent, but its end is owed.
+        attempt.task.add_done_callback(
+            lambda task: self.core.ended(attempt, Verdict.CANCELLED) if task.cancelled() else None)
 
     def stop(self, attempt: Attempt) -> None:
         if attempt.task is not None:
@@ -266,24 +269,22 @@
             tokens = (codec.error(TOO_LONG, f"The result passes {self.tds.max_result_bytes} bytes")
                       + codec.done(codec.DONE_ERROR))
             self.events.count("results_too_long", "tds")
-            await self._free(attempt, connection)
-            connection = None
         except codec.ProtocolError as error:
             verdict = Verdict.ERROR
             self.events.count("engine_bad_replies", "tds")
             self.events.log("engine_reply", engine=self.states[attempt.engine].name, error=str(error))
         except TimeoutError:
-            if connection is not None:
-                verdict = Verdict.TIMEOUT
-                await self._free(attempt, connection)
-                connection = None
+            verdict = Verdict.TIMEOUT if connection is not None else verdict
         except asyncio.CancelledError:
-            self._spawn(self._cancelled(attempt, connection))
-            return
+            verdict = Verdict.CANCELLED
         except Exception as error:  # noqa: BLE001 - one attempt's fault is its own
             verdict = Verdict.ERROR if connection is not None else verdict
             self.events.count("faults")
             self.events.log("fault", error=repr(error), of="tds attempt")
+        if connection is not None and connection.used and verdict in (Verdict.TIMEOUT, Verdict.CANCELLED):
+            # A task of its own: a further cancel must not cut short what frees the engine.
+            self._spawn(self._free(attempt, connection, verdict))
+            return
         if connection is not None:
             connection.close()
         self.core.ended(attempt, verdict, (), tokens)
@@ -330,17 +331,14 @@
         if len(line) > POOL or sum(map(len, self._idle.values())) > 8 * POOL:
             line.popleft().close()
 
-    async def _free(self, attempt: Attempt, connection: _Connection | None) -> None:
-        """End the engine's work by Attention; a session that does not confirm it is closed."""
-        if connection is None:
-            return
-        if connection.used and await connection.attention():
-            self.events.count("attentions_confirmed", "tds")
-        connection.close()
-
-    async def _cancelled(self, attempt: Attempt, connection: _Connection | None) -> None:
-        await self._free(attempt, connection)
-        self.core.ended(attempt, Verdict.CANCELLED)
+    async def _free(self, attempt: Attempt, connection: _Connection, verdict: int) -> None:
+        """End the engine's work by Attention; a session that does not confirm it is closed, which ends it too."""
+        try:
+            if await connection.attention():
+                self.events.count("attentions_confirmed", "tds")
+        finally:
+            connection.close()
+            self.core.ended(attempt, verdict)
 
     async def _probe(self, engine: int) -> None:
         began, state = clock(), self.states[engine]
--- a/pinstage/control.py
+++ b/pinstage/control.py
@@ -1,6 +1,6 @@
 """Every decision of pinstage. The types, events and actions it uses are in pinstage/interface.py.
 
-One Controller serves one dispatcher. The ordinary path of a request is SRPT as docs/design.md describes it:
+One Controller serves one dispatcher. The ordinary path of a request is SRPT:
 a priority band from estimated remaining work, held requests released smallest first, a latency-led bound of
 running threads for each engine. The rest guards the rules, judges engines and ends requests. Times are in ms.
 """
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -155,6 +155,32 @@
         self.assertEqual((await self.ask(number=2))[0], 200)
         self.assertEqual((self.count("faults"), self.program.core.open), (1, 0))
 
+    async def test_a_fault_in_the_modules_clock_does_not_stop_its_deadlines(self):
+        (engine,) = await self.start()
+        engine.script = lambda request, body: self.later(web.Response(status=202))
+        handle, broken = self.program.core.controller.handle, []
+
+        def once(now, event):
+            if type(event).__name__ == "Due" and not broken:
+                broken.append(event)
+                raise ZeroDivisionError("for the test")
+            return handle(now, event)
+        self.program.core.controller.handle = once
+        self.assertEqual((await self.ask(timeout=400.0))[0], 503, "the module itself refused in time")
+        self.assertEqual((self.count("faults"), self.count("refused")), (1, 1))
+
+    async def test_an_attempt_stopped_before_its_first_step_still_has_its_end(self):
+        (engine,) = await self.start()
+        start = self.program.driver.start
+
+        def at_once(attempt):
+            start(attempt)
+            self.program.driver.stop(attempt)
+            self.program.driver.start = start
+        self.program.driver.start = at_once
+        self.assertEqual((await self.ask())[0], 200, "tried again after its end")
+        self.assertEqual((self.count("ended_cancelled"), len(engine.of("POST"))), (1, 1))
+
     async def test_a_full_program_refuses_at_the_door(self):
         await self.start()
         self.program.core.most_open = 0
