--- a/frostspindle/__main__.py
+++ b/frostspindle/__main__.py
@@ -107,7 +107,8 @@
         await asyncio.sleep(ACCEPT_S)
         longest_s = max(c.deadline_ms for c in self.config.settings.classes) / 1000.0
         last = asyncio.get_running_loop().time() + max(3.0, longest_s)
-        while self.core.open and asyncio.get_running_loop().time() < last:
+        # Also what is answered but not yet fetched: a long result comes in several calls.
+        while (self.core.open or self.platform.owing) and asyncio.get_running_loop().time() < last:
             await asyncio.sleep(0.02)
         await asyncio.sleep(FLUSH_S)
         await self.platform.close()
--- a/frostspindle/net/engines.py
+++ b/frostspindle/net/engines.py
@@ -25,7 +25,7 @@
 FORGOTTEN_MS = 2100.0  # an engine drops what has not been asked for in 2 s
 RETIRE_S = 30.0
 PAGES, PAGE_BYTES = 64, 64 * 1024  # bounds on what an engine may say a result has
-POOL, POOL_FRESH = 48, 8  # connections to one engine
+POOL_PART, POOL_FRESH = 24, 8  # connections to one engine: a part of all sockets, and new ones beside them
 NOTES = {"pct": NoteKind.PROGRESS, "overflow": NoteKind.SPILLS, "queued": NoteKind.WAITS}
 NAMES = {"util": "load_share", "queue": "depth", "inflight": "concurrent"}
 Rows = list[list[str]]
@@ -81,7 +81,7 @@
         self.base = f"http://{state.address[0]}:{state.address[1]}"
         connect_s = driver.core.settings.connect_timeout_ms / 1000.0
         # Idle connections are closed here well before the engine does: a call that crosses its close is lost.
-        pooled = _Connector(limit=POOL, keepalive_timeout=driver.idle_s * 0.5)
+        pooled = _Connector(limit=max(8, driver.sockets // POOL_PART), keepalive_timeout=driver.idle_s * 0.5)
         # Whether a silent engine's machine is still there shows only on a connection that is new.
         fresh = _Connector(limit=POOL_FRESH, force_close=True)
         self.sessions = []
@@ -120,7 +120,7 @@
 
     def __init__(self, config: Config, core: Core, events: Events) -> None:
         self.core, self.events = core, events
-        self.idle_s = config.idle_ms / 1000.0
+        self.idle_s, self.sockets = config.idle_ms / 1000.0, config.sockets
         self.columns = core.settings.report_columns
         self.peers: dict[int, _Peer] = {}
         self.tasks: set[asyncio.Task[Any]] = set()
@@ -348,9 +348,15 @@
                 values[NAMES.get(name.strip(), name.strip())] = number if math.isfinite(number) else 0.0
             return tuple(values[column] for column in self.columns)
         except (ValueError, KeyError):
-            self.events.count("engine_bad_reports")
+            self._unreadable("engine_bad_reports", text)
             return ()
 
+    def _unreadable(self, what: str, text: str) -> None:
+        """Count it, and log it the first time: an engine that writes it once writes it with every answer."""
+        if not self.events.counts[what, "", ""]:
+            self.events.log(what, text=text[:200])
+        self.events.count(what)
+
     def _note(self, attempt: Attempt, reply: _Reply) -> None:
         remark = reply.headers.get("X-Remark")
         if not remark:
@@ -360,7 +366,7 @@
         except ValueError:
             value = math.nan
         if remark not in NOTES or not math.isfinite(value):
-            self.events.count("engine_bad_notes")
+            self._unreadable("engine_bad_notes", f"{remark}: {reply.headers.get('X-Value')}")
             return
         self.core.note(attempt, NOTES[remark], value)
 
--- a/frostspindle/net/platform.py
+++ b/frostspindle/net/platform.py
@@ -58,7 +58,7 @@
         self.ask, self.path = ask, path
         self.answer: asyncio.Future[Answer] = asyncio.get_running_loop().create_future()
         self.pages: list[list[Any]] | None = None
-        self.size, self.dead = 0, False
+        self.size, self.told = 0, False  # told: the client has had the last answer
 
     def settle(self, answer: Answer) -> None:
         if not self.answer.done():
@@ -113,6 +113,11 @@
         assert self._server is not None
         return int(self._server.sockets[0].getsockname()[1])
 
+    @property
+    def owing(self) -> int:
+        """Requests whose client has yet to fetch its last answer."""
+        return sum(not opened.told for opened in self._open.values())
+
     @property
     def connections(self) -> int:
         return len(self._web.connections) if self._web is not None else 0
@@ -232,6 +237,7 @@
             return _json(200, {"next": f"{opened.path}/{number}"})
         answer = opened.answer.result()
         if answer.how != SERVED:
+            opened.told = True
             return _unserved(answer)
         if opened.pages is None:
             self._paged(opened)
@@ -242,6 +248,8 @@
         body: dict[str, Any] = {"rows": opened.pages[number]}
         if number + 1 < len(opened.pages):
             body["next"] = f"{opened.path}/{number + 1}"
+        else:
+            opened.told = True
         return _json(200, body)
 
     def _keep(self, opened: _Open) -> None:
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -11,8 +11,9 @@
 import unittest.mock
 from pathlib import Path
 
+import aiohttp
 from aiohttp import web
-from peers import LOAD, SQL, Bus, EdgeCase, change, host, page, settings
+from peers import LOAD, SQL, Bus, EdgeCase, HttpEngine, change, host, page, settings
 
 from frostspindle import config as configuration
 from frostspindle.net.platform import table_group
@@ -244,6 +245,39 @@
         events = [json.loads(line)["event"] for line in process.communicate(timeout=20)[1].splitlines()]
         self.assertEqual((process.returncode, events), (0, ["stopping", "counters"]))
 
+    def test_sigterm_goes_on_accepting_and_answers_what_was_taken(self):
+        async def story():
+            engine = await HttpEngine().start()
+            release = asyncio.Event()
+
+            async def slow(request, body):
+                await release.wait()
+            engine.script = lambda request, body: slow(request, body) if request.method == "POST" else None
+            process = self.start({"listen": "127.0.0.1:0", "settings": settings(), "known": {
+                "offset": 1, "batch": [change(1, host("s-00000001", engine.port), whole=True)]}})
+            lines = iter(process.stderr.readline, "")
+            event = {}
+            while event.get("event") != "ready":
+                event = json.loads(await asyncio.to_thread(next, lines))
+            async with aiohttp.ClientSession(f"http://{event['listen']}") as session:
+                async def ask(number):
+                    headers = {"X-Request-Id": f"{number:016x}", "X-Timeout-Ms": "3000", "X-Cost-Ms": "50"}
+                    async with session.post("/call/load", data=SQL, headers=headers) as response:
+                        return response.status, await response.json()
+                first = asyncio.create_task(ask(1))
+                await engine.seen("POST")
+                process.terminate()
+                self.assertIn("stopping", await asyncio.to_thread(next, lines))
+                second = asyncio.create_task(ask(2))
+                await engine.seen("POST", 2)
+                release.set()
+                answers = await asyncio.gather(first, second)
+            self.assertEqual(answers, [(200, {"rows": [["a", "1", "x"]]})] * 2)
+            self.assertEqual(await asyncio.to_thread(process.wait, 20), 0)
+            process.stderr.close()
+            engine.server.close()
+        asyncio.run(story())
+
     def test_a_bad_configuration_exits_2_with_one_line_naming_the_key(self):
         good = {"listen": "127.0.0.1:0", "settings": settings()}
         for key, document in (("LB_CONFIG", "{"), ("settings", {"listen": "127.0.0.1:0"}),
