Give up a query behind broken connections before its request is tried again

Seen by reading: _news ends an attempt as a reset after two broken connections, yet the engine may be alive and go on with the query for 2 s, while the module sends the request elsewhere: two attempts out. attempt() now sends the DELETE first for resets too; where the process is gone that is refused at once and costs nothing. Checked: all tests, with a new story that fails without the change.

--- a/frostspindle/net/engines.py
+++ b/frostspindle/net/engines.py
@@ -18,6 +18,7 @@
 from frostspindle.config import Config
 from frostspindle.core import Attempt, Core, EngineState, clock
 from frostspindle.events import Events
+from frostspindle.net import TaskDriver
 from pinstage.interface import Health, NoteKind, Verdict
 
 ANSWER_S = 1.2  # news come within 250 ms; a query not asked for in 2 s is dropped by its engine
@@ -115,15 +116,15 @@
                 return _Reply(response.status, response.headers, content)
 
 
-class Engines:
+class Engines(TaskDriver):
     """The driver of HTTP engines."""
 
     def __init__(self, config: Config, core: Core, events: Events) -> None:
-        self.core, self.events = core, events
+        super().__init__(core)
+        self.events = events
         self.idle_s, self.sockets = config.idle_ms / 1000.0, config.sockets
         self.columns = core.settings.report_columns
         self.peers: dict[int, _Peer] = {}
-        self.tasks: set[asyncio.Task[Any]] = set()
 
     # The core's interface.
 
@@ -134,48 +135,23 @@
             peer.state.address != engine.address or engine.entry.since_ms > peer.state.entry.since_ms)
         if peer is not None and (restarted or engine.entry.health == Health.GONE):
             del self.peers[number]
-            self._spawn(self._retire(peer))
+            self.spawn(self._retire(peer))
             peer = None
         if peer is not None:
             peer.state = engine
         elif engine.entry.health != Health.GONE:
             self.peers[number] = _Peer(self, engine)
 
-    def start(self, attempt: Attempt) -> None:
-        peer = self.peers.get(attempt.engine)
-        if peer is None:
-            self.core.ended(attempt, Verdict.CONNECT_FAILED)
-            return
-        attempt.task = self._spawn(self._attempt(peer, attempt))
-        # A task that is cancelled before its first step never runs: nothing was sent, but its end is owed.
-        attempt.task.add_done_callback(
-            lambda task: self.core.ended(attempt, Verdict.CANCELLED) if task.cancelled() else None)
-
-    def stop(self, attempt: Attempt) -> None:
-        if attempt.task is not None:
-            attempt.task.cancel()
-
     def rank(self, attempt: Attempt) -> None:
         peer = self.peers.get(attempt.engine)
         if peer is not None:
-            self._spawn(self._rank(peer, attempt))
-
-    def probe(self, engine: int) -> None:
-        self._spawn(self._probe(engine))
+            self.spawn(self._rank(peer, attempt))
 
     async def close(self) -> None:
-        for task in list(self.tasks):
-            task.cancel()
-        await asyncio.gather(*self.tasks, return_exceptions=True)
+        await super().close()
         for peer in self.peers.values():
             await peer.close()
 
-    def _spawn(self, work: Any) -> asyncio.Task[Any]:
-        task = asyncio.get_running_loop().create_task(work)
-        self.tasks.add(task)
-        task.add_done_callback(self.tasks.discard)
-        return task
-
     async def _retire(self, peer: _Peer) -> None:
         """A gone engine's connections stay until its attempts have had time to end."""
         try:
@@ -185,12 +161,15 @@
 
     # One attempt.
 
-    async def _attempt(self, peer: _Peer, attempt: Attempt) -> None:
+    async def attempt(self, attempt: Attempt) -> None:
+        peer = self.peers.get(attempt.engine)
+        if peer is None:
+            self.core.ended(attempt, Verdict.CONNECT_FAILED)
+            return
         call = _Call(attempt)
         asked = [clock()]  # when the engine was last asked for this query
         try:
-            left_s = (attempt.sent_ms + attempt.timeout_ms - clock()) / 1000.0
-            async with asyncio.timeout(left_s):
+            async with asyncio.timeout(self.left_s(attempt)):
                 verdict, report, rows = await self._follow(peer, attempt, call, asked)
         except TimeoutError:
             verdict = Verdict.TIMEOUT if call.wired else Verdict.CONNECT_FAILED
@@ -206,10 +185,12 @@
             self.events.log("fault", error=repr(error), of="attempt", ticket=attempt.ask.ticket)
             verdict = Verdict.ERROR
         else:
-            self.core.ended(attempt, verdict, report, rows)
-            return
+            # Broken connections do not prove that the query ended with them: that too is given up first.
+            if verdict != Verdict.RESET:
+                self.core.ended(attempt, verdict, report, rows)
+                return
         # A task of its own: a further cancel must not cut short what frees the engine.
-        self._spawn(self._free(peer, attempt, call, asked[0], verdict))
+        self.spawn(self._free(peer, attempt, call, asked[0], verdict))
 
     async def _free(self, peer: _Peer, attempt: Attempt, call: _Call, asked_ms: float, verdict: int) -> None:
         try:
@@ -321,7 +302,7 @@
         except (aiohttp.ClientError, OSError, TimeoutError, BadReply):
             self.events.count("rank_failed")
 
-    async def _probe(self, engine: int) -> None:
+    async def probing(self, engine: int) -> None:
         began, peer, call = clock(), self.peers.get(engine), _Call()
         verdict, report = Verdict.CONNECT_FAILED, ()
         if peer is not None:
--- a/frostspindle/net/tds/driver.py
+++ b/frostspindle/net/tds/driver.py
@@ -12,11 +12,11 @@
 import zlib
 from collections import deque
 from collections.abc import Iterable
-from typing import Any
 
 from frostspindle.config import STATES, Tds, TdsEngine, address
 from frostspindle.core import Attempt, Core, EngineState, clock
 from frostspindle.events import Events
+from frostspindle.net import TaskDriver
 from frostspindle.net.tds import codec
 from frostspindle.net.tds.codec import TooLong
 from pinstage.interface import EngineEntry, Health, ListKind, Verdict
@@ -126,16 +126,16 @@
         self.writer.transport.abort()
 
 
-class TdsEngines:
+class TdsEngines(TaskDriver):
     """The engines of the operator's file."""
 
     def __init__(self, tds: Tds, kinds: dict[tuple[float, float], int], core: Core,
                  events: Events) -> None:
-        self.tds, self.kinds, self.core, self.events = tds, kinds, core, events
+        super().__init__(core)
+        self.tds, self.kinds, self.events = tds, kinds, events
         self.states: dict[int, EngineState] = {}
         self._names: dict[str, int] = {}
         self._idle: dict[tuple[int, str], deque[_Connection]] = {}
-        self._tasks: set[asyncio.Task[Any]] = set()
         self._watched: set[int] = set()
         self._version = 0
 
@@ -190,7 +190,7 @@
             self._tell([self._with(state, Health.DRAINING)])
         if number not in self._watched:
             self._watched.add(number)
-            self._spawn(self._watch(number))
+            self.spawn(self._watch(number))
 
     async def _watch(self, number: int) -> None:
         """Wait for an engine that shut down to take log-ins again; it then counts as just started."""
@@ -217,43 +217,22 @@
                 for connection in self._idle.pop(key):
                     connection.close()
 
-    def start(self, attempt: Attempt) -> None:
-        attempt.task = self._spawn(self._attempt(attempt))
-        # A task that is cancelled before its first step never runs: nothing was sent, but its end is owed.
-        attempt.task.add_done_callback(
-            lambda task: self.core.ended(attempt, Verdict.CANCELLED) if task.cancelled() else None)
-
-    def stop(self, attempt: Attempt) -> None:
-        if attempt.task is not None:
-            attempt.task.cancel()
-
     def rank(self, attempt: Attempt) -> None:
         """TDS has no word for a priority."""
 
-    def probe(self, engine: int) -> None:
-        self._spawn(self._probe(engine))
-
     async def close(self) -> None:
-        for task in list(self._tasks):
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await super().close()
         for line in self._idle.values():
             for connection in line:
                 connection.close()
 
-    def _spawn(self, work: Any) -> asyncio.Task[Any]:
-        task = asyncio.get_running_loop().create_task(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-        return task
-
     # One attempt.
 
-    async def _attempt(self, attempt: Attempt) -> None:
+    async def attempt(self, attempt: Attempt) -> None:
         connection: _Connection | None = None
         verdict, tokens = Verdict.CONNECT_FAILED, None
         try:
-            async with asyncio.timeout((attempt.sent_ms + attempt.timeout_ms - clock()) / 1000.0):
+            async with asyncio.timeout(self.left_s(attempt)):
                 connection = await self._connect(attempt)
                 # A wait for a connection may have been long: the engine may have begun to drain meanwhile.
                 if connection is not None and self.core.may_send(attempt):
@@ -283,7 +262,7 @@
             self.events.log("fault", error=repr(error), of="tds attempt")
         if connection is not None and connection.used and verdict in (Verdict.TIMEOUT, Verdict.CANCELLED):
             # A task of its own: a further cancel must not cut short what frees the engine.
-            self._spawn(self._free(attempt, connection, verdict))
+            self.spawn(self._free(attempt, connection, verdict))
             return
         if connection is not None:
             connection.close()
@@ -340,7 +319,7 @@
             connection.close()
             self.core.ended(attempt, verdict)
 
-    async def _probe(self, engine: int) -> None:
+    async def probing(self, engine: int) -> None:
         began, state = clock(), self.states[engine]
         verdict = Verdict.OK
         try:
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -107,6 +107,20 @@
         self.assertEqual(answer[:2], (200, {"rows": [["a", "1", "x"]]}))
         self.assertLess(order.index("DELETE"), order.index("again"))
 
+    async def test_a_query_behind_broken_connections_is_given_up_before_the_next_attempt(self):
+        engines = await self.start(2)
+        order = []
+
+        def script(engine, request):
+            order.append(request.method)
+            if order.count("POST") > 1 or request.method == "DELETE":
+                return None
+            return "kill" if request.method == "GET" else web.Response(status=202)
+        for engine in engines:
+            engine.script = lambda request, body, e=engine: script(e, request)
+        self.assertEqual((await self.ask())[0], 200)
+        self.assertEqual([m for m in order if m != "GET"], ["POST", "DELETE", "POST"])
+
     async def test_a_clients_close_and_its_delete_free_the_engines_work(self):
         (engine,) = await self.start()
         engine.script = lambda request, body: (
