Hold the bounds of results, waits and TDS sessions against the memory limit

The operator's bounds are now checked against the limits at the start (exit 2 names the key), an HTTP result ends at 256 KB and a wait at an hour.

--- a/frostspindle/__main__.py
+++ b/frostspindle/__main__.py
@@ -35,7 +35,7 @@
         self.config = config
         self.events = Events(config.name)
         classes = [(FRONT, name) for name in config.classes] + [("tds", name) for name in config.plan.classes]
-        self.core = Core(config.settings, classes, config.seed, self.events, config.sockets // 2)
+        self.core = Core(config.settings, classes, config.seed, self.events, config.limits.sockets // 2)
         self.driver = Engines(config, self.core, self.events)
         self.bus = Bus(config, self.core, self.driver, self.events)
         self.platform = Platform(config, self.core, self.events)
@@ -79,7 +79,8 @@
     def reload(self) -> None:
         """SIGHUP: the operator's file again; a file with a fault changes nothing."""
         try:
-            operator = configuration.read_operator(self.config.operator_file, self.config.classes)
+            operator = configuration.read_operator(self.config.operator_file, self.config.classes,
+                                                   self.config.limits)
             if self.tds and self.tds_driver:
                 self._reload_tds(operator.tds)
         except ConfigError as error:
--- a/frostspindle/config.py
+++ b/frostspindle/config.py
@@ -60,7 +60,7 @@
     batch: list[BusEvent] = []
 
 
-class _Limits(Struct):
+class Limits(Struct):
     memory_mb: Annotated[float, Meta(gt=0)] = 192.0
     sockets: Annotated[int, Meta(ge=64)] = 1024
 
@@ -71,7 +71,7 @@
     listen: str = ""
     seed: str = "0"
     bus: str = ""
-    limits: _Limits = msgspec.field(default_factory=_Limits)
+    limits: Limits = msgspec.field(default_factory=Limits)
     known: _Known = msgspec.field(default_factory=_Known)
 
 
@@ -106,9 +106,9 @@
     listen: str
     login: Annotated[list[TdsLogin], Meta(min_length=1)]
     engine: list[TdsEngine] = []
-    max_sessions: Count = 128
-    max_batch_bytes: Count = 256 * 1024
-    max_result_bytes: Count = 2 * 1024 * 1024
+    max_sessions: Count = 64
+    max_batch_bytes: Count = 128 * 1024
+    max_result_bytes: Count = 256 * 1024
     login_ms: Positive = 5_000.0
     idle_ms: Positive = 600_000.0
     engine_user: str = "frostspindle"
@@ -144,7 +144,7 @@
     name: str
     listen: Address
     seed: int
-    sockets: int
+    limits: Limits
     bus: Address | None
     known_offset: int
     known: tuple[BusEvent, ...]
@@ -171,7 +171,7 @@
     return host.strip("[]"), number
 
 
-def read_operator(path: str, classes: tuple[str, ...]) -> Operator:
+def read_operator(path: str, classes: tuple[str, ...], limits: Limits) -> Operator:
     """Read the operator's file; also called on SIGHUP, with the running program's classes."""
     if not path:
         return Operator()
@@ -181,8 +181,14 @@
         raise ConfigError(f"FROSTSPINDLE_OPERATOR: {path}: {error.strerror}") from None
     except (msgspec.DecodeError, UnicodeDecodeError) as error:
         raise ConfigError(f"FROSTSPINDLE_OPERATOR: {path}: {_one_line(error)}") from None
-    if operator.tds:
-        address(operator.tds.listen, "tds.listen")
+    if tds := operator.tds:
+        address(tds.listen, "tds.listen")
+        if tds.max_sessions > limits.sockets // 6:
+            raise ConfigError(f"tds.max_sessions: more than a sixth of {limits.sockets} sockets")
+        # A message is held up to three times: as it comes, whole, and as it goes out.
+        if 3 * tds.max_sessions * (tds.max_batch_bytes + tds.max_result_bytes) > limits.memory_mb * 2**19:
+            raise ConfigError("tds.max_result_bytes: with max_sessions and max_batch_bytes it may take more than "
+                              f"half of {limits.memory_mb:g} MB")
         names = set()
         for number, engine in enumerate(operator.tds.engine):
             address(engine.dial, f"tds.engine[{number}].dial")
@@ -230,13 +236,13 @@
     categories = document.settings.get("categories", [])
     classes = tuple(str(c.get("name", number)) for number, c in enumerate(categories))
     operator_file = environ.get("FROSTSPINDLE_OPERATOR", "")
-    operator = read_operator(operator_file, classes)
+    operator = read_operator(operator_file, classes, document.limits)
     plan = TdsPlan({}, {})
     if operator.tds:
         settings, plan = with_tds(settings, classes, operator.tds)
     return Config(
         name=environ.get("LB_NAME") or document.name, listen=address(listen, "LB_LISTEN"), seed=seed,
-        sockets=document.limits.sockets, bus=address(document.bus, "bus") if document.bus else None,
+        limits=document.limits, bus=address(document.bus, "bus") if document.bus else None,
         known_offset=document.known.offset, known=tuple(document.known.batch), settings=settings,
         classes=classes, kinds=_names(document.settings, "kinds"),
         zones=_names(document.settings, "failureDomains"), idle_ms=idle_ms,
--- a/frostspindle/net/engines.py
+++ b/frostspindle/net/engines.py
@@ -25,7 +25,7 @@
 GIVE_UP_S = 0.3  # how long a DELETE may wait for its answer
 FORGOTTEN_MS = 2100.0  # an engine drops what has not been asked for in 2 s
 RETIRE_S = 30.0
-PAGES, PAGE_BYTES = 64, 64 * 1024  # bounds on what an engine may say a result has
+PAGES, PAGE_BYTES, RESULT_BYTES = 64, 64 * 1024, 256 * 1024  # bounds on a result; the protocol has 48,000 bytes
 POOL_PART, POOL_FRESH = 24, 8  # connections to one engine: a part of all sockets, and new ones beside them
 NOTES = {"pct": NoteKind.PROGRESS, "overflow": NoteKind.SPILLS, "queued": NoteKind.WAITS}
 NAMES = {"util": "load_share", "queue": "depth", "inflight": "concurrent"}
@@ -122,7 +122,7 @@
     def __init__(self, config: Config, core: Core, events: Events) -> None:
         super().__init__(core)
         self.events = events
-        self.idle_s, self.sockets = config.idle_ms / 1000.0, config.sockets
+        self.idle_s, self.sockets = config.idle_ms / 1000.0, config.limits.sockets
         self.columns = core.settings.report_columns
         self.peers: dict[int, _Peer] = {}
 
@@ -266,13 +266,16 @@
             raise BadReply("no count of pages") from None
         if not 1 <= pages <= PAGES:
             raise BadReply(f"{pages} pages")
-        rows = _rows(first.body)
+        rows, size = _rows(first.body), len(first.body)
         for number in range(1, pages):
             reply = await self._news(peer, f"{path}{number}", asked)
             if reply is None or reply.status != 200:
                 return None
             if reply.headers.get("X-Page") != str(number):
                 raise BadReply(f"page {reply.headers.get('X-Page')} in place of {number}")
+            size += len(reply.body)
+            if size > RESULT_BYTES:
+                raise BadReply("a result is too long")
             rows += _rows(reply.body)
         return rows
 
--- a/frostspindle/net/platform.py
+++ b/frostspindle/net/platform.py
@@ -25,6 +25,7 @@
 BODY = 64 * 1024  # the longest statement
 BODY_S = 10.0  # the longest time that a head or a body may take to come
 PAGE_BYTES = 48 * 1024  # rows in one answer
+MOST_WAIT_MS = 3_600_000.0  # a request is kept at most for as long as its client may wait
 KEEP_S, KEEP_BYTES = 5.0, 8 << 20  # how long answers are kept for a repeated GET, and how much of them
 IDLE_S = 30.0  # clients close after 4 s idle; this is for those that do not
 _ID = re.compile(r"[0-9a-f]{16}\Z")
@@ -93,7 +94,7 @@
 
     def __init__(self, config: Config, core: Core, events: Events) -> None:
         self.config, self.core, self.events = config, core, events
-        self.most_connections = config.sockets // 3
+        self.most_connections = config.limits.sockets // 3
         self.classes = {name: number for number, name in enumerate(config.classes)}
         self.spoken: set[RequestHandler] = set()
         self._open: dict[str, _Open] = {}  # by path
@@ -176,7 +177,7 @@
             return response
         if cls not in self.classes:
             raise Refusal(404, "no such class")
-        ticket, left_ms = _one(request, "X-Request-Id"), _number(request, "X-Timeout-Ms", True)
+        ticket, left_ms = _one(request, "X-Request-Id"), _number(request, "X-Timeout-Ms", True, MOST_WAIT_MS)
         cost_ms, memory_mb = _number(request, "X-Cost-Ms"), _number(request, "X-Memory")
         if not _ID.match(ticket):
             raise Refusal(400, "X-Request-Id: not 16 hex digits")
@@ -292,7 +293,7 @@
     return values[0].strip() if values else ""
 
 
-def _number(request: web.BaseRequest, name: str, needed: bool = False) -> float:
+def _number(request: web.BaseRequest, name: str, needed: bool = False, most: float = 1e9) -> float:
     text = _one(request, name)
     if not text and not needed:
         return 0.0
@@ -300,7 +301,7 @@
         value = float(text)
     except ValueError:
         value = math.nan
-    if not 0.0 <= value <= 1e9 or (needed and value <= 0):
+    if not 0.0 <= value <= most or (needed and value <= 0):
         raise Refusal(400, f"{name}: missing or not a usable number")
     return value
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -85,7 +85,7 @@
     async def test_unreadable_answers_fail_the_attempt_and_are_counted(self):
         (engine,) = await self.start()
         for number, answer in enumerate((web.Response(text="a\t1"), page("a\t1"), web.Response(status=418),
-                                         page("a\t1\tx\n", 9999)), 1):
+                                         page("a\t1\tx\n", 9999), page("x" * 70000 + "\n")), 1):
             engine.script = lambda request, body, a=answer: a if request.method == "POST" else None
             self.assertEqual((await self.ask(LOAD, number=number))[0], 502)
             self.assertEqual(self.count("engine_bad_replies"), number)
@@ -317,9 +317,13 @@
     def test_an_operators_file_names_the_key_at_fault(self):
         for key, text in (("tds.listen", '[tds]\nlisten="x"\n[[tds.login]]\nclass="lookup"'),
                           ("class", '[tds]\nlisten="127.0.0.1:0"\n[[tds.login]]\nclass="none"'),
+                          ("max_sessions", '[tds]\nlisten="127.0.0.1:0"\nmax_sessions=999\n[[tds.login]]\n'
+                                           'class="lookup"'),
+                          ("max_result_bytes", '[tds]\nlisten="127.0.0.1:0"\nmax_result_bytes=9000000\n'
+                                               '[[tds.login]]\nclass="lookup"'),
                           ("extra", "[snmp]\nextra=1"), ("TOML", "[")):
             with tempfile.NamedTemporaryFile("w", suffix=".toml") as file:
                 file.write(text)
                 file.flush()
                 with self.assertRaisesRegex(configuration.ConfigError, key if key != "TOML" else "OPERATOR"):
-                    configuration.read_operator(file.name, ("lookup",))
+                    configuration.read_operator(file.name, ("lookup",), configuration.Limits())
