--- a/frostspindle/net/tds/codec.py
+++ b/frostspindle/net/tds/codec.py
@@ -20,6 +20,7 @@
 # Tokens.
 COLMETADATA, ERROR, INFO, LOGINACK, ROW, NBCROW, ENVCHANGE = 0x81, 0xAA, 0xAB, 0xAD, 0xD1, 0xD2, 0xE3
 ORDER, RETURNSTATUS, FEATUREEXTACK, DONE, DONEPROC, DONEINPROC = 0xA9, 0x79, 0xAE, 0xFD, 0xFE, 0xFF
+TABNAME, COLINFO, SESSIONSTATE = 0xA4, 0xA5, 0xE4
 # What DONE says.
 DONE_MORE, DONE_ERROR, DONE_COUNT, DONE_ATTN = 0x01, 0x02, 0x10, 0x20
 ENCRYPT_NOT_SUP, ENCRYPT_OFF = 2, 0
@@ -361,7 +362,7 @@
             last = not result.status & DONE_MORE and token != DONEINPROC
         elif token == ERROR:
             result.faults.append(_fault(r.chunk(r.number("H"))))
-        elif token in (INFO, ORDER):
+        elif token in (INFO, ORDER, TABNAME, COLINFO):
             r.skip(r.number("H"))
         elif token == RETURNSTATUS:
             r.skip(4)
@@ -369,6 +370,9 @@
             r.skip(r.number("H"))
             result.accepted |= token == LOGINACK
             keep = False
+        elif token == SESSIONSTATE:
+            r.skip(r.number("I"))
+            keep = False
         elif token == FEATUREEXTACK:
             while r.number("B") != 0xFF:
                 r.skip(r.number("I"))
