Count only asks that had a connection when waiting for a silent engine to forget a query

A given-up query there is held back until 2.1 s after the last ask (_news set that time for every ask, also for those that never got a connection, so each vain ask pushed it on). Now only an ask with a connection does.

--- a/frostspindle/net/engines.py
+++ b/frostspindle/net/engines.py
@@ -219,7 +219,6 @@
                 return Verdict.CONNECT_FAILED, (), None
         while True:
             if reply is None:
-                asked[0] = clock()
                 reply = await self._news(peer, path + "0", asked)
                 if reply is None:
                     return Verdict.RESET, report, None
@@ -242,9 +241,8 @@
         """Ask for news, on a new connection if the old one breaks; None: the process is gone."""
         broken, fresh = 0, False
         while True:
-            call = _Call()
+            call, began = _Call(), clock()
             try:
-                asked[0] = clock()
                 return await peer.call("GET", path, call=call, fresh=fresh)
             except aiohttp.ClientConnectorError as error:
                 if isinstance(error.os_error, ConnectionRefusedError):
@@ -255,6 +253,9 @@
                 broken += 1
                 if broken > 1:
                     return None
+            finally:
+                if call.wired:  # what had no connection can't have been an ask that keeps the query going
+                    asked[0] = began
             fresh = True
             await asyncio.sleep(0.0 if call.wired else 0.2)
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -121,6 +121,21 @@
         self.assertEqual((await self.ask())[0], 200)
         self.assertEqual([m for m in order if m != "GET"], ["POST", "DELETE", "POST"])
 
+    async def test_only_an_ask_that_had_a_connection_keeps_a_query_going(self):
+        class Peer:
+            wired = False
+
+            async def call(self, method, path, call, fresh):
+                call.wired = self.wired
+                raise TimeoutError
+        await self.start()
+        for Peer.wired in (False, True):
+            asked = [5.0]
+            with self.assertRaises(TimeoutError):
+                async with asyncio.timeout(0.05):
+                    await self.program.driver._news(Peer(), "/v1/store/x/0", asked)
+            self.assertEqual(asked[0] > 5.0, Peer.wired)
+
     async def test_a_clients_close_and_its_delete_free_the_engines_work(self):
         (engine,) = await self.start()
         engine.script = lambda request, body: (
