--- a/frostspindle/net/tds/codec.py
+++ b/frostspindle/net/tds/codec.py
@@ -82,11 +82,6 @@
                 self._kind = -1
                 yield message
 
-    @property
-    def partial(self) -> bool:
-        """Bytes of a message are here that is not whole."""
-        return bool(self._data or self._body)
-
 
 def packets(kind: int, body: bytes, size: int = PACKET, status: int = 0) -> bytes:
     """A message as packets; `status` bits go on the first."""
--- a/frostspindle/net/tds/front.py
+++ b/frostspindle/net/tds/front.py
@@ -41,7 +41,6 @@
         self.packet = codec.PACKET
         self.profile: TdsLogin | None = None
         self.database = ""
-        self.asking: asyncio.Future[Answer] | None = None
 
     async def message(self) -> codec.Message | None:
         """The next message, or None at the end of the stream."""
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -64,6 +64,19 @@
         self.assertEqual((status, body), (502, {"failure": "Failed"}))
         self.assertEqual(sum(len(e.of("POST")) for e in engines), posts + 1)
 
+    async def test_nothing_is_resent_quietly_on_a_connection_that_was_used_before(self):
+        (engine,) = await self.start()
+        transports = set()
+
+        def script(request, body):
+            transports.add(request.transport)
+            return "kill" if len(engine.of("POST")) > 1 else None
+        engine.script = script
+        self.assertEqual((await self.ask(LOAD, number=1))[0], 200)
+        self.assertEqual((await self.ask(LOAD, number=2))[0], 502)
+        self.assertEqual((len(engine.of("POST")), len(engine.of("GET"))), (2, 2))
+        self.assertGreater(len(transports), 1, "the kills met the used connection first, then new ones")
+
     def moved(self, engine) -> bool:
         """True once another engine has had a POST."""
         return any(other.of("POST") for other in self.peers if other is not engine)
