--- a/frostspindle/__main__.py
+++ b/frostspindle/__main__.py
@@ -46,7 +46,7 @@
             self.tds = TdsFront(tds, configuration.address(tds.listen, "tds.listen"), config.plan.classes,
                                 config.seed, self.core, self.events, table_group)
         self.agent: Any = None
-        self.stopping = asyncio.Event()
+        self.stopping, self.failed = asyncio.Event(), False
         self.tasks: list[asyncio.Task[Any]] = []
 
     async def start(self) -> None:
@@ -74,6 +74,7 @@
     def _ended(self, task: asyncio.Task[Any]) -> None:
         if not task.cancelled() and task.exception() is not None:
             self.events.log("fault", error=repr(task.exception()), of="task")
+            self.failed = True  # without its core or its engine list the program is of no use: a new start is
             self.stopping.set()
 
     def reload(self) -> None:
@@ -138,7 +139,7 @@
     await program.stopping.wait()
     await program.stop()
     program.events.report()
-    return 0
+    return int(program.failed)
 
 
 def main() -> int:
--- a/frostspindle/net/bus.py
+++ b/frostspindle/net/bus.py
@@ -45,7 +45,7 @@
             began = self.last
             try:
                 await self._follow(self.config.bus)
-            except (OSError, TimeoutError, EOFError, ValueError, msgspec.DecodeError) as error:
+            except Exception as error:  # noqa: BLE001 - whatever the bus writes, it is joined again
                 self.events.count("bus_reconnects")
                 self.events.log("bus", error=repr(error), last=self.last)
             wait = AGAIN_S if self.last != began else min(AGAIN_MOST_S, wait * 2)
