Read LB_CONFIG again on SIGHUP and follow a new event bus at once

Checked: __main__.Program.reload read only the operator's file; Bus.run held the address it was started with, and the old bus stays open and silent for 1.5 s, then closes. At fault: reload() in __main__.py and the fixed config.bus in net/bus.py. Also found by reading: a line of the bus that can't be read was asked for again for ever. It is now passed over after two more tries; the engine list would otherwise stand still behind it. Two tests over loopback, both fail without the change.

--- a/frostspindle/__main__.py
+++ b/frostspindle/__main__.py
@@ -1,8 +1,8 @@
 """Start, signals, wiring and exit code.
 
 Owns the order in which the parts start and stop and what each signal does: SIGTERM and SIGINT end the
-program in good order, SIGUSR1 prints the counters, SIGHUP reads the operator's file again. It decides
-nothing about requests and speaks no wire.
+program in good order, SIGUSR1 prints the counters, SIGHUP reads the configuration and the operator's file
+again. It decides nothing about requests and speaks no wire.
 """
 
 from __future__ import annotations
@@ -78,16 +78,18 @@
             self.stopping.set()
 
     def reload(self) -> None:
-        """SIGHUP: the operator's file again; a file with a fault changes nothing."""
+        """SIGHUP: both files again. A file with a fault changes nothing, of the other neither."""
         try:
-            operator = configuration.read_operator(self.config.operator_file, self.config.classes,
-                                                   self.config.limits)
+            fresh = configuration.read(self.config.environ)
             if self.tds and self.tds_driver:
-                self._reload_tds(operator.tds)
-        except ConfigError as error:
-            self.events.log("reload", error=str(error))
+                self._reload_tds(fresh.operator.tds)
+        except Exception as error:  # noqa: BLE001 - whatever the files hold, the program goes on as it was
+            self.events.count("reloads_failed")
+            self.events.log("reload", error=str(error) if isinstance(error, ConfigError) else repr(error))
             return
-        self.events.log("reload")
+        self.bus.move(fresh.bus)
+        self.events.count("reloads")
+        self.events.log("reload", bus=fresh.bus)
 
     def _reload_tds(self, tds: configuration.Tds | None) -> None:
         """Take engines, their states and logins; what the module was told at the start needs a new start."""
--- a/frostspindle/config.py
+++ b/frostspindle/config.py
@@ -141,6 +141,7 @@
 class Config:
     """The few values that the program uses."""
 
+    environ: Mapping[str, str]  # what they were read from, and are read from again
     name: str
     listen: Address
     seed: int
@@ -154,7 +155,6 @@
     zones: tuple[str, ...]
     idle_ms: float
     operator: Operator
-    operator_file: str
     plan: TdsPlan
 
 
@@ -172,7 +172,7 @@
 
 
 def read_operator(path: str, classes: tuple[str, ...], limits: Limits) -> Operator:
-    """Read the operator's file; also called on SIGHUP, with the running program's classes."""
+    """Read the operator's file and check it against the platform's classes and limits."""
     if not path:
         return Operator()
     try:
@@ -210,7 +210,7 @@
 
 
 def read(environ: Mapping[str, str] = os.environ) -> Config:
-    """Read everything once; ConfigError names the key that can't be used."""
+    """Read everything, at the start and on SIGHUP; ConfigError names the key that can't be used."""
     path = environ.get("LB_CONFIG", "")
     if not path:
         raise ConfigError("LB_CONFIG: not set")
@@ -241,12 +241,13 @@
     if operator.tds:
         settings, plan = with_tds(settings, classes, operator.tds)
     return Config(
-        name=environ.get("LB_NAME") or document.name, listen=address(listen, "LB_LISTEN"), seed=seed,
+        environ=environ, name=environ.get("LB_NAME") or document.name,
+        listen=address(listen, "LB_LISTEN"), seed=seed,
         limits=document.limits, bus=address(document.bus, "bus") if document.bus else None,
         known_offset=document.known.offset, known=tuple(document.known.batch), settings=settings,
         classes=classes, kinds=_names(document.settings, "kinds"),
         zones=_names(document.settings, "failureDomains"), idle_ms=idle_ms,
-        operator=operator, operator_file=operator_file, plan=plan)
+        operator=operator, plan=plan)
 
 
 def with_tds(settings: Settings, names: tuple[str, ...], tds: Tds) -> tuple[Settings, TdsPlan]:
--- a/frostspindle/net/bus.py
+++ b/frostspindle/net/bus.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import zlib
 from collections.abc import Iterable
 
@@ -21,6 +22,7 @@
 SILENT_S, CONNECT_S = 2.2, 0.5  # the bus writes a line every second; its word counts as told after 7 s
 LINE = 1 << 20  # the longest line that is read
 AGAIN_S, AGAIN_MOST_S = 0.05, 0.5
+DOUBTS = 2  # so often the bus is asked again for what made no sense; then it is passed over
 _DECODER = msgspec.json.Decoder(BusEvent | int)
 
 
@@ -29,7 +31,9 @@
 
     def __init__(self, config: Config, core: Core, driver: Driver, events: Events) -> None:
         self.config, self.core, self.driver, self.events = config, core, driver, events
-        self.last = 0
+        self.at, self.last = config.bus, 0
+        self._moved = asyncio.Event()
+        self._doubts = 0  # lines that made no sense since the last event
         self._ids: dict[str, int] = {}
 
     def start(self) -> None:
@@ -38,18 +42,37 @@
             self._event(event)
         self.last = max(self.last, self.config.known_offset)
 
+    def move(self, at: Address | None) -> None:
+        """The bus has another address: follow it there at once, from the last number on."""
+        if at != self.at:
+            self.at = at
+            self._moved.set()
+
     async def run(self) -> None:
-        """Follow the bus until cancelled, connecting again whenever it ends or makes no sense."""
+        """Follow the bus until cancelled, connecting again whenever it ends, moves or makes no sense."""
         wait = AGAIN_S
-        while self.config.bus:
+        while True:
+            self._moved.clear()
             began = self.last
-            try:
-                await self._follow(self.config.bus)
-            except Exception as error:  # noqa: BLE001 - whatever the bus writes, it is joined again
-                self.events.count("bus_reconnects")
-                self.events.log("bus", error=repr(error), last=self.last)
-            wait = AGAIN_S if self.last != began else min(AGAIN_MOST_S, wait * 2)
-            await asyncio.sleep(wait)
+            if self.at is not None:
+                async with asyncio.TaskGroup() as group:
+                    following = group.create_task(self._joined(self.at))
+                    moved = group.create_task(self._moved.wait())
+                    await asyncio.wait((following, moved), return_when=asyncio.FIRST_COMPLETED)
+                    following.cancel()
+                    moved.cancel()
+                wait = AGAIN_S if self.last != began else min(AGAIN_MOST_S, wait * 2)
+            # A wait that a move cuts short: the old bus may never speak again, and its word counts as told.
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(wait if self.at is not None else None):
+                    await self._moved.wait()
+
+    async def _joined(self, at: Address) -> None:
+        try:
+            await self._follow(at)
+        except Exception as error:  # noqa: BLE001 - whatever the bus writes, it is joined again
+            self.events.count("bus_reconnects")
+            self.events.log("bus", error=repr(error), last=self.last)
 
     async def _follow(self, at: Address) -> None:
         async with asyncio.timeout(CONNECT_S):
@@ -61,20 +84,33 @@
                     line = await reader.readline()
                 if not line.endswith(b"\n"):
                     raise EOFError("the bus ended its connection")
-                word = _DECODER.decode(line)
-                if not isinstance(word, int):
-                    if word.offset > self.last + 1:
-                        raise ValueError(f"event {word.offset} came after {self.last}")
-                    self._event(word)
-                elif word > self.last:
-                    raise ValueError(f"the bus is at {word}, here it is {self.last}")
+                self._take(line)
         finally:
             writer.close()
 
+    def _take(self, line: bytes) -> None:
+        """One line. What makes no sense is asked for again, and passed over if it stays as it is."""
+        again = self._doubts >= DOUBTS
+        try:
+            word = _DECODER.decode(line)
+            if isinstance(word, int):
+                if word > self.last and not again:
+                    raise ValueError(f"the bus is at {word}, here it is {self.last}")
+                return
+            if word.offset > self.last + 1 and not again:
+                raise ValueError(f"event {word.offset} came after {self.last}")
+            self._event(word)
+        except ValueError as error:  # also all that msgspec raises
+            if not again:
+                self._doubts += 1
+                raise
+            self.events.count("bus_lines_skipped")
+            self.events.log("bus_line", error=str(error), last=self.last)
+
     def _event(self, event: BusEvent) -> None:
         if event.offset <= self.last:
             return  # a repeat, as after a reconnect
-        self.last = event.offset
+        self.last, self._doubts = event.offset, 0
         if event.topology is None:
             return
         states = list(self._states(event.topology.hosts))
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -221,9 +221,9 @@
         document = {"name": "t0", "listen": "127.0.0.1:0", "seed": "1", "settings": settings(**changes),
                     "bus": f"127.0.0.1:{bus}" if bus else "",
                     "known": {"offset": 1, "batch": [change(1, *hosts, whole=True)]}}
-        path = Path(folder.name, "config.json")
+        path = self.config_file = Path(folder.name, "config.json")
         path.write_text(json.dumps(document))
-        environ = {"LB_CONFIG": str(path)}
+        self.document, environ = document, {"LB_CONFIG": str(path)}
         if operator:
             self.operator_file = Path(folder.name, "operator.toml")
             self.operator_file.write_text(operator)
@@ -260,5 +260,10 @@
             "X-Request-Id": f"{number:016x}", "X-Timeout-Ms": str(timeout), "X-Cost-Ms": "50", "X-Memory": "64",
             **headers})
 
+    async def until(self, true: Any) -> None:
+        async with asyncio.timeout(5.0):
+            while not true():
+                await asyncio.sleep(0.005)
+
     def count(self, what: str) -> int:
         return sum(n for (name, _, _), n in self.program.events.counts.items() if name == what)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -269,6 +269,41 @@
         self.assertEqual((bus.froms[-1], self.count("bus_reconnects")), ("from 3", 2))
 
 
+    async def test_sighup_follows_a_new_bus_from_the_last_number_and_a_bad_file_changes_nothing(self):
+        (engine,) = await self.engines()
+        old, new = [await Bus().start() for _ in range(2)]
+        for bus in (old, new):
+            self.addCleanup(bus.server.close)
+        await self.coordinator([host("s-00000001", engine.port)], bus=old.port)
+        await old.joined()
+        for text in ("{", json.dumps({**self.document, "bus": "x"}), json.dumps({**self.document, "settings": 1})):
+            self.config_file.write_text(text)
+            self.program.reload()
+        self.config_file.unlink()
+        self.program.reload()
+        self.assertEqual((self.count("reloads_failed"), self.count("reloads"), len(new.froms)), (4, 0, 0))
+        old.say(change(2, host("s-00000002", engine.port)))
+        await self.until(lambda: self.program.bus.last == 2)
+        self.config_file.write_text(json.dumps({**self.document, "bus": f"127.0.0.1:{new.port}"}))
+        self.program.reload()  # the old bus stays open and silent
+        await new.joined()
+        new.say(change(3, host("s-00000001", engine.port, "leaving")))
+        await self.until(lambda: self.program.core.engines[1].entry.health == 2)
+        self.assertEqual((new.froms, len(old.froms), self.count("bus_reconnects")), (["from 2"], 1, 0))
+
+    async def test_an_event_that_can_never_be_read_does_not_keep_the_later_ones_away(self):
+        (engine,) = await self.engines()
+        bus = await Bus().start()
+        self.addCleanup(bus.server.close)
+        await self.coordinator([host("s-00000001", engine.port)], bus=bus.port)
+        for time in (1, 2, 3):
+            await bus.joined(time)
+            bus.say({"offset": 2, "topology": {"hosts": "none"}}, b"noise", 2,
+                    change(3, host("s-00000001", engine.port, "leaving")), 3)
+        await self.until(lambda: self.program.bus.last == 3)
+        self.assertEqual((bus.froms, self.count("bus_lines_skipped")), (["from 1"] * 3, 2))
+
+
 class Process(unittest.TestCase):
     def start(self, document, **environ):
         folder = tempfile.TemporaryDirectory()
