--- a/frostspindle/core.py
+++ b/frostspindle/core.py
@@ -25,6 +25,7 @@
 from pinstage.interface import Health, ListKind, Verdict
 
 SERVED, REFUSED, FAILED = "served", "refused", "failed"
+ABSENT_MS = 30_000.0  # an engine that is gone for so long is forgotten
 AGAIN_MS = 20.0  # a reminder of the module's that met a fault comes again after this
 TURN = 64  # events that one turn of the task may take before the sockets get theirs
 
@@ -128,6 +129,20 @@
     version: int
 
 
+@dataclass(slots=True, frozen=True)
+class _Overdue:
+    """A request's time is up. It names the request only: timers outlive what was answered long before."""
+
+    number: int
+
+
+@dataclass(slots=True, frozen=True)
+class _Absent:
+    """An engine has been gone for a while."""
+
+    engine: int
+
+
 @dataclass(slots=True, frozen=True)
 class _End:
     attempt: Attempt
@@ -238,7 +253,7 @@
                     break
             while self._timers and self._timers[0][0] <= now and not self._urgent:
                 due_event = heapq.heappop(self._timers)[2]
-                self._guard(now, due_event if isinstance(due_event, Record) else api.Due(due_event))
+                self._guard(now, api.Due(due_event) if isinstance(due_event, int) else due_event)
             await asyncio.sleep(0)
 
     def _guard(self, now: float, event: Any) -> None:
@@ -269,9 +284,9 @@
     def _request_of(event: Any) -> int:
         if isinstance(event, _End):
             return event.attempt.ask.number
-        if isinstance(event, (Record, _Leave)):
+        if isinstance(event, _Leave):
             return event.ask.number
-        return event.number if isinstance(event, Ask) else getattr(event, "request", 0)
+        return event.number if isinstance(event, (Ask, _Overdue)) else getattr(event, "request", 0)
 
     def _step(self, now: float, event: Any) -> None:
         if isinstance(event, Ask):
@@ -282,12 +297,15 @@
             self._list(now, event)
         elif isinstance(event, _Leave):
             self._leave(now, event.ask.number, "left")
-        elif isinstance(event, Record):
+        elif isinstance(event, _Overdue):
             # The module answers before the deadline; should it not have, the ledger still owes one answer.
-            if not event.answered:
-                self.events.log("overdue", request=event.ask.number)
-                self._answer(event.ask.number, Answer(FAILED))
-                self._leave(now, event.ask.number, "overdue")
+            record = self._records.get(event.number)
+            if record is not None and not record.answered:
+                self.events.log("overdue", request=event.number)
+                self._answer(event.number, Answer(FAILED))
+                self._leave(now, event.number, "overdue")
+        elif isinstance(event, _Absent):
+            self._drop_engine(now, event.engine)
         else:
             self._tell(now, event)
 
@@ -309,9 +327,9 @@
     def _take(self, now: float, ask: Ask) -> None:
         self._numbers += 1
         ask.number = self._numbers
-        record = self._records[ask.number] = Record(ask)
+        self._records[ask.number] = Record(ask)
         left_ms = ask.left_ms - (now - ask.taken_ms)
-        self._at(ask.taken_ms + ask.left_ms, record)
+        self._at(ask.taken_ms + ask.left_ms, _Overdue(ask.number))
         self.events.count("taken", ask.front, self.classes[ask.cls][1])
         self._tell(now, api.Request(ask.number, ask.cls, 0, 0, left_ms, ask.cost_ms, ask.memory_mb,
                                     float(ask.group)))
@@ -339,10 +357,22 @@
         for state in changed:
             self.engines[state.entry.engine] = state
             state.driver.listed(state)
+            if state.entry.health == Health.GONE:
+                self._at(now + ABSENT_MS, _Absent(state.entry.engine))
             self.events.log("engine", name=state.name, health=state.entry.health, since=state.entry.since_ms)
         entries = tuple(state.entry for state in changed)
         self._tell(now, api.EngineList(ListKind.DELTA, listing.version, entries))
 
+    def _drop_engine(self, now: float, number: int) -> None:
+        """Engines come under new ids for ever: one that is gone is forgotten, once nothing is out there."""
+        state = self.engines.get(number)
+        if state is None or state.entry.health != Health.GONE:
+            return
+        if any(a.engine == number and not a.over for r in self._records.values() for a in r.attempts):
+            self._at(now + ABSENT_MS, _Absent(number))
+        else:
+            del self.engines[number]
+
     def _end(self, now: float, end: _End) -> None:
         attempt, ask = end.attempt, end.attempt.ask
         record, verdict = self._records.get(ask.number), end.verdict
@@ -409,5 +439,6 @@
         self.events.count(answer.how, record.ask.front, self.classes[record.ask.cls][1])
         try:
             record.ask.settle(answer)
+            record.ask.statement = ""  # the line may stay for an attempt that has yet to end
         finally:
             self._forget(record)
--- a/frostspindle/net/bus.py
+++ b/frostspindle/net/bus.py
@@ -34,7 +34,8 @@
         self.at, self.last = config.bus, 0
         self._moved = asyncio.Event()
         self._doubts = 0  # lines that made no sense since the last event
-        self._ids: dict[str, int] = {}
+        self._ids: dict[str, int] = {}  # of the engines that are not gone
+        self._numbers: set[int] = set()
 
     def start(self) -> None:
         """Hand on what the configuration already knows."""
@@ -114,6 +115,9 @@
         if event.topology is None:
             return
         states = list(self._states(event.topology.hosts))
+        if event.topology.whole:
+            self._free(self._ids.keys() - {host.host for host in event.topology.hosts})
+        self._free([state.name for state in states if state.entry.health == Health.GONE])
         how = ListKind.FULL if event.topology.whole else ListKind.DELTA
         self.core.list_engines(self.driver, states, how, event.offset)
 
@@ -153,7 +157,13 @@
                 number = int(tail, 16) & 0xFFFFFFFF
             except ValueError:
                 number = zlib.crc32(name.encode())
-            while number in self._ids.values():
+            while number in self._numbers:
                 number = (number + 1) & 0xFFFFFFFF
             self._ids[name] = number
+            self._numbers.add(number)
         return self._ids[name]
+
+    def _free(self, names: Iterable[str]) -> None:
+        """New engines come under new ids for ever; the names of those that are gone are not kept."""
+        for name in names:
+            self._numbers.discard(self._ids.pop(name, -1))
--- a/frostspindle/net/engines.py
+++ b/frostspindle/net/engines.py
@@ -2,18 +2,19 @@
 
 Owns the connections to those engines and the calls that start, follow, rank and give up a query. It must
 never resend what may have reached an engine, never begin a send to an engine that has started to drain
-meanwhile, never report an attempt's end while the engine may still be running it, and never report a good
-end without all rows in hand. Which engine, when and for how long is not its affair.
+meanwhile, never use a connection again on which more or less came than one good answer, never report an
+attempt's end while the engine may still be running it, and never report a good end without all rows in hand.
+Which engine, when and for how long is not its affair. The parser is httptools (llhttp in its strict mode).
 """
 
 from __future__ import annotations
 
 import asyncio
-import contextvars
 import math
-from typing import Any
+import select
+from collections import deque
 
-import aiohttp
+from httptools import HttpParserError, HttpParserUpgrade, HttpResponseParser
 
 from frostspindle.config import Config
 from frostspindle.core import Attempt, Core, EngineState, clock
@@ -24,96 +25,275 @@
 ANSWER_S = 1.2  # news come within 250 ms; a query not asked for in 2 s is dropped by its engine
 GIVE_UP_S = 0.3  # how long a DELETE may wait for its answer
 FORGOTTEN_MS = 2100.0  # an engine drops what has not been asked for in 2 s
-RETIRE_S = 30.0
+ASKS = 3  # so many broken or unreadable answers to one ask for news or a page are borne
 PAGES, PAGE_BYTES, RESULT_BYTES = 64, 64 * 1024, 256 * 1024  # bounds on a result; the protocol has 48,000 bytes
-POOL_PART, POOL_FRESH = 24, 8  # connections to one engine: a part of all sockets, and new ones beside them
-NOTES = {"pct": NoteKind.PROGRESS, "overflow": NoteKind.SPILLS, "queued": NoteKind.WAITS}
+ANSWER_BYTES = PAGE_BYTES + 16 * 1024  # of one answer on the wire: head, page, and 1xx answers before it
+FIELDS, FIELD = 64, 4096  # headers of one answer, and their length
+ENGINE_PART = 0.38  # of all sockets, for connections to engines; clients have another part
+TIDY_S = 1.0
+NOTES = {b"pct": NoteKind.PROGRESS, b"overflow": NoteKind.SPILLS, b"queued": NoteKind.WAITS}
 NAMES = {"util": "load_share", "queue": "depth", "inflight": "concurrent"}
 Rows = list[list[str]]
 
 
-class Drained(aiohttp.ClientError):
+class Drained(Exception):
     """The engine may get nothing new; nothing of the call was written."""
 
 
-class BadReply(Exception):
-    """An engine's answer that can't be read."""
-
-
-class _Call:
-    """What is known of one HTTP call: whether it has had a connection, so that bytes may have gone out."""
-
-    __slots__ = ("attempt", "wired")
-
-    def __init__(self, attempt: Attempt | None = None) -> None:
-        self.attempt, self.wired = attempt, False
+class NoLine(Exception):
+    """No connection could be had; nothing of the call was written."""
 
+    def __init__(self, text: str, refused: bool = False, full: bool = False) -> None:
+        super().__init__(text)
+        self.refused, self.full = refused, full  # by the engine's machine; by the bounds here
 
-_call: contextvars.ContextVar[_Call] = contextvars.ContextVar("call")
 
+class Broken(Exception):
+    """The connection ended under a call."""
 
-class _Connector(aiohttp.TCPConnector):
-    """Asks once more, after any wait for a connection, whether a new query may still be sent."""
 
-    core: Core
-
-    async def connect(self, req: Any, traces: Any, timeout: Any) -> Any:
-        connection = await super().connect(req, traces, timeout)
-        call = _call.get()
-        if call.attempt is not None and not self.core.may_send(call.attempt):
-            connection.release()
-            raise Drained("the engine drains")
-        call.wired = True
-        return connection
+class BadReply(Exception):
+    """An engine's answer that can't be read."""
 
 
 class _Reply:
-    __slots__ = ("status", "headers", "body")
+    __slots__ = ("status", "headers", "body", "pages", "rows")
 
-    def __init__(self, status: int, headers: Any, body: bytes) -> None:
+    def __init__(self, status: int, headers: dict[bytes, bytes], body: bytes) -> None:
         self.status, self.headers, self.body = status, headers, body
+        self.pages, self.rows = 0, list[list[str]]()
+
+    def read(self, number: int) -> None:
+        """Check it as the answer to an ask for a page, 0 being the news; BadReply if it can't be that."""
+        if self.status not in (200, 202, 500, 503, 504):
+            raise BadReply(f"status {self.status}")
+        if self.status != 200:
+            return
+        if number == 0:
+            text = self.text(b"x-pages")
+            if not (text.isascii() and text.isdecimal() and 1 <= int(text[:4]) <= PAGES):
+                raise BadReply(f"a count of {text!r} pages")
+            self.pages = int(text)
+        elif self.text(b"x-page") != str(number):
+            raise BadReply(f"page {self.text(b'x-page')!r} in place of {number}")
+        self.rows = _rows(self.body)
+
+    def text(self, name: bytes) -> str:
+        return self.headers.get(name, b"").decode("latin-1")
+
+
+class _Line(asyncio.Protocol):
+    """One connection to an engine; one call at a time, and nothing more after the first doubt."""
+
+    def __init__(self, peer: _Peer) -> None:
+        self.peer, self.loop = peer, peer.driver.loop
+        self.transport: asyncio.Transport = None  # type: ignore[assignment]  # set before anything else is called
+        self.parser = HttpResponseParser(self)
+        self.waiter: asyncio.Future[_Reply] | None = None
+        self.good, self.whole, self.idle_at = True, False, self.loop.time()
+        self.came = self.fields = self.status = 0
+        self.headers: dict[bytes, bytes] = {}
+        self.body: list[bytes] = []
+        self.poll = select.poll()
+
+    # What asyncio calls.
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = transport  # type: ignore[assignment]
+        self.peer.lines.add(self)
+        self.poll.register(transport.get_extra_info("socket").fileno(), select.POLLIN)
+
+    def connection_lost(self, error: Exception | None) -> None:
+        self.good = False
+        self.peer.lost(self)
+        self._fail(Broken(repr(error) if error else "the engine ended its connection"))
+
+    def data_received(self, data: bytes) -> None:
+        if self.waiter is None or self.waiter.done():
+            self.drop()  # nothing was asked: what it is can't be known, nor what it would do to the next answer
+            return
+        self.came += len(data)
+        try:
+            self.parser.feed_data(data)
+        except (HttpParserError, HttpParserUpgrade) as error:
+            self.good = False  # noise behind a whole answer leaves that answer good
+            if not self.whole:
+                self._fail(BadReply(str(error.__context__ or error)))
+        if self.whole:
+            if not self.waiter.done():
+                self.waiter.set_result(_Reply(self.status, self.headers, b"".join(self.body)))
+        elif self.came > ANSWER_BYTES:
+            self._fail(BadReply("an answer is too long"))
+        if not self.good:
+            self.drop()
+
+    def _fail(self, error: Exception) -> None:
+        self.good = False
+        if self.waiter is not None and not self.waiter.done():
+            self.waiter.set_exception(error)
+
+    # What the parser calls.
+
+    def on_message_begin(self) -> None:
+        if self.whole:
+            self.good = False
+            raise BadReply("more than one answer")
+        self.headers, self.body, self.fields = {}, [], 0
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        self.fields += 1
+        if self.fields > FIELDS or len(name) + len(value) > FIELD:
+            raise BadReply("a head without bounds")
+        self.headers[name.lower()] = value
+
+    def on_headers_complete(self) -> None:
+        self.status = self.parser.get_status_code()
+        if self.status >= 200 and self.status != 204 and not (
+                b"content-length" in self.headers or b"transfer-encoding" in self.headers):
+            raise BadReply("an answer without a length")  # nothing would show that it was cut
+        if int(self.headers.get(b"content-length", b"0")) > PAGE_BYTES:
+            raise BadReply("an answer is too long")
+
+    def on_body(self, part: bytes) -> None:
+        self.body.append(part)
+
+    def on_message_complete(self) -> None:
+        if self.status >= 200:
+            self.whole = True
+            self.good = self.good and self.parser.should_keep_alive()
+
+    # What the peer calls.
+
+    def usable(self) -> bool:
+        """Asked right before a call is written: an end, a reset or noise may lie unread in the system."""
+        return (self.good and not self.transport.is_closing()
+                and self.loop.time() - self.idle_at < self.peer.driver.idle_s and not self.poll.poll(0))
+
+    def drop(self) -> None:
+        self.good = False
+        self.transport.abort()
+
+    def expire(self) -> None:
+        self._fail(TimeoutError())  # type: ignore[arg-type]
+        self.drop()
+
+    async def ask(self, data: bytes, within_s: float) -> _Reply:
+        self.waiter = self.loop.create_future()
+        self.whole, self.came = False, 0
+        timer = self.loop.call_later(within_s, self.expire)
+        self.transport.write(data)
+        try:
+            return await self.waiter
+        finally:
+            timer.cancel()
+            if not self.whole:  # given up, or not to be read: whatever still comes belongs to no call
+                self.drop()
+            self.waiter = None
 
 
 class _Peer:
-    """One engine's address and connections."""
+    """One engine's process: its address and the connections to it. A successor at the same address has its own."""
 
     def __init__(self, driver: Engines, state: EngineState) -> None:
-        self.state = state
-        self.base = f"http://{state.address[0]}:{state.address[1]}"
-        connect_s = driver.core.settings.connect_timeout_ms / 1000.0
-        # Idle connections are closed here well before the engine does: a call that crosses its close is lost.
-        pooled = _Connector(limit=max(8, driver.sockets // POOL_PART), keepalive_timeout=driver.idle_s * 0.5)
-        # Whether a silent engine's machine is still there shows only on a connection that is new.
-        fresh = _Connector(limit=POOL_FRESH, force_close=True)
-        self.sessions = []
-        for connector in (pooled, fresh):
-            connector.core = driver.core
-            session = aiohttp.ClientSession(
-                connector=connector, cookie_jar=aiohttp.DummyCookieJar(), auto_decompress=False,
-                timeout=aiohttp.ClientTimeout(total=None, connect=connect_s, sock_connect=connect_s),
-                skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding", "Content-Type"))
-            # aiohttp quietly repeats idempotent calls on a stale connection; only this file repeats calls.
-            session._retry_connection = False
-            self.sessions.append(session)
+        self.driver, self.state = driver, state
+        self.idle: list[_Line] = []
+        self.lines: set[_Line] = set()
+        self.opening = 0
+        self.waiting: deque[asyncio.Future[None]] = deque()
+        self.gone = False
+        self.host = f"{state.address[0]}:{state.address[1]}"
+
+    def retire(self) -> None:
+        """The process is gone: idle connections end now, the others with their calls."""
+        self.gone = True
+        for line in self.idle:
+            line.drop()
+        self.idle.clear()
+
+    def lost(self, line: _Line) -> None:
+        self.lines.discard(line)
+        if line in self.idle:
+            self.idle.remove(line)
+        self._next()
+
+    def _next(self) -> None:
+        while self.waiting:
+            waiter = self.waiting.popleft()
+            if not waiter.done():
+                waiter.set_result(None)
+                return
 
-    async def close(self) -> None:
-        for session in self.sessions:
-            await session.close()
-
-    async def call(self, method: str, path: str, headers: dict[str, str] | None = None,
-                   body: bytes | None = None, call: _Call | None = None, within_s: float = ANSWER_S,
-                   fresh: bool = False) -> _Reply:
-        _call.set(call or _Call())
-        async with asyncio.timeout(within_s):
-            async with self.sessions[fresh].request(method, self.base + path, headers=headers, data=body,
-                                                    allow_redirects=False) as response:
-                content = await response.content.read(PAGE_BYTES + 1)
-                while not response.content.at_eof() and len(content) <= PAGE_BYTES:
-                    content += await response.content.read(PAGE_BYTES + 1 - len(content))
-                if len(content) > PAGE_BYTES:
-                    response.close()
-                    raise BadReply("an answer is too long")
-                return _Reply(response.status, response.headers, content)
+    def release(self, line: _Line) -> None:
+        if not line.good or self.gone:
+            line.drop()
+            return
+        line.idle_at = line.loop.time()
+        self.idle.append(line)
+        self._next()
+
+    async def line(self, fresh: bool = False) -> _Line:
+        """A connection to use: an idle one unless it must be fresh, else a new one."""
+        limit_s, resets = self.driver.core.settings.connect_timeout_ms / 1000.0, 0
+        try:
+            async with asyncio.timeout(limit_s):
+                while True:
+                    while self.idle and not fresh:
+                        line = self.idle.pop()
+                        if line.usable():
+                            return line
+                        line.drop()
+                    if self.driver.may_open(self):
+                        line = await self._open()
+                        if line.usable():
+                            return line
+                        line.drop()  # reset when new: nothing was written yet, so that one more can be tried
+                        resets += 1
+                        if resets >= ASKS:
+                            raise NoLine("connections are reset as they open")
+                        continue
+                    waiter: asyncio.Future[None] = self.driver.loop.create_future()
+                    self.waiting.append(waiter)
+                    await waiter
+        except TimeoutError:
+            raise NoLine("no connection in time", full=not self.driver.may_open(self)) from None
+
+    async def _open(self) -> _Line:
+        self.opening += 1
+        self.driver.opening += 1
+        try:
+            _, line = await self.driver.loop.create_connection(lambda: _Line(self), *self.state.address)
+        except OSError as error:
+            raise NoLine(repr(error), isinstance(error, ConnectionRefusedError)) from None
+        finally:
+            self.opening -= 1
+            self.driver.opening -= 1
+        return line
+
+    async def call(self, method: str, path: str, head: str = "", body: bytes = b"",
+                   sending: Attempt | None = None, wired: list[bool] | None = None, within_s: float = ANSWER_S,
+                   fresh: bool = False, page: int | None = None) -> _Reply:
+        """One call. `wired` is set once bytes may go out; `sending` is an attempt whose POST this is.
+
+        The answer is checked as that of `page` while the connection is still held: a spoilt one ends it.
+        """
+        line = await self.line(fresh)
+        if sending is not None and not self.driver.core.may_send(sending):
+            self.release(line)
+            raise Drained("the engine drains")
+        if wired is not None:
+            wired[0] = True
+        length = f"Content-Length: {len(body)}\r\n" if body or method in ("POST", "PUT") else ""
+        try:
+            reply = await line.ask(
+                f"{method} {path} HTTP/1.1\r\nHost: {self.host}\r\n{head}{length}\r\n".encode() + body, within_s)
+            if page is not None:
+                reply.read(page)
+            return reply
+        except BadReply:
+            line.good = False
+            raise
+        finally:
+            self.release(line)
 
 
 class Engines(TaskDriver):
@@ -122,9 +302,32 @@
     def __init__(self, config: Config, core: Core, events: Events) -> None:
         super().__init__(core)
         self.events = events
-        self.idle_s, self.sockets = config.idle_ms / 1000.0, config.limits.sockets
+        self.loop = asyncio.get_running_loop()
+        # Idle connections are closed here well before the engine does: a call that crosses its close is lost.
+        self.idle_s = config.idle_ms / 2000.0
+        self.most = max(16, int(config.limits.sockets * ENGINE_PART))
+        self.opening = 0
         self.columns = core.settings.report_columns
         self.peers: dict[int, _Peer] = {}
+        self.retired: set[_Peer] = set()  # with calls that have yet to end
+        self._tidier = self.loop.call_later(TIDY_S, self._tidy)
+
+    def may_open(self, peer: _Peer) -> bool:
+        """Bounds all connections to engines together; idle ones of other engines make room."""
+        peers = [*self.peers.values(), *self.retired]
+        if sum(len(p.lines) for p in peers) + self.opening < self.most:
+            return len(peer.lines) + peer.opening < max(8, self.most // 3)
+        if spare := next((p for p in peers if p.idle and p is not peer), None):
+            spare.idle[0].drop()  # its place is free once the loop has let go of it
+        return False
+
+    def _tidy(self) -> None:
+        self._tidier = self.loop.call_later(TIDY_S, self._tidy)
+        before = self.loop.time() - self.idle_s
+        for peer in self.peers.values():
+            while peer.idle and peer.idle[0].idle_at < before:
+                peer.idle.pop(0).drop()
+        self.retired = {peer for peer in self.retired if peer.lines}
 
     # The core's interface.
 
@@ -135,7 +338,8 @@
             peer.state.address != engine.address or engine.entry.since_ms > peer.state.entry.since_ms)
         if peer is not None and (restarted or engine.entry.health == Health.GONE):
             del self.peers[number]
-            self.spawn(self._retire(peer))
+            peer.retire()
+            self.retired.add(peer)
             peer = None
         if peer is not None:
             peer.state = engine
@@ -148,16 +352,11 @@
             self.spawn(self._rank(peer, attempt))
 
     async def close(self) -> None:
+        self._tidier.cancel()
         await super().close()
-        for peer in self.peers.values():
-            await peer.close()
-
-    async def _retire(self, peer: _Peer) -> None:
-        """A gone engine's connections stay until its attempts have had time to end."""
-        try:
-            await asyncio.sleep(RETIRE_S)
-        finally:
-            await peer.close()
+        for peer in [*self.peers.values(), *self.retired]:
+            for line in list(peer.lines):
+                line.drop()
 
     # One attempt.
 
@@ -166,13 +365,13 @@
         if peer is None:
             self.core.ended(attempt, Verdict.CONNECT_FAILED)
             return
-        call = _Call(attempt)
+        wired = [False]
         asked = [clock()]  # when the engine was last asked for this query
         try:
             async with asyncio.timeout(self.left_s(attempt)):
-                verdict, report, rows = await self._follow(peer, attempt, call, asked)
+                verdict, report, rows = await self._follow(peer, attempt, wired, asked)
         except TimeoutError:
-            verdict = Verdict.TIMEOUT if call.wired else Verdict.CONNECT_FAILED
+            verdict = Verdict.TIMEOUT if wired[0] else Verdict.CONNECT_FAILED
         except asyncio.CancelledError:
             verdict = Verdict.CANCELLED
         except BadReply as error:
@@ -190,139 +389,145 @@
                 self.core.ended(attempt, verdict, report, rows)
                 return
         # A task of its own: a further cancel must not cut short what frees the engine.
-        self.spawn(self._free(peer, attempt, call, asked[0], verdict))
+        self.spawn(self._free(peer, attempt, wired[0], asked[0], verdict))
 
-    async def _free(self, peer: _Peer, attempt: Attempt, call: _Call, asked_ms: float, verdict: int) -> None:
+    async def _free(self, peer: _Peer, attempt: Attempt, wired: bool, asked_ms: float, verdict: int) -> None:
         try:
-            await self._give_up(peer, attempt, call, asked_ms)
+            await self._give_up(peer, attempt, wired, asked_ms)
         finally:
             self.core.ended(attempt, verdict)
 
-    async def _follow(self, peer: _Peer, attempt: Attempt, call: _Call,
-                      asked: list[float]) -> tuple[int, tuple[float, ...], Rows | None]:
-        """From the POST to the last page; the verdict, the load report and the rows."""
+    async def _follow(self, peer: _Peer, attempt: Attempt, wired: list[bool],
+                      asked: list[float]) -> tuple[int, tuple[float, ...], tuple[Rows, int] | None]:
+        """From the POST to the last page; the verdict, the load report, and the rows with their size."""
         ask = attempt.ask
-        headers = {"X-Ticket": ask.ticket, "X-Queue": attempt.class_name,
-                   "X-Max-Ms": str(max(1, int(attempt.timeout_ms))), "X-Priority": str(attempt.priority)}
-        if attempt.grant_mb > 0:
-            headers["X-Memory-Mb"] = f"{attempt.grant_mb:.3f}"
+        grant = f"X-Memory-Mb: {attempt.grant_mb:.3f}\r\n" if attempt.grant_mb > 0 else ""
+        head = (f"X-Ticket: {ask.ticket}\r\nX-Queue: {attempt.class_name}\r\n"
+                f"X-Max-Ms: {max(1, int(attempt.timeout_ms))}\r\nX-Priority: {attempt.priority}\r\n{grant}")
         path = f"/v1/store/{ask.ticket}/"
         report: tuple[float, ...] = ()
         reply = None
         try:
-            reply = await peer.call("POST", "/v1/store", headers, ask.statement.encode(), call)
+            reply = await peer.call("POST", "/v1/store", head, ask.statement.encode(), attempt, wired,
+                                    page=0)
         except Drained:
             return Verdict.CONNECT_FAILED, (), None
-        except (aiohttp.ClientError, OSError, TimeoutError) as error:
-            if not call.wired:  # no connection, so nothing was written: proof that nothing ran
-                self.events.log("connect", engine=peer.state.name, error=repr(error))
-                return Verdict.CONNECT_FAILED, (), None
+        except NoLine as error:  # nothing was written: proof that nothing ran
+            self.events.log("connect", engine=peer.state.name, error=str(error))
+            return (Verdict.FULL if error.full else Verdict.CONNECT_FAILED), (), None
+        except (Broken, BadReply, TimeoutError) as error:
+            self._spoilt(peer, attempt, error)  # it may run: its news are asked for
         while True:
             if reply is None:
-                reply = await self._news(peer, path + "0", asked)
+                reply = await self._news(peer, attempt, path, 0, asked)
                 if reply is None:
                     return Verdict.RESET, report, None
             report = self._report(reply) or report
-            shed = reply.headers.get("X-Shed") == "1"
+            shed = reply.headers.get(b"x-shed") == b"1"
             if reply.status == 202:
                 self._note(attempt, reply)
                 reply = None
             elif reply.status == 200:
-                rows = await self._pages(peer, path, reply, asked)
+                rows = await self._pages(peer, attempt, path, reply, asked)
                 return (Verdict.OK if rows is not None else Verdict.ERROR), report, rows
             elif reply.status in (503, 504) and shed:
                 return Verdict.FULL, report, None
-            elif reply.status in (500, 503, 504):
-                return Verdict.ERROR, report, None
             else:
-                raise BadReply(f"status {reply.status}")
+                return Verdict.ERROR, report, None
 
-    async def _news(self, peer: _Peer, path: str, asked: list[float]) -> _Reply | None:
-        """Ask for news, on a new connection if the old one breaks; None: the process is gone."""
+    def _spoilt(self, peer: _Peer, attempt: Attempt, error: Exception) -> None:
+        if isinstance(error, BadReply):
+            self.events.count("engine_bad_replies")
+            self.events.log("engine_reply", engine=peer.state.name, ticket=attempt.ask.ticket, error=str(error))
+        elif isinstance(error, Broken):
+            self.events.count("engine_breaks")
+
+    async def _news(self, peer: _Peer, attempt: Attempt, path: str, number: int,
+                    asked: list[float]) -> _Reply | None:
+        """Ask for news or a page, on a new connection if the answer is broken; None: the process is gone.
+
+        An engine gives the same answer again, so that one which came spoilt is not yet lost.
+        """
         broken, fresh = 0, False
         while True:
-            call, began = _Call(), clock()
+            wired, began = [False], clock()
             try:
-                return await peer.call("GET", path, call=call, fresh=fresh)
-            except aiohttp.ClientConnectorError as error:
-                if isinstance(error.os_error, ConnectionRefusedError):
+                return await peer.call("GET", f"{path}{number}", wired=wired, fresh=fresh, page=number)
+            except NoLine as error:
+                if error.refused:
                     return None
-            except (TimeoutError, aiohttp.ServerTimeoutError):
+            except TimeoutError:
                 pass  # silent: ask again until the attempt's own time is over
-            except (aiohttp.ClientError, OSError):
+            except (Broken, BadReply) as error:
+                self._spoilt(peer, attempt, error)
                 broken += 1
-                if broken > 1:
+                if broken >= ASKS:
+                    if isinstance(error, BadReply):
+                        raise
                     return None
             finally:
-                if call.wired:  # what had no connection can't have been an ask that keeps the query going
+                if wired[0]:  # what had no connection can't have been an ask that keeps the query going
                     asked[0] = began
             fresh = True
-            await asyncio.sleep(0.0 if call.wired else 0.2)
+            await asyncio.sleep(0.0 if wired[0] else 0.2)
 
-    async def _pages(self, peer: _Peer, path: str, first: _Reply, asked: list[float]) -> Rows | None:
+    async def _pages(self, peer: _Peer, attempt: Attempt, path: str, first: _Reply,
+                     asked: list[float]) -> tuple[Rows, int] | None:
         """All rows of the result, in order; None: a page is lost."""
-        try:
-            pages = int(first.headers.get("X-Pages", ""))
-        except ValueError:
-            raise BadReply("no count of pages") from None
-        if not 1 <= pages <= PAGES:
-            raise BadReply(f"{pages} pages")
-        rows, size = _rows(first.body), len(first.body)
-        for number in range(1, pages):
-            reply = await self._news(peer, f"{path}{number}", asked)
+        rows, size = first.rows, len(first.body)
+        for number in range(1, first.pages):
+            reply = await self._news(peer, attempt, path, number, asked)
             if reply is None or reply.status != 200:
                 return None
-            if reply.headers.get("X-Page") != str(number):
-                raise BadReply(f"page {reply.headers.get('X-Page')} in place of {number}")
             size += len(reply.body)
             if size > RESULT_BYTES:
                 raise BadReply("a result is too long")
-            rows += _rows(reply.body)
-        return rows
+            rows += reply.rows
+        return rows, size
 
-    async def _give_up(self, peer: _Peer, attempt: Attempt, call: _Call, asked_ms: float) -> None:
+    async def _give_up(self, peer: _Peer, attempt: Attempt, wired: bool, asked_ms: float) -> None:
         """Free the engine's work. Returns once the attempt can't be out any more."""
-        if not call.wired:
+        if not wired:
             return
         path = f"/v1/store/{attempt.ask.ticket}"
         for fresh in (False, True):
-            delete = _Call()
+            delete = [False]
             try:
-                await peer.call("DELETE", path, call=delete, within_s=GIVE_UP_S, fresh=fresh)
+                await peer.call("DELETE", path, wired=delete, within_s=GIVE_UP_S, fresh=fresh)
                 return
-            except aiohttp.ClientConnectorError as error:
-                if isinstance(error.os_error, ConnectionRefusedError):
+            except NoLine as error:
+                if error.refused:
                     return  # the process is gone, and what it ran with it
-            except (aiohttp.ClientError, OSError, TimeoutError, BadReply):
-                if fresh and delete.wired:
+            except (Broken, TimeoutError, BadReply):
+                if fresh and delete[0]:
                     return  # a live machine has the whole call; it merely does not answer
         await asyncio.sleep(max(0.0, asked_ms + FORGOTTEN_MS - clock()) / 1000.0)
 
     async def _rank(self, peer: _Peer, attempt: Attempt) -> None:
         sent = attempt.priority
         try:
-            reply = await peer.call("PUT", f"/v1/store/{attempt.ask.ticket}", None, b"%d" % sent)
+            reply = await peer.call("PUT", f"/v1/store/{attempt.ask.ticket}", body=b"%d" % sent)
             self.events.count("ranked" if reply.status == 204 else "rank_failed")
-        except (aiohttp.ClientError, OSError, TimeoutError, BadReply):
+        except (NoLine, Broken, TimeoutError, BadReply):
             self.events.count("rank_failed")
 
     async def probing(self, engine: int) -> None:
-        began, peer, call = clock(), self.peers.get(engine), _Call()
+        began, peer, wired = clock(), self.peers.get(engine), [False]
         verdict, report = Verdict.CONNECT_FAILED, ()
         if peer is not None:
             try:
-                reply = await peer.call("GET", "/stats", call=call, within_s=0.3)
+                reply = await peer.call("GET", "/stats", wired=wired, within_s=0.3)
                 verdict = Verdict.OK if reply.status == 200 else Verdict.ERROR
                 report = self._report(reply)
-            except (aiohttp.ClientError, OSError, TimeoutError, BadReply) as error:
-                if call.wired:
+            except (NoLine, Broken, TimeoutError, BadReply) as error:
+                if wired[0]:
                     verdict = Verdict.TIMEOUT if isinstance(error, TimeoutError) else Verdict.RESET
         self.core.probed(engine, verdict, clock() - began, report)
 
     # Reading.
 
     def _report(self, reply: _Reply) -> tuple[float, ...]:
-        text = reply.headers.get("X-Meter", "")
+        text = reply.text(b"x-meter")
         if not text or not self.columns:
             return ()
         values: dict[str, float] = {}
@@ -343,15 +548,15 @@
         self.events.count(what)
 
     def _note(self, attempt: Attempt, reply: _Reply) -> None:
-        remark = reply.headers.get("X-Remark")
+        remark = reply.headers.get(b"x-remark")
         if not remark:
             return
         try:
-            value = float(reply.headers.get("X-Value", ""))
+            value = float(reply.headers.get(b"x-value", b""))
         except ValueError:
             value = math.nan
         if remark not in NOTES or not math.isfinite(value):
-            self._unreadable("engine_bad_notes", f"{remark}: {reply.headers.get('X-Value')}")
+            self._unreadable("engine_bad_notes", f"{reply.text(b'x-remark')}: {reply.text(b'x-value')}")
             return
         self.core.note(attempt, NOTES[remark], value)
 
--- a/pinstage/control.py
+++ b/pinstage/control.py
@@ -43,6 +43,7 @@
 REPORT_LASTS_MS = 8000.0  # a report's worth falls to a third in this time
 SAMPLE = 12  # engines looked at for one query
 UNSURE = 0.7  # how far off, as a log, a class's memory estimates may lie before any answer
+ABSENT_MS = 30_000.0  # an engine gone for so long, with nothing out, is forgotten: new ids come for ever
 MISSES = 4  # held requests that may find no place before a release round stops
 
 
@@ -87,11 +88,11 @@
             self.costs[job.cls].add(cost / job.hint)
         else:
             self.usual(job.cls, cost)
-        if memory > 0 and job.memory_hint > 0:
-            self.memories[job.cls].add(memory / job.memory_hint)
         if memory > 0:
-            mean = self.mean_memory[job.cls]
-            self.mean_memory[job.cls] = memory if mean <= 0 else mean + 0.05 * (memory - mean)
+            if job.memory_hint > 0:
+                self.memories[job.cls].add(memory / job.memory_hint)
+            mean = self.mean_memory[job.cls] or memory
+            self.mean_memory[job.cls] = mean + 0.05 * (memory - mean)
 
     def seen(self, cost: float) -> None:
         self.recent.append(cost)
@@ -123,8 +124,7 @@
         self.cost = self.memory = self.done = self.grant = self.aim_at = 0.0
         self.over = self.moved = self.finished = self.held = self.streaming = False
         self.band, self.slot = -1, (0, 0.0, 0)
-        self.attempts: list[Attempt] = []
-        self.avoid: set[int] = set()
+        self.attempts, self.avoid = list[Attempt](), set[int]()
 
     @property
     def out(self) -> list[Attempt]:
@@ -144,7 +144,7 @@
         self.cores = settings.kind_cores[kind]
         self.memory = settings.kind_memory_mb[kind] if kind < len(settings.kind_memory_mb) else 0.0
         self.share = THREADS_A_CORE * self.cores / settings.dispatchers
-        self.ready = entry.health == Health.READY
+        self.ready, self.told_at = entry.health == Health.READY, -math.inf
         self.attempts: dict[tuple[int, int], Attempt] = {}
         self.threads, self.granted = 0, 0.0  # of ours
         self.cold_sends: deque[tuple[float, float]] = deque()
@@ -178,8 +178,7 @@
         self.random = random.Random(seed)
         self.sizes = Sizes(settings.classes)
         self.engines, self.jobs = dict[int, Engine](), dict[int, Job]()
-        self.held: list[tuple[int, float, int, Job]] = []
-        self.lines: dict[int, deque[Job]] = {}  # order: jobs of a key, head first
+        self.held, self.lines = list[tuple[int, float, int, Job]](), dict[int, deque[Job]]()  # lines: by key
         self.rest_until: dict[int, float] = {}
         self.deadlines: list[tuple[float, int]] = []
         self.best, self.answers = [1.0] * len(settings.classes), [0] * len(settings.classes)  # by class
@@ -234,7 +233,7 @@
                 engine = self.engines[entry.engine] = Engine(entry, self.s)
             elif entry.since_ms > engine.entry.since_ms:
                 engine.reset()
-            engine.entry, engine.ready = entry, entry.health == Health.READY
+            engine.entry, engine.ready, engine.told_at = entry, entry.health == Health.READY, now
         self._survey(now)
         if self.s.subscribe and event.how in (ListKind.CACHED, ListKind.FAILED):
             self.ask_at = now + (ASK_AGAIN_MS if event.how == ListKind.FAILED else 0.0)
@@ -293,8 +292,7 @@
         job = attempt.job
         attempt.verdict = event.verdict
         self._book(attempt, -1)
-        if job.key and job.cs.in_order and event.verdict in MAY_STILL_RUN:
-            # An attempt that was ended unproven may run on: the key rests, whatever becomes of the request.
+        if job.key and job.cs.in_order and event.verdict in MAY_STILL_RUN:  # it may run on: the key rests
             self.rest_until[job.key] = max(self.rest_until.get(job.key, 0.0), now + self.s.order_pause_ms)
         self._judge(engine, attempt, event, now)
         if event.last or event.verdict == Verdict.OK:
@@ -330,7 +328,6 @@
             del self.rest_until[key]
             self._next_in_line(key, now)
         if look := now - self.looked_at >= LOOK_MS and now > self.woke_at:
-            self.looked_at = now
             self._look_over(now)
         if look or rested:
             self._release(now)
@@ -695,6 +692,8 @@
     def _survey(self, now: float) -> None:
         """What may be used, the sum of our shares, and how slow the middle engine is."""
         self.surveyed_at = now
+        self.engines = {i: e for i, e in self.engines.items()
+                        if e.entry.health != Health.GONE or e.attempts or now - e.told_at < ABSENT_MS}
         self.usable = [e for e in self.engines.values() if e.ready and (not e.suspect or now >= e.retest_at)]
         self.shares = sum(e.bound for e in self.usable)
         slows = sorted(e.slow for e in self.engines.values() if e.ready)
@@ -704,6 +703,7 @@
 
     def _look_over(self, now: float) -> None:
         """Find silent engines, bad plans and held requests past hope."""
+        self.looked_at = now
         if now - self.surveyed_at >= SURVEY_MS:
             self._survey(now)
         for engine in [e for e in self.engines.values() if e.attempts]:
--- /dev/null
+++ b/tests/test_edge.py
@@ -0,0 +1,241 @@
+"""Hostile clients, spoilt answers and long days over loopback sockets: one story for each thing seen there."""
+
+import asyncio
+import contextlib
+import unittest.mock
+
+from peers import LOAD, SQL, Bus, EdgeCase, change, host, page
+
+from frostspindle.net import platform
+
+HEAD = ("POST /call/lookup HTTP/1.1\r\nHost: t\r\nX-Request-Id: %016x\r\nX-Timeout-Ms: 2000\r\nX-Cost-Ms: 50\r\n"
+        "X-Memory: 64\r\n")
+
+
+def post(number: int, sql: str = SQL, extra: str = "") -> bytes:
+    return (HEAD % number + f"{extra}Content-Length: {len(sql)}\r\n\r\n{sql}").encode()
+
+
+class Wire(EdgeCase):
+    async def start(self, count: int = 1, **kw):
+        engines = await self.engines(count)
+        await self.coordinator([host(f"s-{i:08x}", e.port) for i, e in enumerate(engines)], **kw)
+        return engines
+
+    async def open(self):
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.program.platform.port)
+        self.addCleanup(writer.close)
+        return reader, writer
+
+    async def said(self, data: bytes) -> bytes:
+        """All that a connection says on `data` until it is closed."""
+        reader, writer = await self.open()
+        writer.write(data)
+        async with asyncio.timeout(4.0):
+            return await reader.read()
+
+
+class HostileClients(Wire):
+    async def test_what_cannot_be_read_or_used_gets_a_word_and_a_close_and_is_never_forwarded(self):
+        (engine,) = await self.start()
+        hidden = "0\r\n\r\n" + post(9).decode()
+        for name, status, data in (
+                ("two lengths of body", 400, (HEAD % 1 + f"Content-Length: {len(hidden)}\r\nTransfer-Encoding: "
+                                              f"chunked\r\n\r\n{hidden}").encode()),
+                ("two lengths, turned", 400, (HEAD % 1 + f"Transfer-Encoding: chunked\r\nContent-Length: "
+                                              f"{len(hidden)}\r\n\r\n{hidden}").encode()),
+                ("another coding", 400, (HEAD % 1 + "Transfer-Encoding: xchunked\r\n\r\n0\r\n\r\n").encode()),
+                ("length twice", 400, (HEAD % 1 + "Content-Length: 3\r\nContent-Length: 4\r\n\r\nabcd").encode()),
+                ("negative", 400, (HEAD % 1 + "Content-Length: -1\r\n\r\n").encode()),
+                ("huge", 413, (HEAD % 1 + "Content-Length: 99999999999\r\n\r\n").encode()),
+                ("no end of head", 431, (HEAD % 1 + "X-More: " + "y" * 20000).encode()),
+                ("no end of headers", 431, (HEAD % 1 + "".join(f"X-{n}: y\r\n" for n in range(99))).encode()),
+                ("no end of path", 414, b"POST /call/" + b"x" * 9000),
+                ("no end of chunks", 413, (HEAD % 1 + "Transfer-Encoding: chunked\r\n\r\n").encode()
+                 + b"8000\r\n" + b"x" * 0x8000 + b"\r\n8000\r\n" + b"x" * 0x8000 + b"\r\n8000\r\n" + b"x" * 0x8000),
+                ("noise", 400, b"\x16\x03\x01\x02\x00\x01\x00\x01"),
+                ("id twice", 400, post(1, extra="X-Request-Id: 00000000000000ff\r\n")),
+                ("a figure in words", 400, post(1).replace(b"X-Cost-Ms: 50", b"X-Cost-Ms: 1_0")),
+                ("a figure past all range", 400, post(1).replace(b"X-Memory: 64", b"X-Memory: 99999999")),
+                ("a wait past all range", 400, post(1).replace(b"Ms: 2000", b"Ms: 9000000"))):
+            with self.subTest(name):
+                said = await self.said(data)
+                self.assertEqual((said[9:12].decode(), said.count(b"HTTP/1.1")), (str(status), 1))
+        self.assertEqual(engine.calls, [])
+        self.assertEqual((await self.ask())[0], 200)
+
+    async def test_a_refusal_reaches_a_client_that_goes_on_sending(self):
+        await self.start()
+        reader, writer = await self.open()
+        writer.write((HEAD % 1 + f"Content-Length: {8 << 20}\r\n\r\n").encode())
+        said = asyncio.create_task(reader.read())
+        for _ in range(8):
+            writer.write(b"x" * (1 << 20))
+            await writer.drain()  # raises if the connection was reset meanwhile
+        self.assertTrue((await said).startswith(b"HTTP/1.1 413 "))
+
+    async def test_an_open_id_with_another_statement_is_refused_and_the_first_is_served(self):
+        (engine,) = await self.start()
+        go = asyncio.Event()
+
+        async def slow():
+            await go.wait()
+        engine.script = lambda request, body: slow() if request.method == "POST" else None
+        first = asyncio.create_task(self.ask(number=1))
+        await engine.seen("POST")
+        self.assertTrue((await self.said(post(1, "SELECT 2 FROM a_1.b"))).startswith(b"HTTP/1.1 409 "))
+        go.set()
+        self.assertEqual((await first)[0], 200)
+        self.assertEqual(engine.of("POST"), [("POST", "/v1/store", SQL)])
+
+    async def test_silence_and_half_a_request_end_in_time_wherever_they_come(self):
+        await self.start()
+        with unittest.mock.patch.multiple(platform, WHOLE_S=0.3, IDLE_S=0.5):
+            silent, half, late = [asyncio.create_task(self.said(data)) for data in (
+                b"", post(1)[:-5], b"GET /ping HTTP/1.1\r\nHost: t\r\n\r\n" + post(2)[:-5])]
+            self.assertEqual(await silent, b"")
+            self.assertTrue((await half).startswith(b"HTTP/1.1 408 "))
+            self.assertEqual([word[:12] for word in (await late).split(b"HTTP/1.1")[1:]][1][1:4], b"408")
+            self.assertEqual((await self.said(b"GET /ping HTTP/1.1\r\nHost: t\r\n\r\n"))[9:12], b"200")
+        self.assertEqual((self.count("silent_clients"), self.count("slow_clients")), (2, 2))
+
+    async def test_connections_that_say_nothing_give_way_to_those_that_ask(self):
+        await self.start()
+        self.program.platform.most_clients = 4
+        await self.ask(number=1)  # keeps its connection
+        keepers = [await self.open() for _ in range(6)]
+        for number in range(2, 9):
+            reader, writer = await self.open()
+            writer.write(post(number))
+            async with asyncio.timeout(2.0):
+                self.assertEqual((await reader.readexactly(12))[9:], b"200")
+            keepers.append((reader, writer))
+        self.assertLessEqual(self.program.platform.connections, 4)
+        self.assertEqual((self.count("served"), self.count("full")), (8, 0))
+
+    async def test_calls_sent_ahead_are_answered_in_order_and_too_many_of_them_are_refused(self):
+        (engine,) = await self.start()
+        go = asyncio.Event()
+
+        async def first(body):
+            if "0" in body:
+                await go.wait()
+            return page(f"{body}\n")
+        engine.script = lambda request, body: first(body) if request.method == "POST" else None
+        reader, writer = await self.open()
+        last = "Connection: close\r\n"
+        writer.write(b"".join(post(n, f"SELECT {n}", last if n == 19 else "") for n in range(20)))
+        await engine.seen("POST", 16)
+        go.set()
+        async with asyncio.timeout(4.0):
+            said = (await reader.read()).split(b"HTTP/1.1 ")[1:]
+        self.assertEqual([word[:3] for word in said], [b"200"] * 16 + [b"503"] * 4)
+        for number, word in enumerate(said[:16]):
+            self.assertIn(b'"SELECT %d"' % number, word)
+
+
+class SpoiltAnswers(Wire):
+    GOOD = b"HTTP/1.1 200 OK\r\nX-Pages: 1\r\nContent-Length: 6\r\n\r\na\t1\tx\n"
+
+    async def script(self, *answers):
+        """An engine whose first answers are these bytes as they stand; its connections stay open."""
+        (engine,) = await self.start()
+        left, transports = list(answers), []
+
+        async def script(request, body):
+            transports.append(request.transport)
+            if left and request.method in ("POST", "GET"):
+                request.transport.write(left.pop(0))
+                await asyncio.Event().wait()
+        engine.script = script
+        return engine, transports
+
+    async def test_what_comes_before_or_behind_a_good_answer_leaves_it_good_and_ends_its_connection(self):
+        for extra in (self.GOOD + self.GOOD, self.GOOD + b"\x00noise",
+                      b"HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 100 Continue\r\n\r\n" + self.GOOD):
+            engine, transports = await self.script(extra)
+            self.assertEqual((await self.ask(LOAD, number=1))[:2], (200, {"rows": [["a", "1", "x"]]}))
+            if not extra.startswith(b"HTTP/1.1 1"):
+                engine.script = lambda request, body, seen=transports: seen.append(request.transport)
+                self.assertEqual((await self.ask(LOAD, number=2))[0], 200)
+                self.assertIsNot(transports[0], transports[1])
+            self.assertEqual(self.count("engine_bad_replies"), 0)
+
+    async def test_a_spoilt_answer_is_asked_for_again_on_another_connection_and_nothing_runs_twice(self):
+        for name, spoilt in (
+                ("noise", b"\x00\x01\x02\x03"), ("bad head", b"HTTP/1.1 2x0 OK\r\n\r\n"),
+                ("a head without end", b"HTTP/1.1 200 OK\r\n" + b"X-A: b\r\n" * 500),
+                ("a line without end", b"HTTP/1.1 200 OK\r\nX-A: " + b"b" * 90000),
+                ("no length", b"HTTP/1.1 200 OK\r\nX-Pages: 1\r\n\r\na\t1\tx\n"),
+                ("two lengths", self.GOOD.replace(b"X-Pages", b"Content-Length: 9\r\nX-Pages")),
+                ("3 GB", b"HTTP/1.1 200 OK\r\nX-Pages: 1\r\nContent-Length: 3000000000\r\n\r\n" + b"x" * 300000),
+                ("short", self.GOOD.replace(b"Length: 6", b"Length: 4")),
+                ("no count of pages", self.GOOD.replace(b"X-Pages: 1", b"X-Pages: -1")),
+                ("another protocol", b"HTTP/1.1 101 X\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\n")):
+            with self.subTest(name):
+                engine, transports = await self.script(spoilt)
+                self.assertEqual((await self.ask(LOAD))[:2], (200, {"rows": [["a", "1", "x"]]}))
+                self.assertEqual(([c[0] for c in engine.calls], self.count("engine_bad_replies")),
+                                 (["POST", "GET"], 1))
+                self.assertIsNot(transports[0], transports[1])
+
+    async def test_an_answer_that_stays_spoilt_fails_the_attempt(self):
+        engine, _ = await self.script(*[b"\x00\x01"] * 9)
+        self.assertEqual((await self.ask(LOAD))[0], 502)
+        self.assertEqual(len(engine.of("POST")), 1)
+
+    async def test_an_idle_connection_that_was_reset_is_not_written_to(self):
+        (engine,) = await self.start()
+        transports = []
+        engine.script = lambda request, body: transports.append(request.transport)
+        self.assertEqual((await self.ask(LOAD, number=1))[0], 200)
+        (line,) = self.program.driver.peers[0].idle
+        with unittest.mock.patch.object(line, "connection_lost", lambda error: None):  # not yet told
+            transports[0].abort()
+            await self.until(lambda: line.poll.poll(0) or line.transport.is_closing())
+            self.assertFalse(line.usable())
+        self.assertEqual((await self.ask(LOAD, number=2))[0], 200)
+        self.assertEqual(len(engine.of("POST")), 2)
+
+
+class LongDays(Wire):
+    async def test_engines_that_come_and_go_leave_nothing_behind_and_a_successor_starts_afresh(self):
+        (engine,) = await self.engines()
+        bus = await Bus().start()
+        self.addCleanup(bus.server.close)
+        with unittest.mock.patch("frostspindle.core.ABSENT_MS", 0.0), \
+                unittest.mock.patch("pinstage.control.ABSENT_MS", 0.0):
+            await self.coordinator([host("s-00000000", engine.port)], bus=bus.port)
+            await bus.joined()
+            self.assertEqual((await self.ask(number=1))[0], 200)
+            before = self.program.driver.peers[0]
+            self.assertEqual(len(before.idle), 1)
+            for n in range(1, 40):  # each takes the address of the one before
+                bus.say(change(2 * n, host(f"s-{n - 1:08x}", engine.port, "left")),
+                        change(2 * n + 1, host(f"s-{n:08x}", engine.port)))
+            core = self.program.core
+            await self.until(lambda: set(core.engines) == set(core.controller.engines) == {39})
+        driver = self.program.driver
+        self.assertEqual((set(driver.peers), self.program.bus._ids), ({39}, {"s-00000027": 39}))
+        self.assertEqual((before.idle, driver.peers[39].idle), ([], []))
+        self.assertEqual((await self.ask(number=2))[0], 200)
+
+    async def test_what_is_answered_is_let_go_of_long_before_the_clients_time_is_over(self):
+        await self.start()
+        for number in range(30):
+            self.assertEqual((await self.ask(number=number, timeout=3900.0))[0], 200)
+        self.assertEqual((self.program.core._records, self.program.platform._open, self.program.platform.ids),
+                         ({}, {}, set()))
+        self.assertTrue(all(not hasattr(what, "ask") for _, _, what in self.program.core._timers))
+
+    async def test_a_client_that_leaves_costs_nothing_further(self):
+        (engine,) = await self.start()
+        engine.script = lambda request, body: asyncio.sleep(9) if request.method == "POST" else None
+        reader, writer = await self.open()
+        writer.write(post(1))
+        await engine.seen("POST")
+        writer.close()
+        await engine.seen("DELETE")
+        with contextlib.suppress(TimeoutError):
+            await self.until(lambda: not self.program.core._records)
+        self.assertEqual((self.program.core._records, self.program.platform.ids), ({}, set()))
