Print with the counters what is believed of engines and open requests

Seen: nothing told what the module holds of an engine (threads, bound, slowness, age of its report) while it runs.

--- a/frostspindle/__main__.py
+++ b/frostspindle/__main__.py
@@ -71,6 +71,10 @@
         """Connections that clients hold now, by front."""
         return {FRONT: self.platform.connections, "tds": len(self.tds.sessions) if self.tds else 0}
 
+    def report(self) -> None:
+        """SIGUSR1 and the end: the counters, and what is believed of engines and requests."""
+        self.events.report(clients=self.sessions(), **self.core.picture())
+
     def _ended(self, task: asyncio.Task[Any]) -> None:
         if not task.cancelled() and task.exception() is not None:
             self.events.log("fault", error=repr(task.exception()), of="task")
@@ -132,7 +136,7 @@
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, program.stopping.set)
-    loop.add_signal_handler(signal.SIGUSR1, program.events.report)
+    loop.add_signal_handler(signal.SIGUSR1, program.report)
     loop.add_signal_handler(signal.SIGHUP, program.reload)
     await program.start()
     # What was built at the start stays: collections then need not walk it, which would hold up answers.
@@ -140,7 +144,7 @@
     gc.freeze()
     await program.stopping.wait()
     await program.stop()
-    program.events.report()
+    program.report()
     return int(program.failed)
 
 
--- a/frostspindle/core.py
+++ b/frostspindle/core.py
@@ -14,7 +14,7 @@
 import heapq
 import time
 import traceback
-from collections import deque
+from collections import Counter, deque
 from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass, field
 from typing import Any, Protocol
@@ -230,6 +230,19 @@
         self._inbox.append(event)
         self._wake.set()
 
+    def picture(self) -> dict[str, Any]:
+        """What is believed now of requests and engines, to be held against what crosses the sockets."""
+        out = Counter(a.engine for r in self._records.values() for a in r.attempts if not a.over)
+        engines = [{"name": state.name, "health": state.entry.health, "out": out[number],
+                    "threads": believed.threads, "bound": round(believed.bound, 1),
+                    "slow": round(believed.slow, 2), "fails": round(believed.fails, 2),
+                    "granted_mb": round(believed.granted), "suspect": believed.suspect,
+                    "report_age_ms": round(min(clock() - believed.report_at, 1e6))}
+                   for number, state in self.engines.items()
+                   if (believed := self.controller.engines.get(number)) is not None]
+        return {"open": self._open, "held": len(self.controller.held), "records": len(self._records),
+                "timers": len(self._timers), "engines": engines}
+
     # The task.
 
     async def run(self) -> None:
--- a/frostspindle/events.py
+++ b/frostspindle/events.py
@@ -49,8 +49,8 @@
         except (OSError, ValueError, orjson.JSONEncodeError):
             self.counts[("log_failed", "", "")] += 1
 
-    def report(self) -> None:
-        """All counters as one event."""
+    def report(self, **more: Any) -> None:
+        """All counters as one event, with what else there is to tell."""
         rows = [{"what": what, "front": front, "class": cls, "count": count}
                 for (what, front, cls), count in sorted(self.counts.items())]
-        self._write(time.time(), "counters", {"up_s": round(time.time() - self.started, 1), "counters": rows})
+        self._write(time.time(), "counters", {"up_s": round(time.time() - self.started, 1), "counters": rows, **more})
