Move what an engine keeps without a note, and weigh errors by request before an engine

The engines at fault reported 0.14 to 0.27 of their cores busy and 0.07 to 0.2 of their memory granted, while the module believed its whole bound in use there. Checked by a trace of those calls: POST and nine GETs each held 250 ms and answered 202 without any note, though one is due every 500 ms; others at the same engine were served meanwhile. Ruled out: waits for a connection (0 ms), memory (queue 0), the age of the report (mostly under 300 ms), and the socket work (answers come to the millisecond). At fault: _look_over judged an engine by its last sign, which the served ones keep fresh, and never a single attempt. An attempt that is overdue and without a note for 2.5 periods is now moved and its engine doubted; an engine suspected again within 5 s of a passed test waits twice as long for the next. Two errors at different engines now speak against the request and clear the first. Also: a refusal advises when what is held will be worked off, within maxRetryAfter; an absurd cost no longer moves the class's mean.

--- a/frostspindle/events.py
+++ b/frostspindle/events.py
@@ -53,4 +53,5 @@
         """All counters as one event, with what else there is to tell."""
         rows = [{"what": what, "front": front, "class": cls, "count": count}
                 for (what, front, cls), count in sorted(self.counts.items())]
-        self._write(time.time(), "counters", {"up_s": round(time.time() - self.started, 1), "counters": rows, **more})
+        now = time.time()
+        self._write(now, "counters", {"up_s": round(now - self.started, 1), "counters": rows, **more})
--- a/pinstage/control.py
+++ b/pinstage/control.py
@@ -16,6 +16,7 @@
 from typing import Any
 
 from pinstage import interface as api
+from pinstage.books import Attempt, Job, Learned
 from pinstage.interface import Effect, Health, ListKind, NoteKind, Verdict
 
 TICK_MS = 20.0  # own timer: deadlines and resting keys
@@ -28,12 +29,12 @@
 GROW_BELOW, CUT_ABOVE = 1.8, 2.8  # recent latency over the best: widen below, cut above
 GROW_BY = 0.1  # share of an answered query by which all dispatchers together widen the bound
 CUT_BY, CUT_EVERY_MS, KEEP_OF_START = 0.85, 500.0, 0.75
-NEVER_RAN = (Verdict.CONNECT_FAILED, Verdict.FULL, Verdict.MOOT)
 MAY_STILL_RUN = (Verdict.TIMEOUT, Verdict.RESET, Verdict.CANCELLED)
 TRIP_AT = 0.5  # share of recent failures at which an engine is suspected
 ASK_AGAIN_MS = 500.0  # a failed subscription to the engine list is tried again after this
 SILENT_MS = 1500.0  # least silence that counts while answers are overdue; for a single one: twice that
 RETEST_MS, RETEST_MOST_MS = 1000.0, 8000.0  # half-open tests: first wait, longest wait
+FLAP_MS = 5000.0  # suspected again so soon after a passed test, the next test waits twice as long
 BAD_PLAN = 6.0  # an attempt this far over its expected time is taken for a bad plan
 MEMORY_FULL = 0.95  # part of an engine's memory that grants may fill
 COLD_SAFETY = 0.5  # part of our share of a cold engine's budget that is used
@@ -44,22 +45,10 @@
 SAMPLE = 12  # engines looked at for one query
 UNSURE = 0.7  # how far off, as a log, a class's memory estimates may lie before any answer
 ABSENT_MS = 30_000.0  # an engine gone for so long, with nothing out, is forgotten: new ids come for ever
+UNHEARD = 2.5  # an attempt without a note for so many of their periods does not run
 MISSES = 4  # held requests that may find no place before a release round stops
 
 
-class Learned:
-    """A robust running mean of the log of a ratio, leaning to 0 while samples are few, and its spread."""
-
-    def __init__(self) -> None:
-        self.mid, self.spread, self.count = 0.0, 0.2, 0
-
-    def add(self, ratio: float) -> None:
-        x = math.log(max(1e-3, min(1e3, ratio)))
-        self.count += 1
-        self.spread += 0.05 * (abs(x - self.mid) - self.spread)
-        self.mid += max(-0.8, min(0.8, x - self.mid)) / min(2 + self.count, 40)
-
-
 class Sizes:
     """Estimated cost and memory of requests, and the cutoffs between bands."""
 
@@ -81,6 +70,7 @@
     def usual(self, cls: int, cost: float) -> None:
         """Keep the usual cost of a class, from estimates or true costs alike."""
         self.counts[cls] += 1
+        cost = min(cost, 20.0 * self.mean_cost[cls])  # an absurd figure must not move what is usual
         self.mean_cost[cls] += (cost - self.mean_cost[cls]) / min(self.counts[cls], 200)
 
     def learn(self, job: Job, cost: float, memory: float) -> None:
@@ -107,33 +97,6 @@
         return 1 if self.cutoffs is None else sum(remaining <= cutoff for cutoff in self.cutoffs)
 
 
-class Attempt:
-    def __init__(self, job: Job, number: int, engine: Engine, now: float, grant: float, trial: bool) -> None:
-        self.job, self.number, self.engine, self.sent = job, number, engine, now
-        self.cost, self.grant, self.trial = job.cost, grant, trial
-        self.waited, self.seen = 0.0, now  # time it stood still, by its notes; the last note
-        self.verdict: int | None = None
-
-
-class Job:
-    def __init__(self, event: api.Request, cs: api.ClassSettings, now: float) -> None:
-        self.request, self.cls, self.cs, self.tenant = event.request, event.cls, cs, event.tenant
-        self.key, self.group = event.key, int(event.group)
-        self.hint, self.memory_hint = max(0.0, event.cost_ms), max(0.0, event.memory_mb)
-        self.arrived, self.deadline = now, now + max(0.0, event.left_ms)
-        self.cost = self.memory = self.done = self.grant = self.aim_at = 0.0
-        self.over = self.moved = self.finished = self.held = self.streaming = False
-        self.band, self.slot = -1, (0, 0.0, 0)
-        self.attempts, self.avoid = list[Attempt](), set[int]()
-
-    @property
-    def out(self) -> list[Attempt]:
-        return [a for a in self.attempts if a.verdict is None]
-
-    def may_have_run(self) -> list[Attempt]:
-        return [a for a in self.attempts if a.verdict not in NEVER_RAN]
-
-
 class Engine:
     """What this dispatcher knows and infers of one engine."""
 
@@ -153,7 +116,7 @@
     def reset(self) -> None:
         self.bound = self.share
         self.slow, self.fails, self.cut_at = 1.0, 0.0, 0.0
-        self.suspect, self.retest_at, self.backoff = False, 0.0, RETEST_MS
+        self.suspect, self.retest_at, self.backoff, self.cleared_at = False, 0.0, RETEST_MS, -math.inf
         self.sign_at, self.gap, self.probed_at, self.probe_out = -math.inf, 200.0, -math.inf, False
         self.warm: deque[int] = deque(maxlen=4)
         # What others hold here by the last report: queries, and the share of memory granted to them.
@@ -394,7 +357,10 @@
         ran = job.may_have_run()
         harmless = (job.cs.effect == Effect.REPEATABLE or not ran
                     or (job.cs.effect == Effect.BY_KEY and job.cs.dedup_scope == "all"))
-        self.out.append(api.Refuse(job.request, 0.0) if harmless else api.Fail(job.request))
+        # The client is told to come back when what is held now has been worked off.
+        wait = sum(j.cost for _, _, _, j in self.held) / max(1.0, self.shares) if self.s.retry_after else 0.0
+        wait = min(self.s.max_retry_after_ms, wait)
+        self.out.append(api.Refuse(job.request, wait) if harmless else api.Fail(job.request))
         self._close(job, now)
 
     def _again(self, job: Job, engine: Engine, verdict: int, now: float) -> None:
@@ -588,7 +554,7 @@
             engine.sign(now)
             engine.fails *= 0.7
             if engine.suspect:
-                engine.suspect, engine.backoff = False, RETEST_MS
+                engine.suspect, engine.cleared_at = False, now
                 engine.fails, engine.slow = 0.0, 1.0
                 self.out.append(api.Log(f"engine {engine.id:08x} answers again"))
             if self.s.says_cost and event.true_cost_ms > 0:
@@ -599,14 +565,27 @@
                 cost = event.true_cost_ms or attempt.cost
                 self._pace_learn(engine, job, cost, event.elapsed_ms, now)
         elif verdict in (Verdict.ERROR, Verdict.CONNECT_FAILED, Verdict.RESET):
-            engine.fails += (0.6 if self.sparse else 0.3) * (1.0 - engine.fails)  # few answers: one must do
-            if engine.fails >= TRIP_AT or attempt.trial:
-                self._suspect(engine, now, "fails")
+            # An error at a second engine speaks against the request, and in favour of the first.
+            others = [a for a in job.attempts if a.engine is not engine and a.verdict == Verdict.ERROR]
+            if verdict != Verdict.ERROR or not others:
+                self._doubt(engine, attempt, now, "fails")
+            elif len(others) == 1:
+                self._clear(others[0])
         elif verdict == Verdict.FULL:
             self._cut(engine, now)
         elif attempt.trial:
             self._suspect(engine, now, "failed its test")
 
+    def _doubt(self, engine: Engine, attempt: Attempt, now: float, why: str) -> None:
+        attempt.charge = (0.6 if self.sparse else 0.3) * (1.0 - engine.fails)  # few answers: one must do
+        engine.fails += attempt.charge
+        if engine.fails >= TRIP_AT or attempt.trial:
+            self._suspect(engine, now, why)
+
+    def _clear(self, attempt: Attempt) -> None:
+        attempt.engine.fails -= min(attempt.charge, attempt.engine.fails)
+        attempt.engine.suspect &= attempt.trial or attempt.engine.fails >= TRIP_AT
+
     def _hear(self, engine: Engine, report: tuple[float, ...], now: float) -> None:
         values = dict(zip(self.s.report_columns, report, strict=False))
         engine.others = max(0.0, values.get("concurrent", 0.0) - len(engine.attempts))
@@ -649,7 +628,8 @@
         ready = [e for e in self.engines.values() if e.ready]
         if not engine.suspect and 2 * (1 + sum(e.suspect for e in ready)) > len(ready):
             return
-        engine.backoff = min(RETEST_MOST_MS, engine.backoff * (1.0 + engine.suspect))
+        again = engine.suspect or now - engine.cleared_at < FLAP_MS
+        engine.backoff = min(RETEST_MOST_MS, engine.backoff * 2.0) if again else RETEST_MS
         if not engine.suspect:
             self.out.append(api.Log(f"engine {engine.id:08x} {why}: suspected"))
         engine.suspect, engine.retest_at = True, now + engine.backoff
@@ -713,6 +693,11 @@
                 expected = attempt.cost / job.cs.threads * self._pace(engine, job.cls)
                 overdue += ran > 500.0 + 2.0 * expected
                 limit = 300.0 + BAD_PLAN * expected
+                if ran > 500.0 + 2.0 * expected and 0 < UNHEARD * self.s.note_period_ms < now - attempt.seen:
+                    attempt.seen = now  # taken and not run, though the engine may answer others
+                    self._doubt(engine, attempt, now, "keeps what it takes")
+                    if not engine.suspect:
+                        self._move(job, attempt, now)
                 if not self.s.note_period_ms and not quiet and ran > limit:
                     self._bad_plan(job, attempt, now)
             if not quiet or not overdue or engine.suspect:
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -112,3 +112,57 @@
         k.timers = [t for t in k.timers if t > k.now]
         probes += [a for a in k.feed(api.Due(0)) if isinstance(a, api.Probe)]
     assert len(probes) == 1 and len(k.logs) == before
+
+
+def test_what_an_engine_keeps_without_a_note_is_moved_though_others_there_go_on():
+    """Two engines kept small lookups for their whole time and answered other ones meanwhile (a churn day)."""
+    k = Keeper(settings(READ, HEAVY, note_period_ms=500.0), engines=3)
+    k.warm_up(60)
+    k.request(1, 0, cost=100)
+    first = k.open[(1, 0)]
+    for i in range(2, 60):
+        k.request(i, 0, cost=100)
+        k.wait(50)
+        for request, number in list(k.open):
+            if request != 1 and number == len(k.attempts[request]) - 1:
+                k.end(request)
+    again = [(at["engine"], at["at"] - k.taken_at[1]) for at in k.attempts[1][1:]]
+    assert again and again[0][0] != first and 1250 <= again[0][1] <= 1600
+
+
+def test_an_engine_that_is_suspected_again_at_once_is_tested_less_and_less_often():
+    k = Keeper(settings(READ), engines=4)
+    k.warm_up(60)
+    engine, waits = k.c.engines[1], []
+    for _ in range(4):
+        k.c._suspect(engine, k.now, "fails")
+        waits.append(engine.retest_at - k.now)
+        engine.suspect, engine.cleared_at = False, k.now
+    k.c._suspect(engine, k.now + 6000.0, "fails")
+    assert waits == [1000.0, 2000.0, 4000.0, 8000.0] and engine.backoff == 1000.0
+
+
+def test_a_request_that_fails_everywhere_costs_no_engine_its_standing():
+    """Requests of bad clients met an error at each engine and had all of them suspected in turn (a rude day)."""
+    k = Keeper(settings(READ), engines=4)
+    k.warm_up(60)
+    for i in range(20):
+        k.request(i, 0, cost=100)
+        while i not in k.answers:
+            k.end(i, Verdict.ERROR)
+        assert not any(e.suspect for e in k.c.engines.values())
+    assert max(e.fails for e in k.c.engines.values()) < 0.01
+
+
+def test_a_refusal_says_when_what_is_held_will_have_been_worked_off():
+    k = Keeper(settings(READ, retry_after=True, max_retry_after_ms=800.0), engines=1)
+    k.warm_up(60)
+    for i in range(40):
+        k.request(i, 0, cost=2000, left=3000 if i else 300)
+    refusals = []
+    while k.now < k.taken_at[0] + 3000:
+        k.now += 20
+        k.timers = [t for t in k.timers if t > k.now]
+        refusals += [a for a in k.feed(api.Due(0)) if isinstance(a, api.Refuse)]
+    waits = [a.retry_after_ms for a in refusals]
+    assert waits[0] == 800.0 and waits[-1] < waits[0]
