Keep resets on the way from speaking against an engine that lives

Checked: each such ERROR is a POST whose connection was reset, after which GET /0 at the same engine answers 500, as it knows no such query; the resets of new connections came from the connect itself. Ruled out: processes that end, whose connects would be refused, and spoilt answers, which are logged. At fault: _follow took that 500 for the engine's own error, _open took a reset connect for a failed one. The first is now an attempt given up (the engine answers, so it lives; that nothing ran is unproven, so a load still fails), the second is tried again within the connect's time, nothing having been written.

--- a/frostspindle/net/engines.py
+++ b/frostspindle/net/engines.py
@@ -243,10 +243,9 @@
                             return line
                         line.drop()
                     if self.driver.may_open(self):
-                        line = await self._open()
-                        if line.usable():
+                        # Reset when new: nothing was written yet, so that one more can be tried.
+                        if (line := await self._open()) is not None:
                             return line
-                        line.drop()  # reset when new: nothing was written yet, so that one more can be tried
                         resets += 1
                         if resets >= ASKS:
                             raise NoLine("connections are reset as they open")
@@ -257,17 +256,23 @@
         except TimeoutError:
             raise NoLine("no connection in time", full=not self.driver.may_open(self)) from None
 
-    async def _open(self) -> _Line:
+    async def _open(self) -> _Line | None:
+        """A new connection; None: reset as it opened."""
         self.opening += 1
         self.driver.opening += 1
         try:
             _, line = await self.driver.loop.create_connection(lambda: _Line(self), *self.state.address)
+        except ConnectionResetError:
+            return None
         except OSError as error:
             raise NoLine(repr(error), isinstance(error, ConnectionRefusedError)) from None
         finally:
             self.opening -= 1
             self.driver.opening -= 1
-        return line
+        if line.usable():
+            return line
+        line.drop()
+        return None
 
     async def call(self, method: str, path: str, head: str = "", body: bytes = b"",
                    sending: Attempt | None = None, wired: list[bool] | None = None, within_s: float = ANSWER_S,
@@ -406,7 +411,7 @@
                 f"X-Max-Ms: {max(1, int(attempt.timeout_ms))}\r\nX-Priority: {attempt.priority}\r\n{grant}")
         path = f"/v1/store/{ask.ticket}/"
         report: tuple[float, ...] = ()
-        reply = None
+        reply, broken = None, False
         try:
             reply = await peer.call("POST", "/v1/store", head, ask.statement.encode(), attempt, wired,
                                     page=0)
@@ -417,12 +422,19 @@
             return (Verdict.FULL if error.full else Verdict.CONNECT_FAILED), (), None
         except (Broken, BadReply, TimeoutError) as error:
             self._spoilt(peer, attempt, error)  # it may run: its news are asked for
+            broken = isinstance(error, Broken)
         while True:
             if reply is None:
                 reply = await self._news(peer, attempt, path, 0, asked)
                 if reply is None:
                     return Verdict.RESET, report, None
             report = self._report(reply) or report
+            if broken and reply.status == 500:
+                # The engine lives and does not know the query: its connection failed, not the engine. That it
+                # never ran is likely and unproven, so that it counts as given up here.
+                self.events.count("posts_lost")
+                return Verdict.CANCELLED, report, None
+            broken = False
             shed = reply.headers.get(b"x-shed") == b"1"
             if reply.status == 202:
                 self._note(attempt, reply)
--- a/tests/test_edge.py
+++ b/tests/test_edge.py
@@ -4,7 +4,8 @@
 import contextlib
 import unittest.mock
 
-from peers import LOAD, SQL, Bus, EdgeCase, change, host, page
+from aiohttp import web
+from peers import LOAD, LOOKUP, SQL, Bus, EdgeCase, change, host, page
 
 from frostspindle.net import platform
 
@@ -184,6 +185,35 @@
         self.assertEqual((await self.ask(LOAD))[0], 502)
         self.assertEqual(len(engine.of("POST")), 1)
 
+    async def test_resets_on_the_way_do_not_speak_against_an_engine_that_lives(self):
+        (engine,) = await self.start()
+        cut = []
+
+        def script(request, body):
+            ticket = request.headers.get("X-Ticket")
+            if request.method == "POST" and ticket[-1] in "12" and ticket not in cut:
+                cut.append(ticket)
+                return "kill"
+            return web.Response(status=500) if request.method == "GET" else None
+        engine.script = script
+        self.assertEqual([(await self.ask(cls, number=number))[0] for number, cls in
+                          enumerate((LOOKUP, LOAD, LOAD), 1)], [200, 502, 200])
+        self.assertEqual([c[0] for c in engine.calls], ["POST", "GET", "POST", "POST", "GET", "POST"])
+        self.assertEqual((self.count("posts_lost"), self.program.core.controller.engines[0].fails), (2, 0.0))
+
+    async def test_a_connection_reset_as_it_opens_is_opened_again_before_anything_is_written(self):
+        (engine,) = await self.start()
+        create, failed = asyncio.get_running_loop().create_connection, []
+
+        async def reset_first(*args, **kw):
+            if not failed and args[2] == engine.port:
+                failed.append(1)
+                raise ConnectionResetError
+            return await create(*args, **kw)
+        with unittest.mock.patch.object(asyncio.get_running_loop(), "create_connection", reset_first):
+            status = await self.said(post(1, extra="Connection: close\r\n"))
+        self.assertEqual((status[9:12], len(engine.of("POST")), self.count("ended_connect_failed")), (b"200", 1, 0))
+
     async def test_an_idle_connection_that_was_reset_is_not_written_to(self):
         (engine,) = await self.start()
         transports = []
