Bound TDS sessions as HTTP clients: silent ones give way, half a message ends in time

Seen by reading: start_server(backlog=128) lets asyncio accept 128 sockets at a stretch; all sessions taken by silent clients kept others out until idle_ms; half a message could stay for idle_ms; TdsEngines._idle kept a line for each database name that a client ever sent, and idle engine sessions were closed only when next looked for. Two stories over loopback.

--- a/frostspindle/net/tds/codec.py
+++ b/frostspindle/net/tds/codec.py
@@ -59,6 +59,11 @@
         self._data, self._body = bytearray(), bytearray()
         self._kind = -1
 
+    @property
+    def partial(self) -> bool:
+        """A message has begun and is not whole."""
+        return bool(self._data or self._body)
+
     def feed(self, data: bytes) -> Iterator[Message]:
         self._data += data
         while len(self._data) >= HEADER.size:
--- a/frostspindle/net/tds/driver.py
+++ b/frostspindle/net/tds/driver.py
@@ -270,9 +270,11 @@
 
     async def _connect(self, attempt: Attempt) -> _Connection | None:
         """An idle session of the engine for this database, or a new one; None: none could be had."""
-        line = self._idle.get((attempt.engine, attempt.ask.place), deque())
-        while line:
+        key = (attempt.engine, attempt.ask.place)
+        while line := self._idle.get(key):
             connection = line.pop()
+            if not line:
+                del self._idle[key]  # clients name the databases: what is empty is not kept
             if await connection.unpark():
                 return connection
             connection.close()
@@ -307,8 +309,17 @@
         line = self._idle.setdefault((attempt.engine, attempt.ask.place), deque())
         connection.park()
         line.append(connection)
-        if len(line) > POOL or sum(map(len, self._idle.values())) > 8 * POOL:
-            line.popleft().close()
+        before = clock() - IDLE_S * 1000.0
+        for key, others in list(self._idle.items()):
+            while others and (others[0].idle_at < before or len(others) > POOL):
+                others.popleft().close()
+            if not others:
+                del self._idle[key]
+        if sum(map(len, self._idle.values())) > 8 * POOL:
+            key = min(self._idle, key=lambda key: self._idle[key][0].idle_at)
+            self._idle[key].popleft().close()
+            if not self._idle[key]:
+                del self._idle[key]
 
     async def _free(self, attempt: Attempt, connection: _Connection, verdict: int) -> None:
         """End the engine's work by Attention; a session that does not confirm it is closed, which ends it too."""
--- a/frostspindle/net/tds/front.py
+++ b/frostspindle/net/tds/front.py
@@ -24,6 +24,8 @@
 REFUSED, FAILED = 40501, 50001
 UNSUPPORTED, LOGIN_FAILED, TOO_MANY, BAD_STREAM = 50010, 18456, 17809, 4002
 CHUNK = 16 * 1024
+WHOLE_S = 2.4  # from a message's first byte until it is whole, as for HTTP clients
+ACCEPT, BACKLOG = 8, 128  # sessions accepted in one turn, and those that the system keeps waiting
 ADVISED_MS = 100.0  # named in a refusal for which the module has no advice
 _NOT_TAKEN = {codec.RPC: "RPC requests are not taken here; send a SQL batch",
               codec.BULK: "Bulk load is not taken here",
@@ -41,11 +43,22 @@
         self.packet = codec.PACKET
         self.profile: TdsLogin | None = None
         self.database = ""
+        self.since = asyncio.get_running_loop().time()  # when it began to wait for its client
+        self.busy = False  # a batch runs
 
     async def message(self) -> codec.Message | None:
         """The next message, or None at the end of the stream."""
+        begun: float | None = None
         while not self.messages:
-            data = await self.reader.read(CHUNK)
+            if self.splitter.partial and begun is None:
+                begun = asyncio.get_running_loop().time()
+            try:
+                async with asyncio.timeout_at(begun + WHOLE_S if begun is not None else None) as limit:
+                    data = await self.reader.read(CHUNK)
+            except TimeoutError:
+                if limit.expired():
+                    raise codec.ProtocolError("a message did not come in time") from None
+                raise
             if not data:
                 return None
             self.messages += self.splitter.feed(data)
@@ -122,6 +135,13 @@
 
     async def _batch(self, statement: str) -> bool:
         """One batch to its one final answer; False: the client has gone."""
+        self.busy = True
+        try:
+            return await self._run_batch(statement)
+        finally:
+            self.busy, self.since = False, asyncio.get_running_loop().time()
+
+    async def _run_batch(self, statement: str) -> bool:
         front, profile = self.front, self.profile
         assert profile is not None
         if not statement.strip():
@@ -190,7 +210,7 @@
                  group: Callable[[str], int]) -> None:
         self.tds, self.listen, self.classes, self.core, self.events = tds, listen, classes, core, events
         self.group, self.seed, self.tickets = group, seed & 0xFFFFFFFFFFFFFFFF, 0
-        self.sessions: set[asyncio.Task[None]] = set()
+        self.sessions: dict[asyncio.Task[None], _Session] = {}
         self._server: asyncio.Server | None = None
 
     def profile(self, login: codec.Login) -> TdsLogin | None:
@@ -198,7 +218,9 @@
         return _first(self.tds.login, login)
 
     async def start(self) -> None:
-        self._server = await asyncio.start_server(self._serve, *self.listen, limit=CHUNK, backlog=128)
+        self._server = await asyncio.start_server(self._serve, *self.listen, limit=CHUNK, backlog=ACCEPT)
+        for listening in self._server.sockets:  # so many may be accepted at a stretch; others wait in the system
+            listening._sock.listen(BACKLOG)
 
     @property
     def port(self) -> int:
@@ -216,9 +238,9 @@
         task = asyncio.current_task()
         assert task is not None
         session = _Session(self, reader, writer)
-        self.sessions.add(task)
+        self.sessions[task] = session
         try:
-            if len(self.sessions) > self.tds.max_sessions:
+            if len(self.sessions) > self.tds.max_sessions and not self._make_room(session):
                 self.events.count("sessions_refused", FRONT)
                 await session.fail(TOO_MANY, "All sessions are in use; connect again later", 20)
                 return
@@ -226,9 +248,22 @@
         except asyncio.CancelledError:
             pass  # the program ends
         finally:
-            self.sessions.discard(task)
+            self.sessions.pop(task, None)
             writer.close()
 
+    def _make_room(self, newest: _Session) -> bool:
+        """Close the session that needs its place least: not logged in, else idle for longest; never a busy one."""
+        now = asyncio.get_running_loop().time()
+        idle = [(s.profile is None, now - s.since, task) for task, s in self.sessions.items()
+                if not s.busy and s is not newest and now - s.since > (0.1 if s.profile is None else 1.0)]
+        if not idle:
+            return False
+        task = max(idle, key=lambda entry: entry[:2])[2]
+        self.events.count("places_cleared", FRONT)
+        self.sessions.pop(task).writer.transport.abort()
+        task.cancel()
+        return True
+
     async def _guarded(self, run: Callable[[], Awaitable[None]]) -> None:
         """A session's fault ends that session, with an ERROR where one can still be written."""
         session: _Session = run.__self__  # type: ignore[attr-defined]
--- a/tests/test_tds.py
+++ b/tests/test_tds.py
@@ -3,11 +3,12 @@
 import asyncio
 import random
 import unittest
+import unittest.mock
 
 import pytds
 from peers import LOAD, EdgeCase, TdsClient, TdsEngine
 
-from frostspindle.net.tds import codec, front
+from frostspindle.net.tds import codec, driver, front
 from pinstage.interface import Health
 
 ROWS = codec.text_result(("name",), [("a",), ("b",)])
@@ -37,6 +38,29 @@
     def faults(self, result: codec.Result) -> list[int]:
         return [fault.number for fault in result.faults]
 
+    async def test_silent_sessions_give_way_and_half_a_message_ends_in_time(self):
+        await self.start(1, "max_sessions = 2")
+        silent = [await asyncio.open_connection("127.0.0.1", self.program.tds.port) for _ in range(2)]
+        for _, writer in silent:
+            self.addCleanup(writer.close)
+        await self.until(lambda: len(self.program.tds.sessions) == 2)
+        for session in self.program.tds.sessions.values():
+            session.since -= 1.0
+        client = await self.client()
+        self.assertEqual((await client.query("SELECT 1")).tokens, ROWS)
+        self.assertEqual((self.count("places_cleared"), self.count("sessions_refused")), (1, 0))
+        with unittest.mock.patch.object(front, "WHOLE_S", 0.1):
+            client.writer.write(codec.packets(codec.BATCH, codec.batch("SELECT 2"))[:-3])
+            self.assertEqual(self.faults(codec.read_result((await client.message()).body)), [front.BAD_STREAM])
+
+    async def test_databases_that_clients_name_are_not_kept_for_ever(self):
+        (engine,) = await self.start(1, '[[tds.login]]\nclass = "lookup"\n')
+        with unittest.mock.patch.object(driver, "IDLE_S", 0.0):
+            for number in range(20):
+                client = await self.client(f"d{number}")
+                self.assertEqual((await client.query("SELECT 1")).tokens, ROWS)
+        self.assertLessEqual(len(self.program.tds_driver._idle), 1)
+
     async def test_rows_pass_unchanged_and_sessions_are_used_again(self):
         (engine,) = await self.start()
         client = await self.client()
