Send what an engine sheds to another one first

Checked: the engine shed by X-Shed and refused connects a second later, so it was shutting down. Ruled out: our own bounds on connections, which end as FULL only after a wait of 250 ms. At fault: _again in pinstage/control.py kept FULL out of the engines that a request avoids, so that the least busy engine, the one that sheds, was chosen again. The test fails without the change.

--- a/pinstage/control.py
+++ b/pinstage/control.py
@@ -366,7 +366,7 @@
     def _again(self, job: Job, engine: Engine, verdict: int, now: float) -> None:
         if job.out or job.held:
             return
-        if verdict not in (Verdict.MOOT, Verdict.FULL):
+        if verdict != Verdict.MOOT:  # one that sheds, as while it shuts down, sheds the next send too
             job.avoid.add(engine.id)
         job.done = 0.0
         self._size(job)
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -166,3 +166,15 @@
         refusals += [a for a in k.feed(api.Due(0)) if isinstance(a, api.Refuse)]
     waits = [a.retry_after_ms for a in refusals]
     assert waits[0] == 800.0 and waits[-1] < waits[0]
+
+
+def test_what_an_engine_sheds_goes_to_another_one():
+    """An engine that shuts down shed the same requests until their attempts were used up (r9acf3a)."""
+    k = Keeper(settings(READ), engines=3)
+    k.warm_up(60)
+    for i in range(30):
+        k.request(i, 0, cost=100)
+        first = k.open[(i, 0)]
+        k.end(i, Verdict.FULL)
+        assert k.open[(i, 1)] != first
+        k.end(i)
