--- a/frostspindle/__main__.py
+++ b/frostspindle/__main__.py
@@ -19,6 +19,7 @@
 from frostspindle.events import Events
 from frostspindle.net.bus import Bus
 from frostspindle.net.engines import Engines
+from frostspindle.net.operator import Desk, Nak
 from frostspindle.net.platform import FRONT, Platform, table_group
 from frostspindle.net.tds.driver import TdsEngines
 from frostspindle.net.tds.front import TdsFront
@@ -46,10 +47,17 @@
             self.tds = TdsFront(tds, configuration.address(tds.listen, "tds.listen"), config.plan.classes,
                                 config.seed, self.core, self.events, table_group)
         self.agent: Any = None
+        self.desk: Desk | None = None
+        if config.desk:
+            self.desk = Desk(config.desk, {"ready": self.ready, "show-stat": self.core.figures, "drain": self.drain,
+                                           "resume": self.resume}, self.events)
+        self.serving = False
         self.stopping, self.failed = asyncio.Event(), False
         self.tasks: list[asyncio.Task[Any]] = []
 
     async def start(self) -> None:
+        if self.desk:
+            await self.desk.start()
         self.bus.start()
         for work in (self.core.run(), self.bus.run()):
             task = asyncio.create_task(work)
@@ -64,16 +72,37 @@
             self.agent = Agent(snmp, self.core, self.events, self.sessions)
             await self.agent.start()
         await self.platform.start()
+        self.serving = True
         self.events.log("ready", listen=f"{self.config.listen[0]}:{self.platform.port}",
                         tds=self.tds.port if self.tds else None, snmp=self.agent.port if self.agent else None)
 
+    # What operators call.
+
+    def ready(self) -> None:
+        if not self.serving:
+            raise Nak("not yet" if not self.stopping.is_set() else "the program ends")
+        if self.platform.draining:
+            raise Nak("clients are being sent away")
+
+    def drain(self) -> None:
+        self.platform.drain()
+        if self.tds:
+            self.tds.drain()
+
+    def resume(self) -> None:
+        self.platform.resume()
+        if self.tds:
+            self.tds.resume()
+
+    # What is told.
+
     def sessions(self) -> dict[str, int]:
         """Connections that clients hold now, by front."""
         return {FRONT: self.platform.connections, "tds": len(self.tds.sessions) if self.tds else 0}
 
     def report(self) -> None:
         """SIGUSR1 and the end: the counters, and what is believed of engines and requests."""
-        self.events.report(clients=self.sessions(), **self.core.picture())
+        self.events.report(clients=self.sessions(), figures=self.core.figures(), **self.core.picture())
 
     def _ended(self, task: asyncio.Task[Any]) -> None:
         if not task.cancelled() and task.exception() is not None:
@@ -111,6 +140,7 @@
 
     async def stop(self) -> None:
         """Go on accepting for a while, finish what was taken, then let go of everything."""
+        self.serving = False
         self.events.log("stopping", open=self.core.open)
         await asyncio.sleep(ACCEPT_S)
         longest_s = max(c.deadline_ms for c in self.config.settings.classes) / 1000.0
@@ -125,6 +155,8 @@
             await self.tds_driver.close()
         if self.agent:
             self.agent.close()
+        if self.desk:
+            self.desk.close()
         await self.driver.close()
         for task in self.tasks:
             task.cancel()
--- a/frostspindle/config.py
+++ b/frostspindle/config.py
@@ -71,6 +71,7 @@
     listen: str = ""
     seed: str = "0"
     bus: str = ""
+    operator: str = ""
     limits: Limits = msgspec.field(default_factory=Limits)
     known: _Known = msgspec.field(default_factory=_Known)
 
@@ -156,6 +157,7 @@
     idle_ms: float
     operator: Operator
     plan: TdsPlan
+    desk: Address | str | None = None  # where operators call; a str is the path of a Unix socket
 
 
 def address(text: str, key: str) -> Address:
@@ -237,6 +239,7 @@
     classes = tuple(str(c.get("name", number)) for number, c in enumerate(categories))
     operator_file = environ.get("FROSTSPINDLE_OPERATOR", "")
     operator = read_operator(operator_file, classes, document.limits)
+    desk = environ.get("LB_OPERATOR") or document.operator
     plan = TdsPlan({}, {})
     if operator.tds:
         settings, plan = with_tds(settings, classes, operator.tds)
@@ -247,7 +250,8 @@
         known_offset=document.known.offset, known=tuple(document.known.batch), settings=settings,
         classes=classes, kinds=_names(document.settings, "kinds"),
         zones=_names(document.settings, "failureDomains"), idle_ms=idle_ms,
-        operator=operator, plan=plan)
+        operator=operator, plan=plan,
+        desk=desk if desk.startswith("/") else address(desk, "LB_OPERATOR") if desk else None)
 
 
 def with_tds(settings: Settings, names: tuple[str, ...], tds: Tds) -> tuple[Settings, TdsPlan]:
--- a/frostspindle/core.py
+++ b/frostspindle/core.py
@@ -27,6 +27,9 @@
 SERVED, REFUSED, FAILED = "served", "refused", "failed"
 ABSENT_MS = 30_000.0  # an engine that is gone for so long is forgotten
 AGAIN_MS = 20.0  # a reminder of the module's that met a fault comes again after this
+# What operators are told of a class, and the counters behind it.
+FIGURES = {"success": ("served",), "busy": ("refused", "full"), "failure": ("failed",),
+           "backend_calls": ("written",)}
 TURN = 64  # events that one turn of the task may take before the sockets get theirs
 
 
@@ -226,6 +229,10 @@
         state = self.engines.get(attempt.engine)
         return not attempt.over and state is not None and state.entry.health == Health.READY
 
+    def written(self, attempt: Attempt) -> None:
+        """The attempt has left whole for its engine."""
+        self.events.count("written", attempt.ask.front, attempt.class_name)
+
     def _put(self, event: Any) -> None:
         self._inbox.append(event)
         self._wake.set()
@@ -243,6 +250,18 @@
         return {"open": self._open, "held": len(self.controller.held), "records": len(self._records),
                 "timers": len(self._timers), "engines": engines}
 
+    def figures(self) -> dict[str, Any]:
+        """What operators, SIGUSR1 and SNMP are all told, drawn from the counters and the ledger."""
+        calls: dict[str, dict[str, int]] = {}
+        for front, name in self.classes:
+            row = calls.setdefault(name, dict.fromkeys(FIGURES, 0))
+            for figure, counters in FIGURES.items():
+                row[figure] += sum(self.events.counts[what, front, name] for what in counters)
+        listed = [(number, state) for number, state in self.engines.items() if state.entry.health != Health.GONE]
+        down = sum(1 for number, _ in listed
+                   if (believed := self.controller.engines.get(number)) is not None and believed.suspect)
+        return {"calls": calls, "inflight": self._open, "hosts_listed": len(listed), "hosts_down": down}
+
     # The task.
 
     async def run(self) -> None:
--- a/frostspindle/net/engines.py
+++ b/frostspindle/net/engines.py
@@ -13,6 +13,8 @@
 import math
 import select
 from collections import deque
+from collections.abc import Coroutine
+from typing import Any
 
 from httptools import HttpParserError, HttpParserUpgrade, HttpResponseParser
 
@@ -177,13 +179,17 @@
         self._fail(TimeoutError())  # type: ignore[arg-type]
         self.drop()
 
-    async def ask(self, data: bytes, within_s: float) -> _Reply:
+    def ask(self, data: bytes, within_s: float) -> Coroutine[Any, Any, _Reply]:
+        """Write a call at once; its answer is to be awaited."""
         self.waiter = self.loop.create_future()
         self.whole, self.came = False, 0
         timer = self.loop.call_later(within_s, self.expire)
         self.transport.write(data)
+        return self._answer(timer)
+
+    async def _answer(self, timer: asyncio.TimerHandle) -> _Reply:
         try:
-            return await self.waiter
+            return await self.waiter  # type: ignore[misc]
         finally:
             timer.cancel()
             if not self.whole:  # given up, or not to be read: whatever still comes belongs to no call
@@ -289,8 +295,11 @@
             wired[0] = True
         length = f"Content-Length: {len(body)}\r\n" if body or method in ("POST", "PUT") else ""
         try:
-            reply = await line.ask(
+            answer = line.ask(
                 f"{method} {path} HTTP/1.1\r\nHost: {self.host}\r\n{head}{length}\r\n".encode() + body, within_s)
+            if sending is not None and not line.transport.get_write_buffer_size():
+                self.driver.core.written(sending)
+            reply = await answer
             if page is not None:
                 reply.read(page)
             return reply
--- a/frostspindle/net/platform.py
+++ b/frostspindle/net/platform.py
@@ -33,6 +33,8 @@
 LINGER_S, LINGER_BYTES = 1.0, 64 << 20  # so much of what a refused client still sends is read and dropped
 STUCK_S = 5.0  # how long a client may leave its answers unread
 SWEEP_S = 0.2
+# In a drain: new connections come for another 0.3 s, idle ones end from EASE_S on, nothing is taken after TAKE_S.
+EASE_S, TAKE_S, QUIET_S = 0.4, 1.8, 0.3
 AHEAD = 16  # calls of one connection that are taken while earlier ones are not yet answered
 CLIENT_PART = 0.42  # of all sockets; usual clients hold a third at most
 ACCEPT, BACKLOG = 16, 512  # connections accepted in one turn, and those that the system keeps waiting
@@ -106,6 +108,10 @@
     def reply(self, status: int, body: Any = None, extra: str = "", last: bool = False) -> None:
         if self.timer is not None:
             self.timer.cancel()
+        more = isinstance(body, dict) and "next" in body
+        if self.client.front.draining and not more and self.client.line and self.client.line[-1] is self:
+            last = True
+        self.client.awaited = more
         last = self.last = self.last or last
         data = b"" if body is None else _ENCODE(body)
         length = "" if status == 204 else f"Content-Length: {len(data)}\r\n"
@@ -125,6 +131,7 @@
         self.line: deque[_Slot] = deque()
         self.since = self.now()
         self.spoken = self.leaving = self.deaf = self.partial = self.headed = False
+        self.awaited = False  # it was given a `next`, which only this process knows, and has not called it yet
         self.stuck_at = math.inf
         self.came = self.dropped = self.size = 0
         self.refusal: Refusal | None = None
@@ -225,7 +232,7 @@
 
     def on_message_begin(self) -> None:
         self.url, self.fields, self.body, self.size = b"", {}, [], 0
-        self.partial, self.headed = True, False
+        self.partial, self.headed, self.awaited = True, False, False
         if self.spoken:
             self.since = self.now()
 
@@ -290,6 +297,7 @@
         self._kept = self._paths = 0
         self._server: asyncio.Server | None = None
         self._sweeper: asyncio.TimerHandle | None = None
+        self._drained_at = math.inf
 
     async def start(self) -> None:
         host, port = self.config.listen
@@ -322,6 +330,28 @@
         for client in list(self.clients):
             client.transport.close()
 
+    # Draining.
+
+    @property
+    def draining(self) -> bool:
+        return self._drained_at < math.inf
+
+    def drain(self) -> None:
+        """Send clients away: serve what comes, and end each connection when nothing is open on it."""
+        self._drained_at = min(self._drained_at, self.loop.time())
+
+    def resume(self) -> None:
+        self._drained_at = math.inf
+
+    def _ease(self, client: _Client, state: int, waited: float, drained: float) -> None:
+        """One connection in a drain: idle ones end, but not one whose client is about to ask for a `next`."""
+        if state == IDLE and waited > (1.0 if client.awaited else 0.0) and drained > EASE_S:
+            client.transport.close()
+        elif state == FRESH and waited > QUIET_S and drained > EASE_S:
+            client.transport.close()
+        elif state == COMING and waited > QUIET_S and drained > TAKE_S:
+            client.refuse(Refusal(503, "Busy"))
+
     # Connections.
 
     def joined(self, client: _Client) -> None:
@@ -366,6 +396,8 @@
             elif (state == FRESH and waited > WHOLE_S) or (state == IDLE and waited > IDLE_S):
                 self.events.count("silent_clients", FRONT)
                 client.transport.close()
+            elif self.draining:
+                self._ease(client, state, waited, now - self._drained_at)
 
     # One call.
 
@@ -375,6 +407,9 @@
                 raise Refusal(404, "no such path")
             if method not in (b"GET", b"HEAD"):
                 raise Refusal(405, "only GET")
+            if self.draining:
+                slot.reply(503, {"failure": "Busy"}, last=True)
+                return
             slot.reply(200) if method == b"HEAD" else slot.reply(200, "ok")
             return
         if method == b"POST":
@@ -414,7 +449,7 @@
         name = ticket.decode()
         if name in self.ids:
             raise Refusal(409, "X-Request-Id: this request is already open")
-        if len(slot.client.line) > AHEAD:
+        if len(slot.client.line) > AHEAD or self.loop.time() - self._drained_at > TAKE_S:
             self.events.count("full", FRONT, self.core.classes[number][1])
             slot.reply(503, {"failure": "Busy"})
             return
--- a/frostspindle/net/tds/driver.py
+++ b/frostspindle/net/tds/driver.py
@@ -238,6 +238,7 @@
                 if connection is not None and self.core.may_send(attempt):
                     verdict = Verdict.RESET
                     connection.ask(attempt.ask.statement)
+                    self.core.written(attempt)
                     verdict, tokens = self._read(attempt, await connection.answer())
                     self._put_back(attempt, connection)
                     connection = None
--- a/frostspindle/net/tds/front.py
+++ b/frostspindle/net/tds/front.py
@@ -25,6 +25,7 @@
 UNSUPPORTED, LOGIN_FAILED, TOO_MANY, BAD_STREAM = 50010, 18456, 17809, 4002
 CHUNK = 16 * 1024
 WHOLE_S = 2.4  # from a message's first byte until it is whole, as for HTTP clients
+EASE_S, TAKE_S = 0.3, 1.8  # in a drain: how long a session may be idle, and until when new ones are taken
 ACCEPT, BACKLOG = 8, 128  # sessions accepted in one turn, and those that the system keeps waiting
 ADVISED_MS = 100.0  # named in a refusal for which the module has no advice
 _NOT_TAKEN = {codec.RPC: "RPC requests are not taken here; send a SQL batch",
@@ -212,6 +213,8 @@
         self.group, self.seed, self.tickets = group, seed & 0xFFFFFFFFFFFFFFFF, 0
         self.sessions: dict[asyncio.Task[None], _Session] = {}
         self._server: asyncio.Server | None = None
+        self._easing: asyncio.TimerHandle | None = None
+        self._drained_at = 0.0
 
     def profile(self, login: codec.Login) -> TdsLogin | None:
         """The first entry of the operator's file whose application and database fit."""
@@ -227,7 +230,27 @@
         assert self._server is not None
         return int(self._server.sockets[0].getsockname()[1])
 
+    def drain(self) -> None:
+        """Send clients away: a session ends between two batches, and nobody logs in any more after a while."""
+        if self._easing is None:
+            self._drained_at = asyncio.get_running_loop().time()
+            self._ease()
+
+    def resume(self) -> None:
+        if self._easing is not None:
+            self._easing.cancel()
+            self._easing = None
+
+    def _ease(self) -> None:
+        loop = asyncio.get_running_loop()
+        self._easing = loop.call_later(EASE_S, self._ease)
+        for task, session in list(self.sessions.items()):
+            if not session.busy and loop.time() - session.since > EASE_S:
+                self.sessions.pop(task).writer.close()
+                task.cancel()
+
     async def close(self) -> None:
+        self.resume()
         if self._server is not None:
             self._server.close()
         for task in list(self.sessions):
@@ -240,6 +263,9 @@
         session = _Session(self, reader, writer)
         self.sessions[task] = session
         try:
+            if self._easing is not None and session.since - self._drained_at > TAKE_S:
+                await session.fail(TOO_MANY, "The service takes no new sessions now", 20)
+                return
             if len(self.sessions) > self.tds.max_sessions and not self._make_room(session):
                 self.events.count("sessions_refused", FRONT)
                 await session.fail(TOO_MANY, "All sessions are in use; connect again later", 20)
