--- a/frostspindle/core.py
+++ b/frostspindle/core.py
@@ -28,8 +28,7 @@
 ABSENT_MS = 30_000.0  # an engine that is gone for so long is forgotten
 AGAIN_MS = 20.0  # a reminder of the module's that met a fault comes again after this
 # What operators are told of a class, and the counters behind it.
-FIGURES = {"success": ("served",), "busy": ("refused", "full"), "failure": ("failed",),
-           "backend_calls": ("written",)}
+FIGURES = {"success": ("served",), "busy": ("refused", "full"), "failure": ("failed",)}
 TURN = 64  # events that one turn of the task may take before the sockets get theirs
 
 
@@ -260,7 +259,9 @@
         listed = [(number, state) for number, state in self.engines.items() if state.entry.health != Health.GONE]
         down = sum(1 for number, _ in listed
                    if (believed := self.controller.engines.get(number)) is not None and believed.suspect)
-        return {"calls": calls, "inflight": self._open, "hosts_listed": len(listed), "hosts_down": down}
+        written = sum(count for (what, _, _), count in self.events.counts.items() if what == "written")
+        return {"calls": calls, "backend_calls": written, "inflight": self._open, "hosts_listed": len(listed),
+                "hosts_down": down}
 
     # The task.
 
--- a/frostspindle/net/operator.py
+++ b/frostspindle/net/operator.py
@@ -119,4 +119,4 @@
             return b"NAK a fault, see the log\n"
         if name != "ready":
             self.events.log("operator", call=name, of=words)
-        return b"ACK\n" if result is None else b"ACK\n" + _ENCODE(result) + b"\n--\n"
+        return b"ACK\n" if result is None else _ENCODE(result) + b"\n--\n"
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -220,7 +220,7 @@
         folder = tempfile.TemporaryDirectory()
         self.addCleanup(folder.cleanup)
         document = {"name": "t0", "listen": "127.0.0.1:0", "seed": "1", "settings": settings(**changes),
-                    "bus": f"127.0.0.1:{bus}" if bus else "",
+                    "bus": f"127.0.0.1:{bus}" if bus else "", "operator": "127.0.0.1:0",
                     "known": {"offset": 1, "batch": [change(1, *hosts, whole=True)]}}
         path = self.config_file = Path(folder.name, "config.json")
         path.write_text(json.dumps(document))
@@ -239,6 +239,7 @@
             for part in (program.platform, program.tds, program.tds_driver, program.driver):
                 if part is not None:
                     await part.close()
+            program.desk.close()
             if program.agent:
                 program.agent.close()
             for task in program.tasks:
@@ -261,6 +262,15 @@
             "X-Request-Id": f"{number:016x}", "X-Timeout-Ms": str(timeout), "X-Cost-Ms": "50", "X-Memory": "64",
             **headers})
 
+    async def operate(self, call: str) -> list[str]:
+        """One call of an operator's: the lines of the answer."""
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.program.desk.port)
+        writer.write(call.encode() + b"\n")
+        async with asyncio.timeout(1.0):
+            answer = await reader.read()
+        writer.close()
+        return answer.decode().splitlines()
+
     async def until(self, true: Any) -> None:
         async with asyncio.timeout(5.0):
             while not true():
--- /dev/null
+++ b/tests/test_operator.py
@@ -0,0 +1,170 @@
+"""Operators' staff call: one story for each call and for each way in which it can go wrong."""
+
+import asyncio
+import json
+import unittest.mock
+
+from peers import LOAD, SQL, EdgeCase, TdsClient, host, page
+
+from frostspindle.net import operator, platform
+from frostspindle.net.tds import front as tds_front
+
+HEAD = ("POST /call/lookup HTTP/1.1\r\nHost: t\r\nX-Request-Id: %016x\r\nX-Timeout-Ms: 2000\r\nX-Cost-Ms: 50\r\n"
+        "Content-Length: 31\r\n\r\n" + SQL)
+PING = b"GET /ping HTTP/1.1\r\nHost: t\r\n\r\n"
+
+
+class Operated(EdgeCase):
+    async def start(self, count: int = 1, **kw):
+        engines = await self.engines(count)
+        await self.coordinator([host(f"s-{i:08x}", e.port) for i, e in enumerate(engines)], **kw)
+        return engines
+
+    async def figures(self):
+        return json.loads((await self.operate("show-stat"))[0])
+
+
+class Calls(Operated):
+    async def test_each_call_gets_one_line_however_it_is_cut_and_nonsense_is_a_no(self):
+        await self.start()
+        self.assertEqual(await self.operate("ready"), ["ACK"])
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.program.desk.port)
+        for byte in b"ready\r\n":
+            writer.write(bytes((byte,)))
+            await writer.drain()
+            await asyncio.sleep(0)
+        self.assertEqual(await reader.read(), b"ACK\n")
+        for call in ("", "shutdown", "ready now", "disable-server", "disable-server a b", "\x00\xff", "x" * 3000):
+            (answer,) = await self.operate(call)
+            self.assertTrue(answer.startswith("NAK "), answer)
+
+    async def test_callers_that_say_nothing_hold_up_nobody(self):
+        await self.start()
+        with unittest.mock.patch.object(operator, "WHOLE_S", 0.3):
+            silent = [await asyncio.open_connection("127.0.0.1", self.program.desk.port) for _ in range(40)]
+            self.assertEqual(await self.operate("ready"), ["ACK"])
+            self.assertLessEqual(len(self.program.desk.callers), operator.CALLERS)
+            said = await asyncio.wait_for(silent[-1][0].read(), 2.0)
+            self.assertTrue(said.startswith(b"NAK "))
+        for _, writer in silent:
+            writer.close()
+
+    async def test_an_answer_does_not_wait_behind_the_inbox(self):
+        await self.start()
+        self.program.tasks[0].cancel()  # the core's: whatever comes now stays in its inbox
+        self.assertEqual(await self.operate("ready"), ["ACK"])
+        self.assertEqual((await self.operate("show-stat"))[1:], ["--"])
+
+
+class Figures(Operated):
+    async def test_the_figures_tell_what_was_answered_sent_and_is_open(self):
+        (engine,) = await self.start()
+        go = asyncio.Event()
+
+        async def slow():
+            await go.wait()
+            return page("a\t1\tx\n")
+        await self.ask(number=1)
+        engine.script = lambda request, body: page("", 999) if request.method in ("POST", "GET") else None
+        self.assertEqual((await self.ask(LOAD, number=2))[0], 502)
+        self.program.core.most_open = 0
+        self.assertEqual((await self.ask(LOAD, number=3))[0], 503)
+        self.program.core.most_open = 9
+        engine.script = lambda request, body: slow() if request.method == "POST" else None
+        waiting = asyncio.create_task(self.ask(number=4))
+        await engine.seen("POST", 3)
+        figures = await self.figures()
+        self.assertEqual(figures, {
+            "calls": {"lookup": {"success": 1, "busy": 0, "failure": 0},
+                      "load": {"success": 0, "busy": 1, "failure": 1}},
+            "backend_calls": 3, "inflight": 1, "hosts_listed": 1, "hosts_down": 0})
+        self.program.report()
+        self.assertEqual(self.log[-1]["figures"], figures)  # SIGUSR1 tells the same
+        go.set()
+        self.assertEqual((await waiting)[0], 200)
+        self.assertEqual((await self.figures())["inflight"], 0)
+
+
+class Draining(Operated):
+    async def connect(self):
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.program.platform.port)
+        self.addCleanup(writer.close)
+        return reader, writer
+
+    async def answer(self, reader):
+        async with asyncio.timeout(4.0):
+            head = (await reader.readuntil(b"\r\n\r\n")).decode()
+            length = int(head.partition("Content-Length: ")[2].partition("\r\n")[0])
+            return head, json.loads(await reader.readexactly(length))
+
+    async def test_a_drain_says_no_serves_what_comes_and_ends_each_connection_until_resumed(self):
+        await self.start()
+        idle, kept = await self.connect(), await self.connect()
+        for reader, writer in (idle, kept):
+            writer.write(PING)
+            await self.answer(reader)
+        self.assertEqual(await self.operate("drain"), ["ACK"])
+        self.assertTrue((await self.operate("ready"))[0].startswith("NAK "))
+        self.assertEqual((await self.call("GET", "/ping"))[0], 503)
+        kept[1].write((HEAD % 1).encode())
+        head, body = await self.answer(kept[0])
+        self.assertIn("Connection: close", head)
+        self.assertEqual((head[9:12], body), ("200", {"rows": [["a", "1", "x"]]}))
+        self.assertEqual(await asyncio.wait_for(kept[0].read(), 2.0), b"")
+        self.assertEqual(await asyncio.wait_for(idle[0].read(), 2.0), b"")
+        self.assertEqual(await self.operate("resume"), ["ACK"])
+        self.assertEqual(await self.operate("ready"), ["ACK"])
+        fresh = await self.connect()
+        for number in (2, 3):  # connections are kept again
+            fresh[1].write((HEAD % number).encode())
+            self.assertNotIn("Connection: close", (await self.answer(fresh[0]))[0])
+
+    async def test_a_connection_stays_from_a_next_to_the_last_page(self):
+        (engine,) = await self.start()
+        go = asyncio.Event()
+
+        async def slow():
+            await go.wait()
+        engine.script = lambda request, body: slow() if request.method == "POST" else None
+        with unittest.mock.patch.multiple(platform, HOLD_S=0.05, EASE_S=0.0):
+            reader, writer = await self.connect()
+            writer.write((HEAD % 1).encode())
+            await engine.seen("POST")
+            await self.operate("drain")
+            head, body = await self.answer(reader)
+            for _ in range(8):
+                self.assertNotIn("Connection: close", head)
+                self.program.platform._sweep()
+                writer.write(f"GET {body['next']} HTTP/1.1\r\nHost: t\r\n\r\n".encode())
+                head, body = await self.answer(reader)
+            go.set()
+            while "next" in body:
+                writer.write(f"GET {body['next']} HTTP/1.1\r\nHost: t\r\n\r\n".encode())
+                head, body = await self.answer(reader)
+            self.assertEqual((body, "Connection: close" in head), ({"rows": [["a", "1", "x"]]}, True))
+
+    async def test_late_in_a_drain_nothing_new_is_taken(self):
+        (engine,) = await self.start()
+        with unittest.mock.patch.object(platform, "TAKE_S", 0.0):
+            await self.operate("drain")
+            reader, writer = await self.connect()
+            writer.write((HEAD % 1).encode())
+            head, _ = await self.answer(reader)
+            self.assertEqual((head[9:12], "Connection: close" in head), ("503", True))
+        self.assertEqual(engine.calls, [])
+        self.assertEqual((await self.figures())["calls"]["lookup"]["busy"], 1)
+
+    async def test_tds_sessions_end_between_two_batches(self):
+        await self.start(operator='[tds]\nlisten = "127.0.0.1:0"\n[[tds.login]]\nclass = "lookup"\n'
+                                  '[[tds.engine]]\nname = "t"\ndial = "127.0.0.1:9"\n')
+        with unittest.mock.patch.object(tds_front, "EASE_S", 0.05):
+            idle = await TdsClient(self.program.tds.port).open()
+            await self.operate("drain")
+            self.assertEqual(await asyncio.wait_for(idle.reader.read(), 2.0), b"")
+            with unittest.mock.patch.object(tds_front, "TAKE_S", -1.0):
+                late, _ = await asyncio.open_connection("127.0.0.1", self.program.tds.port)
+                self.assertIn("no new sessions".encode("utf-16-le"), await asyncio.wait_for(late.read(), 2.0))
+            await self.operate("resume")
+            again = await TdsClient(self.program.tds.port).open()
+            self.assertTrue(again.result.accepted)
+            again.writer.close()
