--- a/frostspindle/__main__.py
+++ b/frostspindle/__main__.py
@@ -23,6 +23,7 @@
 from frostspindle.net.platform import FRONT, Platform, table_group
 from frostspindle.net.tds.driver import TdsEngines
 from frostspindle.net.tds.front import TdsFront
+from frostspindle.shared import Shared
 from pinstage.interface import ListKind
 
 ACCEPT_S = 0.75  # after SIGTERM new work still comes for up to 0.6 s, and is owed its answer
@@ -50,7 +51,9 @@
         self.desk: Desk | None = None
         if config.desk:
             self.desk = Desk(config.desk, {"ready": self.ready, "show-stat": self.core.figures, "drain": self.drain,
-                                           "resume": self.resume}, self.events)
+                                           "resume": self.resume, "disable-server": self.disable,
+                                           "enable-server": self.enable}, self.events)
+        self.shared = Shared(config.environ, config.name)
         self.serving = False
         self.stopping, self.failed = asyncio.Event(), False
         self.tasks: list[asyncio.Task[Any]] = []
@@ -59,6 +62,7 @@
         if self.desk:
             await self.desk.start()
         self.bus.start()
+        self.shared.start(self.core.ban)
         for work in (self.core.run(), self.bus.run()):
             task = asyncio.create_task(work)
             task.add_done_callback(self._ended)
@@ -84,6 +88,20 @@
         if self.platform.draining:
             raise Nak("clients are being sent away")
 
+    def disable(self, name: str) -> None:
+        self._ban(name, True)
+
+    def enable(self, name: str) -> None:
+        self._ban(name, False)
+
+    def _ban(self, name: str, on: bool) -> None:
+        if name not in self.core.names:
+            raise Nak(f"{name} was never listed")
+        try:
+            self.shared.ban(name, on)
+        except OSError as error:
+            raise Nak(f"the ban can't be kept: {error.strerror}") from None
+
     def drain(self) -> None:
         self.platform.drain()
         if self.tds:
@@ -157,6 +175,7 @@
             self.agent.close()
         if self.desk:
             self.desk.close()
+        self.shared.close()
         await self.driver.close()
         for task in self.tasks:
             task.cancel()
--- a/frostspindle/core.py
+++ b/frostspindle/core.py
@@ -29,6 +29,7 @@
 AGAIN_MS = 20.0  # a reminder of the module's that met a fault comes again after this
 # What operators are told of a class, and the counters behind it.
 FIGURES = {"success": ("served",), "busy": ("refused", "full"), "failure": ("failed",)}
+MOST_NAMES = 4096  # of engines that were ever listed
 TURN = 64  # events that one turn of the task may take before the sockets get theirs
 
 
@@ -95,10 +96,11 @@
 class EngineState:
     """An engine as last told, and the driver that reaches it."""
 
-    entry: api.EngineEntry
+    entry: api.EngineEntry  # in the core's own table: as the module hears it, with bans laid over the list
     name: str
     address: tuple[str, int]
     driver: Driver
+    listed: api.EngineEntry | None = None  # in the core's own table: as the list has it
 
 
 class Driver(Protocol):
@@ -131,6 +133,13 @@
     version: int
 
 
+@dataclass(slots=True, frozen=True)
+class _Banned:
+    """Engines that were left out by hand, or are no longer."""
+
+    names: frozenset[str]
+
+
 @dataclass(slots=True, frozen=True)
 class _Overdue:
     """A request's time is up. It names the request only: timers outlive what was answered long before."""
@@ -167,8 +176,11 @@
         self.settings, self.classes, self.events, self.most_open = settings, classes, events, most_open
         self.controller = Controller(settings, seed)
         self.engines: dict[int, EngineState] = {}
+        self.names: dict[str, None] = {}  # all that were ever listed, up to MOST_NAMES
+        self.banned: frozenset[str] = frozenset()
+        self._back: dict[str, float] = {}  # when a ban ended: the engine has restarted meanwhile
         self._records: dict[int, Record] = {}
-        self._open = self._numbers = 0
+        self._open = self._numbers = self._version = 0
         self._urgent: deque[Any] = deque()  # the engine list; never waits behind client work
         self._inbox: deque[Any] = deque()  # bounded: most_open requests, and what their attempts report
         self._wake = asyncio.Event()
@@ -226,7 +238,16 @@
     def may_send(self, attempt: Attempt) -> bool:
         """Asked by drivers right before the first byte: an engine may have begun to drain meanwhile."""
         state = self.engines.get(attempt.engine)
-        return not attempt.over and state is not None and state.entry.health == Health.READY
+        return (not attempt.over and state is not None and state.entry.health == Health.READY
+                and state.name not in self.banned)
+
+    def ban(self, names: frozenset[str]) -> None:
+        """These engines, and no others, are left out by hand; drivers obey at once, the module hears of it next."""
+        changed, self.banned = self.banned ^ names, names
+        for name in changed - names:
+            self._back[name] = clock()
+        self._urgent.append(_Banned(changed))
+        self._wake.set()
 
     def written(self, attempt: Attempt) -> None:
         """The attempt has left whole for its engine."""
@@ -257,8 +278,8 @@
             for figure, counters in FIGURES.items():
                 row[figure] += sum(self.events.counts[what, front, name] for what in counters)
         listed = [(number, state) for number, state in self.engines.items() if state.entry.health != Health.GONE]
-        down = sum(1 for number, _ in listed
-                   if (believed := self.controller.engines.get(number)) is not None and believed.suspect)
+        down = sum(state.name in self.banned or (believed := self.controller.engines.get(number)) is not None
+                   and believed.suspect for number, state in listed)
         written = sum(count for (what, _, _), count in self.events.counts.items() if what == "written")
         return {"calls": calls, "backend_calls": written, "inflight": self._open, "hosts_listed": len(listed),
                 "hosts_down": down}
@@ -328,6 +349,8 @@
             self._end(now, event)
         elif isinstance(event, _Listing):
             self._list(now, event)
+        elif isinstance(event, _Banned):
+            self._lay(now, event.names)
         elif isinstance(event, _Leave):
             self._leave(now, event.ask.number, "left")
         elif isinstance(event, _Overdue):
@@ -387,14 +410,49 @@
                                     state.driver)
                         for number, state in self.engines.items()
                         if state.driver is listing.driver and number not in listed]
-        for state in changed:
+        entries = []
+        for told in changed:
+            state = self._overlaid(told)
+            self._remember(state.name)
+            entries.append(state.entry)
             self.engines[state.entry.engine] = state
             state.driver.listed(state)
             if state.entry.health == Health.GONE:
                 self._at(now + ABSENT_MS, _Absent(state.entry.engine))
             self.events.log("engine", name=state.name, health=state.entry.health, since=state.entry.since_ms)
-        entries = tuple(state.entry for state in changed)
-        self._tell(now, api.EngineList(ListKind.DELTA, listing.version, entries))
+        self._version = listing.version
+        self._tell(now, api.EngineList(ListKind.DELTA, listing.version, tuple(entries)))
+
+    def _overlaid(self, told: EngineState) -> EngineState:
+        """An engine as the module is to hear of it: a ban makes of an active one a draining one."""
+        listed = told.listed or told.entry
+        health = Health.DRAINING if listed.health == Health.READY and told.name in self.banned else listed.health
+        since_ms = max(listed.since_ms, self._back.get(told.name, 0.0))
+        return EngineState(listed._replace(health=health, since_ms=since_ms), told.name, told.address, told.driver,
+                           listed)
+
+    def _lay(self, now: float, names: frozenset[str]) -> None:
+        """Bans have changed: tell driver and module of the engines that they are about."""
+        entries = []
+        for number, state in self.engines.items():
+            if state.name in names and state.entry.health != Health.GONE:
+                self.engines[number] = state = self._overlaid(state)
+                state.driver.listed(state)
+                entries.append(state.entry)
+        for name in sorted(names):
+            self.events.log("ban", name=name, on=name in self.banned)
+        if entries:
+            self._tell(now, api.EngineList(ListKind.DELTA, self._version, tuple(entries)))
+
+    def _remember(self, name: str) -> None:
+        """Names come for ever; those of engines that are listed or banned are kept in any case."""
+        self.names.pop(name, None)
+        self.names[name] = None
+        if len(self.names) > MOST_NAMES:
+            kept = {state.name for state in self.engines.values()} | self.banned
+            if (oldest := next((name for name in self.names if name not in kept), None)) is not None:
+                del self.names[oldest]
+                self._back.pop(oldest, None)
 
     def _drop_engine(self, now: float, number: int) -> None:
         """Engines come under new ids for ever: one that is gone is forgotten, once nothing is out there."""
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -224,7 +224,7 @@
                     "known": {"offset": 1, "batch": [change(1, *hosts, whole=True)]}}
         path = self.config_file = Path(folder.name, "config.json")
         path.write_text(json.dumps(document))
-        self.document, environ = document, {"LB_CONFIG": str(path)}
+        self.document, environ = document, {"LB_CONFIG": str(path), "TMPDIR": folder.name}
         if operator:
             self.operator_file = Path(folder.name, "operator.toml")
             self.operator_file.write_text(operator)
@@ -240,6 +240,7 @@
                 if part is not None:
                     await part.close()
             program.desk.close()
+            program.shared.close()
             if program.agent:
                 program.agent.close()
             for task in program.tasks:
--- a/tests/test_operator.py
+++ b/tests/test_operator.py
@@ -4,10 +4,12 @@
 import json
 import unittest.mock
 
-from peers import LOAD, SQL, EdgeCase, TdsClient, host, page
+from peers import LOAD, SQL, Bus, EdgeCase, TdsClient, change, host, page
 
+from frostspindle.core import Ask, Attempt, clock
 from frostspindle.net import operator, platform
 from frostspindle.net.tds import front as tds_front
+from frostspindle.shared import Shared
 
 HEAD = ("POST /call/lookup HTTP/1.1\r\nHost: t\r\nX-Request-Id: %016x\r\nX-Timeout-Ms: 2000\r\nX-Cost-Ms: 50\r\n"
         "Content-Length: 31\r\n\r\n" + SQL)
@@ -168,3 +170,76 @@
             again = await TdsClient(self.program.tds.port).open()
             self.assertTrue(again.result.accepted)
             again.writer.close()
+
+
+class Bans(Operated):
+    async def test_a_banned_engine_gets_nothing_new_whatever_the_bus_says_until_it_is_called_back(self):
+        first, second = await self.engines(2)
+        bus = await Bus().start()
+        self.addCleanup(bus.server.close)
+        await self.coordinator([host("s-00000000", first.port), host("s-00000001", second.port)], bus=bus.port)
+        await bus.joined()
+        self.assertTrue((await self.operate("disable-server s-00000009"))[0].startswith("NAK "))
+        await self.until(lambda: len(self.program.core.names) == 2)
+        self.assertEqual(await self.operate("disable-server s-00000000"), ["ACK"])
+        self.assertEqual(await self.operate("disable-server s-00000000"), ["ACK"])
+        bus.say(change(2, host("s-00000000", first.port)))  # the list knows nothing of it
+        await self.until(lambda: self.program.bus.last == 2)
+        for number in range(8):
+            self.assertEqual((await self.ask(number=number))[0], 200)
+        self.assertEqual((len(first.calls), len(second.of("POST"))), (0, 8))
+        self.assertEqual(((await self.figures())["hosts_listed"], (await self.figures())["hosts_down"]), (2, 1))
+        self.program.core.controller.engines[0].suspect = True
+        self.assertEqual((await self.figures())["hosts_down"], 1)  # each once
+        bus.say(change(3, host("s-00000001", second.port, "leaving")))
+        await self.until(lambda: self.program.bus.last == 3)
+        before = self.program.driver.peers[0]
+        self.assertEqual(await self.operate("enable-server s-00000000"), ["ACK"])
+        self.assertEqual((await self.ask(number=9))[0], 200)
+        self.assertEqual(len(first.of("POST")), 1)
+        self.assertIsNot(self.program.driver.peers[0], before)  # no connection of before the restart is used
+        believed = self.program.core.controller.engines[0]
+        self.assertEqual((believed.suspect, believed.cold(clock())), (False, True))
+
+    async def test_a_ban_holds_for_what_waits_to_be_sent_and_for_an_engine_that_leaves_and_returns(self):
+        (engine,) = await self.engines()
+        bus = await Bus().start()
+        self.addCleanup(bus.server.close)
+        await self.coordinator([host("s-00000000", engine.port)], bus=bus.port)
+        await bus.joined()
+        await self.ask(number=1)
+        core = self.program.core
+        ask = Ask("http", 0, "0" * 16, SQL, clock(), 900.0, lambda answer: None)
+        attempt = Attempt(ask, 0, 0, clock(), 900.0, "lookup", 0.0, 1)
+        self.assertTrue(core.may_send(attempt))
+        core.ban(frozenset({"s-00000000"}))
+        self.assertFalse(core.may_send(attempt))  # at once, before the core's task has had its turn
+        await self.operate("disable-server s-00000000")
+        bus.say(change(2, host("s-00000000", engine.port, "left")), change(3, host("s-00000000", engine.port)))
+        await self.until(lambda: self.program.bus.last == 3)
+        self.assertEqual((await self.ask(number=2, timeout=300.0))[0], 503)
+        self.assertEqual(len(engine.of("POST")), 1)
+
+    async def test_another_process_of_the_same_name_takes_the_bans_over_and_both_follow_each_other(self):
+        (engine,) = await self.start()
+        self.assertEqual(await self.operate("disable-server s-00000000"), ["ACK"])
+        name, told = "s/%é.. 1", []
+        other = Shared({"TMPDIR": str(self.program.shared.folder.parent)}, "t0")
+        (other.folder / "left-behind").write_text("by a process that was killed")
+        other.start(told.append)
+        self.addCleanup(other.close)
+        self.assertEqual(told, [frozenset({"s-00000000"})])
+        other.ban(name, True)
+        await self.until(lambda: self.program.core.banned == {"s-00000000", name})
+        other.ban("s-00000000", False)
+        await self.until(lambda: self.program.core.banned == {name})
+        self.assertEqual((await self.ask())[0], 200)
+
+    async def test_names_of_engines_are_kept_up_to_a_bound_and_bans_outlast_it(self):
+        (engine,) = await self.start()
+        core = self.program.core
+        await self.until(lambda: core.names)
+        await self.operate("disable-server s-00000000")
+        for number in range(5000):
+            core._remember(f"s-{number + 1:08x}")
+        self.assertEqual((len(core.names), "s-00000000" in core.names), (4096, True))
