Upgrade beside a running process: serve on the inherited socket and leave it as in a drain

Found on the way: the front accepted before the core had heard of the known list, as its start no longer gave way to the loop; Program.start now waits for that.

--- a/frostspindle/__main__.py
+++ b/frostspindle/__main__.py
@@ -27,6 +27,7 @@
 from pinstage.interface import ListKind
 
 ACCEPT_S = 0.75  # after SIGTERM new work still comes for up to 0.6 s, and is owed its answer
+KILL_S, LAST_S = 5.0, 0.5  # an upgrade kills after the longest deadline, KILL_S at most, and 0.7 s
 FLUSH_S = 0.1  # for the last answers to leave
 
 
@@ -62,24 +63,32 @@
         if self.desk:
             await self.desk.start()
         self.bus.start()
-        self.shared.start(self.core.ban)
+        self.shared.start(self.core.ban, self.crowd)
         for work in (self.core.run(), self.bus.run()):
             task = asyncio.create_task(work)
             task.add_done_callback(self._ended)
             self.tasks.append(task)
         if self.tds and self.tds_driver:
             self.tds_driver.configure(self.tds.tds.engine, ListKind.FULL)
-            await self.tds.start()
+            await self.tds.start(self.config.inherited is not None)
         if snmp := self.config.operator.snmp:
             from frostspindle.net.snmp import Agent  # pysnmp costs memory that only its users pay
 
             self.agent = Agent(snmp, self.core, self.events, self.sessions)
-            await self.agent.start()
-        await self.platform.start()
+            await self.agent.start(self.config.inherited is not None)
+        while self.core.behind and not self.stopping.is_set():
+            await asyncio.sleep(0)  # who is accepted meets a core that knows engines and bans
+        self.platform.start()
         self.serving = True
         self.events.log("ready", listen=f"{self.config.listen[0]}:{self.platform.port}",
                         tds=self.tds.port if self.tds else None, snmp=self.agent.port if self.agent else None)
 
+    def crowd(self, crowded: bool) -> None:
+        """Another process of this coordinator has come or gone: an upgrade."""
+        self.platform.crowd(crowded)
+        self.driver.crowd(crowded)
+        self.events.log("crowd", crowded=crowded)
+
     # What operators call.
 
     def ready(self) -> None:
@@ -157,15 +166,24 @@
         self.tds_driver.configure(tds.engine)
 
     async def stop(self) -> None:
-        """Go on accepting for a while, finish what was taken, then let go of everything."""
+        """Go on accepting for a while, finish what was taken, then let go of everything.
+
+        On a socket that the platform holds a successor accepts already: clients are sent there, as in a drain.
+        """
+        clock = asyncio.get_running_loop().time
         self.serving = False
-        self.events.log("stopping", open=self.core.open)
+        longest_s = max(3.0, *(c.deadline_ms / 1000.0 for c in self.config.settings.classes))
+        last = clock() + longest_s + ACCEPT_S
+        if self.config.inherited is not None:
+            self.platform.leave()
+            self.drain()
+            last = clock() + min(longest_s, KILL_S) + LAST_S
+        self.events.log("stopping", open=self.core.open, last_s=round(last - clock(), 2))
         await asyncio.sleep(ACCEPT_S)
-        longest_s = max(c.deadline_ms for c in self.config.settings.classes) / 1000.0
-        last = asyncio.get_running_loop().time() + max(3.0, longest_s)
         # Also what is answered but not yet fetched: a long result comes in several calls.
-        while (self.core.open or self.platform.owing) and asyncio.get_running_loop().time() < last:
+        while (self.core.open or self.platform.owing) and clock() < last:
             await asyncio.sleep(0.02)
+        self.core.give_up()
         await asyncio.sleep(FLUSH_S)
         await self.platform.close()
         if self.tds and self.tds_driver:
--- a/frostspindle/config.py
+++ b/frostspindle/config.py
@@ -11,6 +11,7 @@
 import dataclasses
 import ipaddress
 import os
+import stat
 from collections.abc import Mapping
 from pathlib import Path
 from typing import Annotated, Any
@@ -158,6 +159,7 @@
     operator: Operator
     plan: TdsPlan
     desk: Address | str | None = None  # where operators call; a str is the path of a Unix socket
+    inherited: int | None = None  # the descriptor of a listening socket that the platform holds
 
 
 def address(text: str, key: str) -> Address:
@@ -207,6 +209,19 @@
     return operator
 
 
+def _descriptor(text: str) -> int | None:
+    """The number of an open socket."""
+    if not text:
+        return None
+    try:
+        number = int(text)
+        if stat.S_ISSOCK(os.fstat(number).st_mode):
+            return number
+    except (ValueError, OverflowError, OSError):
+        pass
+    raise ConfigError(f"LB_INHERITED_FD: not the number of an open socket: {text!r}")
+
+
 def _one_line(error: Exception) -> str:
     return " ".join(str(error).split())
 
@@ -251,7 +266,8 @@
         classes=classes, kinds=_names(document.settings, "kinds"),
         zones=_names(document.settings, "failureDomains"), idle_ms=idle_ms,
         operator=operator, plan=plan,
-        desk=desk if desk.startswith("/") else address(desk, "LB_OPERATOR") if desk else None)
+        desk=desk if desk.startswith("/") else address(desk, "LB_OPERATOR") if desk else None,
+        inherited=_descriptor(environ.get("LB_INHERITED_FD", "")))
 
 
 def with_tds(settings: Settings, names: tuple[str, ...], tds: Tds) -> tuple[Settings, TdsPlan]:
--- a/frostspindle/core.py
+++ b/frostspindle/core.py
@@ -201,6 +201,11 @@
         """Requests taken and not yet answered."""
         return self._open
 
+    @property
+    def behind(self) -> bool:
+        """The core has yet to hear of engines or bans."""
+        return bool(self._urgent)
+
     def submit(self, ask: Ask) -> bool:
         """Take a request; False: full, the front refuses it by itself and the module never hears of it."""
         if self._open >= self.most_open:
@@ -253,6 +258,11 @@
         """The attempt has left whole for its engine."""
         self.events.count("written", attempt.ask.front, attempt.class_name)
 
+    def give_up(self) -> None:
+        """The program ends: what is still open gets its answer, for none would come any more."""
+        for number in [number for number, record in self._records.items() if not record.answered]:
+            self._answer(number, Answer(FAILED))
+
     def _put(self, event: Any) -> None:
         self._inbox.append(event)
         self._wake.set()
--- a/frostspindle/net/engines.py
+++ b/frostspindle/net/engines.py
@@ -31,7 +31,8 @@
 PAGES, PAGE_BYTES, RESULT_BYTES = 64, 64 * 1024, 256 * 1024  # bounds on a result; the protocol has 48,000 bytes
 ANSWER_BYTES = PAGE_BYTES + 16 * 1024  # of one answer on the wire: head, page, and 1xx answers before it
 FIELDS, FIELD = 64, 4096  # headers of one answer, and their length
-ENGINE_PART = 0.38  # of all sockets, for connections to engines; clients have another part
+# Of all sockets, for connections to engines, alone and beside another process; clients have another part.
+ENGINE_PART, CROWDED_PART = 0.38, 0.16
 TIDY_S = 1.0
 NOTES = {b"pct": NoteKind.PROGRESS, b"overflow": NoteKind.SPILLS, b"queued": NoteKind.WAITS}
 NAMES = {"util": "load_share", "queue": "depth", "inflight": "concurrent"}
@@ -319,13 +320,18 @@
         self.loop = asyncio.get_running_loop()
         # Idle connections are closed here well before the engine does: a call that crosses its close is lost.
         self.idle_s = config.idle_ms / 2000.0
-        self.most = max(16, int(config.limits.sockets * ENGINE_PART))
+        self.sockets = config.limits.sockets
+        self.crowd(False)
         self.opening = 0
         self.columns = core.settings.report_columns
         self.peers: dict[int, _Peer] = {}
         self.retired: set[_Peer] = set()  # with calls that have yet to end
         self._tidier = self.loop.call_later(TIDY_S, self._tidy)
 
+    def crowd(self, crowded: bool) -> None:
+        """Bound the connections; while another process serves too, both must fit into the descriptors."""
+        self.most = max(16, int(self.sockets * (CROWDED_PART if crowded else ENGINE_PART)))
+
     def may_open(self, peer: _Peer) -> bool:
         """Bounds all connections to engines together; idle ones of other engines make room."""
         peers = [*self.peers.values(), *self.retired]
--- a/frostspindle/net/platform.py
+++ b/frostspindle/net/platform.py
@@ -12,6 +12,7 @@
 import asyncio
 import math
 import re
+import socket
 from collections import deque
 from typing import Any
 
@@ -36,8 +37,9 @@
 # In a drain: new connections come for another 0.3 s, idle ones end from EASE_S on, nothing is taken after TAKE_S.
 EASE_S, TAKE_S, QUIET_S = 0.4, 1.8, 0.3
 AHEAD = 16  # calls of one connection that are taken while earlier ones are not yet answered
-CLIENT_PART = 0.42  # of all sockets; usual clients hold a third at most
+CLIENT_PART, CROWDED_PART = 0.42, 0.27  # of all sockets; usual clients hold a third at most, of both processes
 ACCEPT, BACKLOG = 16, 512  # connections accepted in one turn, and those that the system keeps waiting
+SHORT_S = 0.1  # accepting rests for so long when descriptors run out all the same
 PAGE_BYTES = 48 * 1024  # rows in one answer
 KEEP_S = 5.0  # how long answers are kept for a repeated GET
 RANGE = 10.0  # a client may say that it waits for so many times its class's longest wait
@@ -287,7 +289,7 @@
     def __init__(self, config: Config, core: Core, events: Events) -> None:
         self.config, self.core, self.events = config, core, events
         self.loop = asyncio.get_running_loop()
-        self.most_clients = max(16, int(config.limits.sockets * CLIENT_PART))
+        self.crowd(False)
         self.most_memory = max((*core.settings.kind_memory_mb, 1.0))
         self.keep_bytes = int(config.limits.memory_mb * 2**20 / 24)
         self.classes = {name.encode(): number for number, name in enumerate(config.classes)}
@@ -295,23 +297,56 @@
         self.ids: set[str] = set()  # of the requests that are open
         self._open: dict[str, _Open] = {}  # by path
         self._kept = self._paths = 0
-        self._server: asyncio.Server | None = None
+        self.port = 0
+        self._listener: socket.socket | None = None
+        self._joining: set[asyncio.Task[Any]] = set()
         self._sweeper: asyncio.TimerHandle | None = None
         self._drained_at = math.inf
 
-    async def start(self) -> None:
-        host, port = self.config.listen
-        # asyncio accepts `backlog` connections at a stretch before any of them is seen here. So many must fit into
-        # the descriptors left, or accepting stops for a second; those that wait in the system cost none.
-        self._server = await self.loop.create_server(lambda: _Client(self), host, port, backlog=ACCEPT)
-        for listening in self._server.sockets:
-            listening._sock.listen(BACKLOG)
+    def start(self) -> None:
+        """Accept from the socket that the platform holds, or from one of our own."""
+        if self.config.inherited is not None:
+            # It is shared with the platform and another process: no bind, no shutdown, and no listen, which would
+            # set its backlog anew.
+            listener = socket.socket(fileno=self.config.inherited)
+        else:
+            host, port = self.config.listen
+            listener = socket.create_server(
+                (host, port), family=socket.AF_INET6 if ":" in host else socket.AF_INET, backlog=BACKLOG)
+        listener.setblocking(False)
+        self._listener, self.port = listener, listener.getsockname()[1]
+        self._listen()
         self._sweep()
 
-    @property
-    def port(self) -> int:
-        assert self._server is not None
-        return int(self._server.sockets[0].getsockname()[1])
+    def _listen(self) -> None:
+        if self._listener is not None:
+            self.loop.add_reader(self._listener, self._accept)
+
+    def _accept(self) -> None:
+        """Take a few: all of one turn must fit into the descriptors; the others wait in the system."""
+        for _ in range(ACCEPT):
+            if self._listener is None:
+                return
+            try:
+                accepted, _ = self._listener.accept()
+            except (BlockingIOError, InterruptedError, ConnectionAbortedError):
+                return  # the other process was first, or the client has gone
+            except OSError as error:
+                self.events.log("accept", error=repr(error))
+                self.loop.remove_reader(self._listener)
+                self.loop.call_later(SHORT_S, self._listen)
+                return
+            accepted.setblocking(False)
+            joining = self.loop.create_task(self.loop.connect_accepted_socket(lambda: _Client(self), accepted))
+            self._joining.add(joining)
+            joining.add_done_callback(self._joining.discard)
+
+    def leave(self) -> None:
+        """Stop accepting; who waits in an inherited socket's line is the other process's."""
+        if self._listener is not None:
+            self.loop.remove_reader(self._listener)
+            self._listener.close()
+            self._listener = None
 
     @property
     def owing(self) -> int:
@@ -325,11 +360,14 @@
     async def close(self) -> None:
         if self._sweeper is not None:
             self._sweeper.cancel()
-        if self._server is not None:
-            self._server.close()
+        self.leave()
         for client in list(self.clients):
             client.transport.close()
 
+    def crowd(self, crowded: bool) -> None:
+        """Bound the connections; while another process serves too, both must fit into the descriptors."""
+        self.most_clients = max(16, int(self.config.limits.sockets * (CROWDED_PART if crowded else CLIENT_PART)))
+
     # Draining.
 
     @property
--- a/frostspindle/net/snmp.py
+++ b/frostspindle/net/snmp.py
@@ -113,10 +113,13 @@
         self.port = 0
         self._engine: Any = None
 
-    async def start(self) -> None:
+    async def start(self, shared: bool = False) -> None:
+        """`shared`: over an upgrade the other process may still hold the address."""
         logging.getLogger("pysnmp").addHandler(logging.NullHandler())
         sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         sock.setblocking(False)
+        if shared:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
         sock.bind(address(self.snmp.listen, "snmp.listen"))
         self.port = sock.getsockname()[1]
         self._engine = SnmpEngine()
--- a/frostspindle/net/tds/front.py
+++ b/frostspindle/net/tds/front.py
@@ -220,8 +220,10 @@
         """The first entry of the operator's file whose application and database fit."""
         return _first(self.tds.login, login)
 
-    async def start(self) -> None:
-        self._server = await asyncio.start_server(self._serve, *self.listen, limit=CHUNK, backlog=ACCEPT)
+    async def start(self, shared: bool = False) -> None:
+        """`shared`: over an upgrade the other process may still hold the address."""
+        self._server = await asyncio.start_server(self._serve, *self.listen, limit=CHUNK, backlog=ACCEPT,
+                                                  reuse_port=shared or None)
         for listening in self._server.sockets:  # so many may be accepted at a stretch; others wait in the system
             listening._sock.listen(BACKLOG)
 
--- a/frostspindle/shared.py
+++ b/frostspindle/shared.py
@@ -1,4 +1,4 @@
-"""What the processes of one coordinator share over an upgrade: the bans, as files in $TMPDIR.
+"""What the processes of one coordinator share over an upgrade: the bans and their presence, as files in $TMPDIR.
 
 Owns the folder of this coordinator's name there. A ban is one marker file, so that two processes need no lock to
 change and read them. It must never judge what a ban means, never fail for what a killed process has left behind,
@@ -8,12 +8,15 @@
 from __future__ import annotations
 
 import asyncio
+import fcntl
+import os
 from collections.abc import Callable, Mapping
 from pathlib import Path
+from typing import BinaryIO
 from urllib.parse import quote, unquote
 
 REREAD_S = 0.1  # the other process's word must reach engines' gates within 250 ms
-BAN = "ban-"
+BAN, RUN = "ban-", "run-"
 
 
 class Shared:
@@ -23,18 +26,34 @@
         at = environ.get("TMPDIR", "")
         self.folder = Path(at, f"frostspindle-{quote(name, safe='')}") if at else None
         self.banned: frozenset[str] = frozenset()
+        self.crowded = False  # another process of this coordinator runs too
         self._timer: asyncio.TimerHandle | None = None
+        self._lock: BinaryIO | None = None
 
-    def start(self, told: Callable[[frozenset[str]], None]) -> None:
-        """Tell the bans now, and again whenever the other process changes them."""
+    def start(self, told: Callable[[frozenset[str]], None], crowd: Callable[[bool], None]) -> None:
+        """Tell the bans now, and again whenever they change; likewise whether another process runs."""
+        self._told, self._crowd = told, crowd
         if self.folder is not None:
             self.folder.mkdir(mode=0o700, parents=True, exist_ok=True)
-        self._told = told
+            self._lock = self._mark(self.folder / f"{RUN}{os.getpid()}-{id(self):x}")
         self._read()
 
+    @staticmethod
+    def _mark(path: Path) -> BinaryIO:
+        """A file under a lock that the system drops with its process, however that ends: the file says nothing."""
+        while True:
+            marker = open(path, "wb")
+            fcntl.flock(marker, fcntl.LOCK_EX)  # the other process holds it for a moment at most, to look at it
+            if path.exists():
+                return marker
+            marker.close()  # and took it for a leftover before the lock was on it
+
     def close(self) -> None:
         if self._timer is not None:
             self._timer.cancel()
+        if self._lock is not None:
+            self._lock.close()
+            Path(self._lock.name).unlink(missing_ok=True)
 
     def ban(self, name: str, on: bool) -> None:
         """Keep or end a ban, by OSError not at all."""
@@ -59,6 +78,24 @@
         except OSError:
             return  # whoever took the folder away, the bans known here still hold
         self._tell(frozenset(unquote(name[len(BAN):]) for name in names if name.startswith(BAN)))
+        crowded = sum(self._runs(self.folder / name) for name in names if name.startswith(RUN)) > 0
+        if crowded != self.crowded:
+            self.crowded = crowded
+            self._crowd(crowded)
+
+    def _runs(self, marker: Path) -> bool:
+        """Whether another process holds this marker; one that nobody holds was left behind."""
+        if self._lock is not None and marker.name == Path(self._lock.name).name:
+            return False
+        try:
+            with open(marker, "rb") as held:
+                fcntl.flock(held, fcntl.LOCK_EX | fcntl.LOCK_NB)
+                marker.unlink(missing_ok=True)
+        except BlockingIOError:
+            return True
+        except OSError:
+            pass
+        return False
 
     def _tell(self, banned: frozenset[str]) -> None:
         if banned != self.banned:
--- a/tests/test_operator.py
+++ b/tests/test_operator.py
@@ -226,7 +226,7 @@
         name, told = "s/%é.. 1", []
         other = Shared({"TMPDIR": str(self.program.shared.folder.parent)}, "t0")
         (other.folder / "left-behind").write_text("by a process that was killed")
-        other.start(told.append)
+        other.start(told.append, lambda crowded: None)
         self.addCleanup(other.close)
         self.assertEqual(told, [frozenset({"s-00000000"})])
         other.ban(name, True)
