--- a/frostspindle/net/engines.py
+++ b/frostspindle/net/engines.py
@@ -32,7 +32,7 @@
 ANSWER_BYTES = PAGE_BYTES + 16 * 1024  # of one answer on the wire: head, page, and 1xx answers before it
 FIELDS, FIELD = 64, 4096  # headers of one answer, and their length
 # Of all sockets, for connections to engines, alone and beside another process; clients have another part.
-ENGINE_PART, CROWDED_PART = 0.38, 0.16
+ENGINE_PART, CROWDED_PART = 0.38, 0.14
 TIDY_S = 1.0
 NOTES = {b"pct": NoteKind.PROGRESS, b"overflow": NoteKind.SPILLS, b"queued": NoteKind.WAITS}
 NAMES = {"util": "load_share", "queue": "depth", "inflight": "concurrent"}
--- a/frostspindle/net/platform.py
+++ b/frostspindle/net/platform.py
@@ -12,6 +12,7 @@
 import asyncio
 import math
 import re
+import select
 import socket
 from collections import deque
 from typing import Any
@@ -37,7 +38,7 @@
 # In a drain: new connections come for another 0.3 s, idle ones end from EASE_S on, nothing is taken after TAKE_S.
 EASE_S, TAKE_S, QUIET_S = 0.4, 1.8, 0.3
 AHEAD = 16  # calls of one connection that are taken while earlier ones are not yet answered
-CLIENT_PART, CROWDED_PART = 0.42, 0.27  # of all sockets; usual clients hold a third at most, of both processes
+CLIENT_PART, CROWDED_PART = 0.42, 0.34  # of all sockets; usual clients hold a third at most, of both processes
 ACCEPT, BACKLOG = 16, 512  # connections accepted in one turn, and those that the system keeps waiting
 SHORT_S = 0.1  # accepting rests for so long when descriptors run out all the same
 PAGE_BYTES = 48 * 1024  # rows in one answer
@@ -195,6 +196,13 @@
         if len(self.line) >= AHEAD:
             self.transport.pause_reading()
 
+    def end(self) -> None:
+        """Close a connection on which nothing is open, unless a call lies unread in the system."""
+        unread = select.poll()
+        unread.register(self.transport.get_extra_info("socket").fileno(), select.POLLIN)
+        if not unread.poll(0):
+            self.transport.close()
+
     def refuse(self, refusal: Refusal) -> None:
         """The last answer of this connection; nothing more of it is parsed."""
         self.deaf, self.partial = True, False
@@ -383,12 +391,11 @@
 
     def _ease(self, client: _Client, state: int, waited: float, drained: float) -> None:
         """One connection in a drain: idle ones end, but not one whose client is about to ask for a `next`."""
-        if state == IDLE and waited > (1.0 if client.awaited else 0.0) and drained > EASE_S:
-            client.transport.close()
-        elif state == FRESH and waited > QUIET_S and drained > EASE_S:
-            client.transport.close()
-        elif state == COMING and waited > QUIET_S and drained > TAKE_S:
-            client.refuse(Refusal(503, "Busy"))
+        if state == COMING:
+            if waited > QUIET_S and drained > TAKE_S:
+                client.refuse(Refusal(503, "Busy"))
+        elif drained > EASE_S and waited > (QUIET_S if state == FRESH else 1.0 if client.awaited else 0.0):
+            client.end()
 
     # Connections.
 
@@ -433,8 +440,8 @@
                 client.refuse(Refusal(408, "the request did not come in time"))
             elif (state == FRESH and waited > WHOLE_S) or (state == IDLE and waited > IDLE_S):
                 self.events.count("silent_clients", FRONT)
-                client.transport.close()
-            elif self.draining:
+                client.end()
+            elif self.draining and state in (FRESH, COMING, IDLE):
                 self._ease(client, state, waited, now - self._drained_at)
 
     # One call.
--- /dev/null
+++ b/tests/test_upgrade.py
@@ -0,0 +1,179 @@
+"""Upgrades over loopback: a second process beside the first, on a socket that both inherit."""
+
+import asyncio
+import fcntl
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import unittest
+from pathlib import Path
+
+import aiohttp
+from peers import SQL, HttpEngine, change, host, settings
+
+from frostspindle.shared import Shared
+
+ROOT = Path(__file__).parent.parent
+
+
+class Running:
+    """One process of the program, and the events that it logs."""
+
+    def __init__(self, config: Path, listening: socket.socket, folder: str, **environ: str) -> None:
+        self.process = subprocess.Popen(
+            [sys.executable, "-m", "frostspindle"], cwd=ROOT, stderr=subprocess.PIPE, text=True,
+            pass_fds=(listening.fileno(),), env={**os.environ, "LB_CONFIG": str(config), "TMPDIR": folder,
+                                                 "LB_INHERITED_FD": str(listening.fileno()), **environ})
+        self.lines = iter(self.process.stderr.readline, "")
+
+    async def event(self, name: str) -> dict:
+        async with asyncio.timeout(15.0):
+            while (event := json.loads(await asyncio.to_thread(next, self.lines)))["event"] != name:
+                pass
+        return event
+
+    def end(self) -> None:
+        if self.process.poll() is None:
+            self.process.kill()
+        self.process.wait()
+        self.process.stderr.close()
+
+
+class Upgrade(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder, self.config = folder.name, Path(folder.name, "config.json")
+        self.engine = await HttpEngine().start()
+        self.addCleanup(self.engine.server.close)
+        self.listening = socket.create_server(("127.0.0.1", 0), backlog=300)
+        self.addCleanup(self.listening.close)
+        self.port = self.listening.getsockname()[1]
+        self.config.write_text(json.dumps({
+            "name": "t0", "listen": f"127.0.0.1:{self.port}", "settings": settings(), "known": {
+                "offset": 1, "batch": [change(1, host("s-00000001", self.engine.port), whole=True)]}}))
+
+    def run_one(self, **environ: str) -> Running:
+        running = Running(self.config, self.listening, self.folder, **environ)
+        self.addCleanup(running.end)
+        return running
+
+    async def ask(self, session, number):
+        headers = {"X-Request-Id": f"{number:016x}", "X-Timeout-Ms": "3500", "X-Cost-Ms": "50"}
+        async with session.post("/call/load", data=SQL, headers=headers) as response:
+            return response.status, await response.json(), response.headers.get("Connection", "")
+
+    def session(self):
+        session = aiohttp.ClientSession(f"http://127.0.0.1:{self.port}")
+        self.addAsyncCleanup(session.close)
+        return session
+
+    async def test_the_old_process_finishes_what_it_took_and_the_new_one_takes_what_comes(self):
+        release = asyncio.Event()
+
+        async def slow():
+            await release.wait()
+        self.engine.script = lambda request, body: slow() if request.method == "POST" else None
+        waiting = socket.create_connection(("127.0.0.1", self.port))  # in the line before anybody accepts
+        self.addCleanup(waiting.close)
+        old = self.run_one()
+        await old.event("ready")
+        session, later = self.session(), self.session()
+        first = asyncio.create_task(self.ask(session, 1))
+        await self.engine.seen("POST")
+        new = self.run_one()
+        await new.event("ready")
+        old.process.send_signal(signal.SIGTERM)
+        await old.event("stopping")
+        second = asyncio.create_task(self.ask(later, 2))
+        await self.engine.seen("POST", 2)
+        release.set()
+        self.assertEqual(await first, (200, {"rows": [["a", "1", "x"]]}, "close"))
+        self.assertEqual((await second)[:2], (200, {"rows": [["a", "1", "x"]]}))
+        counted = (await old.event("counters"))["figures"]["calls"]["load"]["success"]
+        self.assertEqual((counted, await asyncio.to_thread(old.process.wait, 20)), (1, 0))
+        self.assertEqual((await self.ask(later, 3))[0], 200)  # the socket was not shut down with the old one
+        self.assertEqual(len(self.engine.of("POST")), 3)
+        new.process.send_signal(signal.SIGTERM)
+        self.assertEqual((await new.event("counters"))["figures"]["calls"]["load"]["success"], 2)
+        self.assertEqual(await asyncio.to_thread(new.process.wait, 20), 0)
+
+    async def test_the_line_of_the_inherited_socket_keeps_its_length(self):
+        await self.run_one().event("ready")
+        self.assertEqual(self.backlog(), 300)
+
+    def backlog(self):
+        """The longest line of the listening socket, as the system has it."""
+        # Field tcpi_sacked of TCP_INFO is the backlog of a listening socket.
+        info = self.listening.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 104)
+        return int.from_bytes(info[28:32], sys.byteorder)
+
+    async def test_what_is_open_at_the_last_moment_is_answered_before_the_end(self):
+        document = json.loads(self.config.read_text())
+        for category in document["settings"]["categories"]:
+            category["hardLimit"] = 60000.0
+        self.config.write_text(json.dumps(document))
+        self.engine.script = lambda request, body: asyncio.sleep(60) if request.method == "POST" else None
+        old, session = self.run_one(), self.session()
+        await old.event("ready")
+        headers = {"X-Request-Id": "0" * 16, "X-Timeout-Ms": "50000", "X-Cost-Ms": "40000"}
+
+        async def ask():
+            async with session.post("/call/load", data=SQL, headers=headers) as response:
+                path = (await response.json())["next"]
+            while True:
+                async with session.get(path) as response:
+                    body = await response.json()
+                    if "next" not in body:
+                        return response.status
+                    path = body["next"]
+        asked = asyncio.create_task(ask())
+        await self.engine.seen("POST")
+        old.process.send_signal(signal.SIGTERM)
+        began = asyncio.get_running_loop().time()
+        self.assertEqual(await asked, 502)
+        self.assertEqual(await asyncio.to_thread(old.process.wait, 20), 0)
+        self.assertLess(asyncio.get_running_loop().time() - began, 5.7)
+
+    async def test_both_processes_hold_the_addresses_of_tds_and_snmp(self):
+        ports = [socket.create_server(("127.0.0.1", 0)), socket.socket(type=socket.SOCK_DGRAM)]
+        ports[1].bind(("127.0.0.1", 0))
+        tds, snmp = (port.getsockname()[1] for port in ports)
+        for port in ports:
+            port.close()
+        operator = Path(self.folder, "operator.toml")
+        operator.write_text(f'[snmp]\nlisten = "127.0.0.1:{snmp}"\ncommunity = "watch"\n'
+                            f'[tds]\nlisten = "127.0.0.1:{tds}"\n'
+                            '[[tds.login]]\nclass = "lookup"\n[[tds.engine]]\nname = "t"\ndial = "127.0.0.1:9"\n')
+        for _ in range(2):
+            event = await self.run_one(FROSTSPINDLE_OPERATOR=str(operator)).event("ready")
+            self.assertEqual((event["tds"], event["snmp"]), (tds, snmp))
+
+    def test_what_is_no_socket_ends_it_with_2_and_one_line(self):
+        process = self.run_one(LB_INHERITED_FD="77").process
+        said = process.communicate(timeout=20)[1]
+        self.assertEqual((process.returncode, said.count("\n")), (2, 1), said)
+        self.assertIn("LB_INHERITED_FD", said)
+
+
+class Presence(unittest.IsolatedAsyncioTestCase):
+    async def test_two_processes_see_each_other_and_what_a_killed_one_left_counts_for_nothing(self):
+        with tempfile.TemporaryDirectory() as folder:
+            heard: dict[str, list[bool]] = {"a": [], "b": []}
+            a, b = Shared({"TMPDIR": folder}, "n"), Shared({"TMPDIR": folder}, "n")
+            a.start(lambda names: None, heard["a"].append)
+            (a.folder / "run-1").touch()  # of a process that was killed
+            b.start(lambda names: None, heard["b"].append)
+            a._read()
+            self.assertEqual(heard, {"a": [True], "b": [True]})
+            self.assertFalse((a.folder / "run-1").exists())
+            b.close()
+            a._read()
+            self.assertEqual(heard["a"], [True, False])
+            with open(a._lock.name, "rb") as other, self.assertRaises(BlockingIOError):
+                fcntl.flock(other, fcntl.LOCK_EX | fcntl.LOCK_NB)
+            a.close()
