--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -13,6 +13,7 @@
 from pathlib import Path
 
 import aiohttp
+from aiohttp import web
 from peers import SQL, HttpEngine, change, host, settings
 
 from frostspindle.shared import Shared
@@ -117,10 +118,14 @@
         for category in document["settings"]["categories"]:
             category["hardLimit"] = 60000.0
         self.config.write_text(json.dumps(document))
-        self.engine.script = lambda request, body: asyncio.sleep(60) if request.method == "POST" else None
+
+        async def at_work():
+            await asyncio.sleep(0.2)
+            return web.Response(status=202, headers={"X-Remark": "pct", "X-Value": "0.01"})
+        self.engine.script = lambda request, body: at_work() if request.method in ("POST", "GET") else None
         old, session = self.run_one(), self.session()
         await old.event("ready")
-        headers = {"X-Request-Id": "0" * 16, "X-Timeout-Ms": "50000", "X-Cost-Ms": "40000"}
+        headers = {"X-Request-Id": "0" * 16, "X-Timeout-Ms": "50000", "X-Cost-Ms": "50"}
 
         async def ask():
             async with session.post("/call/load", data=SQL, headers=headers) as response:
