Shed what is worth least once too many requests are open, and end held requests without a fault

At fault: nothing bounded what the module holds but sockets // 2, more than the third of the descriptors that clients have; both processes of an upgrade share that third. Also seen: KeyError faults at the end of the old process, as give_up answered requests that the module still held and then sent; the core now takes it from its queue and tells the module. Tests fail without it.

--- a/frostspindle/__main__.py
+++ b/frostspindle/__main__.py
@@ -27,6 +27,7 @@
 from pinstage.interface import ListKind
 
 ACCEPT_S = 0.75  # after SIGTERM new work still comes for up to 0.6 s, and is owed its answer
+OPEN_PART, NEW_PART = 0.29, 0.6  # of all descriptors, open requests; of these, the new process's part
 KILL_S, LAST_S = 5.0, 0.5  # an upgrade kills after the longest deadline, KILL_S at most, and 0.7 s
 FLUSH_S = 0.1  # for the last answers to leave
 
@@ -63,6 +64,7 @@
         if self.desk:
             await self.desk.start()
         self.bus.start()
+        self._bound(False)
         self.shared.start(self.core.ban, self.crowd)
         for work in (self.core.run(), self.bus.run()):
             task = asyncio.create_task(work)
@@ -87,8 +89,14 @@
         """Another process of this coordinator has come or gone: an upgrade."""
         self.platform.crowd(crowded)
         self.driver.crowd(crowded)
+        self._bound(crowded)
         self.events.log("crowd", crowded=crowded)
 
+    def _bound(self, crowded: bool) -> None:
+        """Clients have a third of the descriptors, for both processes: past that, nobody finds a connection."""
+        part = OPEN_PART * (1.0 if not crowded else NEW_PART if not self.stopping.is_set() else 1.0 - NEW_PART)
+        self.core.bound(max(16, int(self.config.limits.sockets * part)))
+
     # What operators call.
 
     def ready(self) -> None:
@@ -177,6 +185,7 @@
         if self.config.inherited is not None:
             self.platform.leave()
             self.drain()
+            self._bound(self.shared.crowded)
             last = clock() + min(longest_s, KILL_S) + LAST_S
         self.events.log("stopping", open=self.core.open, last_s=round(last - clock(), 2))
         await asyncio.sleep(ACCEPT_S)
--- a/frostspindle/core.py
+++ b/frostspindle/core.py
@@ -140,6 +140,18 @@
     names: frozenset[str]
 
 
+@dataclass(slots=True, frozen=True)
+class _Bound:
+    """The module's bound on open requests."""
+
+    most: int
+
+
+@dataclass(slots=True, frozen=True)
+class _Over:
+    """The program ends."""
+
+
 @dataclass(slots=True, frozen=True)
 class _Overdue:
     """A request's time is up. It names the request only: timers outlive what was answered long before."""
@@ -258,10 +270,15 @@
         """The attempt has left whole for its engine."""
         self.events.count("written", attempt.ask.front, attempt.class_name)
 
+    def bound(self, most: int) -> None:
+        """So many requests may be open before the module refuses some of those that it holds."""
+        self._urgent.append(_Bound(most))
+        self._wake.set()
+
     def give_up(self) -> None:
         """The program ends: what is still open gets its answer, for none would come any more."""
-        for number in [number for number, record in self._records.items() if not record.answered]:
-            self._answer(number, Answer(FAILED))
+        self._urgent.append(_Over())
+        self._wake.set()
 
     def _put(self, event: Any) -> None:
         self._inbox.append(event)
@@ -361,6 +378,12 @@
             self._list(now, event)
         elif isinstance(event, _Banned):
             self._lay(now, event.names)
+        elif isinstance(event, _Bound):
+            self.controller.most_open = event.most
+        elif isinstance(event, _Over):
+            for number in list(self._records):
+                self._answer(number, Answer(FAILED))
+                self._tell(now, api.Left(number))
         elif isinstance(event, _Leave):
             self._leave(now, event.ask.number, "left")
         elif isinstance(event, _Overdue):
--- a/pinstage/control.py
+++ b/pinstage/control.py
@@ -148,7 +148,7 @@
         # Where a share of an engine is less than one query, the sum of the shares is the bound.
         most = max(c.threads for c in settings.classes)
         self.sparse = THREADS_A_CORE * max(settings.kind_cores) / settings.dispatchers < most
-        self.threads, self.shares = 0, 0.0
+        self.threads, self.shares, self.most_open = 0, 0.0, math.inf  # most_open: as the sockets allow
         # Where memory runs over, too much let in collapses all; elsewhere an engine's line takes it up.
         self.pages = settings.when_short == "page"
         self.widen = 1.0 if self.pages else WIDE
@@ -222,6 +222,7 @@
         else:
             self._hold(job, now)
         self._release(now)
+        self._shed(now)
 
     def _on_started(self, now: float, event: api.Started) -> None:
         job = self.jobs.get(event.request)
@@ -292,6 +293,7 @@
             self._next_in_line(key, now)
         if look := now - self.looked_at >= LOOK_MS and now > self.woke_at:
             self._look_over(now)
+            self._shed(now)
         if look or rested:
             self._release(now)
         if event.token == 0:
@@ -363,6 +365,12 @@
         self.out.append(api.Refuse(job.request, wait) if harmless else api.Fail(job.request))
         self._close(job, now)
 
+    def _shed(self, now: float) -> None:
+        """Too many open: of those held, what has the least worth still to be had for its work is refused."""
+        while self.held and len(self.jobs) > self.most_open:
+            self._exit(min((j for _, _, _, j in self.held), key=lambda j: j.cs.worth / j.cost * (
+                j.cs.late_share if now + self._run_ms(j) > j.aim_at else 1.0)), now)
+
     def _again(self, job: Job, engine: Engine, verdict: int, now: float) -> None:
         if job.out or job.held:
             return
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -178,3 +178,16 @@
         k.end(i, Verdict.FULL)
         assert k.open[(i, 1)] != first
         k.end(i)
+
+
+def test_too_many_open_requests_cost_those_held_with_the_least_worth_for_their_work():
+    """125 of 128 connections of clients held by waiting requests, and nobody else found one (upgrade+hand)."""
+    k = Keeper(settings(READ, HEAVY), engines=1)
+    k.warm_up(60)
+    k.c.most_open = 20
+    for i in range(60):
+        k.request(i, i % 2, cost=100 if i % 2 == 0 else 900)
+    shed = [i for i in range(60) if k.answers.get(i) == "Refuse"]
+    assert len(shed) == 40 and len(k.c.jobs) == 20
+    assert sum(i % 2 for i in shed) > 25, "heavy before light"
+    assert not [request for request, _, _ in k.sent if request in shed], "only what was held"
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -14,7 +14,7 @@
 
 import aiohttp
 from aiohttp import web
-from peers import SQL, HttpEngine, change, host, settings
+from peers import SQL, EdgeCase, HttpEngine, change, host, settings
 
 from frostspindle.shared import Shared
 
@@ -165,6 +165,37 @@
         self.assertIn("LB_INHERITED_FD", said)
 
 
+class Ending(EdgeCase):
+    async def test_held_requests_are_given_up_without_a_further_send(self):
+        (engine,) = await self.engines()
+        await self.coordinator([host("s-00000001", engine.port)])
+        engine.script = lambda request, body: asyncio.sleep(60) if request.method == "POST" else None
+        core = self.program.core
+        asked = [asyncio.create_task(self.ask(number=number)) for number in range(60)]
+        await self.until(lambda: core.open == 60 and core.controller.held)
+        sent = self.count("sent")
+        core.give_up()
+        self.assertEqual({(await one)[0] for one in asked}, {502})
+        await self.until(lambda: not core._records)
+        self.assertEqual((core.controller.jobs, self.count("faults")), ({}, 0))
+        self.assertLessEqual(len(engine.of("POST")), sent)
+
+    async def test_over_an_upgrade_the_new_process_may_hold_more_than_the_one_that_ends(self):
+        await self.coordinator()
+        core = self.program.core
+
+        def most():
+            return core.controller.most_open
+        await self.until(lambda: most() == 296)  # 29 percent of 1,024
+        self.program.crowd(True)
+        await self.until(lambda: most() == 178)
+        self.program.stopping.set()
+        self.program.crowd(True)
+        await self.until(lambda: most() == 118)
+        self.program.crowd(False)
+        await self.until(lambda: most() == 296)
+
+
 class Presence(unittest.IsolatedAsyncioTestCase):
     async def test_two_processes_see_each_other_and_what_a_killed_one_left_counts_for_nothing(self):
         with tempfile.TemporaryDirectory() as folder:
