Give cold engines the work that was estimated, on a ramp that stays below a straight one

At fault in control.py: _cold_allowed took the capacity at the start for the whole warm-up and booked every small request with its class's mean. Now the budget grows with the square of the time, which stays under a linear ramp, and a request with an estimate is booked with 1.3 times that. Ruled out: memory (granted and others' far below), suspicion, sockets.

--- a/pinstage/control.py
+++ b/pinstage/control.py
@@ -37,7 +37,7 @@
 FLAP_MS = 5000.0  # suspected again so soon after a passed test, the next test waits twice as long
 BAD_PLAN = 6.0  # an attempt this far over its expected time is taken for a bad plan
 MEMORY_FULL = 0.95  # part of an engine's memory that grants may fill
-COLD_SAFETY = 0.5  # part of our share of a cold engine's budget that is used
+COLD_SAFETY, ESTIMATE_SAFETY = 0.5, 1.3  # part used of our share of a cold engine; estimates are raised so
 STALL_MS = 350.0  # no event for this long, for all the own timer: the dispatcher itself stood still
 WIDE = 3.0  # the bound over all engines starts at this many of our shares
 ROOMY = 0.5  # up to this part of memory in use, as reported, that bound is wider, WIDE when all is free
@@ -287,8 +287,7 @@
             job = self.jobs.get(request)
             if job and not job.streaming:
                 self._exit(job, now)
-        rested = [k for k, until in self.rest_until.items() if until <= now]
-        for key in rested:
+        for key in (rested := [k for k, until in self.rest_until.items() if until <= now]):
             del self.rest_until[key]
             self._next_in_line(key, now)
         if look := now - self.looked_at >= LOOK_MS and now > self.woke_at:
@@ -412,8 +411,7 @@
         return engine is None or not group or all(a.engine.entry[group] == engine.entry[group] for a in ran)
 
     def _retry_allowed(self, now: float) -> bool:
-        span = self.s.retry_span_ms
-        if span <= 0:
+        if (span := self.s.retry_span_ms) <= 0:
             return True
         while self.taken and self.taken[0] <= now - span:
             self.taken.popleft()
@@ -427,9 +425,10 @@
             return True
         while engine.cold_sends and engine.cold_sends[0][0] < now - self.s.cold_window_ms:
             engine.cold_sends.popleft()
-        start = self.s.cold_capacity * 0.85 * engine.cores  # the ramp is not told: its start throughout
+        grown = (max(0.0, now - engine.entry.since_ms) / self.s.warm_within_ms) ** 2  # the ramp is not told
+        start = (self.s.cold_capacity + (1.0 - self.s.cold_capacity) * grown) * 0.85 * engine.cores
         budget = COLD_SAFETY * self.s.cold_multiple * start * self.s.cold_window_ms
-        usual, n = max(job.cost, self.sizes.mean_cost[job.cls]), self.s.dispatchers
+        usual, n = self._cold_work(job), self.s.dispatchers
         turns = min(n, int(budget / min(self.sizes.mean_cost)))
         if turns < n and self.sparse:
             slot = int(now / self.s.cold_window_ms) + engine.id
@@ -438,6 +437,9 @@
             n = turns / 2.0  # a turn is for two small queries, and most pass unused
         return sum(work for _, work in engine.cold_sends) + usual <= budget / n
 
+    def _cold_work(self, job: Job) -> float:
+        return ESTIMATE_SAFETY * job.cost if job.hint > 0 else max(job.cost, self.sizes.mean_cost[job.cls])
+
     def _may_send(self, job: Job, engine: Engine, now: float) -> bool:
         """The gate that every send passes; rules first, then room and doubt."""
         cs = job.cs
@@ -459,9 +461,8 @@
             return False
         if engine.memory <= 0 or not self.threads:
             return True
-        if self.sees_memory:
-            free = MEMORY_FULL / self.used - self._others(engine, now)[1]
-        else:  # in step with the bound
+        free = MEMORY_FULL / self.used - self._others(engine, now)[1]
+        if not self.sees_memory:  # in step with the bound
             free = max(1.0 / self.s.dispatchers, min(MEMORY_FULL, 0.6 * engine.bound / engine.cores))
             free = free if engine.attempts else math.inf
         return engine.granted + self._grant(job, engine) <= engine.memory * free
@@ -536,7 +537,7 @@
         engine.attempts[(job.request, attempt.number)] = attempt
         self._book(attempt, 1)
         if engine.cold(now):
-            engine.cold_sends.append((now, max(job.cost, self.sizes.mean_cost[job.cls])))
+            engine.cold_sends.append((now, self._cold_work(job)))
         if job.group and job.group not in engine.warm:
             engine.warm.append(job.group)
         self._set_terms(job, True)
@@ -718,7 +719,7 @@
                 self._suspect(engine, now, "is silent")
         for line in list(self.lines.values()):
             self._thin(line, now)
-        for _, _, _, job in list(self.held):
+        for *_, job in list(self.held):
             hopeless = job.aim_at if job.cs.late_share <= 0 else job.deadline - MARGIN_MS
             if now + self._run_ms(job) > hopeless:
                 self._exit(job, now)
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -1,6 +1,6 @@
 """Each failure found on the bench's days or in incidents, as a small case without the bench."""
 
-from helpers import HEAVY, READ, Keeper, settings
+from helpers import HEAVY, READ, Keeper, entry, settings
 
 from pinstage import interface as api
 from pinstage.interface import Verdict
@@ -191,3 +191,20 @@
     assert len(shed) == 40 and len(k.c.jobs) == 20
     assert 2 * sum(i % 2 for i in shed) > len(shed), "heavy before light"
     assert not [request for request, _, _ in k.sent if request in shed], "only what was held"
+
+
+def test_a_cold_engine_takes_what_was_estimated_and_more_as_it_warms_up():
+    """Three engines just started stood nearly idle while 60 requests were held (upgrade+hand)."""
+    def taken(age: float, cost: float, count: int = 60) -> int:
+        k = Keeper(settings(READ, dispatchers=3, warm_within_ms=10000.0, cold_capacity=0.3, cold_multiple=4.0,
+                            kind_cores=(24.0,)), engines=1, now=50000.0)
+        k.warm_up(60)
+        k.list(entry(1, since=k.now - age))
+        before = len(k.sent)
+        for i in range(count):
+            k.request(i, 0, cost=cost)
+        return len(k.sent) - before
+
+    assert taken(0.0, 20.0, 15) == 15, "small ones count as what they are, not as the mean"
+    assert taken(0.0, 400.0) < taken(5000.0, 400.0) < taken(9000.0, 400.0)
+    assert taken(0.0, 400.0) * 400.0 <= 0.5 * 4.0 * 0.3 * 24.0 * 1000.0 / 3.0
