End a ban with the restart that the list told, where it told one

Seen on hand: the list told the restart 1 to 2 s before the call back, which then counted as the start, so that the engine was taken for cold for longer than it is. At fault: Core.ban set _back whatever the list had told.

--- a/frostspindle/core.py
+++ b/frostspindle/core.py
@@ -190,7 +190,8 @@
         self.engines: dict[int, EngineState] = {}
         self.names: dict[str, None] = {}  # all that were ever listed, up to MOST_NAMES
         self.banned: frozenset[str] = frozenset()
-        self._back: dict[str, float] = {}  # when a ban ended: the engine has restarted meanwhile
+        self._out: dict[str, float] = {}  # when each ban began
+        self._back: dict[str, float] = {}  # when a ban ended whose engine has restarted unknown to the list
         self._records: dict[int, Record] = {}
         self._open = self._numbers = self._version = 0
         self._urgent: deque[Any] = deque()  # the engine list; never waits behind client work
@@ -261,8 +262,12 @@
     def ban(self, names: frozenset[str]) -> None:
         """These engines, and no others, are left out by hand; drivers obey at once, the module hears of it next."""
         changed, self.banned = self.banned ^ names, names
-        for name in changed - names:
-            self._back[name] = clock()
+        now = clock()
+        self._out.update(dict.fromkeys(changed & names, now))
+        began = {name: self._out.pop(name, now) for name in changed - names}
+        told = {state.name for state in self.engines.values()
+                if state.listed is not None and state.listed.since_ms > began.get(state.name, now)}
+        self._back.update(dict.fromkeys(began.keys() - told, now))
         self._urgent.append(_Banned(changed))
         self._wake.set()
 
--- a/tests/test_operator.py
+++ b/tests/test_operator.py
@@ -201,6 +201,26 @@
         believed = self.program.core.controller.engines[0]
         self.assertEqual((believed.suspect, believed.cold(clock())), (False, True))
 
+    async def test_an_engine_whose_restart_was_told_meanwhile_is_cold_from_then_on(self):
+        (engine,) = await self.engines()
+        bus = await Bus().start()
+        self.addCleanup(bus.server.close)
+        await self.coordinator([host("s-00000000", engine.port)], bus=bus.port)
+        await bus.joined()
+        core = self.program.core
+        for offset, told in ((2, False), (3, True)):  # the list may or may not have told of the restart
+            await self.operate("disable-server s-00000000")
+            await self.until(lambda: core.engines[0].entry.health == 2)
+            began = clock()
+            born = began + 1.0 if told else 0.0
+            bus.say(change(offset, host("s-00000000", engine.port, born=born)))
+            await self.until(lambda offset=offset: self.program.bus.last == offset)
+            await asyncio.sleep(0.02)
+            await self.operate("enable-server s-00000000")
+            await self.until(lambda: core.engines[0].entry.health == 1)
+            since = core.engines[0].entry.since_ms
+            self.assertTrue(since == born if told else since > began + 19.0, (born, since))
+
     async def test_a_ban_holds_for_what_waits_to_be_sent_and_for_an_engine_that_leaves_and_returns(self):
         (engine,) = await self.engines()
         bus = await Bus().start()
