--- a/frostspindle/net/snmp.py
+++ b/frostspindle/net/snmp.py
@@ -1,8 +1,8 @@
 """The SNMP agent: the program's counters, engines and sessions, read-only, by SNMPv2c.
 
-Owns one UDP socket and the objects of mibs/FROSTSPINDLE-MIB.txt, which it fills from the same counters that
-SIGUSR1 prints. It must never change anything (every set is refused), never answer a wrong community, and never
-be imported unless the operator's file sets it up.
+Owns one UDP socket and the objects of mibs/FROSTSPINDLE-MIB.txt, which it fills from the same counters and figures
+that SIGUSR1 prints and operators are told. It must never change anything (every set is refused), never answer a
+wrong community, and never be imported unless the operator's file sets it up.
 """
 
 from __future__ import annotations
@@ -47,11 +47,13 @@
         if self._order and now - self._at < OLD_MS:
             return self._values
         events, counts, out = self.events, self.events.counts, {}
+        figures = self.core.figures()
         up = int((time.time() - events.started) * 100) & 0xFFFFFFFF
         for number, value in enumerate((
                 rfc1902.OctetString(events.name.encode()), rfc1902.TimeTicks(up),
-                rfc1902.Gauge32(self.core.open), rfc1902.Counter64(counts["faults", "", ""]),
-                rfc1902.Counter64(counts["bus_reconnects", "", ""])), 1):
+                rfc1902.Gauge32(figures["inflight"]), rfc1902.Counter64(counts["faults", "", ""]),
+                rfc1902.Counter64(counts["bus_reconnects", "", ""]), rfc1902.Counter64(figures["backend_calls"]),
+                rfc1902.Gauge32(figures["hosts_listed"]), rfc1902.Gauge32(figures["hosts_down"])), 1):
             out[(*SCALARS, number, 0)] = value
         for index, (front, cls) in enumerate(self.core.classes, 1):
             row = (FRONTS[front], index)
--- a/tests/test_snmp.py
+++ b/tests/test_snmp.py
@@ -1,5 +1,6 @@
 """The SNMP agent over loopback, asked by pysnmp's own manager."""
 
+import json
 import re
 from pathlib import Path
 
@@ -44,6 +45,11 @@
         _, status, found = await self.ask(get_cmd, ".1.1.1.0", ".1.2.1.7.1.1", ".1.3.1.4.5", ".1.9.9")
         self.assertEqual((status, [str(value) for _, value in found[:3]]), (0, ["t0", "1", "1"]))
         self.assertEqual(found[3][1], rfc1905.noSuchObject)
+        figures = json.loads((await self.operate("show-stat"))[0])
+        _, _, found = await self.ask(get_cmd, ".1.1.3.0", ".1.1.6.0", ".1.1.7.0", ".1.1.8.0")
+        self.assertEqual([int(value) for _, value in found], [
+            figures[name] for name in ("inflight", "backend_calls", "hosts_listed", "hosts_down")])
+        self.assertEqual(figures["backend_calls"], 1)
         walked, at = [], ".0"
         while True:
             _, status, found = await self.ask(next_cmd, at)
