Count failures of one episode once: the wait for an engine's test doubles by its tests alone

At fault: _doubt called _suspect for every failing attempt of an engine already suspected, each doubling the wait. The test fails without the change.

--- a/pinstage/control.py
+++ b/pinstage/control.py
@@ -588,7 +588,7 @@
     def _doubt(self, engine: Engine, attempt: Attempt, now: float, why: str) -> None:
         attempt.charge = (0.6 if self.sparse else 0.3) * (1.0 - engine.fails)  # few answers: one must do
         engine.fails += attempt.charge
-        if engine.fails >= TRIP_AT or attempt.trial:
+        if attempt.trial or (engine.fails >= TRIP_AT and not engine.suspect):  # one episode counts once
             self._suspect(engine, now, why)
 
     def _clear(self, attempt: Attempt) -> None:
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -208,3 +208,16 @@
     assert taken(0.0, 20.0, 15) == 15, "small ones count as what they are, not as the mean"
     assert taken(0.0, 400.0) < taken(5000.0, 400.0) < taken(9000.0, 400.0)
     assert taken(0.0, 400.0) * 400.0 <= 0.5 * 4.0 * 0.3 * 24.0 * 1000.0 / 3.0
+
+
+def test_attempts_that_fail_together_put_off_the_test_of_their_engine_once():
+    """Four failed connects in one moment kept an engine out for 8 s in place of 1 s (upgrade+hand+scrape)."""
+    k = Keeper(settings(READ), engines=3)
+    k.warm_up(60)
+    for i in range(60):
+        k.request(i, 0, cost=100)
+    lost = [(request, number) for (request, number), engine in k.open.items() if engine == 1]
+    assert len(lost) >= 4
+    for request, _ in lost:
+        k.end(request, Verdict.CONNECT_FAILED)
+    assert k.c.engines[1].suspect and k.c.engines[1].retest_at <= k.now + 1000.0
