Wake a call that waits for another engine when a place for a connection is freed

At fault in net/engines.py: may_open drops an idle connection of another engine, whose lost() then woke calls of that engine only; line() asked may_open after the wait to tell its own bounds from the engine, when there was room again. Beside another process one engine may now have half of the connections in place of a third. The test fails without.

--- a/frostspindle/net/engines.py
+++ b/frostspindle/net/engines.py
@@ -32,7 +32,7 @@
 ANSWER_BYTES = PAGE_BYTES + 16 * 1024  # of one answer on the wire: head, page, and 1xx answers before it
 FIELDS, FIELD = 64, 4096  # headers of one answer, and their length
 # Of all sockets, for connections to engines, alone and beside another process; clients have another part.
-ENGINE_PART, CROWDED_PART = 0.38, 0.14
+ENGINE_PART, CROWDED_PART = 0.38, 0.15
 TIDY_S = 1.0
 NOTES = {b"pct": NoteKind.PROGRESS, b"overflow": NoteKind.SPILLS, b"queued": NoteKind.WAITS}
 NAMES = {"util": "load_share", "queue": "depth", "inflight": "concurrent"}
@@ -224,11 +224,13 @@
         self._next()
 
     def _next(self) -> None:
-        while self.waiting:
-            waiter = self.waiting.popleft()
-            if not waiter.done():
-                waiter.set_result(None)
-                return
+        """A line or a place is free: for a call that waits here, or else for one that waits for another engine."""
+        for peer in (self, *self.driver.peers.values()):
+            while peer.waiting:
+                waiter = peer.waiting.popleft()
+                if not waiter.done():
+                    waiter.set_result(None)
+                    return
 
     def release(self, line: _Line) -> None:
         if not line.good or self.gone:
@@ -240,7 +242,7 @@
 
     async def line(self, fresh: bool = False) -> _Line:
         """A connection to use: an idle one unless it must be fresh, else a new one."""
-        limit_s, resets = self.driver.core.settings.connect_timeout_ms / 1000.0, 0
+        limit_s, resets, bound = self.driver.core.settings.connect_timeout_ms / 1000.0, 0, False
         try:
             async with asyncio.timeout(limit_s):
                 while True:
@@ -257,11 +259,12 @@
                         if resets >= ASKS:
                             raise NoLine("connections are reset as they open")
                         continue
+                    bound = True
                     waiter: asyncio.Future[None] = self.driver.loop.create_future()
                     self.waiting.append(waiter)
                     await waiter
         except TimeoutError:
-            raise NoLine("no connection in time", full=not self.driver.may_open(self)) from None
+            raise NoLine("no connection in time", full=bound) from None
 
     async def _open(self) -> _Line | None:
         """A new connection; None: reset as it opened."""
@@ -331,12 +334,13 @@
     def crowd(self, crowded: bool) -> None:
         """Bound the connections; while another process serves too, both must fit into the descriptors."""
         self.most = max(16, int(self.sockets * (CROWDED_PART if crowded else ENGINE_PART)))
+        self.most_each = max(8, self.most // (2 if crowded else 3))
 
     def may_open(self, peer: _Peer) -> bool:
         """Bounds all connections to engines together; idle ones of other engines make room."""
         peers = [*self.peers.values(), *self.retired]
         if sum(len(p.lines) for p in peers) + self.opening < self.most:
-            return len(peer.lines) + peer.opening < max(8, self.most // 3)
+            return len(peer.lines) + peer.opening < self.most_each
         if spare := next((p for p in peers if p.idle and p is not peer), None):
             spare.idle[0].drop()  # its place is free once the loop has let go of it
         return False
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -238,6 +238,21 @@
         self.assertEqual(engine.of("POST"), [])
 
 
+    async def test_an_idle_connection_of_another_engine_makes_room_at_once_when_all_are_taken(self):
+        first, second = await self.start(2)
+        await self.operate("disable-server s-00000001")
+        self.program.driver.most = 2
+        answers = await asyncio.gather(self.ask(number=1), self.ask(number=2))
+        self.assertEqual([status for status, _, _ in answers], [200, 200])
+        self.assertEqual(len(self.program.driver.peers[0].idle), 2)
+        await self.operate("enable-server s-00000001")
+        await self.operate("disable-server s-00000000")
+        began = asyncio.get_running_loop().time()
+        self.assertEqual((await self.ask(LOAD, number=3))[0], 200)
+        self.assertLess(asyncio.get_running_loop().time() - began, 0.2)  # the wait for a connection has 0.25 s
+        self.assertEqual((self.count("ended_connect_failed"), self.count("ended_full")), (0, 0))
+
+
 class BusStories(EdgeCase):
     async def test_the_bus_is_joined_again_from_the_last_number_and_repeats_are_dropped(self):
         first, second = await self.engines(2)
