Leave TDS and SNMP to the new process on SIGTERM; serve without a TMPDIR that can be written

With SO_REUSEPORT the old process went on accepting TDS sessions until its end. An unwritable TMPDIR ended the start, which only bans over an upgrade need; it is logged and bans are kept in memory. A start that can't listen names the key at fault.

--- a/frostspindle/__main__.py
+++ b/frostspindle/__main__.py
@@ -55,14 +55,17 @@
             self.desk = Desk(config.desk, {"ready": self.ready, "show-stat": self.core.figures, "drain": self.drain,
                                            "resume": self.resume, "disable-server": self.disable,
                                            "enable-server": self.enable}, self.events)
-        self.shared = Shared(config.environ, config.name)
+        self.shared = Shared(config.environ, config.name, self.events)
         self.serving = False
         self.stopping, self.failed = asyncio.Event(), False
         self.tasks: list[asyncio.Task[Any]] = []
 
     async def start(self) -> None:
         if self.desk:
-            await self.desk.start()
+            try:
+                await self.desk.start()
+            except OSError as error:
+                raise OSError(f"LB_OPERATOR: {error}") from None
         self.bus.start()
         self._bound(False)
         self.shared.start(self.core.ban, self.crowd)
@@ -80,7 +83,10 @@
             await self.agent.start(self.config.inherited is not None)
         while self.core.behind and not self.stopping.is_set():
             await asyncio.sleep(0)  # who is accepted meets a core that knows engines and bans
-        self.platform.start()
+        try:
+            self.platform.start()
+        except OSError as error:
+            raise OSError(f"LB_LISTEN: {error}") from None
         self.serving = True
         self.events.log("ready", listen=f"{self.config.listen[0]}:{self.platform.port}",
                         tds=self.tds.port if self.tds else None, snmp=self.agent.port if self.agent else None)
@@ -186,6 +192,10 @@
             self.platform.leave()
             self.drain()
             self._bound(self.shared.crowded)
+            if self.tds:
+                self.tds.leave()
+            if self.agent:
+                self.agent.close()
             last = clock() + min(longest_s, KILL_S) + LAST_S
         self.events.log("stopping", open=self.core.open, last_s=round(last - clock(), 2))
         await asyncio.sleep(ACCEPT_S)
@@ -235,7 +245,7 @@
     try:
         return asyncio.run(run(config))
     except OSError as error:
-        print(f"frostspindle: LB_LISTEN: {error}", file=sys.stderr)
+        print(f"frostspindle: {error}", file=sys.stderr)
         return 1
 
 
--- a/frostspindle/net/snmp.py
+++ b/frostspindle/net/snmp.py
@@ -140,3 +140,4 @@
     def close(self) -> None:
         if self._engine is not None:
             self._engine.close_dispatcher()
+            self._engine = None
--- a/frostspindle/net/tds/front.py
+++ b/frostspindle/net/tds/front.py
@@ -251,10 +251,14 @@
                 self.sessions.pop(task).writer.close()
                 task.cancel()
 
-    async def close(self) -> None:
-        self.resume()
+    def leave(self) -> None:
+        """Accept nobody any more; the sessions go on."""
         if self._server is not None:
             self._server.close()
+
+    async def close(self) -> None:
+        self.resume()
+        self.leave()
         for task in list(self.sessions):
             task.cancel()
         await asyncio.gather(*self.sessions, return_exceptions=True)
--- a/frostspindle/shared.py
+++ b/frostspindle/shared.py
@@ -15,14 +15,17 @@
 from typing import BinaryIO
 from urllib.parse import quote, unquote
 
+from frostspindle.events import Events
+
 REREAD_S = 0.1  # the other process's word must reach engines' gates within 250 ms
 BAN, RUN = "ban-", "run-"
 
 
 class Shared:
-    """The folder, or without $TMPDIR the memory of this one process."""
+    """The folder, or without a $TMPDIR that can be written the memory of this one process."""
 
-    def __init__(self, environ: Mapping[str, str], name: str) -> None:
+    def __init__(self, environ: Mapping[str, str], name: str, events: Events) -> None:
+        self.events = events
         at = environ.get("TMPDIR", "")
         self.folder = Path(at, f"frostspindle-{quote(name, safe='')}") if at else None
         self.banned: frozenset[str] = frozenset()
@@ -34,8 +37,12 @@
         """Tell the bans now, and again whenever they change; likewise whether another process runs."""
         self._told, self._crowd = told, crowd
         if self.folder is not None:
-            self.folder.mkdir(mode=0o700, parents=True, exist_ok=True)
-            self._lock = self._mark(self.folder / f"{RUN}{os.getpid()}-{id(self):x}")
+            try:
+                self.folder.mkdir(mode=0o700, parents=True, exist_ok=True)
+                self._lock = self._mark(self.folder / f"{RUN}{os.getpid()}-{id(self):x}")
+            except OSError as error:
+                self.events.log("shared", folder=str(self.folder), error=repr(error))
+                self.folder = None  # serving goes before what an upgrade needs
         self._read()
 
     @staticmethod
--- a/tests/test_operator.py
+++ b/tests/test_operator.py
@@ -244,7 +244,7 @@
         (engine,) = await self.start()
         self.assertEqual(await self.operate("disable-server s-00000000"), ["ACK"])
         name, told = "s/%é.. 1", []
-        other = Shared({"TMPDIR": str(self.program.shared.folder.parent)}, "t0")
+        other = Shared({"TMPDIR": str(self.program.shared.folder.parent)}, "t0", self.program.events)
         (other.folder / "left-behind").write_text("by a process that was killed")
         other.start(told.append, lambda crowded: None)
         self.addCleanup(other.close)
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import fcntl
+import io
 import json
 import os
 import signal
@@ -14,8 +15,9 @@
 
 import aiohttp
 from aiohttp import web
-from peers import SQL, EdgeCase, HttpEngine, change, host, settings
+from peers import SQL, EdgeCase, HttpEngine, TdsClient, change, host, settings
 
+from frostspindle.events import Events
 from frostspindle.shared import Shared
 
 ROOT = Path(__file__).parent.parent
@@ -154,9 +156,18 @@
         operator.write_text(f'[snmp]\nlisten = "127.0.0.1:{snmp}"\ncommunity = "watch"\n'
                             f'[tds]\nlisten = "127.0.0.1:{tds}"\n'
                             '[[tds.login]]\nclass = "lookup"\n[[tds.engine]]\nname = "t"\ndial = "127.0.0.1:9"\n')
-        for _ in range(2):
-            event = await self.run_one(FROSTSPINDLE_OPERATOR=str(operator)).event("ready")
+        both = [self.run_one(FROSTSPINDLE_OPERATOR=str(operator)) for _ in range(2)]
+        for running in both:
+            event = await running.event("ready")
             self.assertEqual((event["tds"], event["snmp"]), (tds, snmp))
+        both[0].process.send_signal(signal.SIGTERM)
+        await both[0].event("stopping")
+        for _ in range(8):  # the old one accepts no session any more
+            client = await TdsClient(tds).open()
+            self.assertTrue(client.result.accepted)
+            client.writer.close()
+        logins = [row["count"] for row in (await both[0].event("counters"))["counters"] if row["what"] == "logins"]
+        self.assertEqual((logins, await asyncio.to_thread(both[0].process.wait, 20)), ([], 0))
 
     def test_what_is_no_socket_ends_it_with_2_and_one_line(self):
         process = self.run_one(LB_INHERITED_FD="77").process
@@ -197,10 +208,21 @@
 
 
 class Presence(unittest.IsolatedAsyncioTestCase):
+    async def test_without_a_folder_that_can_be_written_bans_are_kept_in_memory(self):
+        with tempfile.NamedTemporaryFile() as file:
+            for environ in ({}, {"TMPDIR": file.name}):
+                told = []
+                shared = Shared(environ, "n", Events(sink=io.BytesIO()))
+                shared.start(told.append, lambda crowded: None)
+                shared.ban("s-1", True)
+                shared.ban("s-1", False)
+                self.assertEqual(told, [{"s-1"}, frozenset()])
+                shared.close()
+
     async def test_two_processes_see_each_other_and_what_a_killed_one_left_counts_for_nothing(self):
         with tempfile.TemporaryDirectory() as folder:
             heard: dict[str, list[bool]] = {"a": [], "b": []}
-            a, b = Shared({"TMPDIR": folder}, "n"), Shared({"TMPDIR": folder}, "n")
+            a, b = (Shared({"TMPDIR": folder}, "n", Events(sink=io.BytesIO())) for _ in range(2))
             a.start(lambda names: None, heard["a"].append)
             (a.folder / "run-1").touch()  # of a process that was killed
             b.start(lambda names: None, heard["b"].append)
