--- a/tests/peers.py
+++ b/tests/peers.py
@@ -215,6 +215,12 @@
             self.addCleanup(peer.server.close)
         return self.peers
 
+    async def start(self, count: int = 1, **kw: Any) -> list[HttpEngine]:
+        """So many engines, and a coordinator that knows them."""
+        engines = await self.engines(count)
+        await self.coordinator([host(f"s-{i:08x}", e.port) for i, e in enumerate(engines)], **kw)
+        return engines
+
     async def coordinator(self, hosts: list[dict[str, Any]] = (), bus: int = 0, operator: str = "",
                           **changes: Any) -> Program:
         folder = tempfile.TemporaryDirectory()
--- a/tests/test_edge.py
+++ b/tests/test_edge.py
@@ -18,11 +18,6 @@
 
 
 class Wire(EdgeCase):
-    async def start(self, count: int = 1, **kw):
-        engines = await self.engines(count)
-        await self.coordinator([host(f"s-{i:08x}", e.port) for i, e in enumerate(engines)], **kw)
-        return engines
-
     async def open(self):
         reader, writer = await asyncio.open_connection("127.0.0.1", self.program.platform.port)
         self.addCleanup(writer.close)
--- a/tests/test_operator.py
+++ b/tests/test_operator.py
@@ -17,11 +17,6 @@
 
 
 class Operated(EdgeCase):
-    async def start(self, count: int = 1, **kw):
-        engines = await self.engines(count)
-        await self.coordinator([host(f"s-{i:08x}", e.port) for i, e in enumerate(engines)], **kw)
-        return engines
-
     async def figures(self):
         return json.loads((await self.operate("show-stat"))[0])
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -22,11 +22,6 @@
 
 
 class Serving(EdgeCase):
-    async def start(self, count: int = 1, **kw):
-        engines = await self.engines(count)
-        await self.coordinator([host(f"s-{i:08x}", e.port) for i, e in enumerate(engines)], **kw)
-        return engines
-
     async def test_rows_pass_unchanged_over_all_pages_and_a_repeated_get_gives_them_again(self):
         (engine,) = await self.start()
         pages = ["".join(f"{n}-{i}\té \"{i}\"\t{'x' * 900}\n" for i in range(6)) for n in range(12)]
