Let the module end what is open when a process ends, as each class allows

Seen: 1 to 12 requests an upgrade answered as failed at the old process's last moment, lookups and reports among them. At fault: core.py answered all of them FAILED by itself. Now Controller.give_up refuses what may be repeated; a load that may have run still fails.

--- a/frostspindle/core.py
+++ b/frostspindle/core.py
@@ -281,7 +281,7 @@
         self._wake.set()
 
     def give_up(self) -> None:
-        """The program ends: what is still open gets its answer, for none would come any more."""
+        """The program ends: the module ends what is still open, for no answer would come any more."""
         self._urgent.append(_Over())
         self._wake.set()
 
@@ -386,9 +386,7 @@
         elif isinstance(event, _Bound):
             self.controller.most_open = event.most
         elif isinstance(event, _Over):
-            for number in list(self._records):
-                self._answer(number, Answer(FAILED))
-                self._tell(now, api.Left(number))
+            self._do(now, self.controller.give_up(now))
         elif isinstance(event, _Leave):
             self._leave(now, event.ask.number, "left")
         elif isinstance(event, _Overdue):
@@ -404,7 +402,10 @@
             self._tell(now, event)
 
     def _tell(self, now: float, event: api.Event) -> None:
-        for action in self.controller.handle(now, event):
+        self._do(now, self.controller.handle(now, event))
+
+    def _do(self, now: float, actions: Iterable[api.Action]) -> None:
+        for action in actions:
             try:
                 self._does[type(action)](now, action)
             except Exception as error:  # noqa: BLE001 - the other actions belong to other requests
--- a/pinstage/control.py
+++ b/pinstage/control.py
@@ -184,6 +184,13 @@
             self.out.append(api.Remind(0, now_ms + TICK_MS))
         return self.out
 
+    def give_up(self, now_ms: float) -> list[api.Action]:
+        """The process ends: so does every request, as its class allows."""
+        self.out = []
+        for job in list(self.jobs.values()):
+            self._exit(job, now_ms)
+        return self.out
+
     # Events.
 
     def _on_list(self, now: float, event: api.EngineList) -> None:
@@ -191,8 +198,7 @@
             for missing in self.engines.keys() - {entry.engine for entry in event.entries}:
                 self.engines[missing].ready = False
         for entry in event.entries:
-            engine = self.engines.get(entry.engine)
-            if engine is None:
+            if (engine := self.engines.get(entry.engine)) is None:
                 engine = self.engines[entry.engine] = Engine(entry, self.s)
             elif entry.since_ms > engine.entry.since_ms:
                 engine.reset()
@@ -225,8 +231,7 @@
         self._shed(now)
 
     def _on_started(self, now: float, event: api.Started) -> None:
-        job = self.jobs.get(event.request)
-        if job and job.cs.stream:
+        if (job := self.jobs.get(event.request)) and job.cs.stream:
             job.streaming, job.deadline = True, math.inf
 
     def _on_note(self, now: float, event: api.Note) -> None:
@@ -267,14 +272,12 @@
         self._release(now)
 
     def _on_left(self, now: float, event: api.Left) -> None:
-        job = self.jobs.get(event.request)
-        if job:
+        if job := self.jobs.get(event.request):
             self._close(job, now)
             self._release(now)
 
     def _on_probed(self, now: float, event: api.Probed) -> None:
-        engine = self.engines.get(event.engine)
-        if engine:
+        if engine := self.engines.get(event.engine):
             engine.probe_out = False
             if event.verdict == Verdict.OK:
                 engine.sign(now)
@@ -284,8 +287,7 @@
     def _on_due(self, now: float, event: api.Due) -> None:
         while self.deadlines and self.deadlines[0][0] - MARGIN_MS <= now:
             _, request = heapq.heappop(self.deadlines)
-            job = self.jobs.get(request)
-            if job and not job.streaming:
+            if (job := self.jobs.get(request)) and not job.streaming:
                 self._exit(job, now)
         for key in (rested := [k for k, until in self.rest_until.items() if until <= now]):
             del self.rest_until[key]
@@ -325,8 +327,7 @@
 
     def _hold(self, job: Job, now: float) -> None:
         """Held requests leave smallest remaining work first; those over a tenant's share after the others."""
-        job.held = True
-        job.slot = (int(job.over), job.cost * (1.0 - job.done), job.request)
+        job.held, job.slot = True, (int(job.over), job.cost * (1.0 - job.done), job.request)
         insort(self.held, (*job.slot, job))
 
     def _next_in_line(self, key: int, now: float) -> None:
