Add a command line: serve, check, demo, call and stat, on click

The coordinator could only be configured by its environment and asked by hand-written calls. The start moves to program.py, __main__ picks what the process becomes, and click is loaded only where there are arguments.

--- a/frostspindle/__main__.py
+++ b/frostspindle/__main__.py
@@ -1,247 +1,29 @@
-"""Start, signals, wiring and exit code.
+"""The way in: what the process becomes, and its exit code.
 
-Owns the order in which the parts start and stop and what each signal does: SIGTERM and SIGINT end the
-program in good order, SIGUSR1 prints the counters, SIGHUP reads the configuration and the operator's file
-again. It decides nothing about requests and speaks no wire.
+Owns the choice between one process that serves, several, and the command line, and the exit codes 1 and 2 of a
+start that fails. Without arguments it serves as the environment says, and imports no more than that needs.
 """
 
 from __future__ import annotations
 
 import asyncio
-import gc
-import signal
+import os
 import sys
-from typing import Any
+from collections.abc import Mapping
 
 from frostspindle import config as configuration
-from frostspindle.config import Config, ConfigError
-from frostspindle.core import Core
-from frostspindle.events import Events
-from frostspindle.net.bus import Bus
-from frostspindle.net.engines import Engines
-from frostspindle.net.operator import Desk, Nak
-from frostspindle.net.platform import FRONT, Platform, table_group
-from frostspindle.net.tds.driver import TdsEngines
-from frostspindle.net.tds.front import TdsFront
-from frostspindle.shared import Shared
-from pinstage.interface import ListKind
+from frostspindle.config import ConfigError
 
-ACCEPT_S = 0.75  # after SIGTERM new work still comes for up to 0.6 s, and is owed its answer
-OPEN_PART, NEW_PART = 0.29, 0.6  # of all descriptors, open requests; of these, the new process's part
-KILL_S, LAST_S = 5.0, 0.5  # an upgrade kills after the longest deadline, KILL_S at most, and 0.7 s
-FLUSH_S = 0.1  # for the last answers to leave
 
-
-class Program:
-    """All parts of one running coordinator."""
-
-    def __init__(self, config: Config) -> None:
-        self.config = config
-        self.events = Events(config.name)
-        classes = [(FRONT, name) for name in config.classes] + [("tds", name) for name in config.plan.classes]
-        self.core = Core(config.settings, classes, config.seed, self.events, config.limits.sockets // 2)
-        self.driver = Engines(config, self.core, self.events)
-        self.bus = Bus(config, self.core, self.driver, self.events)
-        self.platform = Platform(config, self.core, self.events)
-        self.tds: TdsFront | None = None
-        self.tds_driver: TdsEngines | None = None
-        if tds := config.operator.tds:
-            self.tds_driver = TdsEngines(tds, config.plan.kinds, self.core, self.events)
-            self.tds = TdsFront(tds, configuration.address(tds.listen, "tds.listen"), config.plan.classes,
-                                config.seed, self.core, self.events, table_group)
-        self.agent: Any = None
-        self.desk: Desk | None = None
-        if config.desk:
-            self.desk = Desk(config.desk, {"ready": self.ready, "show-stat": self.core.figures, "drain": self.drain,
-                                           "resume": self.resume, "disable-server": self.disable,
-                                           "enable-server": self.enable}, self.events)
-        self.shared = Shared(config.environ, config.name, self.events)
-        self.serving = False
-        self.stopping, self.failed = asyncio.Event(), False
-        self.tasks: list[asyncio.Task[Any]] = []
-
-    async def start(self) -> None:
-        if self.desk:
-            try:
-                await self.desk.start()
-            except OSError as error:
-                raise OSError(f"LB_OPERATOR: {error}") from None
-        self.bus.start()
-        self._bound(False)
-        self.shared.start(self.core.ban, self.crowd)
-        for work in (self.core.run(), self.bus.run()):
-            task = asyncio.create_task(work)
-            task.add_done_callback(self._ended)
-            self.tasks.append(task)
-        if self.tds and self.tds_driver:
-            self.tds_driver.configure(self.tds.tds.engine, ListKind.FULL)
-            await self.tds.start(self.config.inherited is not None)
-        if snmp := self.config.operator.snmp:
-            from frostspindle.net.snmp import Agent  # pysnmp costs memory that only its users pay
-
-            self.agent = Agent(snmp, self.core, self.events, self.sessions)
-            await self.agent.start(self.config.inherited is not None)
-        while self.core.behind and not self.stopping.is_set():
-            await asyncio.sleep(0)  # who is accepted meets a core that knows engines and bans
-        try:
-            self.platform.start()
-        except OSError as error:
-            raise OSError(f"LB_LISTEN: {error}") from None
-        self.serving = True
-        self.events.log("ready", listen=f"{self.config.listen[0]}:{self.platform.port}",
-                        tds=self.tds.port if self.tds else None, snmp=self.agent.port if self.agent else None)
-
-    def crowd(self, crowded: bool) -> None:
-        """Another process of this coordinator has come or gone: an upgrade."""
-        self.platform.crowd(crowded)
-        self.driver.crowd(crowded)
-        self._bound(crowded)
-        self.events.log("crowd", crowded=crowded)
-
-    def _bound(self, crowded: bool) -> None:
-        """Clients have a third of the descriptors, for both processes: past that, nobody finds a connection."""
-        part = OPEN_PART * (1.0 if not crowded else NEW_PART if not self.stopping.is_set() else 1.0 - NEW_PART)
-        self.core.bound(max(16, int(self.config.limits.sockets * part)))
-
-    # What operators call.
-
-    def ready(self) -> None:
-        if not self.serving:
-            raise Nak("not yet" if not self.stopping.is_set() else "the program ends")
-        if self.platform.draining:
-            raise Nak("clients are being sent away")
-
-    def disable(self, name: str) -> None:
-        self._ban(name, True)
-
-    def enable(self, name: str) -> None:
-        self._ban(name, False)
-
-    def _ban(self, name: str, on: bool) -> None:
-        if name not in self.core.names:
-            raise Nak(f"{name} was never listed")
-        try:
-            self.shared.ban(name, on)
-        except OSError as error:
-            raise Nak(f"the ban can't be kept: {error.strerror}") from None
-
-    def drain(self) -> None:
-        self.platform.drain()
-        if self.tds:
-            self.tds.drain()
-
-    def resume(self) -> None:
-        self.platform.resume()
-        if self.tds:
-            self.tds.resume()
-
-    # What is told.
-
-    def sessions(self) -> dict[str, int]:
-        """Connections that clients hold now, by front."""
-        return {FRONT: self.platform.connections, "tds": len(self.tds.sessions) if self.tds else 0}
-
-    def report(self) -> None:
-        """SIGUSR1 and the end: the counters, and what is believed of engines and requests."""
-        self.events.report(clients=self.sessions(), figures=self.core.figures(), **self.core.picture())
-
-    def _ended(self, task: asyncio.Task[Any]) -> None:
-        if not task.cancelled() and task.exception() is not None:
-            self.events.log("fault", error=repr(task.exception()), of="task")
-            self.failed = True  # without its core or its engine list the program is of no use: a new start is
-            self.stopping.set()
-
-    def reload(self) -> None:
-        """SIGHUP: both files again. A file with a fault changes nothing, of the other neither."""
-        try:
-            fresh = configuration.read(self.config.environ)
-            if self.tds and self.tds_driver:
-                self._reload_tds(fresh.operator.tds)
-        except Exception as error:  # noqa: BLE001 - whatever the files hold, the program goes on as it was
-            self.events.count("reloads_failed")
-            self.events.log("reload", error=str(error) if isinstance(error, ConfigError) else repr(error))
-            return
-        self.bus.move(fresh.bus)
-        self.events.count("reloads")
-        self.events.log("reload", bus=fresh.bus)
-
-    def _reload_tds(self, tds: configuration.Tds | None) -> None:
-        """Take engines, their states and logins; what the module was told at the start needs a new start."""
-        assert self.tds and self.tds_driver
-        if tds is None:
-            raise ConfigError("tds: can't be turned off while running")
-        for number, engine in enumerate(tds.engine):
-            if (engine.cores, engine.memory_mb) not in self.config.plan.kinds:
-                raise ConfigError(f"tds.engine[{number}].cores: a size that needs a new start")
-        for number, login in enumerate(tds.login):
-            if login.cls not in self.config.plan.classes:
-                raise ConfigError(f"tds.login[{number}].class: a class that needs a new start")
-        self.tds.tds = self.tds_driver.tds = tds
-        self.tds_driver.configure(tds.engine)
-
-    async def stop(self) -> None:
-        """Go on accepting for a while, finish what was taken, then let go of everything.
-
-        On a socket that the platform holds a successor accepts already: clients are sent there, as in a drain.
-        """
-        clock = asyncio.get_running_loop().time
-        self.serving = False
-        longest_s = max(3.0, *(c.deadline_ms / 1000.0 for c in self.config.settings.classes))
-        last = clock() + longest_s + ACCEPT_S
-        if self.config.inherited is not None:
-            self.platform.leave()
-            self.drain()
-            self._bound(self.shared.crowded)
-            if self.tds:
-                self.tds.leave()
-            if self.agent:
-                self.agent.close()
-            last = clock() + min(longest_s, KILL_S) + LAST_S
-        self.events.log("stopping", open=self.core.open, last_s=round(last - clock(), 2))
-        await asyncio.sleep(ACCEPT_S)
-        # Also what is answered but not yet fetched: a long result comes in several calls.
-        while (self.core.open or self.platform.owing) and clock() < last:
-            await asyncio.sleep(0.02)
-        self.core.give_up()
-        await asyncio.sleep(FLUSH_S)
-        await self.platform.close()
-        if self.tds and self.tds_driver:
-            await self.tds.close()
-            await self.tds_driver.close()
-        if self.agent:
-            self.agent.close()
-        if self.desk:
-            self.desk.close()
-        self.shared.close()
-        await self.driver.close()
-        for task in self.tasks:
-            task.cancel()
-        await asyncio.gather(*self.tasks, return_exceptions=True)
-
-
-async def run(config: Config) -> int:
-    program = Program(config)
-    loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, program.stopping.set)
-    loop.add_signal_handler(signal.SIGUSR1, program.report)
-    loop.add_signal_handler(signal.SIGHUP, program.reload)
-    await program.start()
-    # What was built at the start stays: collections then need not walk it, which would hold up answers.
-    gc.collect()
-    gc.freeze()
-    await program.stopping.wait()
-    await program.stop()
-    program.report()
-    return int(program.failed)
-
-
-def main() -> int:
+def serve(environ: Mapping[str, str] = os.environ) -> int:
+    """Serve until a signal ends it; the exit code: 0 after a signal, 1 for a fault, 2 for a bad configuration."""
     try:
-        config = configuration.read()
+        config = configuration.read(environ)
     except ConfigError as error:
         print(f"frostspindle: {error}", file=sys.stderr)
         return 2
+    from frostspindle.program import run
+
     try:
         return asyncio.run(run(config))
     except OSError as error:
@@ -249,5 +31,13 @@
         return 1
 
 
+def main() -> int:
+    if len(sys.argv) > 1:
+        from frostspindle.cli import cli  # click is loaded only for those who type
+
+        cli.main(prog_name="frostspindle")  # ends the process itself, with the code of the command
+    return serve()
+
+
 if __name__ == "__main__":
     sys.exit(main())
--- /dev/null
+++ b/frostspindle/cli.py
@@ -0,0 +1,257 @@
+"""The command line.
+
+Owns the commands' names, options, exit codes and what a person reads. It must never serve by itself (__main__
+does), never print a password or community, and is loaded only when there are arguments.
+
+Exit codes of `call`: 0 served, 3 refused, 4 failed, 5 no coordinator there; elsewhere 2 is a bad configuration.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import http.client
+import json
+import os
+import secrets
+import socket
+import sys
+import time
+from typing import Any
+
+import click
+
+from frostspindle import __version__
+from frostspindle import config as configuration
+from frostspindle.config import ConfigError
+
+SERVED, BAD, REFUSED, FAILED, AWAY = 0, 2, 3, 4, 5
+_files = [click.option("--config", "config_file", type=click.Path(),
+                       help="The JSON file; else LB_CONFIG names it."),
+          click.option("--operator", "operator_file", type=click.Path(),
+                       help="The operator's TOML; else FROSTSPINDLE_OPERATOR names it."),
+          click.option("--workers", type=int, help="So many processes; else cores.workers of the operator's file.")]
+
+
+def files(command: Any) -> Any:
+    for option in reversed(_files):
+        command = option(command)
+    return command
+
+
+def environment(config_file: str | None, operator_file: str | None, workers: int | None) -> dict[str, str]:
+    """The environment with the options laid over it."""
+    given = {"LB_CONFIG": config_file, "FROSTSPINDLE_OPERATOR": operator_file,
+             "FROSTSPINDLE_WORKERS": None if workers is None else str(workers)}
+    return {**os.environ, **{key: value for key, value in given.items() if value is not None}}
+
+
+@click.group(context_settings={"help_option_names": ["-h", "--help"]})
+@click.version_option(__version__, prog_name="frostspindle")
+def cli() -> None:
+    """The coordinator between query clients and a pool of shared engines.
+
+    Without a command it serves as LB_CONFIG and FROSTSPINDLE_OPERATOR say.
+    """
+
+
+@cli.command()
+@files
+def serve(config_file: str | None, operator_file: str | None, workers: int | None) -> None:
+    """Serve until SIGTERM or Ctrl-C."""
+    from frostspindle.__main__ import serve as serving
+
+    sys.exit(serving(environment(config_file, operator_file, workers)))
+
+
+@cli.command()
+@files
+@click.option("--json", "as_json", is_flag=True, help="Print JSON.")
+def check(config_file: str | None, operator_file: str | None, workers: int | None, as_json: bool) -> None:
+    """Read both files and print the values in effect; exit 2 and one line naming the key if one is bad."""
+    try:
+        config = configuration.read(environment(config_file, operator_file, workers))
+    except ConfigError as error:
+        click.echo(f"frostspindle: {error}", err=True)
+        sys.exit(BAD)
+    values = effective(config)
+    if as_json:
+        click.echo(json.dumps(values, indent=2))
+        return
+    width = max(map(len, values))
+    for key, value in values.items():
+        click.echo(f"{key:<{width}}  {value}")
+
+
+def effective(config: configuration.Config) -> dict[str, Any]:
+    """What the program would use, without secrets."""
+    def place(at: Any) -> str:
+        return "off" if at is None else at if isinstance(at, str) else f"{at[0]}:{at[1]}"
+    cores, tds, snmp = config.operator.cores, config.operator.tds, config.operator.snmp
+    values: dict[str, Any] = {
+        "name": config.name, "listen": place(config.listen) if config.inherited is None else
+        f"descriptor {config.inherited}", "operator": place(config.desk), "bus": place(config.bus),
+        "limits.memory_mb": config.limits.memory_mb, "limits.sockets": config.limits.sockets,
+        "known.offset": config.known_offset,
+        "known.engines": len({host.host for event in config.known if event.topology
+                              for host in event.topology.hosts}),
+        "classes": ", ".join(config.classes), "cores.workers": cores.workers}
+    if cores.workers > 1:
+        values |= {"cores.hang_ms": cores.hang_ms, "cores.crashes": cores.crashes,
+                   "cores.within_ms": cores.within_ms,
+                   "each worker": f"{config.limits.sockets // cores.workers} descriptors, "
+                                  f"{config.limits.memory_mb / cores.workers:g} MB"}
+    values["tds.listen"] = tds.listen if tds else "off"
+    if tds:
+        values |= {"tds.max_sessions": tds.max_sessions, "tds.login": len(tds.login),
+                   "tds.engine": ", ".join(engine.name for engine in tds.engine)}
+    values["snmp.listen"] = snmp.listen if snmp else "off"
+    return values
+
+
+@cli.command()
+@click.argument("cls", metavar="CLASS")
+@click.argument("sql")
+@click.option("--at", default="127.0.0.1:6565", show_default=True, help="Where the coordinator listens.")
+@click.option("--timeout-ms", default=7500.0, show_default=True, help="How long the whole answer may take.")
+@click.option("--cost-ms", default=300.0, show_default=True, help="The estimate of the work.")
+@click.option("--memory", default=96.0, show_default=True, help="The estimate of the memory, in MB.")
+@click.option("--id", "ticket", help="16 hex digits; else drawn.")
+@click.option("--json", "as_json", is_flag=True, help="Print JSON.")
+def call(cls: str, sql: str, at: str, timeout_ms: float, cost_ms: float, memory: float, ticket: str | None,
+         as_json: bool) -> None:
+    """Send one request, follow it to its last page and show the rows.
+
+    Exit code: 0 served, 3 refused (trying again is harmless), 4 failed, 5 nobody there.
+    """
+    began = time.monotonic()
+    try:
+        how, rows, wait_ms = ask(at, cls, sql, ticket or secrets.token_hex(8), timeout_ms, cost_ms, memory)
+    except (OSError, http.client.HTTPException) as error:
+        click.echo(f"frostspindle: {at}: {error}", err=True)
+        sys.exit(AWAY)
+    took_ms = (time.monotonic() - began) * 1000.0
+    if as_json:
+        click.echo(json.dumps({"how": how, "rows": rows, "retry_after_ms": wait_ms, "ms": round(took_ms, 1)}))
+    else:
+        for row in rows:
+            click.echo("\t".join(row))
+        note = f"; come back in {wait_ms:g} ms" if wait_ms else ""
+        click.echo(f"{how}: {len(rows)} rows in {took_ms:.0f} ms{note}", err=True)
+    sys.exit({"served": SERVED, "refused": REFUSED}.get(how, FAILED))
+
+
+def ask(at: str, cls: str, sql: str, ticket: str, timeout_ms: float, cost_ms: float,
+        memory: float) -> tuple[str, list[list[str]], float]:
+    """One request as a client of the platform makes it: how it ended, its rows, the wait that was advised."""
+    address, port = configuration.address(at, "--at")
+    line = http.client.HTTPConnection(address, port, timeout=timeout_ms / 1000.0 + 1.0)
+    try:
+        line.request("POST", f"/call/{cls}", sql.encode(), {
+            "X-Request-Id": ticket, "X-Timeout-Ms": f"{timeout_ms:.1f}", "X-Cost-Ms": f"{cost_ms:.1f}",
+            "X-Memory": f"{memory:.1f}"})
+        rows: list[list[str]] = []
+        while True:
+            answer = line.getresponse()
+            body = answer.read()
+            page = json.loads(body) if body else {}
+            if answer.status in (429, 503):
+                return "refused", rows, float(answer.headers.get("Retry-After-Ms", 0.0))
+            if answer.status != 200 or page.get("failure"):
+                return "failed", rows, 0.0
+            rows += page.get("rows") or []
+            if not page.get("next"):
+                return "served", rows, 0.0
+            line.request("GET", page["next"])
+    finally:
+        line.close()
+
+
+@cli.command()
+@click.option("--at", help="The operators' address, IP:PORT or a path; else that of the configuration.")
+@click.option("--config", "config_file", type=click.Path(), help="The JSON file; else LB_CONFIG names it.")
+@click.option("--json", "as_json", is_flag=True, help="Print JSON.")
+def stat(at: str | None, config_file: str | None, as_json: bool) -> None:
+    """Ask a running coordinator for its figures."""
+    try:
+        place = at or configuration.read(environment(config_file, None, None)).desk
+        if place is None:
+            raise ConfigError("operator: not set, and no --at")
+        if isinstance(place, str) and not place.startswith("/"):
+            place = configuration.address(place, "--at")
+    except ConfigError as error:
+        click.echo(f"frostspindle: {error}", err=True)
+        sys.exit(BAD)
+    try:
+        answer = operate(place, "show-stat")
+    except OSError as error:
+        click.echo(f"frostspindle: {place}: {error}", err=True)
+        sys.exit(AWAY)
+    figures = json.loads(answer.splitlines()[0])
+    if as_json:
+        click.echo(json.dumps(figures, indent=2))
+        return
+    for key, value in figures.items():
+        if not isinstance(value, (dict, list)):
+            click.echo(f"{key:<14}{value:>10}")
+    click.echo(f"\n{'class':<14}{'success':>10}{'busy':>10}{'failure':>10}")
+    for name, row in figures["calls"].items():
+        click.echo(f"{name:<14}{row['success']:>10}{row['busy']:>10}{row['failure']:>10}")
+    if workers := figures.get("workers"):
+        click.echo(f"\n{'worker':<14}{'state':>10}{'inflight':>10}{'clients':>10}{'restarts':>10}")
+        for row in workers:
+            click.echo(f"{row['worker']:<14}{row['state']:>10}{row['inflight']:>10}{row['clients']:>10}"
+                       f"{row['restarts']:>10}")
+
+
+def operate(place: Any, text: str) -> str:
+    """One call to an operators' address."""
+    family = socket.AF_UNIX if isinstance(place, str) else socket.AF_INET6 if ":" in place[0] else socket.AF_INET
+    with socket.socket(family, socket.SOCK_STREAM) as line:
+        line.settimeout(5.0)
+        line.connect(place)
+        line.sendall(text.encode() + b"\n")
+        parts = []
+        while part := line.recv(65536):
+            parts.append(part)
+    return b"".join(parts).decode()
+
+
+@cli.command()
+@click.option("--workers", default=2, show_default=True, help="Processes that serve.")
+@click.option("--port", default=6565, show_default=True, help="Where clients connect; the operators' is the next.")
+@click.option("--once", is_flag=True, help="End after the first query.")
+def demo(workers: int, port: int, once: bool) -> None:
+    """Toy engines, an event bus and a coordinator in one command; a first query is answered and shown."""
+    from frostspindle.lab.demo import run
+
+    sys.exit(asyncio.run(run(workers, port, once)))
+
+
+@cli.command()
+@click.option("--workers", default="1,2,4", show_default=True, help="Numbers of workers to compare.")
+@click.option("--clients", default=3, show_default=True, help="Client processes.")
+@click.option("--connections", default=64, show_default=True, help="Connections of all clients together.")
+@click.option("--engines", default=4, show_default=True, help="Stand-in engines.")
+@click.option("--delay-ms", default=0.0, show_default=True, help="How long each query runs.")
+@click.option("--seconds", default=4.0, show_default=True, help="Length of one run.")
+@click.option("--rounds", default=2, show_default=True, help="Runs of each number, in turn.")
+@click.option("--cold", is_flag=True, help="Start an engine cold and drain another; show what is sent to them.")
+@click.option("--out", type=click.Path(), help="Write the result as JSON there.")
+@click.option("--plot", type=click.Path(), help="Draw the result there (needs the extra `plot`).")
+def bench(workers: str, clients: int, connections: int, engines: int, delay_ms: float, seconds: float, rounds: int,
+          cold: bool, out: str | None, plot: str | None) -> None:
+    """Load a coordinator of this machine and compare numbers of workers."""
+    from frostspindle.lab import bench as measuring
+
+    try:
+        numbers = [int(text) for text in workers.split(",")]
+    except ValueError:
+        raise click.BadParameter(f"not numbers: {workers!r}", param_hint="--workers") from None
+    result = (measuring.cold(numbers, clients, connections, seconds) if cold else
+              measuring.compare(numbers, clients, connections, engines, delay_ms / 1000.0, seconds, rounds))
+    click.echo(measuring.table(result))
+    if out:
+        with open(out, "w", encoding="utf-8") as file:
+            json.dump(result, file, indent=1)
+    if plot:
+        measuring.draw(result, plot)
--- a/frostspindle/config.py
+++ b/frostspindle/config.py
@@ -23,6 +23,7 @@
 from pinstage.settings import flatten, read_settings
 
 Address = tuple[str, int]
+WORKER_SOCKETS, WORKER_MB = 128, 40.0  # the least that one of several workers can serve with
 STATES = {"active": 1, "leaving": 2, "left": 0}
 
 
@@ -124,11 +125,21 @@
     community: Annotated[str, Meta(min_length=1)]
 
 
+class Cores(Struct, forbid_unknown_fields=True):
+    """How many processes serve, and when one of them is given up."""
+
+    workers: Annotated[int, Meta(ge=1, le=64)] = 1
+    hang_ms: Annotated[float, Meta(ge=500)] = 3_000.0  # a worker that is silent for so long is killed
+    crashes: Annotated[int, Meta(ge=1)] = 10  # so many within `within_ms` end the program
+    within_ms: Positive = 60_000.0
+
+
 class Operator(Struct, forbid_unknown_fields=True):
     """The operator's file: the parts that are off unless set up."""
 
     tds: Tds | None = None
     snmp: Snmp | None = None
+    cores: Cores = msgspec.field(default_factory=Cores)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -160,6 +171,9 @@
     plan: TdsPlan
     desk: Address | str | None = None  # where operators call; a str is the path of a Unix socket
     inherited: int | None = None  # the descriptor of a listening socket that the platform holds
+    listener: int | None = None  # of one that the supervisor holds for all its workers
+    tds_listener: int | None = None
+    worker: int | None = None  # which of several workers this process is
 
 
 def address(text: str, key: str) -> Address:
@@ -209,6 +223,22 @@
     return operator
 
 
+def _read_cores(cores: Cores, environ: Mapping[str, str], limits: Limits) -> None:
+    """The number of workers, which the command line may name, against what each of them needs."""
+    key = "cores.workers"
+    if text := environ.get("FROSTSPINDLE_WORKERS", ""):
+        key = "FROSTSPINDLE_WORKERS"
+        if not text.isascii() or not text.isdecimal() or not 1 <= int(text[:6]) <= 64:
+            raise ConfigError(f"{key}: not a number from 1 to 64: {text!r}")
+        cores.workers = int(text)
+    if cores.workers == 1:
+        return
+    if cores.workers * WORKER_SOCKETS > limits.sockets:
+        raise ConfigError(f"{key}: {cores.workers} workers need {WORKER_SOCKETS} of limits.sockets each")
+    if cores.workers * WORKER_MB > limits.memory_mb:
+        raise ConfigError(f"{key}: {cores.workers} workers need {WORKER_MB:g} MB of limits.memory_mb each")
+
+
 def _descriptor(text: str) -> int | None:
     """The number of an open socket."""
     if not text:
@@ -254,6 +284,7 @@
     classes = tuple(str(c.get("name", number)) for number, c in enumerate(categories))
     operator_file = environ.get("FROSTSPINDLE_OPERATOR", "")
     operator = read_operator(operator_file, classes, document.limits)
+    _read_cores(operator.cores, environ, document.limits)
     desk = environ.get("LB_OPERATOR") or document.operator
     plan = TdsPlan({}, {})
     if operator.tds:
--- /dev/null
+++ b/frostspindle/cores/fleet.py
@@ -0,0 +1,94 @@
+"""What a worker makes of the other workers' rows: their load, their suspicion, their newest word on each engine.
+
+Owns the rules by which rows are believed: whose load counts, for how long, and whose word on an engine's end of
+service goes over a worker's own list. It must never read the board or a clock and decides nothing about requests:
+what it makes is an event for the decision module, or an overlay on the engine list.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
+from typing import NamedTuple
+
+from pinstage.interface import Health, Peer
+
+FORGOTTEN_MS = 2_100.0  # an engine drops what has not been asked for in 2 s (the platform's protocol)
+FRESH_MS = 1_000.0  # a worker whose heart is older than this has no opinions
+
+
+class Row(NamedTuple):
+    """One worker's word on one engine; times are Unix ms, as the decision module's are."""
+
+    engine: int
+    version: int  # of the list event that told of it; 0: the list has no common numbers
+    health: int
+    suspect: bool
+    threads: int
+    granted_mb: float
+    since_ms: float
+    report_at: float
+    report: tuple[float, ...]
+    spent: float
+    wished: float
+    seen: int
+    name: str
+    address: str
+
+
+class Ghost(NamedTuple):
+    """What a worker that died had out at an engine: it runs there until the engine forgets it."""
+
+    engine: int
+    threads: int
+    granted_mb: float
+    until_ms: float
+
+
+@dataclass(slots=True)
+class Sibling:
+    """Another worker: how old its last heartbeat is, and its rows."""
+
+    beat_age_ms: float
+    rows: Mapping[int, Row]
+
+
+def ghosts(rows: Iterable[Row], died_ms: float) -> list[Ghost]:
+    return [Ghost(row.engine, row.threads, row.granted_mb, died_ms + FORGOTTEN_MS) for row in rows if row.threads]
+
+
+def peer(engine: int, siblings: Iterable[Sibling], dead: Iterable[Ghost], now: float, part: float) -> Peer:
+    """All others' word on one engine, as the module is told it."""
+    threads, memory, suspect = 0, 0.0, False
+    report: tuple[float, ...] = ()
+    report_at = 0.0
+    for sibling in siblings:
+        row = sibling.rows.get(engine)
+        if row is None:
+            continue
+        if sibling.beat_age_ms < FORGOTTEN_MS:  # a hung worker asks for nothing, so its queries end like a dead one's
+            threads += row.threads
+            memory += row.granted_mb
+        if sibling.beat_age_ms < FRESH_MS:
+            suspect |= row.suspect
+            if row.report and row.report_at > report_at:
+                report, report_at = row.report, row.report_at
+    for ghost in dead:
+        if ghost.engine == engine and now < ghost.until_ms:
+            threads += ghost.threads
+            memory += ghost.granted_mb
+    return Peer(engine, threads, memory, suspect, part, report, max(0.0, now - report_at) if report else 0.0)
+
+
+def stop(engine: int, version: int, siblings: Iterable[Sibling]) -> tuple[int, int] | None:
+    """The newest word that the engine takes nothing new, if a worker has one that is newer than ours.
+
+    Only ends cross, never starts: a late start costs a moment, a late end breaks a rule. The age of the row does not
+    matter: the list was told, whatever became of the worker that heard it.
+    """
+    newest: tuple[int, int] | None = None
+    for sibling in siblings:
+        row = sibling.rows.get(engine)
+        if row is not None and row.version > max(version, newest[0] if newest else 0):
+            newest = (row.version, row.health)
+    return newest if newest is not None and newest[1] != Health.READY else None
--- /dev/null
+++ b/frostspindle/lab/engines.py
@@ -0,0 +1,231 @@
+"""Stand-in engines and event bus, as raw protocols: cheap enough that the coordinator is what a load measures.
+
+Owns the engines' side of the platform's HTTP and of the bus, on loopback only. An engine answers each query after
+its delay with one row that names the engine and the statement, counts what it is sent and when, and plays the
+load reports that it is told to. It must never be imported by the coordinator.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import time
+from collections import deque
+from typing import Any
+
+from httptools import HttpParserUpgrade, HttpRequestParser
+
+
+class _Call(asyncio.Protocol):
+    """One connection of the coordinator's; one call at a time."""
+
+    def __init__(self, engine: Engine) -> None:
+        self.engine = engine
+        self.parser = HttpRequestParser(self)
+        self.fields: dict[bytes, bytes] = {}
+        self.url, self.body = b"", b""
+        self.first = 0.0
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport: asyncio.Transport = transport  # type: ignore[assignment]
+        self.engine.lines.add(self)
+
+    def connection_lost(self, error: Exception | None) -> None:
+        self.engine.lines.discard(self)
+
+    def data_received(self, data: bytes) -> None:
+        self.first = self.first or time.time()
+        try:
+            self.parser.feed_data(data)
+        except HttpParserUpgrade:
+            self.transport.abort()
+
+    def on_message_begin(self) -> None:
+        self.url, self.body, self.fields = b"", b"", {}
+
+    def on_url(self, url: bytes) -> None:
+        self.url += url
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        self.fields[name.lower()] = value
+
+    def on_body(self, part: bytes) -> None:
+        self.body += part
+
+    def on_message_complete(self) -> None:
+        first, self.first = self.first, 0.0
+        self.engine.call(self, self.parser.get_method(), self.url, self.fields, self.body, first)
+
+    def say(self, status: int, body: bytes = b"", head: str = "") -> None:
+        if not self.transport.is_closing():
+            length = "" if status == 204 else f"Content-Length: {len(body)}\r\n"
+            self.transport.write(f"HTTP/1.1 {status} X\r\n{length}{head}\r\n".encode() + body)
+
+
+class Engine:
+    """One engine; `cores` queries run at once at full pace, others wait in line for `delay_s` each."""
+
+    def __init__(self, name: str, delay_s: float = 0.0, cores: int = 0) -> None:
+        self.name, self.delay_s, self.cores = name, delay_s, cores
+        self.lines: set[_Call] = set()
+        self.results: dict[str, bytes | None] = {}  # by ticket; None while it runs
+        self.waiting: dict[str, _Call] = {}
+        self.line: deque[tuple[str, str]] = deque()
+        self.sent: list[tuple[float, str, float]] = []  # of each POST: its first byte's time, ticket, estimate
+        self.keep = False  # whether `sent` is written
+        self.running = self.most = self.posts = 0
+        self.silent = False  # takes work and says nothing
+
+    async def start(self, port: int = 0) -> Engine:
+        self.server = await asyncio.get_running_loop().create_server(lambda: _Call(self), "127.0.0.1", port,
+                                                                     backlog=1024)
+        self.port = self.server.sockets[0].getsockname()[1]
+        return self
+
+    def meter(self) -> str:
+        busy = self.running / max(1, self.cores or 8)
+        return f"X-Meter: load_share:{min(1.0, busy):.2f};depth:{len(self.line)};x0:{min(1.0, busy / 2):.2f}\r\n"
+
+    def call(self, line: _Call, method: bytes, url: bytes, fields: dict[bytes, bytes], body: bytes,
+             first: float) -> None:
+        if self.silent:
+            return
+        parts = url.decode("latin-1").strip("/").split("/")
+        if method == b"POST":
+            ticket = fields.get(b"x-ticket", b"").decode()
+            self.posts += 1
+            if self.keep:
+                self.sent.append((first, ticket, float(fields.get(b"x-max-ms", b"0"))))
+            self._take(ticket, " ".join(body.decode().split()))
+            self._news(line, ticket)
+        elif method == b"GET" and parts[0] in ("healthz", "stats"):
+            line.say(200, head=self.meter())
+        elif method == b"GET" and len(parts) == 4:
+            self._news(line, parts[2])
+        elif method in (b"PUT", b"DELETE"):
+            if method == b"DELETE" and len(parts) > 2:
+                self.results.pop(parts[2], None)
+            line.say(204)
+        else:
+            line.say(500)
+
+    def _take(self, ticket: str, statement: str) -> None:
+        if not self.delay_s:
+            self.results[ticket] = f"{self.name}\t{len(statement)}\t{statement}\n".encode()
+            return
+        self.results[ticket] = None
+        if self.cores and self.running >= self.cores:
+            self.line.append((ticket, statement))
+        else:
+            self._run(ticket, statement)
+
+    def _run(self, ticket: str, statement: str) -> None:
+        self.running += 1
+        self.most = max(self.most, self.running)
+        asyncio.get_running_loop().call_later(self.delay_s, self._done, ticket, statement)
+
+    def _done(self, ticket: str, statement: str) -> None:
+        self.running -= 1
+        if ticket in self.results:
+            self.results[ticket] = f"{self.name}\t{len(statement)}\t{statement}\n".encode()
+            if line := self.waiting.pop(ticket, None):
+                self._news(line, ticket)
+        while self.line and (not self.cores or self.running < self.cores):
+            following, text = self.line.popleft()
+            if following in self.results:
+                self._run(following, text)
+
+    def _news(self, line: _Call, ticket: str) -> None:
+        if ticket not in self.results:
+            line.say(500)
+        elif (result := self.results[ticket]) is not None:
+            if len(self.results) > 4096:  # what was fetched long ago is let go of
+                for old in list(self.results)[:1024]:
+                    if self.results[old] is not None:
+                        del self.results[old]
+            line.say(200, result, f"X-Pages: 1\r\n{self.meter()}")
+        else:
+            self.waiting[ticket] = line
+            asyncio.get_running_loop().call_later(0.25, self._nothing, line, ticket)
+
+    def _nothing(self, line: _Call, ticket: str) -> None:
+        if self.waiting.get(ticket) is line:
+            del self.waiting[ticket]
+            line.say(202, head=self.meter())
+
+
+class Bus:
+    """The event bus: holds all events, tells each follower those after the number that it names."""
+
+    def __init__(self) -> None:
+        self.events: list[dict[str, Any]] = []
+        self.followers: dict[asyncio.StreamWriter, float] = {}  # with the delay of its word, seconds
+        self.delays: dict[int, float] = {}  # by the order of joining
+
+    async def start(self, port: int = 0) -> Bus:
+        self.server = await asyncio.start_server(self._serve, "127.0.0.1", port)
+        self.port = self.server.sockets[0].getsockname()[1]
+        return self
+
+    def say(self, *hosts: dict[str, Any], whole: bool = False) -> dict[str, Any]:
+        number = len(self.events) + 1
+        self.events.append({"offset": number,
+                            "topology": {"seq": number, "whole": whole, "hosts": list(hosts)}})
+        for writer, delay in self.followers.items():
+            asyncio.get_running_loop().call_later(delay, self._tell, writer, number - 1)
+        return self.events[-1]
+
+    def _tell(self, writer: asyncio.StreamWriter, after: int) -> None:
+        if not writer.is_closing():
+            for event in self.events[after:after + 1]:
+                writer.write(json.dumps(event).encode() + b"\n")
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        try:
+            after = int((await reader.readline()).split()[1])
+            for event in self.events[after:]:
+                writer.write(json.dumps(event).encode() + b"\n")
+            delay = self.followers[writer] = self.delays.get(len(self.followers), 0.0)
+            while True:
+                if not delay:
+                    writer.write(b"%d\n" % len(self.events))
+                await writer.drain()
+                await asyncio.sleep(1.0)
+        except (OSError, IndexError, ValueError):
+            pass
+        finally:
+            self.followers.pop(writer, None)
+            writer.close()
+
+
+def host(name: str, port: int, health: str = "active", born_ms: float = 0.0) -> dict[str, Any]:
+    """An engine as an event of the bus has it."""
+    return {"host": name, "dial": f"127.0.0.1:{port}", "site": "floor-1", "class": "std-8", "block": 0,
+            "health": health, "share": 1.0, "born_ms": born_ms}
+
+
+def document(hosts: list[dict[str, Any]], bus: int = 0, listen: str = "127.0.0.1:0", operator: str = "127.0.0.1:0",
+             sockets: int = 4096, memory_mb: float = 2048.0, **settings: Any) -> dict[str, Any]:
+    """A configuration of the platform's form for these engines: three classes, as on the operators' sites."""
+    def cls(name: str, effect: str, promise: float, hard: float, worth: float) -> dict[str, Any]:
+        return {"name": name, "effect": effect, "promise": promise, "hardLimit": hard, "worth": worth,
+                "aimStretch": 2.0, "lateShare": 0.4, "window": 5000.0, "dedupScope": "all"}
+    return {
+        "name": "demo", "listen": listen, "operator": operator, "seed": "8c1f30d27a5be964",
+        "limits": {"cores": 1.0, "memory_mb": memory_mb, "sockets": sockets},
+        "bus": f"127.0.0.1:{bus}" if bus else "",
+        "known": {"offset": 1, "batch": [{"offset": 1, "topology": {"seq": 1, "whole": True, "hosts": hosts}}]},
+        "settings": {
+            "balancers": 1, "me": 0, "kinds": ["std-8"], "failureDomains": ["floor-1"],
+            "categories": [cls("lookup", "repeatable", 1500.0, 7500.0, 1.0),
+                           cls("report", "repeatable", 3000.0, 25000.0, 4.0),
+                           cls("load", "once", 4000.0, 20000.0, 3.0)],
+            "domain": {"classThreads": [1, 3, 2], "classLoad": [False, False, True],
+                       "blockedByLoads": [False, False, False], "kindCores": [8], "sizeMb": [16384.0],
+                       "grants": True, "priorities": True, "mostGrant": 0.4, "notePeriod": 500.0,
+                       "whenShort": "wait"},
+            "limits": {"cancel": True, "probes": True, "retryAfter": True, "secondCopies": False, "mostTries": 5,
+                       "maxRetryAfter": 1000.0, "dialTimeout": 250.0, "connIdle": 15000.0},
+            "report": {"how": "piggyback", "columns": ["load_share", "depth", "x0"]},
+            "rules": {"stopSendingWithin": 250.0, "startCapacity": 0.3, "warmWithin": 15000.0, "fall": 1000.0,
+                      "tipMultiple": 4.0, "answerSlack": 20.0}, **settings}}
--- a/pinstage/control.py
+++ b/pinstage/control.py
@@ -111,6 +111,8 @@
         self.attempts: dict[tuple[int, int], Attempt] = {}
         self.threads, self.granted = 0, 0.0  # of ours
         self.cold_sends: deque[tuple[float, float]] = deque()
+        # Of the other workers of this dispatcher: what they have out here; our part of the cold budget.
+        self.peers, self.peers_memory, self.part, self.hearsay = 0, 0.0, float(settings.workers == 1), False
         self.reset()
 
     def reset(self) -> None:
@@ -148,7 +150,8 @@
         # Where a share of an engine is less than one query, the sum of the shares is the bound.
         most = max(c.threads for c in settings.classes)
         self.sparse = THREADS_A_CORE * max(settings.kind_cores) / settings.dispatchers < most
-        self.threads, self.shares, self.most_open = 0, 0.0, math.inf  # most_open: as the sockets allow
+        self.threads, self.peers, self.shares = 0, 0, 0.0
+        self.most_open = math.inf  # as the sockets allow
         # Where memory runs over, too much let in collapses all; elsewhere an engine's line takes it up.
         self.pages = settings.when_short == "page"
         self.widen = 1.0 if self.pages else WIDE
@@ -164,7 +167,7 @@
         self.handlers: dict[type, Callable[[float, Any], None]] = {
             api.EngineList: self._on_list, api.Request: self._on_request, api.Started: self._on_started,
             api.Note: self._on_note, api.Ended: self._on_ended, api.Left: self._on_left,
-            api.Due: self._on_due, api.Probed: self._on_probed}
+            api.Due: self._on_due, api.Probed: self._on_probed, api.Peers: self._on_peers}
 
     def handle(self, now_ms: float, event: api.Event) -> list[api.Action]:
         self.out = []
@@ -284,6 +287,29 @@
             elif self._quiet(engine, now) and not engine.suspect:
                 self._suspect(engine, now, "is silent and fails its probe")
 
+    def _on_peers(self, now: float, event: api.Peers) -> None:
+        """The other workers' load and suspicion count as our own; their newest report stands for ours."""
+        for word in event.entries:
+            if (engine := self.engines.get(word.engine)) is None:
+                continue
+            self.peers += word.threads - engine.peers
+            engine.peers, engine.peers_memory, engine.part = word.threads, word.memory_mb, word.part
+            if word.report and now - word.report_age_ms > engine.report_at:
+                self._hear(engine, word.report, now - word.report_age_ms)
+            if word.suspect and not engine.suspect and not engine.hearsay:
+                self._suspect(engine, now, "is suspected by another worker")
+                engine.hearsay = engine.suspect
+            elif engine.hearsay and not word.suspect:  # one worker's passed test speaks for all
+                engine.suspect, engine.hearsay, engine.fails = False, False, 0.0
+        self._release(now)
+
+    def cold_need(self, now: float) -> dict[int, tuple[float, float]]:
+        """Of each cold engine: the part of the budget spent in the window, and what is wished for."""
+        held = sum(self._cold_work(job) for *_, job in self.held)
+        cold = [e for e in self.engines.values() if e.ready and e.cold(now)]
+        return {e.id: (self._cold_spent(e, now) / (budget := self._cold_budget(e, now)), held / budget)
+                for e in cold}
+
     def _on_due(self, now: float, event: api.Due) -> None:
         while self.deadlines and self.deadlines[0][0] - MARGIN_MS <= now:
             _, request = heapq.heappop(self.deadlines)
@@ -395,7 +421,7 @@
         """Threads left of the widened sum of our shares of all engines; one query may always be out."""
         free = max(0.0, 1.0 - self.pool[1] * self.used / ROOMY) if self.pages and self.sees_memory else 0.0
         limit = limits * (1.0 + (WIDE - 1.0) * free) * self.widen * self.shares
-        return limit - self.threads if self.sparse and self.threads else math.inf
+        return limit - self.threads - self.peers if self.sparse and self.threads else math.inf
 
     def _fits(self, job: Job) -> bool:
         """What is small passes the bound over all engines by up to as much again."""
@@ -424,11 +450,7 @@
         """Part of our share of a cold engine's budget; where that is under one query, turns of a few."""
         if not engine.cold(now):
             return True
-        while engine.cold_sends and engine.cold_sends[0][0] < now - self.s.cold_window_ms:
-            engine.cold_sends.popleft()
-        grown = (max(0.0, now - engine.entry.since_ms) / self.s.warm_within_ms) ** 2  # the ramp is not told
-        start = (self.s.cold_capacity + (1.0 - self.s.cold_capacity) * grown) * 0.85 * engine.cores
-        budget = COLD_SAFETY * self.s.cold_multiple * start * self.s.cold_window_ms
+        spent, budget = self._cold_spent(engine, now), self._cold_budget(engine, now)
         usual, n = self._cold_work(job), self.s.dispatchers
         turns = min(n, int(budget / min(self.sizes.mean_cost)))
         if turns < n and self.sparse:
@@ -436,7 +458,18 @@
             if turns < 1 or (slot * turns + self.s.number) % n >= turns or job.attempts:
                 return False
             n = turns / 2.0  # a turn is for two small queries, and most pass unused
-        return sum(work for _, work in engine.cold_sends) + usual <= budget / n
+        return spent + usual <= budget / n * engine.part
+
+    def _cold_spent(self, engine: Engine, now: float) -> float:
+        while engine.cold_sends and engine.cold_sends[0][0] < now - self.s.cold_window_ms:
+            engine.cold_sends.popleft()
+        return sum(work for _, work in engine.cold_sends)
+
+    def _cold_budget(self, engine: Engine, now: float) -> float:
+        """What all dispatchers together may send to a cold engine in one window."""
+        grown = (max(0.0, now - engine.entry.since_ms) / self.s.warm_within_ms) ** 2  # the ramp is not told
+        start = (self.s.cold_capacity + (1.0 - self.s.cold_capacity) * grown) * 0.85 * engine.cores
+        return COLD_SAFETY * self.s.cold_multiple * start * self.s.cold_window_ms
 
     def _cold_work(self, job: Job) -> float:
         return ESTIMATE_SAFETY * job.cost if job.hint > 0 else max(job.cost, self.sizes.mean_cost[job.cls])
@@ -458,7 +491,7 @@
         if engine.suspect:
             small = self.sizes.band(job.cost) == 3 and cs.effect != Effect.ONCE
             return small and now >= engine.retest_at and not engine.attempts and not job.attempts
-        if engine.attempts and engine.bound - engine.threads < cs.threads:
+        if (engine.attempts or engine.peers) and engine.bound - engine.threads - engine.peers < cs.threads:
             return False
         if engine.memory <= 0 or not self.threads:
             return True
@@ -466,7 +499,7 @@
         if not self.sees_memory:  # in step with the bound
             free = max(1.0 / self.s.dispatchers, min(MEMORY_FULL, 0.6 * engine.bound / engine.cores))
             free = free if engine.attempts else math.inf
-        return engine.granted + self._grant(job, engine) <= engine.memory * free
+        return engine.granted + engine.peers_memory + self._grant(job, engine) <= engine.memory * free
 
     def _others(self, engine: Engine, now: float) -> tuple[float, float]:
         """What others hold on an engine: its last report, trusted less with its age, else the pool of all."""
@@ -495,7 +528,8 @@
             if not self._may_send(job, engine, now):
                 continue
             others = self._others(engine, now)[0] if self.s.report_columns else 0.0
-            busy = (engine.threads + job.cs.threads + others) / max(engine.bound * scale, job.cs.threads)
+            busy = engine.threads + engine.peers + job.cs.threads + others
+            busy /= max(engine.bound * scale, job.cs.threads)
             score = engine.slow * (1.0 + busy) * (0.95 + 0.1 * self.random.random())
             score *= (4.0 if engine.id in job.avoid else 1.0) * (0.5 if engine.cold(now) else 1.0)
             score *= self._group_factor(job, engine) if job.group else 1.0
@@ -564,7 +598,7 @@
             engine.sign(now)
             engine.fails *= 0.7
             if engine.suspect:
-                engine.suspect, engine.cleared_at = False, now
+                engine.suspect, engine.hearsay, engine.cleared_at = False, False, now
                 engine.fails, engine.slow = 0.0, 1.0
                 self.out.append(api.Log(f"engine {engine.id:08x} answers again"))
             if self.s.says_cost and event.true_cost_ms > 0:
@@ -598,9 +632,10 @@
 
     def _hear(self, engine: Engine, report: tuple[float, ...], now: float) -> None:
         values = dict(zip(self.s.report_columns, report, strict=False))
-        engine.others = max(0.0, values.get("concurrent", 0.0) - len(engine.attempts))
+        engine.others = max(0.0, values.get("concurrent", 0.0) - len(engine.attempts) - engine.peers)
         if engine.memory > 0:
-            engine.others_memory = max(0.0, values.get("x0", 0.0) - engine.granted / engine.memory)
+            ours = (engine.granted + engine.peers_memory) / engine.memory
+            engine.others_memory = max(0.0, values.get("x0", 0.0) - ours)
         engine.report_at = now
         self.pool[0] += 0.1 * (engine.others - self.pool[0])
         self.pool[1] += 0.1 * (engine.others_memory - self.pool[1])
@@ -621,7 +656,7 @@
         engine.slow += weight * (min(10.0, ratio / best) - engine.slow)
         if engine.slow > CUT_ABOVE:
             self._cut(engine, now)
-        elif engine.slow < GROW_BELOW and engine.bound - engine.threads < 2 * job.cs.threads:
+        elif engine.slow < GROW_BELOW and engine.bound - engine.threads - engine.peers < 2 * job.cs.threads:
             step = GROW_BY * job.cs.threads / self.s.dispatchers
             engine.bound = min(MOST_THREADS_A_CORE * engine.cores, engine.bound + step)
 
--- a/pinstage/interface.py
+++ b/pinstage/interface.py
@@ -118,12 +118,15 @@
     retry_ratio: float = 0.0
     retry_span_ms: float = 0.0
     over_share_worth: float = 1.0
+    workers: int = 1  # processes that serve as this one dispatcher
 
     def __post_init__(self) -> None:
         if not self.classes:
             raise ValueError("classes: at least one is needed")
         if self.dispatchers < 1:
             raise ValueError("dispatchers: must be 1 or more")
+        if self.workers < 1:
+            raise ValueError("workers: must be 1 or more")
         if self.number < 0:
             raise ValueError("number: must not be negative")
         if self.max_attempts < 1:
@@ -208,7 +211,28 @@
     report: tuple[float, ...]
 
 
-Event = EngineList | Request | Started | Note | Ended | Left | Due | Probed
+class Peer(NamedTuple):
+    """What the other workers of this dispatcher have out at an engine, and their newest word on it.
+
+    `part` is this worker's part of the dispatcher's budget for the engine while it is cold, from 0 to 1.
+    """
+
+    engine: int
+    threads: int
+    memory_mb: float
+    suspect: bool
+    part: float
+    report: tuple[float, ...]
+    report_age_ms: float
+
+
+class Peers(NamedTuple):
+    """Word of the other workers of this dispatcher; without any, everything is this worker's own."""
+
+    entries: tuple[Peer, ...]
+
+
+Event = EngineList | Request | Started | Note | Ended | Left | Due | Probed | Peers
 
 
 # Actions.
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -13,8 +13,8 @@
 from aiohttp import web
 
 from frostspindle import config as configuration
-from frostspindle.__main__ import Program
 from frostspindle.net.tds import codec
+from frostspindle.program import Program
 
 LOOKUP, LOAD = "lookup", "load"
 SQL = "SELECT name FROM calls_17.notes"
