--- a/frostspindle/__main__.py
+++ b/frostspindle/__main__.py
@@ -22,7 +22,10 @@
     except ConfigError as error:
         print(f"frostspindle: {error}", file=sys.stderr)
         return 2
-    from frostspindle.program import run
+    if config.operator.cores.workers > 1:
+        from frostspindle.cores.supervisor import run
+    else:
+        from frostspindle.program import run  # type: ignore[assignment]
 
     try:
         return asyncio.run(run(config))
--- a/frostspindle/core.py
+++ b/frostspindle/core.py
@@ -12,6 +12,7 @@
 
 import asyncio
 import heapq
+import math
 import time
 import traceback
 from collections import Counter, deque
@@ -27,8 +28,8 @@
 SERVED, REFUSED, FAILED = "served", "refused", "failed"
 ABSENT_MS = 30_000.0  # an engine that is gone for so long is forgotten
 AGAIN_MS = 20.0  # a reminder of the module's that met a fault comes again after this
-# What operators are told of a class, and the counters behind it.
-FIGURES = {"success": ("served",), "busy": ("refused", "full"), "failure": ("failed",)}
+# What operators are told of a class, and the counters behind it; lost: open when a worker died.
+FIGURES = {"success": ("served",), "busy": ("refused", "full"), "failure": ("failed", "lost")}
 MOST_NAMES = 4096  # of engines that were ever listed
 TURN = 64  # events that one turn of the task may take before the sockets get theirs
 
@@ -101,11 +102,14 @@
     address: tuple[str, int]
     driver: Driver
     listed: api.EngineEntry | None = None  # in the core's own table: as the list has it
+    version: int = 0  # of the list's event that told of it, where all workers number its events alike
 
 
 class Driver(Protocol):
     """What the core needs of a kind of engines."""
 
+    numbered: bool  # its list's events have the same numbers in every process
+
     def listed(self, engine: EngineState) -> None:
         """An engine is new or has changed."""
 
@@ -135,9 +139,10 @@
 
 @dataclass(slots=True, frozen=True)
 class _Banned:
-    """Engines that were left out by hand, or are no longer."""
+    """Engines that were left out by hand, or are no longer; or whose end another worker was told of."""
 
     names: frozenset[str]
+    by_hand: bool = True
 
 
 @dataclass(slots=True, frozen=True)
@@ -192,6 +197,10 @@
         self.banned: frozenset[str] = frozenset()
         self._out: dict[str, float] = {}  # when each ban began
         self._back: dict[str, float] = {}  # when a ban ended whose engine has restarted unknown to the list
+        self.stops: dict[str, int] = {}  # engines that take nothing new by a newer list than ours: its number
+        # Of a worker among several: asked before each send, and told of engines whose work has changed.
+        self.fence: Callable[[EngineState, Attempt], bool] | None = None
+        self.watch: Callable[[int, tuple[float, ...]], None] | None = None
         self._records: dict[int, Record] = {}
         self._open = self._numbers = self._version = 0
         self._urgent: deque[Any] = deque()  # the engine list; never waits behind client work
@@ -256,8 +265,10 @@
     def may_send(self, attempt: Attempt) -> bool:
         """Asked by drivers right before the first byte: an engine may have begun to drain meanwhile."""
         state = self.engines.get(attempt.engine)
-        return (not attempt.over and state is not None and state.entry.health == Health.READY
-                and state.name not in self.banned)
+        if state is None or (self.fence is not None and not self.fence(state, attempt)):
+            return False
+        return (not attempt.over and state.entry.health == Health.READY and state.name not in self.banned
+                and state.name not in self.stops)
 
     def ban(self, names: frozenset[str]) -> None:
         """These engines, and no others, are left out by hand; drivers obey at once, the module hears of it next."""
@@ -271,6 +282,17 @@
         self._urgent.append(_Banned(changed))
         self._wake.set()
 
+    def stop(self, name: str, version: int) -> None:
+        """Another worker was told by a newer list that this engine takes nothing new; ours will tell it too."""
+        if version > self.stops.get(name, 0):
+            self.stops[name] = version
+            self._urgent.append(_Banned(frozenset((name,)), False))
+            self._wake.set()
+
+    def hear(self, entries: tuple[api.Peer, ...]) -> None:
+        """Word of the other workers, for the module."""
+        self._put(api.Peers(entries))
+
     def written(self, attempt: Attempt) -> None:
         """The attempt has left whole for its engine."""
         self.events.count("written", attempt.ask.front, attempt.class_name)
@@ -382,7 +404,7 @@
         elif isinstance(event, _Listing):
             self._list(now, event)
         elif isinstance(event, _Banned):
-            self._lay(now, event.names)
+            self._lay(now, event.names, event.by_hand)
         elif isinstance(event, _Bound):
             self.controller.most_open = event.most
         elif isinstance(event, _Over):
@@ -451,10 +473,16 @@
                         if state.driver is listing.driver and number not in listed]
         entries = []
         for told in changed:
+            if listing.driver.numbered:
+                told.version = listing.version
+                if self.stops.get(told.name, math.inf) <= listing.version:
+                    del self.stops[told.name]  # our own list has caught up
             state = self._overlaid(told)
             self._remember(state.name)
             entries.append(state.entry)
             self.engines[state.entry.engine] = state
+            if self.watch is not None:
+                self.watch(state.entry.engine, ())
             state.driver.listed(state)
             if state.entry.health == Health.GONE:
                 self._at(now + ABSENT_MS, _Absent(state.entry.engine))
@@ -465,12 +493,13 @@
     def _overlaid(self, told: EngineState) -> EngineState:
         """An engine as the module is to hear of it: a ban makes of an active one a draining one."""
         listed = told.listed or told.entry
-        health = Health.DRAINING if listed.health == Health.READY and told.name in self.banned else listed.health
+        out = told.name in self.banned or told.name in self.stops
+        health = Health.DRAINING if listed.health == Health.READY and out else listed.health
         since_ms = max(listed.since_ms, self._back.get(told.name, 0.0))
         return EngineState(listed._replace(health=health, since_ms=since_ms), told.name, told.address, told.driver,
-                           listed)
+                           listed, told.version)
 
-    def _lay(self, now: float, names: frozenset[str]) -> None:
+    def _lay(self, now: float, names: frozenset[str], by_hand: bool) -> None:
         """Bans have changed: tell driver and module of the engines that they are about."""
         entries = []
         for number, state in self.engines.items():
@@ -479,7 +508,7 @@
                 state.driver.listed(state)
                 entries.append(state.entry)
         for name in sorted(names):
-            self.events.log("ban", name=name, on=name in self.banned)
+            self.events.log("ban", name=name, on=name in self.banned) if by_hand else self.events.log("stop", name=name)
         if entries:
             self._tell(now, api.EngineList(ListKind.DELTA, self._version, tuple(entries)))
 
@@ -502,6 +531,9 @@
             self._at(now + ABSENT_MS, _Absent(number))
         else:
             del self.engines[number]
+            self.stops.pop(state.name, None)
+            if self.watch is not None:
+                self.watch(number, ())
 
     def _end(self, now: float, end: _End) -> None:
         attempt, ask = end.attempt, end.attempt.ask
@@ -516,6 +548,8 @@
         over = record is None or bool(record.answered)
         self._tell(now, api.Ended(ask.number, attempt.number, attempt.engine, verdict,
                                   end.at_ms - attempt.sent_ms, over, 0.0, 0.0, end.report))
+        if self.watch is not None:
+            self.watch(attempt.engine, end.report)
         if record is not None:
             self._forget(record)
 
@@ -537,6 +571,8 @@
         record.attempts.append(attempt)
         self.events.count("sent", ask.front, attempt.class_name)
         state.driver.start(attempt)
+        if self.watch is not None:
+            self.watch(attempt.engine, ())
 
     def _terms(self, now: float, action: api.Terms) -> None:
         record = self._records.get(action.request)
--- /dev/null
+++ b/frostspindle/cores/board.py
@@ -0,0 +1,295 @@
+"""The shared memory itself: made by the supervisor, mapped by each worker, one writer a cell.
+
+Owns the mapping and the typed access to it in the form of layout.py. The memory has no name in any file system, so
+that nothing is left over when its processes end; what a worker inherits is checked all the same (magic, version,
+size, instance). It must never wait for another process: a reader that meets a torn cell reads again a few times, then
+says so.
+"""
+
+from __future__ import annotations
+
+import mmap
+import os
+from collections.abc import Iterator
+from typing import Any
+
+import msgspec
+
+from frostspindle.cores import layout as form
+from frostspindle.cores.fleet import Ghost, Row
+from frostspindle.cores.layout import BadBoard, CounterName, Layout
+
+TRIES = 16  # so often a cell that is being written is read again
+_EMPTY = bytes(8)
+
+
+class Control(msgspec.Struct):
+    """What the supervisor tells all workers."""
+
+    bans: list[str] = []
+    draining: bool = False
+    crowded: bool = False
+    ending: bool = False  # the whole program ends, not one worker
+    living: dict[int, int] = {}  # slot to incarnation
+    sockets: dict[int, int] = {}  # slot to its share
+    ghosts: list[Ghost] = []
+    lost: list[int] = []  # ids that were open when their worker died
+    leases: dict[int, tuple[list[int], list[int]]] = {}  # cold engine to the units and serials of each slot
+
+
+_ENCODER, _DECODER = msgspec.msgpack.Encoder(), msgspec.msgpack.Decoder(Control)
+
+
+class Board:
+    """One mapping. `cells` has integers, `times` floats of the same memory."""
+
+    def __init__(self, fd: int, memory: mmap.mmap, layout: Layout, nonce: int) -> None:
+        self.fd, self.layout, self.nonce = fd, layout, nonce
+        self._memory = memory
+        self.bytes = memoryview(memory)
+        aligned = self.bytes[:layout.size // 8 * 8]
+        self.cells, self.times = aligned.cast("Q"), aligned.cast("d")
+
+    @classmethod
+    def create(cls, layout: Layout) -> Board:
+        fd = os.memfd_create("frostspindle", os.MFD_CLOEXEC)
+        os.ftruncate(fd, layout.size)
+        memory = mmap.mmap(fd, layout.size)
+        nonce = int.from_bytes(os.urandom(8), "little")
+        with memoryview(memory) as view:
+            form.write_header(view, layout, nonce)
+        return cls(fd, memory, layout, nonce)
+
+    @classmethod
+    def attach(cls, fd: int, nonce: int) -> Board:
+        """BadBoard if this is not the board of the instance that started us."""
+        try:
+            size = os.fstat(fd).st_size
+            memory = mmap.mmap(fd, size)
+        except (OSError, ValueError) as error:
+            raise BadBoard(str(error)) from None
+        view = memoryview(memory)
+        try:
+            layout = form.read_header(view, nonce)
+        except BadBoard:
+            view.release()
+            memory.close()
+            raise
+        view.release()
+        return cls(fd, memory, layout, nonce)
+
+    def close(self) -> None:
+        for view in (self.cells, self.times, self.bytes):
+            view.release()
+        self._memory.close()
+        os.close(self.fd)
+
+    # Control: the supervisor writes.
+
+    @property
+    def version(self) -> int:
+        return self.cells[self.layout.control // 8]
+
+    def publish(self, control: Control) -> None:
+        """The page that nobody reads is written first, then the version that points to it."""
+        version = self.version + 1
+        at = self.layout.control + 8 + (version % 2) * form.PAGE
+        page = form.pack_page(_ENCODER.encode(control))
+        self.bytes[at:at + len(page)] = page
+        self.cells[self.layout.control // 8] = version
+
+    def control(self) -> tuple[int, Control] | None:
+        """The newest version; None if it could not be read whole."""
+        for _ in range(TRIES):
+            version = self.version
+            if not version:
+                return 0, Control()
+            at = self.layout.control + 8 + (version % 2) * form.PAGE
+            blob = form.unpack_page(bytes(self.bytes[at:at + form.PAGE]))
+            if blob is not None:
+                return version, _DECODER.decode(blob)
+        return None
+
+    def horizon(self, slot: int) -> float:
+        return self.times[self.layout.horizons // 8 + slot]
+
+    def set_horizon(self, slot: int, at_ms: float) -> None:
+        self.times[self.layout.horizons // 8 + slot] = at_ms
+
+
+class Region:
+    """One slot's region, as its worker writes it and all others read it."""
+
+    def __init__(self, board: Board, slot: int) -> None:
+        self.board, self.slot = board, slot
+        layout = board.layout
+        self.base = layout.at(slot)
+        self._head = self.base // 8
+        self._values = (self.base + layout.values) // 8
+        self._sequences = (self.base + layout.sequences) // 8
+        self._rows = self.base + layout.rows
+        self._names = self.base + layout.names
+        self._ids = self.base + layout.ids
+        self._places: dict[int, int] = {}  # the writer's: engine to row
+        self._spare: list[int] = []
+        self._counters: dict[Any, int] = {}
+
+    def clear(self) -> None:
+        """Before a new worker: nothing of its predecessor stands."""
+        size = self.board.layout.region
+        self.board.bytes[self.base:self.base + size] = bytes(size)
+
+    # The head.
+
+    def get(self, cell: int) -> int:
+        return self.board.cells[self._head + cell]
+
+    def put(self, cell: int, value: int) -> None:
+        self.board.cells[self._head + cell] = value
+
+    def bump(self, cell: int) -> None:
+        self.board.cells[self._head + cell] += 1
+
+    @property
+    def beat(self) -> float:
+        return self.board.times[self._head + form.HEARTBEAT]
+
+    @beat.setter
+    def beat(self, at_ms: float) -> None:
+        self.board.times[self._head + form.HEARTBEAT] = at_ms
+
+    # Counters: written at once, so that a worker that is killed has counted all that it did.
+
+    def count(self, key: tuple[str, str, str], value: int) -> None:
+        place = self._counters.get(key)
+        if place is None:
+            place = len(self._counters)
+            if place >= self.board.layout.counters:
+                return  # more kinds than there are cells: the worker's own log still has them
+            self._counters[key] = place
+            at = self._names + form.NAME_BYTES * place
+            self.board.cells[self._values + place] = value
+            self.board.bytes[at:at + form.NAME_BYTES] = form.pack_name(CounterName(*key))
+            self.put(form.NAMES, place + 1)
+        else:
+            self.board.cells[self._values + place] = value
+
+    def counters(self) -> Iterator[tuple[CounterName, int]]:
+        for place in range(min(self.get(form.NAMES), self.board.layout.counters)):
+            at = self._names + form.NAME_BYTES * place
+            if (name := form.unpack_name(bytes(self.board.bytes[at:at + form.NAME_BYTES]))) is not None:
+                yield name, self.board.cells[self._values + place]
+
+    # Rows of engines.
+
+    def write(self, row: Row) -> bool:
+        """False: there is no room for one more engine; others then know nothing of our work there."""
+        place = self._places.get(row.engine)
+        if place is None:
+            if self._spare:
+                place = self._spare.pop()
+            elif (place := len(self._places)) >= self.board.layout.engines:
+                return False
+            self._places[row.engine] = place
+            self.put(form.ROWS, max(self.get(form.ROWS), place + 1))
+        data = form.pack_row(row)
+        at = self._rows + form.ROW_BYTES * place
+        self.board.bytes[at:at + len(data)] = data
+        self.board.cells[self._sequences + place] += 1
+        return True
+
+    def erase(self, engine: int) -> None:
+        place = self._places.pop(engine, None)
+        if place is not None:
+            at = self._rows + form.ROW_BYTES * place
+            self.board.bytes[at:at + form.ROW_BYTES] = bytes(form.ROW_BYTES)
+            self.board.cells[self._sequences + place] += 1
+            self._spare.append(place)
+
+    def sequences(self) -> list[int]:
+        count = min(self.get(form.ROWS), self.board.layout.engines)
+        return self.board.cells[self._sequences:self._sequences + count].tolist()
+
+    def read(self, place: int) -> Row | None:
+        """One row; None: erased, or torn for longer than a writer that lives takes."""
+        at = self._rows + form.ROW_BYTES * place
+        for _ in range(TRIES):
+            data = bytes(self.board.bytes[at:at + form.ROW_BYTES])
+            if (row := form.unpack_row(data)) is not None:
+                return row
+            if data[:8] == _EMPTY:
+                return None
+        return None
+
+    def rows(self) -> Iterator[Row]:
+        for place in range(len(self.sequences())):
+            if (row := self.read(place)) is not None:
+                yield row
+
+    # Ids of open requests: buckets of WAYS, so that no reader follows a chain that its writer changes.
+
+    def _bucket(self, ticket: int) -> int:
+        return self._ids + 8 * form.WAYS * (ticket % self.board.layout.buckets)
+
+    def add(self, ticket: int) -> bool:
+        """False: its bucket is full."""
+        first = self._bucket(ticket) // 8
+        for cell in range(first, first + form.WAYS):
+            if not self.board.cells[cell]:
+                self.board.cells[cell] = ticket
+                return True
+        return False
+
+    def remove(self, ticket: int) -> None:
+        first = self._bucket(ticket) // 8
+        for cell in range(first, first + form.WAYS):
+            if self.board.cells[cell] == ticket:
+                self.board.cells[cell] = 0
+
+    def has(self, ticket: int) -> bool:
+        first = self._bucket(ticket) // 8
+        return ticket in self.board.cells[first:first + form.WAYS].tolist()
+
+    def ids(self) -> list[int]:
+        first = self._ids // 8
+        cells = self.board.cells[first:first + form.WAYS * self.board.layout.buckets]
+        return [ticket for ticket in cells.tolist() if ticket]
+
+
+class Sight:
+    """A reader's copy of another worker's rows, brought up to date by what changed only."""
+
+    def __init__(self, region: Region) -> None:
+        self.region = region
+        self.rows: dict[int, Row] = {}
+        self.torn = 0
+        self._incarnation = self._flushes = -1
+        self._sequences: list[int] = []
+        self._engines: list[int | None] = []
+
+    def look(self) -> set[int]:
+        """The engines whose rows have changed since the last look."""
+        incarnation, flushes = self.region.get(form.INCARNATION), self.region.get(form.FLUSHES)
+        if (incarnation, flushes) == (self._incarnation, self._flushes):
+            return set()
+        changed: set[int] = set()
+        if incarnation != self._incarnation:  # another process: nothing of the earlier one holds
+            changed |= self.rows.keys()
+            self.rows, self._sequences, self._engines = {}, [], []
+        sequences = self.region.sequences()
+        self._engines += [None] * (len(sequences) - len(self._engines))
+        for place, sequence in enumerate(sequences):
+            if place < len(self._sequences) and sequence == self._sequences[place]:
+                continue
+            row, before = self.region.read(place), self._engines[place]
+            if row is None and self.region.read(place) is None and sequence and before is None:
+                self.torn += 1
+            if before is not None and (row is None or row.engine != before):
+                self.rows.pop(before, None)
+                changed.add(before)
+            if row is not None:
+                self.rows[row.engine] = row
+                changed.add(row.engine)
+            self._engines[place] = row.engine if row is not None else None
+        self._incarnation, self._flushes, self._sequences = incarnation, flushes, sequences
+        return changed
--- /dev/null
+++ b/frostspindle/cores/layout.py
@@ -0,0 +1,182 @@
+"""The form of the memory that the supervisor and its workers share.
+
+Owns every offset and the packing of a row with its checksum. It must never map, allocate or wait: it works on a buffer
+that board.py holds. Each cell has one writer: the header and the two control pages the supervisor, a slot's region the
+worker in that slot (and the supervisor once that worker is dead). Numbers are little-endian; aligned cells of eight
+bytes are written in one store, anything longer stands behind a CRC-32, so that a torn or unfinished one shows.
+
+    header | control: version, 2 pages | horizons | region of slot 0 | region of slot 1 | ...
+    region: head cells | counter values | counter names | row sequences | rows | ids
+"""
+
+from __future__ import annotations
+
+import struct
+import zlib
+from dataclasses import dataclass
+from typing import NamedTuple
+
+from frostspindle.cores.fleet import Row
+
+MAGIC, VERSION = b"FSBOARD\x00", 1
+HEADER = struct.Struct("<8sIIIIIQQ")  # magic, version, slots, engines, counters, buckets, nonce, size
+HEAD_BYTES = 128
+PAGE = 64 * 1024  # one control page: length, CRC, blob
+PAGE_HEAD = struct.Struct("<II")
+CELLS = 32  # of a region's head, eight bytes each
+NAME_BYTES = 96  # of a counter: what, front and class
+WAYS = 16  # ids in one bucket
+ROW = struct.Struct("<IIQIIIIddd8dffII64s32s")
+ROW_BYTES = 320
+_CRC = struct.Struct("<I")
+REPORT = 8
+
+
+class BadBoard(Exception):
+    """This memory is no board of this program's version, or was left by another instance."""
+
+
+# A region's head, by cell number. Integers are u64, times f64.
+INCARNATION, PID, STATE, OPEN, CLIENTS, SOCKETS, FLUSHES, URGENT, ROWS, NAMES, SEEN, TDS, HEARTBEAT = range(13)
+STARTING, SERVING, LEAVING, ENDED = range(4)  # STATE
+
+
+@dataclass(frozen=True, slots=True)
+class Layout:
+    """Sizes and offsets, all from four counts."""
+
+    slots: int
+    engines: int = 1024
+    counters: int = 512
+    buckets: int = 512
+
+    @property
+    def control(self) -> int:
+        return HEAD_BYTES
+
+    @property
+    def horizons(self) -> int:
+        return self.control + 8 + 2 * PAGE
+
+    @property
+    def regions(self) -> int:
+        return (self.horizons + 8 * self.slots + 63) // 64 * 64
+
+    @property
+    def values(self) -> int:
+        """Within a region."""
+        return 8 * CELLS
+
+    @property
+    def names(self) -> int:
+        return self.values + 8 * self.counters
+
+    @property
+    def sequences(self) -> int:
+        return self.names + NAME_BYTES * self.counters
+
+    @property
+    def rows(self) -> int:
+        return self.sequences + 8 * self.engines
+
+    @property
+    def ids(self) -> int:
+        return self.rows + ROW_BYTES * self.engines
+
+    @property
+    def region(self) -> int:
+        return (self.ids + 8 * WAYS * self.buckets + 63) // 64 * 64
+
+    @property
+    def size(self) -> int:
+        return self.regions + self.slots * self.region
+
+    def at(self, slot: int) -> int:
+        return self.regions + slot * self.region
+
+
+def write_header(buffer: memoryview, layout: Layout, nonce: int) -> None:
+    head = HEADER.pack(MAGIC, VERSION, layout.slots, layout.engines, layout.counters, layout.buckets, nonce,
+                       layout.size)
+    buffer[:len(head)] = head
+    _CRC.pack_into(buffer, len(head), zlib.crc32(head))
+
+
+def read_header(buffer: memoryview, nonce: int) -> Layout:
+    """The layout, or BadBoard: of another program, version or instance, cut short, or damaged."""
+    if len(buffer) < HEAD_BYTES:
+        raise BadBoard("it is shorter than a header")
+    head = bytes(buffer[:HEADER.size])
+    magic, version, slots, engines, counters, buckets, written, size = HEADER.unpack(head)
+    if magic != MAGIC:
+        raise BadBoard("it is no board")
+    if version != VERSION:
+        raise BadBoard(f"it has version {version}, this program {VERSION}")
+    if _CRC.unpack_from(buffer, HEADER.size)[0] != zlib.crc32(head):
+        raise BadBoard("its header is damaged")
+    layout = Layout(slots, engines, counters, buckets)
+    if size != layout.size or len(buffer) < size:
+        raise BadBoard(f"it has {len(buffer)} bytes in place of {layout.size}")
+    if written != nonce:
+        raise BadBoard("it belongs to another instance")
+    return layout
+
+
+def cut(text: str, most: int) -> bytes:
+    """UTF-8 that fits; what is cut keeps a checksum of the whole, so that two long names stay two."""
+    data = text.encode()
+    if len(data) <= most:
+        return data
+    return data[:most - 9].decode("utf-8", "ignore").encode() + b"~%08x" % zlib.crc32(data)
+
+
+def pack_row(row: Row) -> bytes:
+    report = (*row.report[:REPORT], *(0.0,) * (REPORT - len(row.report)))
+    body = ROW.pack(row.engine, len(row.report[:REPORT]), row.version, row.health, row.suspect, row.threads, 0,
+                    row.granted_mb, row.since_ms, row.report_at, *report, row.spent, row.wished, row.seen, 0,
+                    cut(row.name, 64), cut(row.address, 32))
+    return _CRC.pack(zlib.crc32(body)) + body
+
+
+def unpack_row(data: bytes) -> Row | None:
+    """None: torn, or never written."""
+    body = data[4:4 + ROW.size]
+    if _CRC.unpack_from(data)[0] != zlib.crc32(body):
+        return None
+    (engine, count, version, health, suspect, threads, _, granted, since, report_at, *rest) = ROW.unpack(body)
+    report, (spent, wished, seen, _, name, address) = rest[:REPORT], rest[REPORT:]
+    return Row(engine, version, health, bool(suspect), threads, granted, since, report_at, tuple(report[:count]), spent,
+               wished, seen, name.rstrip(b"\0").decode("utf-8", "replace"), address.rstrip(b"\0").decode("latin-1"))
+
+
+def pack_page(blob: bytes) -> bytes:
+    if len(blob) > PAGE - PAGE_HEAD.size:
+        raise ValueError(f"{len(blob)} bytes do not fit into a control page")
+    return PAGE_HEAD.pack(len(blob), zlib.crc32(blob)) + blob
+
+
+def unpack_page(data: bytes) -> bytes | None:
+    """None: it was being written."""
+    length, crc = PAGE_HEAD.unpack_from(data)
+    blob = data[PAGE_HEAD.size:PAGE_HEAD.size + length]
+    return blob if len(blob) == length and zlib.crc32(blob) == crc else None
+
+
+class CounterName(NamedTuple):
+    what: str
+    front: str
+    cls: str
+
+
+def pack_name(name: CounterName) -> bytes:
+    text = "\x1f".join(name)
+    data = cut(text, NAME_BYTES - 5)
+    return (bytes((len(data),)) + _CRC.pack(zlib.crc32(data)) + data).ljust(NAME_BYTES, b"\0")
+
+
+def unpack_name(data: bytes) -> CounterName | None:
+    text = data[5:5 + data[0]]
+    if not text or _CRC.unpack_from(data, 1)[0] != zlib.crc32(text):
+        return None
+    parts = text.decode("utf-8", "replace").split("\x1f")
+    return CounterName(*parts) if len(parts) == 3 else None
--- a/frostspindle/cores/leases.py
+++ b/frostspindle/cores/leases.py
@@ -49,20 +49,22 @@
     """One cold engine's units."""
 
     slots: list[Held]
+    units: int = UNITS
     cooling: list[tuple[float, int]] = field(default_factory=list)  # free at, units
     heard_at: float = 0.0
 
     @property
     def free(self) -> int:
         held = sum(s.units + sum(units for _, units in s.pending) for s in self.slots)
-        return UNITS - held - sum(units for _, units in self.cooling)
+        return self.units - held - sum(units for _, units in self.cooling)
 
 
-def wanted(need: Need, slots: int) -> int:
+def wanted(need: Need, slots: int, whole: int = UNITS) -> int:
     """Units for a need, at least the reserve; one more than the need, for what rounds down."""
-    reserve = UNITS // (slots * RESERVE)
-    return max(reserve, min(UNITS, math.ceil((need.spent + need.wished) * UNITS) + 1 if need.wished or need.spent
-                            else 0))
+    reserve = whole // (slots * RESERVE)
+    if not (need.spent or need.wished):
+        return reserve
+    return max(reserve, min(whole, math.ceil((need.spent + need.wished) * whole) + 1))
 
 
 def fair(wants: Mapping[int, int], whole: int = UNITS) -> dict[int, int]:
@@ -79,7 +81,9 @@
 class Arbiter:
     """The supervisor's side: one ledger a cold engine."""
 
-    def __init__(self, slots: int, window_ms: float, settle_ms: float, lease_ms: float = LEASE_MS) -> None:
+    def __init__(self, slots: int, window_ms: float, settle_ms: float, lease_ms: float = LEASE_MS,
+                 units: int = UNITS) -> None:
+        self.units = units
         self.count, self.cool_ms, self.lease_ms = slots, window_ms + settle_ms, lease_ms
         self.engines: dict[int, Ledger] = {}
         self.horizons = [-math.inf] * slots
@@ -110,7 +114,7 @@
     def step(self, now: float, needs: Mapping[int, Mapping[int, Need]]) -> None:
         """`needs`: of each engine that some worker holds cold, the word of each slot."""
         for engine in needs.keys() - self.engines.keys():
-            self.engines[engine] = Ledger([Held() for _ in range(self.count)])
+            self.engines[engine] = Ledger([Held() for _ in range(self.count)], self.units)
         for engine, ledger in list(self.engines.items()):
             if engine in needs:
                 ledger.heard_at = now
@@ -138,7 +142,7 @@
 
     def _share(self, ledger: Ledger, now: float, needs: Mapping[int, Need]) -> None:
         live = [slot for slot in range(self.count) if self.lives[slot] and now < self.horizons[slot]]
-        target = fair({slot: wanted(needs.get(slot, Need()), self.count) for slot in live})
+        target = fair({slot: wanted(needs.get(slot, Need()), self.count, self.units) for slot in live}, self.units)
         short = sum(max(0, target[slot] - ledger.slots[slot].units) for slot in live)
         missing = short - ledger.free - sum(units for _, units in ledger.cooling) - sum(
             units for held in ledger.slots for _, units in held.pending)
--- /dev/null
+++ b/frostspindle/cores/link.py
@@ -0,0 +1,358 @@
+"""What ties one worker to the others: it keeps the board and the worker's core, front and limits in step.
+
+Owns this worker's region of the board and its view of all others. It must never wait for another worker, never judge
+what it reads (fleet.py, leases.py and ownership.py do), and never let a send pass that the board forbids: `fence` is
+asked right before the first byte of each.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from frostspindle.config import Config
+from frostspindle.core import Attempt, EngineState, clock
+from frostspindle.cores import fleet, leases, ownership
+from frostspindle.cores import layout as form
+from frostspindle.cores.board import Board, Control, Region, Sight
+from frostspindle.cores.fleet import Row, Sibling
+from frostspindle.cores.mesh import Gone, Mesh
+from frostspindle.cores.ownership import Owner, Route
+from frostspindle.net.platform import FRONT, Refusal, _Slot
+from pinstage.interface import Health, Peer
+
+if TYPE_CHECKING:
+    from frostspindle.program import Program
+
+TICK_S = 0.02  # how often the others' rows are read and the heart beats
+FLUSH_S = 0.005  # changes of own rows are written together, so late at most
+ALL_TICKS = 25  # every so many ticks all engines are looked at, for what ages without a change
+DECIDED_MS = 400.0  # a send to a cold engine that has waited longer for a connection counts under no lease any more
+
+
+def mono() -> float:
+    """Milliseconds that all processes of this machine count alike."""
+    return time.monotonic() * 1000.0
+
+
+class Passport(msgspec.Struct):
+    """What the supervisor hands to a worker at its start."""
+
+    slot: int
+    incarnation: int
+    slots: int
+    nonce: int
+    board: int  # descriptors, as `life` and `mesh`, and `listener`, `tds` for those who serve
+    life: int
+    mesh: int
+    listener: int
+    paths: dict[int, str]
+    tds: int | None = None
+
+
+class Link:
+    """One worker among several. It stands where a single process has `Shared`."""
+
+    def __init__(self, passport: Passport, board: Board, config: Config) -> None:
+        self.passport, self.board, self.config = passport, board, config
+        self.me = Owner(passport.slot, passport.incarnation)
+        self.region = Region(board, passport.slot)
+        self.sights = {slot: Sight(Region(board, slot)) for slot in range(passport.slots) if slot != passport.slot}
+        self.version, self.told = 0, Control()
+        self.lost: frozenset[int] = frozenset()
+        self.crowded = self.orphaned = False
+        self.banned: frozenset[str] = frozenset()
+        self.dirty: set[int] = set()
+        self.reports: dict[int, tuple[float, tuple[float, ...]]] = {}
+        self.peers: dict[int, Peer] = {}
+        self.seen: dict[int, int] = {}  # of each cold engine: the lease serial that is obeyed
+        self._urgent = dict.fromkeys(self.sights, -1)
+        self._flusher: asyncio.TimerHandle | None = None
+        self._ticker: asyncio.TimerHandle | None = None
+        self._ticks = 0
+        self._cold: dict[int, tuple[float, float]] = {}
+        self._full = False
+        self._asking: set[asyncio.Task[None]] = set()
+
+    @property
+    def ending(self) -> bool:
+        """The whole program ends: nobody else accepts."""
+        self._obey()  # its word may have come with the signal
+        return self.told.ending and not self.orphaned
+
+    # What the program calls.
+
+    def bind(self, program: Program) -> None:
+        self.program, self.core, self.events = program, program.core, program.events
+        self.loop = asyncio.get_running_loop()
+        self.region.clear()
+        put = self.region.put
+        put(form.PID, 0)
+        put(form.INCARNATION, self.me.incarnation)
+        put(form.STATE, form.STARTING)
+        self.events.mirror = self.region.count
+        self.core.fence, self.core.watch = self.fence, self.watch
+        program.platform.relay, program.platform.prefix = self, ownership.prefix(self.me)
+        self.mesh = Mesh(self.passport.mesh, self.passport.paths, program.platform)
+
+    def start(self, told: Callable[[frozenset[str]], None], crowd: Callable[[bool], None]) -> None:
+        self._told, self._crowd = told, crowd
+        self._obey()
+        self._tick()
+        task = self.loop.create_task(self.mesh.start())
+        self._asking.add(task)
+        task.add_done_callback(self._asking.discard)
+
+    def serving(self) -> None:
+        self.region.put(form.STATE, form.SERVING)
+
+    def leaving(self) -> None:
+        self.region.put(form.STATE, form.LEAVING)
+
+    def close(self) -> None:
+        for timer in (self._ticker, self._flusher):
+            if timer is not None:
+                timer.cancel()
+        for task in self._asking:
+            task.cancel()
+        self.mesh.close()
+        self._flush()
+        self._head()
+        self.region.put(form.STATE, form.ENDED)
+
+    # The board to the core.
+
+    def _tick(self) -> None:
+        self._ticker = self.loop.call_later(TICK_S, self._tick)
+        try:
+            self._step()
+        except Exception as error:  # noqa: BLE001 - the next tick reads all again
+            self.events.count("faults")
+            self.events.log("fault", error=repr(error), of="link")
+
+    def _step(self) -> None:
+        self._ticks += 1
+        self._head()
+        self._obey()
+        changed: set[int] = set()
+        for slot in self.sights:
+            changed |= self._look(slot)
+        if self._ticks % ALL_TICKS == 0:
+            changed |= self.core.engines.keys()
+        self._needs()
+        changed |= self._cold.keys()
+        if changed:
+            self._hear(changed)
+
+    def _head(self) -> None:
+        region, program = self.region, self.program
+        region.beat = mono()
+        region.put(form.OPEN, self.core.open)
+        region.put(form.CLIENTS, program.platform.connections)
+        region.put(form.TDS, len(program.tds.sessions) if program.tds else 0)
+        region.put(form.SOCKETS, program.platform.connections + program.driver.connections + SPARE)
+        region.put(form.SEEN, self.version)
+
+    def _obey(self) -> None:
+        """Take the supervisor's newest word."""
+        if self.board.version == self.version:
+            return
+        if (read := self.board.control()) is None:
+            self.events.count("board_torn")
+            return
+        before, (self.version, self.told) = self.told, read
+        self.lost = frozenset(self.told.lost)
+        if (banned := frozenset(self.told.bans)) != self.banned:
+            self.banned = banned
+            self._told(banned)
+        if self.told.draining != before.draining:
+            self.program.drain() if self.told.draining else self.program.resume()
+        if self.told.crowded != self.crowded:
+            self.crowded = self.told.crowded
+            self._crowd(self.crowded)
+        share = self.told.sockets.get(self.me.slot, 0)
+        if share and share != before.sockets.get(self.me.slot, 0):
+            self.program.resize(share)
+        if self.told.leases != before.leases or self.told.ghosts != before.ghosts:
+            self._hear(self.told.leases.keys() | before.leases.keys()
+                       | {ghost.engine for ghost in [*self.told.ghosts, *before.ghosts]})
+
+    def _look(self, slot: int) -> set[int]:
+        """Another worker's rows; its word on engines that end goes over our list at once."""
+        sight = self.sights[slot]
+        torn = sight.torn
+        urgent = sight.region.get(form.URGENT)
+        changed = sight.look()
+        if sight.torn != torn:
+            self.events.count("board_torn")
+        if changed and urgent != self._urgent[slot]:
+            siblings = [Sibling(0.0, sight.rows)]
+            for engine in changed:
+                state = self.core.engines.get(engine)
+                if state is not None and state.version and (
+                        word := fleet.stop(engine, state.version, siblings)) is not None:
+                    self.core.stop(state.name, word[0])
+        self._urgent[slot] = urgent
+        return changed
+
+    def _part(self, engine: int) -> float:
+        units, serials = self.told.leases.get(engine, ((), ()))
+        if self.me.slot >= len(units):
+            return 0.0
+        self.seen[engine] = serials[self.me.slot]
+        return leases.part(units[self.me.slot], self.board.horizon(self.me.slot), mono())
+
+    def _hear(self, engines: set[int]) -> None:
+        """Tell the module what the others have out, think and know, where that has changed."""
+        now, beat = clock(), mono()
+        siblings = [Sibling(beat - sight.region.beat, sight.rows) for slot, sight in self.sights.items()
+                    if slot in self.told.living]  # what a dead one left is told as ghosts
+        entries = []
+        for engine in engines & self.core.engines.keys():
+            entry = fleet.peer(engine, siblings, self.told.ghosts, now, self._part(engine))
+            before = self.peers.get(engine)
+            if before is None or before[:5] != entry[:5] or (entry.report and entry.report != before.report):
+                entries.append(entry)
+            self.peers[engine] = entry
+        if entries:
+            self.core.hear(tuple(entries))
+
+    # The core to the board.
+
+    def watch(self, engine: int, report: tuple[float, ...]) -> None:
+        """The engine's work or standing has changed."""
+        if report:
+            self.reports[engine] = (clock(), report)
+        if engine not in self.core.engines:
+            for table in (self.reports, self.peers, self.seen):
+                table.pop(engine, None)
+            self.region.erase(engine)
+            return
+        self.dirty.add(engine)
+        state = self.core.engines[engine]
+        if state.entry.health != Health.READY and state.version:
+            self._flush()  # an end that was told here is the others' affair at once
+            self.region.bump(form.URGENT)
+        elif self._flusher is None:
+            self._flusher = self.loop.call_later(FLUSH_S, self._flush)
+
+    def _needs(self) -> None:
+        """Each cold engine's row says what was spent, what is wished for, and which lease is obeyed."""
+        cold = self.core.controller.cold_need(clock())
+        for engine in cold.keys() | self._cold.keys():
+            if cold.get(engine) != self._cold.get(engine) or self._ticks % ALL_TICKS == 0:
+                self.dirty.add(engine)
+        self._cold = cold
+        for engine in self.seen.keys() - cold.keys():
+            del self.seen[engine]
+        for engine in cold:
+            before = self.seen.get(engine)
+            self._part(engine)
+            if self.seen.get(engine) != before:
+                self.dirty.add(engine)
+        if self.dirty:
+            self._flush()
+
+    def _flush(self) -> None:
+        if self._flusher is not None:
+            self._flusher.cancel()
+            self._flusher = None
+        dirty, self.dirty = self.dirty, set()
+        for engine in dirty:
+            if (state := self.core.engines.get(engine)) is not None and not self.region.write(self._row(engine, state)):
+                if not self._full:
+                    self._full = True
+                    self.events.log("board", error="more engines than it has rows for", engine=state.name)
+        if dirty:
+            self.region.bump(form.FLUSHES)
+
+    def _row(self, engine: int, state: EngineState) -> Row:
+        believed = self.core.controller.engines.get(engine)
+        listed = state.listed or state.entry
+        at, report = self.reports.get(engine, (0.0, ()))
+        spent, wished = self._cold.get(engine, (0.0, 0.0))
+        suspect = believed is not None and believed.suspect and not believed.hearsay
+        return Row(engine, state.version, listed.health, suspect, believed.threads if believed else 0,
+                   believed.granted if believed else 0.0, listed.since_ms, at, report, spent, wished,
+                   self.seen.get(engine, 0), state.name, f"{state.address[0]}:{state.address[1]}")
+
+    # Before each send.
+
+    def fence(self, state: EngineState, attempt: Attempt) -> bool:
+        """The last look at the board: bans and ends of engines, and for cold ones whether the lease still holds."""
+        self._obey()
+        for slot, sight in self.sights.items():
+            if sight.region.get(form.URGENT) != self._urgent[slot]:
+                self._look(slot)
+        since = state.entry.since_ms
+        if since > 0 and clock() - since < self.core.settings.warm_within_ms and (
+                clock() - attempt.sent_ms > DECIDED_MS or mono() >= self.board.horizon(self.me.slot)):
+            self.events.count("cold_stopped")
+            return False
+        return True
+
+    # The front's relay.
+
+    def accepts(self) -> bool:
+        now = mono()
+        others = [sight.region.get(form.CLIENTS) for sight in self.sights.values()
+                  if sight.region.get(form.STATE) == form.SERVING and now - sight.region.beat < fleet.FRESH_MS]
+        return ownership.accepts(self.program.platform.connections, others)
+
+    def claim(self, ticket: str) -> Refusal | None:
+        number = int(ticket, 16)
+        if not number:
+            return None  # stands for an empty cell; each worker's own check holds for it
+        if number in self.lost:
+            return Refusal(502, "Failed")
+        # Written first, then looked for elsewhere: of two workers at the same moment at least one sees the other.
+        if not self.region.add(number):
+            self.events.count("full", FRONT)
+            return Refusal(503, "Busy")
+        if any(sight.region.has(number) for slot, sight in self.sights.items() if slot in self.told.living):
+            self.region.remove(number)
+            return Refusal(409, "X-Request-Id: this request is already open")
+        return None
+
+    def release(self, ticket: str) -> None:
+        if number := int(ticket, 16):
+            self.region.remove(number)
+
+    def passes(self, slot: _Slot, method: bytes, path: str, url: bytes) -> bool:
+        if method not in (b"GET", b"DELETE"):
+            return False
+        ticket = path.rpartition("-")[2]
+        try:
+            lost = {ticket} if int(ticket, 16) in self.lost else set()
+        except ValueError:
+            return False
+        way = ownership.route(path, self.me, self.told.living, ticket, lost)
+        if way is Route.DIED:
+            slot.reply(204) if method == b"DELETE" else slot.reply(502, {"failure": "Failed"})
+        elif way is Route.ASK:
+            owner = ownership.owner_of(path)
+            assert owner is not None
+            task = self.loop.create_task(self._ask(slot, owner.slot, method, path, url))
+            self._asking.add(task)
+            task.add_done_callback(self._asking.discard)
+        return way is not Route.UNKNOWN
+
+    async def _ask(self, slot: _Slot, owner: int, method: bytes, path: str, url: bytes) -> None:
+        self.events.count("relayed", FRONT)
+        try:
+            status, body, extra, last = await self.mesh.ask(owner, method, url)
+        except Gone as gone:
+            self.events.log("relay", owner=owner, error=str(gone))
+            if method == b"DELETE":
+                slot.reply(503, {"failure": "Busy"})
+            else:  # it asks again, and finds the owner's answer or the word that it died
+                slot.reply(200, {"next": url.decode("latin-1")})
+            return
+        slot.reply(status, body, extra, last)
+
+
+SPARE = 12  # descriptors of a worker beside its connections
--- /dev/null
+++ b/frostspindle/cores/mesh.py
@@ -0,0 +1,187 @@
+"""Calls that a client made at one worker and that another one answers.
+
+Owns the Unix sockets between workers, one connection to each other worker that is called, and the form of what
+crosses them: a length of four bytes, then msgpack. It must never keep a client waiting longer than a call may be held,
+never pass on what the front has not checked, and never answer for the owner: what the owner's front says goes back
+unchanged.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+
+from frostspindle.net.platform import Platform, Refusal, _Slot
+
+LONGEST = 1 << 20  # a page and its frame are far shorter
+MOST = 512  # calls of one worker that wait at another
+WITHIN_S = 1.5  # a call is held for 1 s at its owner
+_ENCODE = msgspec.msgpack.Encoder().encode
+_DECODE = msgspec.msgpack.Decoder().decode
+Reply = tuple[int, Any, str, bool]  # status, body, further headers, whether it ends the connection
+
+
+class Gone(Exception):
+    """The other worker's end of the connection has ended, or it does not answer."""
+
+
+class _Frames(asyncio.Protocol):
+    """Frames of one connection."""
+
+    def __init__(self) -> None:
+        self.buffer = bytearray()
+        self.transport: asyncio.Transport = None  # type: ignore[assignment]  # set before anything else is called
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = transport  # type: ignore[assignment]
+
+    def data_received(self, data: bytes) -> None:
+        self.buffer += data
+        while len(self.buffer) >= 4:
+            length = int.from_bytes(self.buffer[:4], "little")
+            if length > LONGEST:
+                self.transport.abort()
+                return
+            if len(self.buffer) < 4 + length:
+                return
+            message = bytes(self.buffer[4:4 + length])
+            del self.buffer[:4 + length]
+            self.frame(_DECODE(message))
+
+    def frame(self, message: Any) -> None:
+        raise NotImplementedError
+
+    def send(self, message: Any) -> None:
+        if not self.transport.is_closing():
+            data = _ENCODE(message)
+            self.transport.write(len(data).to_bytes(4, "little") + data)
+
+
+class _Nobody:
+    """Stands where a slot has its client: this one is another worker's."""
+
+    line: tuple[()] = ()
+
+
+class _FarSlot(_Slot):
+    """A call of another worker's client."""
+
+    __slots__ = ("answer",)
+
+    def __init__(self, answer: Callable[[Reply], None]) -> None:
+        super().__init__(_Nobody())  # type: ignore[arg-type]
+        self.answer = answer
+
+    def reply(self, status: int, body: Any = None, extra: str = "", last: bool = False) -> None:
+        if self.timer is not None:
+            self.timer.cancel()
+        if self.data is None:
+            self.data = b""
+            self.answer((status, body, extra, last))
+
+
+class _Owner(_Frames):
+    """The owner's side: another worker's calls, answered by this worker's front."""
+
+    def __init__(self, front: Platform) -> None:
+        super().__init__()
+        self.front = front
+        self.slots: set[_FarSlot] = set()
+
+    def frame(self, message: Any) -> None:
+        number, method, url = message
+        slot = _FarSlot(lambda reply: self._answer(number, slot, reply))
+        if len(self.slots) >= MOST:
+            slot.reply(503, {"failure": "Busy"})
+            return
+        self.slots.add(slot)
+        self.front.events.count("relayed_in", "http")
+        try:
+            self.front.call(slot, method, url, {}, b"")
+        except Refusal as refusal:
+            slot.reply(refusal.status, {"failure": refusal.text}, last=True)
+        except Exception as error:  # noqa: BLE001 - a fault ends one call
+            self.front.events.count("faults")
+            self.front.events.log("fault", error=repr(error), of="relayed call")
+            slot.reply(500, {"failure": "Failed"}, last=True)
+
+    def _answer(self, number: int, slot: _FarSlot, reply: Reply) -> None:
+        self.slots.discard(slot)
+        self.send((number, *reply))
+
+    def connection_lost(self, error: Exception | None) -> None:
+        for slot in self.slots:
+            slot.data = b""
+            self.front.gone(slot)
+        self.slots.clear()
+
+
+class _Asker(_Frames):
+    """The side of the worker that a client called."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.waiting: dict[int, asyncio.Future[Reply]] = {}
+        self.numbers = 0
+
+    def frame(self, message: Any) -> None:
+        number, status, body, extra, last = message
+        if (future := self.waiting.pop(number, None)) is not None and not future.done():
+            future.set_result((status, body, extra, last))
+
+    def connection_lost(self, error: Exception | None) -> None:
+        for future in self.waiting.values():
+            if not future.done():
+                future.set_exception(Gone("the owner ended its connection"))
+        self.waiting.clear()
+
+    async def ask(self, method: bytes, url: bytes) -> Reply:
+        if len(self.waiting) >= MOST:
+            raise Gone("too many calls wait there")
+        self.numbers += 1
+        number = self.numbers
+        future = self.waiting[number] = asyncio.get_running_loop().create_future()
+        self.send((number, method, url))
+        try:
+            async with asyncio.timeout(WITHIN_S):
+                return await future
+        except TimeoutError:
+            raise Gone("the owner does not answer") from None
+        finally:
+            self.waiting.pop(number, None)
+
+
+class Mesh:
+    """This worker's listening end and its connections to the others."""
+
+    def __init__(self, listening: int, paths: dict[int, str], front: Platform) -> None:
+        self.listening, self.paths, self.front = socket.socket(fileno=listening), paths, front
+        self.askers: dict[int, _Asker] = {}
+        self._server: asyncio.Server | None = None
+
+    async def start(self) -> None:
+        self.listening.setblocking(False)
+        self._server = await asyncio.get_running_loop().create_unix_server(
+            lambda: _Owner(self.front), sock=self.listening)
+
+    def close(self) -> None:
+        if self._server is not None:
+            self._server.close()
+        for asker in self.askers.values():
+            asker.transport.abort()
+
+    async def ask(self, slot: int, method: bytes, url: bytes) -> Reply:
+        """The answer of the worker in that slot; Gone if there is none to be had."""
+        asker = self.askers.get(slot)
+        if asker is None or asker.transport.is_closing():
+            try:
+                async with asyncio.timeout(WITHIN_S):
+                    _, asker = await asyncio.get_running_loop().create_unix_connection(_Asker, self.paths[slot])
+            except (OSError, TimeoutError) as error:
+                raise Gone(repr(error)) from None
+            self.askers[slot] = asker
+        return await asker.ask(method, url)
--- a/frostspindle/events.py
+++ b/frostspindle/events.py
@@ -10,6 +10,7 @@
 import sys
 import time
 from collections import Counter
+from collections.abc import Callable
 from typing import Any, BinaryIO
 
 import orjson
@@ -20,14 +21,18 @@
 class Events:
     """The log and the counters of one process."""
 
-    def __init__(self, name: str = "", sink: BinaryIO | None = None) -> None:
-        self.name, self.sink = name, sink or sys.stderr.buffer
+    def __init__(self, name: str = "", sink: BinaryIO | None = None, worker: int | None = None) -> None:
+        self.name, self.sink, self.worker = name, sink or sys.stderr.buffer, worker
+        self.mirror: Callable[[tuple[str, str, str], int], None] | None = None  # each count as it stands now
         self.started = time.time()
         self.counts: Counter[tuple[str, str, str]] = Counter()
         self._second, self._lines, self._dropped = 0, 0, 0
 
     def count(self, what: str, front: str = "", cls: str = "", by: int = 1) -> None:
-        self.counts[(what, front, cls)] += by
+        key = (what, front, cls)
+        self.counts[key] += by
+        if self.mirror is not None:
+            self.mirror(key, self.counts[key])
 
     def log(self, event: str, **fields: Any) -> None:
         now = time.time()
@@ -43,6 +48,8 @@
 
     def _write(self, now: float, event: str, fields: dict[str, Any]) -> None:
         line = {"ts": round(now, 3), "node": self.name, "event": event, **fields}
+        if self.worker is not None:
+            line["worker"] = self.worker
         try:
             self.sink.write(orjson.dumps(line, default=str, option=orjson.OPT_APPEND_NEWLINE))
             self.sink.flush()
--- a/frostspindle/lab/engines.py
+++ b/frostspindle/lab/engines.py
@@ -191,8 +191,8 @@
                     writer.write(b"%d\n" % len(self.events))
                 await writer.drain()
                 await asyncio.sleep(1.0)
-        except (OSError, IndexError, ValueError):
-            pass
+        except (OSError, IndexError, ValueError, asyncio.CancelledError):
+            pass  # the follower has gone, or this end
         finally:
             self.followers.pop(writer, None)
             writer.close()
--- a/frostspindle/net/__init__.py
+++ b/frostspindle/net/__init__.py
@@ -19,6 +19,8 @@
 class TaskDriver:
     """A driver that runs each attempt in a task of its own."""
 
+    numbered = False
+
     def __init__(self, core: Core) -> None:
         self.core = core
         self.tasks: set[asyncio.Task[None]] = set()
--- a/frostspindle/net/engines.py
+++ b/frostspindle/net/engines.py
@@ -317,6 +317,8 @@
 class Engines(TaskDriver):
     """The driver of HTTP engines."""
 
+    numbered = True  # the event bus counts
+
     def __init__(self, config: Config, core: Core, events: Events) -> None:
         super().__init__(core)
         self.events = events
@@ -336,6 +338,10 @@
         self.most = max(16, int(self.sockets * (CROWDED_PART if crowded else ENGINE_PART)))
         self.most_each = max(8, self.most // (2 if crowded else 3))
 
+    @property
+    def connections(self) -> int:
+        return sum(len(peer.lines) for peer in (*self.peers.values(), *self.retired)) + self.opening
+
     def may_open(self, peer: _Peer) -> bool:
         """Bounds all connections to engines together; idle ones of other engines make room."""
         peers = [*self.peers.values(), *self.retired]
--- a/frostspindle/net/platform.py
+++ b/frostspindle/net/platform.py
@@ -15,7 +15,7 @@
 import select
 import socket
 from collections import deque
-from typing import Any
+from typing import Any, Protocol
 
 import msgspec
 from httptools import HttpParserError, HttpParserUpgrade, HttpRequestParser
@@ -40,6 +40,7 @@
 AHEAD = 16  # calls of one connection that are taken while earlier ones are not yet answered
 CLIENT_PART, CROWDED_PART = 0.42, 0.34  # of all sockets; usual clients hold a third at most, of both processes
 ACCEPT, BACKLOG = 16, 512  # connections accepted in one turn, and those that the system keeps waiting
+LET_GO_S = 0.003  # how long a worker with more connections than another leaves a new one to it
 SHORT_S = 0.1  # accepting rests for so long when descriptors run out all the same
 PAGE_BYTES = 48 * 1024  # rows in one answer
 KEEP_S = 5.0  # how long answers are kept for a repeated GET
@@ -74,6 +75,22 @@
     return 0
 
 
+class Relay(Protocol):
+    """What ties this front to those of the other workers; a single process has none."""
+
+    def claim(self, ticket: str) -> Refusal | None:
+        """Take an id for this worker; a refusal says why it can't be had."""
+
+    def release(self, ticket: str) -> None:
+        """The request is settled."""
+
+    def passes(self, slot: _Slot, method: bytes, path: str, url: bytes) -> bool:
+        """Whether a call on a path that is not known here is answered elsewhere."""
+
+    def accepts(self) -> bool:
+        """Whether this worker should take a new connection before others do."""
+
+
 class _Open:
     """One request at this front: its answer, and the path under which it is fetched."""
 
@@ -92,6 +109,8 @@
         if self.answer is None:
             self.answer, self.ask = answer, None
             self.front.ids.discard(self.ticket)
+            if self.front.relay is not None:
+                self.front.relay.release(self.ticket)
             slots, self.slots = self.slots, []
             for slot in slots:
                 self.front.give(slot)
@@ -297,7 +316,10 @@
     def __init__(self, config: Config, core: Core, events: Events) -> None:
         self.config, self.core, self.events = config, core, events
         self.loop = asyncio.get_running_loop()
+        self.sockets = config.limits.sockets  # this process's, of which clients have a part
         self.crowd(False)
+        self.prefix = ""  # of paths: it names the worker among several
+        self.relay: Relay | None = None
         self.most_memory = max((*core.settings.kind_memory_mb, 1.0))
         self.keep_bytes = int(config.limits.memory_mb * 2**20 / 24)
         self.classes = {name.encode(): number for number, name in enumerate(config.classes)}
@@ -313,10 +335,11 @@
 
     def start(self) -> None:
         """Accept from the socket that the platform holds, or from one of our own."""
-        if self.config.inherited is not None:
+        held = self.config.inherited if self.config.listener is None else self.config.listener
+        if held is not None:
             # It is shared with the platform and another process: no bind, no shutdown, and no listen, which would
             # set its backlog anew.
-            listener = socket.socket(fileno=self.config.inherited)
+            listener = socket.socket(fileno=held)
         else:
             host, port = self.config.listen
             listener = socket.create_server(
@@ -326,28 +349,41 @@
         self._listen()
         self._sweep()
 
-    def _listen(self) -> None:
+    def _listen(self, waited: bool = False) -> None:
         if self._listener is not None:
             self.loop.add_reader(self._listener, self._accept)
+            if waited:
+                self._accept_one()
 
     def _accept(self) -> None:
         """Take a few: all of one turn must fit into the descriptors; the others wait in the system."""
         for _ in range(ACCEPT):
             if self._listener is None:
                 return
-            try:
-                accepted, _ = self._listener.accept()
-            except (BlockingIOError, InterruptedError, ConnectionAbortedError):
-                return  # the other process was first, or the client has gone
-            except OSError as error:
-                self.events.log("accept", error=repr(error))
+            if self.relay is not None and not self.relay.accepts():
+                # Another worker holds fewer: it has a moment to be first, then whoever still waits is taken here.
                 self.loop.remove_reader(self._listener)
-                self.loop.call_later(SHORT_S, self._listen)
+                self.loop.call_later(LET_GO_S, self._listen, True)
+                return
+            if not self._accept_one():
                 return
-            accepted.setblocking(False)
-            joining = self.loop.create_task(self.loop.connect_accepted_socket(lambda: _Client(self), accepted))
-            self._joining.add(joining)
-            joining.add_done_callback(self._joining.discard)
+
+    def _accept_one(self) -> bool:
+        assert self._listener is not None
+        try:
+            accepted, _ = self._listener.accept()
+        except (BlockingIOError, InterruptedError, ConnectionAbortedError):
+            return False  # the other process was first, or the client has gone
+        except OSError as error:
+            self.events.log("accept", error=repr(error))
+            self.loop.remove_reader(self._listener)
+            self.loop.call_later(SHORT_S, self._listen)
+            return False
+        accepted.setblocking(False)
+        joining = self.loop.create_task(self.loop.connect_accepted_socket(lambda: _Client(self), accepted))
+        self._joining.add(joining)
+        joining.add_done_callback(self._joining.discard)
+        return True
 
     def leave(self) -> None:
         """Stop accepting; who waits in an inherited socket's line is the other process's."""
@@ -374,7 +410,7 @@
 
     def crowd(self, crowded: bool) -> None:
         """Bound the connections; while another process serves too, both must fit into the descriptors."""
-        self.most_clients = max(16, int(self.config.limits.sockets * (CROWDED_PART if crowded else CLIENT_PART)))
+        self.most_clients = max(16, int(self.sockets * (CROWDED_PART if crowded else CLIENT_PART)))
 
     # Draining.
 
@@ -462,6 +498,8 @@
             return
         path, _, page = url.decode("latin-1").rpartition("/")
         opened = self._open.get(path)
+        if opened is None and self.relay is not None and self.relay.passes(slot, method, path, url):
+            return
         if method == b"DELETE":
             if opened is None:
                 raise Refusal(404, "no such request")
@@ -498,11 +536,18 @@
             self.events.count("full", FRONT, self.core.classes[number][1])
             slot.reply(503, {"failure": "Busy"})
             return
+        if self.relay is not None and (refusal := self.relay.claim(name)) is not None:
+            if refusal.status < 500:
+                raise refusal
+            slot.reply(refusal.status, {"failure": refusal.text})
+            return
         self._paths += 1
-        opened = _Open(self, name, f"/call/{cls.decode()}/{self._paths:x}-{name}")
+        opened = _Open(self, name, f"/call/{cls.decode()}/{self.prefix}{self._paths:x}-{name}")
         ask = Ask(FRONT, number, name, statement, clock(), left_ms, opened.settle, cost_ms, memory_mb,
                   table_group(statement))
         if not self.core.submit(ask):
+            if self.relay is not None:
+                self.relay.release(name)
             slot.reply(503, {"failure": "Busy"})
             return
         opened.ask, slot.opened, slot.page = ask, opened, -1
--- a/frostspindle/net/tds/front.py
+++ b/frostspindle/net/tds/front.py
@@ -12,6 +12,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from collections.abc import Awaitable, Callable, Iterable
 
 from frostspindle.config import Address, Tds, TdsLogin
@@ -220,10 +221,14 @@
         """The first entry of the operator's file whose application and database fit."""
         return _first(self.tds.login, login)
 
-    async def start(self, shared: bool = False) -> None:
-        """`shared`: over an upgrade the other process may still hold the address."""
-        self._server = await asyncio.start_server(self._serve, *self.listen, limit=CHUNK, backlog=ACCEPT,
-                                                  reuse_port=shared or None)
+    async def start(self, shared: bool = False, held: int | None = None) -> None:
+        """`shared`: over an upgrade the other process may still hold the address; `held`: a listening socket."""
+        if held is not None:
+            self._server = await asyncio.start_server(self._serve, sock=socket.socket(fileno=held), limit=CHUNK,
+                                                      backlog=ACCEPT)
+        else:
+            self._server = await asyncio.start_server(self._serve, *self.listen, limit=CHUNK, backlog=ACCEPT,
+                                                      reuse_port=shared or None)
         for listening in self._server.sockets:  # so many may be accepted at a stretch; others wait in the system
             listening._sock.listen(BACKLOG)
 
--- a/frostspindle/program.py
+++ b/frostspindle/program.py
@@ -10,7 +10,7 @@
 import asyncio
 import gc
 import signal
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from frostspindle import config as configuration
 from frostspindle.config import Config, ConfigError
@@ -25,6 +25,9 @@
 from frostspindle.shared import Shared
 from pinstage.interface import ListKind
 
+if TYPE_CHECKING:
+    from frostspindle.cores.link import Link
+
 ACCEPT_S = 0.75  # after SIGTERM new work still comes for up to 0.6 s, and is owed its answer
 OPEN_PART, NEW_PART = 0.29, 0.6  # of all descriptors, open requests; of these, the new process's part
 KILL_S, LAST_S = 5.0, 0.5  # an upgrade kills after the longest deadline, KILL_S at most, and 0.7 s
@@ -34,9 +37,10 @@
 class Program:
     """All parts of one running coordinator."""
 
-    def __init__(self, config: Config) -> None:
-        self.config = config
-        self.events = Events(config.name)
+    def __init__(self, config: Config, link: Link | None = None) -> None:
+        self.config, self.link = config, link
+        self.sockets = config.limits.sockets
+        self.events = Events(config.name, worker=config.worker)
         classes = [(FRONT, name) for name in config.classes] + [("tds", name) for name in config.plan.classes]
         self.core = Core(config.settings, classes, config.seed, self.events, config.limits.sockets // 2)
         self.driver = Engines(config, self.core, self.events)
@@ -54,7 +58,9 @@
             self.desk = Desk(config.desk, {"ready": self.ready, "show-stat": self.core.figures, "drain": self.drain,
                                            "resume": self.resume, "disable-server": self.disable,
                                            "enable-server": self.enable}, self.events)
-        self.shared = Shared(config.environ, config.name, self.events)
+        self.shared = link or Shared(config.environ, config.name, self.events)
+        if link is not None:
+            link.bind(self)
         self.serving = False
         self.stopping, self.failed = asyncio.Event(), False
         self.tasks: list[asyncio.Task[Any]] = []
@@ -74,7 +80,7 @@
             self.tasks.append(task)
         if self.tds and self.tds_driver:
             self.tds_driver.configure(self.tds.tds.engine, ListKind.FULL)
-            await self.tds.start(self.config.inherited is not None)
+            await self.tds.start(self.config.inherited is not None, self.config.tds_listener)
         if snmp := self.config.operator.snmp:
             from frostspindle.net.snmp import Agent  # pysnmp costs memory that only its users pay
 
@@ -87,6 +93,8 @@
         except OSError as error:
             raise OSError(f"LB_LISTEN: {error}") from None
         self.serving = True
+        if self.link is not None:
+            self.link.serving()
         self.events.log("ready", listen=f"{self.config.listen[0]}:{self.platform.port}",
                         tds=self.tds.port if self.tds else None, snmp=self.agent.port if self.agent else None)
 
@@ -100,7 +108,15 @@
     def _bound(self, crowded: bool) -> None:
         """Clients have a third of the descriptors, for both processes: past that, nobody finds a connection."""
         part = OPEN_PART * (1.0 if not crowded else NEW_PART if not self.stopping.is_set() else 1.0 - NEW_PART)
-        self.core.bound(max(16, int(self.config.limits.sockets * part)))
+        self.core.bound(max(16, int(self.sockets * part)))
+
+    def resize(self, sockets: int) -> None:
+        """So many descriptors are this process's from now on; who is over its part makes room."""
+        self.sockets = self.platform.sockets = self.driver.sockets = sockets
+        self.core.most_open = sockets // 2
+        self.platform.crowd(self.shared.crowded)
+        self.driver.crowd(self.shared.crowded)
+        self._bound(self.shared.crowded)
 
     # What operators call.
 
@@ -142,6 +158,9 @@
 
     def report(self) -> None:
         """SIGUSR1 and the end: the counters, and what is believed of engines and requests."""
+        if self.link is not None:  # the supervisor tells the sums
+            self.events.log("worker", clients=self.sessions(), **self.core.picture())
+            return
         self.events.report(clients=self.sessions(), figures=self.core.figures(), **self.core.picture())
 
     def _ended(self, task: asyncio.Task[Any]) -> None:
@@ -154,6 +173,8 @@
         """SIGHUP: both files again. A file with a fault changes nothing, of the other neither."""
         try:
             fresh = configuration.read(self.config.environ)
+            if fresh.operator.cores != self.config.operator.cores:
+                raise ConfigError("cores: needs a new start")
             if self.tds and self.tds_driver:
                 self._reload_tds(fresh.operator.tds)
         except Exception as error:  # noqa: BLE001 - whatever the files hold, the program goes on as it was
@@ -185,9 +206,13 @@
         """
         clock = asyncio.get_running_loop().time
         self.serving = False
+        if self.link is not None:
+            self.link.leaving()
         longest_s = max(3.0, *(c.deadline_ms / 1000.0 for c in self.config.settings.classes))
         last = clock() + longest_s + ACCEPT_S
-        if self.config.inherited is not None:
+        # Others accept at the same socket, or nobody does any more.
+        elsewhere = self.link is not None and not self.link.ending
+        if self.config.inherited is not None or elsewhere:
             self.platform.leave()
             self.drain()
             self._bound(self.shared.crowded)
@@ -218,8 +243,8 @@
         await asyncio.gather(*self.tasks, return_exceptions=True)
 
 
-async def run(config: Config) -> int:
-    program = Program(config)
+async def run(config: Config, link: Link | None = None) -> int:
+    program = Program(config, link)
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, program.stopping.set)
@@ -231,5 +256,6 @@
     gc.freeze()
     await program.stopping.wait()
     await program.stop()
-    program.report()
+    if link is None:
+        program.report()
     return int(program.failed)
--- a/pinstage/control.py
+++ b/pinstage/control.py
@@ -307,7 +307,7 @@
         """Of each cold engine: the part of the budget spent in the window, and what is wished for."""
         held = sum(self._cold_work(job) for *_, job in self.held)
         cold = [e for e in self.engines.values() if e.ready and e.cold(now)]
-        return {e.id: (self._cold_spent(e, now) / (budget := self._cold_budget(e, now)), held / budget)
+        return {e.id: (self._cold_spent(e, now) / (budget := self._cold_budget(e, now) or 1.0), held / budget)
                 for e in cold}
 
     def _on_due(self, now: float, event: api.Due) -> None:
