--- a/frostspindle/cores/supervisor.py
+++ b/frostspindle/cores/supervisor.py
@@ -412,7 +412,9 @@
             "state": states[w.region.get(form.STATE)] if w.process else "down",
             "inflight": w.region.get(form.OPEN) if w.process else 0,
             "clients": w.region.get(form.CLIENTS) if w.process else 0,
-            "sockets": self.control.sockets.get(w.slot, 0)} for w in self.workers]
+            "sockets": self.control.sockets.get(w.slot, 0), "taken": sum(
+                n for counts in (w.past, dict(w.region.counters()) if w.process else {})
+                for (what, _, _), n in counts.items() if what == "taken")} for w in self.workers]
         return out
 
     def report(self) -> None:
--- /dev/null
+++ b/tests/fleet.py
@@ -0,0 +1,163 @@
+"""A coordinator of several workers as child processes, with the stand-in engines and bus in the test's own loop."""
+
+from __future__ import annotations
+
+import asyncio
+import http.client
+import json
+import os
+import signal
+import subprocess
+import sys
+import tempfile
+import unittest
+from pathlib import Path
+from typing import Any
+
+from frostspindle.cli import operate
+from frostspindle.lab.engines import Bus, Engine, document, host
+
+ROOT = Path(__file__).parent.parent
+SQL = "SELECT name FROM calls_17.notes"
+
+
+class Coordinator:
+    """The supervisor's process, and the events that it and its workers log."""
+
+    def __init__(self, case: unittest.TestCase, config: dict[str, Any], operator: str = "", listening: Any = None,
+                 folder: str = "", **environ: str) -> None:
+        self.folder = folder or tempfile.mkdtemp()
+        self.config, self.operator = Path(self.folder, "config.json"), Path(self.folder, "operator.toml")
+        self.config.write_text(json.dumps(config))
+        self.operator.write_text(operator)
+        held = {"LB_INHERITED_FD": str(listening.fileno())} if listening else {}
+        self.process = subprocess.Popen(
+            [sys.executable, "-m", "frostspindle"], cwd=ROOT, stderr=subprocess.PIPE,
+            pass_fds=(listening.fileno(),) if listening else (),
+            env={**os.environ, "LB_CONFIG": str(self.config), "FROSTSPINDLE_OPERATOR": str(self.operator),
+                 "TMPDIR": self.folder, **held, **environ})
+        self.events: list[dict[str, Any]] = []
+        self.news = asyncio.Event()
+        self.reader = asyncio.create_task(self._read())
+        case.addAsyncCleanup(self.end)
+
+    async def _read(self) -> None:
+        while line := await asyncio.to_thread(self.process.stderr.readline):
+            try:
+                self.events.append(json.loads(line))
+            except ValueError:
+                self.events.append({"event": "text", "text": line.decode()})
+            self.news.set()
+
+    async def until(self, true: Any, within_s: float = 20.0) -> Any:
+        async with asyncio.timeout(within_s):
+            while not (found := true()):
+                self.news.clear()
+                await self.news.wait()
+        return found
+
+    async def event(self, name: str, count: int = 1, **fields: Any) -> dict[str, Any]:
+        def found() -> dict[str, Any] | None:
+            all_of = [e for e in self.events if e["event"] == name and fields.items() <= e.items()]
+            return all_of[count - 1] if len(all_of) >= count else None
+        return await self.until(found)
+
+    async def ready(self) -> Coordinator:
+        ready = await self.until(lambda: next(
+            (e for e in self.events if e["event"] == "ready" and "workers" in e), None))
+        self.port = int(ready["listen"].rpartition(":")[2])
+        return self
+
+    def pid(self, slot: int) -> int:
+        return [e["pid"] for e in self.events if e["event"] == "worker_started" and e["slot"] == slot][-1]
+
+    async def exit(self, within_s: float = 20.0) -> int:
+        async with asyncio.timeout(within_s):
+            code = await asyncio.to_thread(self.process.wait)
+            await self.reader
+        return code
+
+    async def end(self) -> None:
+        if self.process.poll() is None:
+            self.process.send_signal(signal.SIGTERM)
+            try:
+                await asyncio.to_thread(self.process.wait, 15)
+            except subprocess.TimeoutExpired:
+                self.process.kill()
+        for event in self.events:  # orphans of a supervisor that a test has killed
+            if event["event"] == "worker_started":
+                try:
+                    os.kill(event["pid"], signal.SIGKILL)
+                except ProcessLookupError:
+                    pass
+        await self.reader
+        self.process.stderr.close()
+
+
+class Client:
+    """One connection of a client's, in threads: what it asks is answered by one worker."""
+
+    def __init__(self, port: int) -> None:
+        self.line = http.client.HTTPConnection("127.0.0.1", port, timeout=10.0)
+
+    def ask(self, method: str, path: str, body: str = "", **headers: str) -> tuple[int, Any]:
+        self.line.request(method, path, body or None, headers)
+        answer = self.line.getresponse()
+        data = answer.read()
+        return answer.status, json.loads(data) if data else None
+
+    def post(self, number: int, cls: str = "lookup", cost: float = 50.0, timeout: float = 6000.0) -> tuple[int, Any]:
+        return self.ask("POST", f"/call/{cls}", SQL, **{
+            "X-Request-Id": f"{number:016x}", "X-Timeout-Ms": str(timeout), "X-Cost-Ms": str(cost), "X-Memory": "64"})
+
+
+class FleetCase(unittest.IsolatedAsyncioTestCase):
+    async def stand_ins(self, count: int = 2, delay_s: float = 0.0, **kw: Any) -> list[Engine]:
+        self.engines = [await Engine(f"s-{n:08x}", delay_s, **kw).start() for n in range(1, count + 1)]
+        self.bus = await Bus().start()
+        self.bus.say(*(host(e.name, e.port) for e in self.engines), whole=True)
+        for part in (*self.engines, self.bus):
+            self.addCleanup(part.server.close)
+            if isinstance(part, Engine):
+                part.keep = True
+        return self.engines
+
+    async def fleet(self, workers: int = 2, cores: str = "", **kw: Any) -> Coordinator:
+        self.desk = kw.pop("desk", None) or str(Path(tempfile.mkdtemp(), "desk"))
+        config = document(self.bus.events[0]["topology"]["hosts"], self.bus.port, operator=self.desk)
+        self.coordinator = await Coordinator(self, config, f"[cores]\nworkers = {workers}\n{cores}", **kw).ready()
+        return self.coordinator
+
+    def client(self) -> Client:
+        client = Client(self.coordinator.port)
+        self.addCleanup(client.line.close)
+        return client
+
+    async def in_thread(self, call: Any, *args: Any, **kw: Any) -> Any:
+        return await asyncio.to_thread(call, *args, **kw)
+
+    async def operate(self, text: str) -> list[str]:
+        return (await asyncio.to_thread(operate, self.desk, text)).splitlines()
+
+    async def figures(self) -> dict[str, Any]:
+        return json.loads((await self.operate("show-stat"))[0])
+
+    async def until(self, true: Any, within_s: float = 10.0) -> None:
+        async with asyncio.timeout(within_s):
+            while not (await true() if asyncio.iscoroutinefunction(true) else true()):
+                await asyncio.sleep(0.01)
+
+    async def next_of(self, number: int, cls: str = "lookup") -> tuple[Client, str, int]:
+        """A request that is held long enough to get a path; its client, the path, and the slot that owns it."""
+        client = self.client()
+        status, body = await self.in_thread(client.post, number, cls)
+        assert status == 200 and "next" in body, body
+        return client, body["next"], int(body["next"].split("/")[3].split(".")[0], 16)
+
+    async def elsewhere(self, slot: int, number: int) -> Client:
+        """A connection at another worker than the one in that slot; what it asks there is told by its paths."""
+        for n in range(40):
+            client, _, owner = await self.next_of(number + n)
+            if owner != slot:
+                return client
+        raise AssertionError("all connections went to one worker")
--- /dev/null
+++ b/tests/test_cores.py
@@ -0,0 +1,253 @@
+"""Several workers as processes: what a client, an operator and an engine see, also when processes end or hang."""
+
+import asyncio
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+
+from fleet import ROOT, Coordinator, FleetCase
+
+from frostspindle.cores import layout as form
+from frostspindle.cores.board import Board
+from frostspindle.lab.engines import document, host
+
+
+class Whole(FleetCase):
+    async def test_figures_are_exact_sums_and_sigterm_finishes_what_was_taken(self):
+        await self.stand_ins(2, 0.3)
+        fleet = await self.fleet(3)
+        clients = [self.client() for _ in range(9)]
+        for turn in range(2):
+            answers = await asyncio.gather(*(self.in_thread(c.post, 100 * turn + n + 1, ("lookup", "load")[n % 2])
+                                             for n, c in enumerate(clients)))
+            self.assertEqual({status for status, _ in answers}, {200})
+        figures = await self.figures()
+        self.assertEqual(({n: row["success"] for n, row in figures["calls"].items()}, figures["inflight"]),
+                         ({"lookup": 10, "load": 8, "report": 0}, 0))
+        self.assertEqual((figures["backend_calls"], figures["hosts_listed"]), (18, 2))
+        self.assertGreater(sum(row["clients"] > 0 for row in figures["workers"]), 1)  # not all at one worker
+        open_ones = [asyncio.create_task(self.in_thread(c.post, 500 + n)) for n, c in enumerate(clients)]
+        await self.until(lambda: sum(e.posts for e in self.engines) == 27)
+        fleet.process.send_signal(signal.SIGTERM)
+        self.assertEqual({status for status, _ in await asyncio.gather(*open_ones)}, {200})
+        self.assertEqual(await fleet.exit(), 0)
+        counters = await fleet.event("counters")
+        self.assertEqual(counters["figures"]["calls"]["lookup"]["success"], 19)
+
+    async def test_a_path_is_answered_at_any_worker_and_an_open_id_is_known_at_all(self):
+        await self.stand_ins(1, 3.0)
+        await self.fleet(2)
+        _, path, slot = await self.next_of(1)
+        other = await self.elsewhere(slot, 1000)
+        status, body = await self.in_thread(other.post, 1)
+        self.assertEqual((status, body["failure"]), (409, "X-Request-Id: this request is already open"))
+        other = await self.elsewhere(slot, 2000)
+        while "next" in (answer := await self.in_thread(other.ask, "GET", path))[1]:
+            path = answer[1]["next"]
+        self.assertEqual((answer[0], answer[1]["rows"][0][0]), (200, "s-00000001"))
+        _, path, slot = await self.next_of(2)
+        other = await self.elsewhere(slot, 3000)
+        self.assertEqual((await self.in_thread(other.ask, "DELETE", path))[0], 204)
+        self.assertEqual((await self.in_thread(other.ask, "GET", path))[0], 404)
+        await self.until(lambda: f"{2:016x}" not in self.engines[0].results)  # the engine was freed by the owner
+
+    async def test_a_ban_holds_at_all_workers_from_the_ack_on(self):
+        await self.stand_ins(2)
+        await self.fleet(3)
+        clients = [self.client() for _ in range(12)]
+        self.assertEqual(await self.operate("disable-server s-00000001"), ["ACK"])
+        acked = time.time()
+        for turn in range(3):
+            await asyncio.gather(*(self.in_thread(c.post, 100 * turn + n + 1) for n, c in enumerate(clients)))
+        self.assertEqual([at for at, *_ in self.engines[0].sent if at > acked], [])
+        self.assertEqual(len(self.engines[1].sent), 36)
+        self.assertEqual((await self.figures())["hosts_down"], 1)
+        self.assertEqual((await self.operate("disable-server s-0000000f"))[0][:3], "NAK")
+        self.assertEqual(await self.operate("enable-server s-00000001"), ["ACK"])
+        async def back() -> bool:
+            return (await self.figures())["hosts_down"] == 0
+        await self.until(back)
+
+    async def test_one_drain_and_one_resume_reach_all_workers(self):
+        await self.stand_ins(1)
+        await self.fleet(2)
+        self.assertEqual(await self.operate("drain"), ["ACK"])
+        self.assertEqual((await self.operate("ready"))[0][:3], "NAK")
+        for _ in range(8):  # connections of both workers
+            await self.until(lambda: self.client().ask("GET", "/ping")[0] == 503)
+        self.assertEqual(await self.operate("resume"), ["ACK"])
+        for _ in range(8):
+            await self.until(lambda: self.client().ask("GET", "/ping")[0] == 200)
+        self.assertEqual(await self.operate("ready"), ["ACK"])
+
+    async def test_a_bad_file_on_sighup_changes_nothing_in_any_worker(self):
+        await self.stand_ins(1)
+        fleet = await self.fleet(2)
+        fleet.operator.write_text("[cores]\nworkers = 3\n")
+        fleet.process.send_signal(signal.SIGHUP)
+        self.assertEqual((await fleet.event("reload"))["error"], "cores: needs a new start")
+        fleet.operator.write_text("[cores]\nworkers = 2\n")
+        fleet.process.send_signal(signal.SIGHUP)
+        for slot in range(2):
+            self.assertNotIn("error", await fleet.event("reload", worker=slot))
+        self.assertEqual((await self.in_thread(self.client().post, 1))[0], 200)
+
+
+class Late(FleetCase):
+    async def test_a_drain_notice_that_reaches_one_worker_late_stops_its_sends_in_time(self):
+        await self.stand_ins(2)
+        self.bus.delays = {1: 20.0}  # the second follower hears nothing for longer than the test
+        await self.fleet(2)
+        clients = [self.client() for _ in range(10)]
+        await self.until(lambda: len(self.bus.followers) == 2)
+        told, stop, number = 0.0, time.time() + 1.5, 0
+        while time.time() < stop:
+            if not told and number > 40:
+                told = time.time()
+                self.bus.say(host("s-00000001", self.engines[0].port, "leaving"))
+            await asyncio.gather(*(self.in_thread(c.post, number + n + 1) for n, c in enumerate(clients)))
+            number += len(clients)
+        late = [round(at - told, 3) for at, *_ in self.engines[0].sent if at > told + 0.25]
+        self.assertEqual(late, [])
+        self.assertGreater(len(self.engines[0].sent), 5)
+        served = await self.figures()
+        self.assertEqual(served["calls"]["lookup"]["success"], number)  # and nobody lost an answer by it
+
+
+class Trouble(FleetCase):
+    async def test_a_worker_killed_with_loads_out(self):
+        await self.stand_ins(2, 2.0)
+        fleet = await self.fleet(2)
+        client, path, slot = await self.next_of(1, "load")
+        other = await self.elsewhere(slot, 1000)
+        os.kill(fleet.pid(slot), signal.SIGKILL)
+        ended = await fleet.event("worker_ended")
+        self.assertEqual((ended["code"], ended["slot"]), (-signal.SIGKILL, slot))
+        self.assertGreaterEqual(ended["lost"], 1)
+        # Its path and its id are failed everywhere: nobody runs it again.
+        self.assertEqual(await self.in_thread(other.ask, "GET", path), (502, {"failure": "Failed"}))
+        for _ in range(6):
+            status, body = await self.in_thread(self.client().post, 1, "load")
+            self.assertEqual((status, body), (502, {"failure": "Failed"}))
+        await fleet.event("worker_started", 3)
+        await self.until(lambda: fleet.events[-1]["event"] and any(
+            e["event"] == "ready" and e.get("worker") == slot for e in fleet.events[4:]))
+        sent = [ticket for e in self.engines for _, ticket, _ in e.sent]
+        self.assertEqual(sent.count(f"{1:016x}"), 1)
+        figures = await self.figures()
+        self.assertGreaterEqual(figures["calls"]["load"]["failure"], 1)
+        self.assertEqual([row["restarts"] for row in figures["workers"]][slot], 1)
+
+    async def test_a_worker_that_hangs_is_killed_and_others_serve_meanwhile(self):
+        await self.stand_ins(1)
+        fleet = await self.fleet(2, "hang_ms = 800")
+        os.kill(fleet.pid(0), signal.SIGSTOP)
+        for number in range(1, 31):  # all connections that come now are taken by the other
+            self.assertEqual((await self.in_thread(self.client().post, number))[0], 200)
+        killed = await fleet.event("worker_killed")
+        self.assertEqual((killed["slot"], killed["why"]), (0, "does not move"))
+        self.assertGreaterEqual(killed["silent_ms"], 800)
+        self.assertEqual((await fleet.event("worker_started", 3))["slot"], 0)
+        self.assertEqual((await self.figures())["calls"]["lookup"]["success"], 30)
+
+    async def test_workers_end_in_good_order_when_their_supervisor_is_killed(self):
+        await self.stand_ins(1, 1.5)
+        fleet = await self.fleet(2)
+        client = self.client()
+        asked = asyncio.create_task(self.in_thread(client.post, 1))
+        await self.until(lambda: self.engines[0].posts == 1)
+        pids = [fleet.pid(0), fleet.pid(1)]
+        fleet.process.kill()
+        status, body = await asked
+        while "next" in body:  # finished, not dropped
+            status, body = await self.in_thread(client.ask, "GET", body["next"])
+        self.assertEqual((status, body["rows"][0][0]), (200, "s-00000001"))
+        await self.until(lambda: not any(alive(pid) for pid in pids))
+        with self.assertRaises(OSError):
+            await self.in_thread(self.client().post, 2)
+
+    async def test_a_crash_loop_ends_the_program(self):
+        await self.stand_ins(1)
+        fleet = await self.fleet(2, "crashes = 10")
+        for count in range(10):
+            started = await fleet.event("worker_started", 2 + count)
+            os.kill(started["pid"], signal.SIGKILL)
+            await fleet.event("worker_ended", count + 1)
+        self.assertEqual((await fleet.event("crash_loop"))["crashes"], 10)
+        self.assertEqual(await fleet.exit(), 1)
+        self.assertEqual(sum(e["event"] == "worker_started" for e in fleet.events), 11)  # and no start after the tenth
+
+    async def test_a_slow_client_does_not_hold_a_worker_that_is_told_to_end(self):
+        await self.stand_ins(1)
+        fleet = await self.fleet(2)
+        slow = [socket.create_connection(("127.0.0.1", fleet.port)) for _ in range(12)]  # some at each worker
+        for line in slow:
+            self.addCleanup(line.close)
+            line.sendall(b"POST /call/lookup HTTP/1.1\r\nHost: x\r\nX-Request-Id: 00")
+        async def taken() -> bool:
+            return sum(row["clients"] for row in (await self.figures())["workers"]) == 12
+        await self.until(taken)
+        os.kill(fleet.pid(0), signal.SIGTERM)
+        began = time.monotonic()
+        ended = await fleet.event("worker_ended")
+        self.assertEqual((ended["slot"], ended["code"]), (0, 0))
+        self.assertLess(time.monotonic() - began, 8.0)
+        self.assertEqual((await fleet.event("worker_started", 3))["slot"], 0)  # no crash: its successor comes at once
+        self.assertEqual((await self.in_thread(self.client().post, 1))[0], 200)
+
+    async def test_a_worker_refuses_a_board_that_is_not_its_instance_s(self):
+        board = Board.create(form.Layout(2))
+        self.addCleanup(board.close)
+        def start(nonce: int) -> tuple[int, str]:
+            passport = {"slot": 0, "incarnation": 1, "slots": 2, "nonce": nonce, "board": board.fd, "life": 0,
+                        "mesh": 0, "listener": 0, "paths": {}}
+            child = subprocess.run([sys.executable, "-m", "frostspindle.cores.worker"], cwd=ROOT, text=True, timeout=20,
+                                   pass_fds=(board.fd,), stderr=subprocess.PIPE,
+                                   env={**os.environ, "FROSTSPINDLE_WORKER": json.dumps(passport), "LB_CONFIG": ""})
+            return child.returncode, child.stderr
+        self.assertEqual(start(board.nonce ^ 1), (2, "frostspindle: worker: it belongs to another instance\n"))
+        board.bytes[8:12] = (99).to_bytes(4, "little")
+        self.assertEqual(start(board.nonce), (2, "frostspindle: worker: it has version 99, this program 1\n"))
+
+
+class Upgrades(FleetCase):
+    async def test_an_upgrade_of_workers_on_both_sides(self):
+        await self.stand_ins(1, 1.0)
+        listening = socket.create_server(("127.0.0.1", 0), backlog=300)
+        self.addCleanup(listening.close)
+        old = await self.fleet(2, listening=listening)
+        client = self.client()
+        asked = asyncio.create_task(self.in_thread(client.post, 1, "load"))
+        await self.until(lambda: self.engines[0].posts == 1)
+        config = document(self.bus.events[0]["topology"]["hosts"], self.bus.port, operator="")
+        new = await Coordinator(self, config, "[cores]\nworkers = 3\n", listening=listening, folder=old.folder).ready()
+        await old.event("crowd")
+        old.process.send_signal(signal.SIGTERM)
+        await old.event("stopping", worker=0)
+        await old.event("stopping", worker=1)
+        later = [self.client() for _ in range(6)]
+        answers = await asyncio.gather(*(self.in_thread(c.post, 10 + n) for n, c in enumerate(later)))
+        self.assertEqual({status for status, _ in answers}, {200})
+        status, body = await asked
+        while "next" in body:
+            status, body = await self.in_thread(client.ask, "GET", body["next"])
+        self.assertEqual((status, len(body["rows"])), (200, 1))
+        self.assertEqual(await old.exit(), 0)
+        self.assertEqual((await old.event("counters"))["figures"]["calls"]["load"]["success"], 1)
+        new.process.send_signal(signal.SIGTERM)
+        self.assertEqual(await new.exit(), 0)
+        self.assertEqual((await new.event("counters"))["figures"]["calls"]["lookup"]["success"], 6)
+
+
+def alive(pid: int) -> bool:
+    try:
+        with open(f"/proc/{pid}/stat") as stat:
+            return stat.read().rpartition(")")[2].split()[0] != "Z"
+    except FileNotFoundError:
+        return False
+
+
