--- a/frostspindle/cores/link.py
+++ b/frostspindle/cores/link.py
@@ -136,8 +136,8 @@
 
     def _step(self) -> None:
         self._ticks += 1
-        self._head()
-        self._obey()
+        if self._obey():  # a heartbeat renews leases: who has not heard that they were taken back must not send one
+            self._head()
         changed: set[int] = set()
         for slot in self.sights:
             changed |= self._look(slot)
@@ -157,13 +157,13 @@
         region.put(form.SOCKETS, program.platform.connections + program.driver.connections + SPARE)
         region.put(form.SEEN, self.version)
 
-    def _obey(self) -> None:
-        """Take the supervisor's newest word."""
+    def _obey(self) -> bool:
+        """Take the supervisor's newest word; False if it could not be read."""
         if self.board.version == self.version:
-            return
+            return True
         if (read := self.board.control()) is None:
             self.events.count("board_torn")
-            return
+            return False
         before, (self.version, self.told) = self.told, read
         self.lost = frozenset(self.told.lost)
         if (banned := frozenset(self.told.bans)) != self.banned:
@@ -180,6 +180,7 @@
         if self.told.leases != before.leases or self.told.ghosts != before.ghosts:
             self._hear(self.told.leases.keys() | before.leases.keys()
                        | {ghost.engine for ghost in [*self.told.ghosts, *before.ghosts]})
+        return True
 
     def _look(self, slot: int) -> set[int]:
         """Another worker's rows; its word on engines that end goes over our list at once."""
@@ -307,6 +308,7 @@
         number = int(ticket, 16)
         if not number:
             return None  # stands for an empty cell; each worker's own check holds for it
+        self._obey()
         if number in self.lost:
             return Refusal(502, "Failed")
         # Written first, then looked for elsewhere: of two workers at the same moment at least one sees the other.
@@ -325,12 +327,8 @@
     def passes(self, slot: _Slot, method: bytes, path: str, url: bytes) -> bool:
         if method not in (b"GET", b"DELETE"):
             return False
-        ticket = path.rpartition("-")[2]
-        try:
-            lost = {ticket} if int(ticket, 16) in self.lost else set()
-        except ValueError:
-            return False
-        way = ownership.route(path, self.me, self.told.living, ticket, lost)
+        self._obey()  # a worker that has just died is known to have
+        way = ownership.route(path, self.me, self.told.living)
         if way is Route.DIED:
             slot.reply(204) if method == b"DELETE" else slot.reply(502, {"failure": "Failed"})
         elif way is Route.ASK:
--- a/frostspindle/cores/ownership.py
+++ b/frostspindle/cores/ownership.py
@@ -28,7 +28,7 @@
 
     UNKNOWN = "unknown"  # no such request, or it ended long ago: 404
     ASK = "ask"  # its owner lives: the call is passed on
-    DIED = "died"  # its owner ended without an answer: failed, for it may have run
+    DIED = "died"  # its owner ended, and the answer with it: failed, for it may have run
 
 
 def prefix(owner: Owner) -> str:
@@ -41,14 +41,12 @@
     return Owner(int(match.group(1), 16), int(match.group(2), 16)) if match else None
 
 
-def route(path: str, me: Owner, living: Mapping[int, int], ticket: str, lost: Iterable[str]) -> Route:
-    """`living`: the incarnation in each slot; `lost`: ids that were open when their worker died."""
+def route(path: str, me: Owner, living: Mapping[int, int]) -> Route:
+    """`living`: the incarnation in each slot."""
     owner = owner_of(path)
     if owner is None or owner == me:
         return Route.UNKNOWN
-    if living.get(owner.slot) == owner.incarnation:
-        return Route.ASK
-    return Route.DIED if ticket in lost else Route.UNKNOWN
+    return Route.ASK if living.get(owner.slot) == owner.incarnation else Route.DIED
 
 
 def accepts(mine: int, others: Iterable[int]) -> bool:
