--- a/frostspindle/cores/board.py
+++ b/frostspindle/cores/board.py
@@ -129,7 +129,7 @@
         self._sequences = (self.base + layout.sequences) // 8
         self._rows = self.base + layout.rows
         self._names = self.base + layout.names
-        self._ids = self.base + layout.ids
+        self._kept: dict[int, int] = {}  # the writer's: ids to their cells
         self._places: dict[int, int] = {}  # the writer's: engine to row
         self._spare: list[int] = []
         self._counters: dict[Any, int] = {}
@@ -138,6 +138,9 @@
         """Before a new worker: nothing of its predecessor stands."""
         size = self.board.layout.region
         self.board.bytes[self.base:self.base + size] = bytes(size)
+        empty = bytes(8 * form.WAYS)
+        for at in self._buckets():
+            self.board.bytes[at:at + len(empty)] = empty
 
     # The head.
 
@@ -226,34 +229,44 @@
             if (row := self.read(place)) is not None:
                 yield row
 
-    # Ids of open requests: buckets of WAYS, so that no reader follows a chain that its writer changes.
+    # Ids of open requests: buckets of WAYS for each slot, so that no reader follows a chain that its writer changes.
 
-    def _bucket(self, ticket: int) -> int:
-        return self._ids + 8 * form.WAYS * (ticket % self.board.layout.buckets)
+    def _buckets(self) -> range:
+        layout = self.board.layout
+        step = 8 * form.WAYS * layout.slots
+        return range(layout.ids + 8 * form.WAYS * self.slot, layout.regions, step)
 
     def add(self, ticket: int) -> bool:
         """False: its bucket is full."""
-        first = self._bucket(ticket) // 8
-        for cell in range(first, first + form.WAYS):
-            if not self.board.cells[cell]:
-                self.board.cells[cell] = ticket
-                return True
-        return False
+        layout = self.board.layout
+        first = layout.ids // 8 + form.WAYS * (ticket % layout.buckets * layout.slots + self.slot)
+        try:
+            cell = first + self.board.cells[first:first + form.WAYS].tolist().index(0)
+        except ValueError:
+            return False
+        self.board.cells[cell] = ticket
+        self._kept[ticket] = cell
+        return True
 
     def remove(self, ticket: int) -> None:
-        first = self._bucket(ticket) // 8
-        for cell in range(first, first + form.WAYS):
-            if self.board.cells[cell] == ticket:
-                self.board.cells[cell] = 0
-
-    def has(self, ticket: int) -> bool:
-        first = self._bucket(ticket) // 8
-        return ticket in self.board.cells[first:first + form.WAYS].tolist()
+        if (cell := self._kept.pop(ticket, None)) is not None:
+            self.board.cells[cell] = 0
+
+    def elsewhere(self, ticket: int) -> bool:
+        """Whether another slot holds the id."""
+        layout, size = self.board.layout, 8 * form.WAYS * self.board.layout.slots
+        at = layout.ids + ticket % layout.buckets * size
+        data, key = bytes(self.board.bytes[at:at + size]), ticket.to_bytes(8, "little")
+        found = data.find(key)
+        while found >= 0:
+            if found % 8 == 0 and found // (8 * form.WAYS) != self.slot:
+                return True
+            found = data.find(key, found + 1)
+        return False
 
     def ids(self) -> list[int]:
-        first = self._ids // 8
-        cells = self.board.cells[first:first + form.WAYS * self.board.layout.buckets]
-        return [ticket for ticket in cells.tolist() if ticket]
+        return [ticket for at in self._buckets()
+                for ticket in self.board.cells[at // 8:at // 8 + form.WAYS].tolist() if ticket]
 
 
 class Sight:
--- a/frostspindle/cores/layout.py
+++ b/frostspindle/cores/layout.py
@@ -5,8 +5,9 @@
 worker in that slot (and the supervisor once that worker is dead). Numbers are little-endian; aligned cells of eight
 bytes are written in one store, anything longer stands behind a CRC-32, so that a torn or unfinished one shows.
 
-    header | control: version, 2 pages | horizons | region of slot 0 | region of slot 1 | ...
-    region: head cells | counter values | counter names | row sequences | rows | ids
+    header | control: version, 2 pages | horizons | ids | region of slot 0 | region of slot 1 | ...
+    ids: of each bucket, the cells of slot 0, then those of slot 1, ...: one look finds an id at any worker
+    region: head cells | counter values | counter names | row sequences | rows
 """
 
 from __future__ import annotations
@@ -59,9 +60,13 @@
         return self.control + 8 + 2 * PAGE
 
     @property
-    def regions(self) -> int:
+    def ids(self) -> int:
         return (self.horizons + 8 * self.slots + 63) // 64 * 64
 
+    @property
+    def regions(self) -> int:
+        return self.ids + 8 * WAYS * self.slots * self.buckets
+
     @property
     def values(self) -> int:
         """Within a region."""
@@ -79,13 +84,9 @@
     def rows(self) -> int:
         return self.sequences + 8 * self.engines
 
-    @property
-    def ids(self) -> int:
-        return self.rows + ROW_BYTES * self.engines
-
     @property
     def region(self) -> int:
-        return (self.ids + 8 * WAYS * self.buckets + 63) // 64 * 64
+        return (self.rows + ROW_BYTES * self.engines + 63) // 64 * 64
 
     @property
     def size(self) -> int:
--- a/frostspindle/cores/link.py
+++ b/frostspindle/cores/link.py
@@ -299,10 +299,11 @@
     # The front's relay.
 
     def accepts(self) -> bool:
-        now = mono()
+        now, mine = mono(), self.program.platform.held
+        self.region.put(form.CLIENTS, mine)  # at once: others compare while a burst is being accepted
         others = [sight.region.get(form.CLIENTS) for sight in self.sights.values()
                   if sight.region.get(form.STATE) == form.SERVING and now - sight.region.beat < fleet.FRESH_MS]
-        return ownership.accepts(self.program.platform.connections, others)
+        return ownership.accepts(mine, others)
 
     def claim(self, ticket: str) -> Refusal | None:
         number = int(ticket, 16)
@@ -315,7 +316,7 @@
         if not self.region.add(number):
             self.events.count("full", FRONT)
             return Refusal(503, "Busy")
-        if any(sight.region.has(number) for slot, sight in self.sights.items() if slot in self.told.living):
+        if self.region.elsewhere(number):
             self.region.remove(number)
             return Refusal(409, "X-Request-Id: this request is already open")
         return None
--- a/frostspindle/cores/ownership.py
+++ b/frostspindle/cores/ownership.py
@@ -13,7 +13,7 @@
 from typing import NamedTuple
 
 _PATH = re.compile(r"/call/[^/]+/([0-9a-f]{1,2})\.([0-9a-f]{1,8})\.")
-SLACK = 4  # connections by which one worker may be ahead of the least laden before it lets others go first
+SLACK = 2  # connections by which one worker may be ahead of the least laden before it lets others go first
 
 
 class Owner(NamedTuple):
--- a/frostspindle/cores/supervisor.py
+++ b/frostspindle/cores/supervisor.py
@@ -29,7 +29,7 @@
 from frostspindle.core import clock
 from frostspindle.cores import fleet, totals
 from frostspindle.cores import layout as form
-from frostspindle.cores.board import Board, Control, Region
+from frostspindle.cores.board import Board, Control, Region, Sight
 from frostspindle.cores.leases import Arbiter, Need
 from frostspindle.cores.limits import Divider
 from frostspindle.cores.link import DECIDED_MS, SPARE, Passport, mono
@@ -54,6 +54,7 @@
 
     slot: int
     region: Region
+    sight: Sight
     listening: socket.socket  # of its mesh; it outlives the process
     incarnation: int = 0
     process: subprocess.Popen[bytes] | None = None
@@ -113,7 +114,8 @@
             listening = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
             listening.bind(self._path(slot))
             listening.listen(BACKLOG)
-            self.workers.append(Worker(slot, Region(self.board, slot), listening))
+            self.workers.append(Worker(
+                slot, Region(self.board, slot), Sight(Region(self.board, slot)), listening))
         self.shared.start(self._banned, self._crowd)
         self._publish()
         for worker in self.workers:
@@ -283,7 +285,8 @@
         warm_ms = self.config.settings.warm_within_ms
         for worker in self.workers:
             if worker.process is not None:
-                for row in worker.region.rows():
+                worker.sight.look()
+                for row in worker.sight.rows.values():
                     if row.since_ms > 0 and unix - row.since_ms < warm_ms:
                         needs.setdefault(row.engine, {})[worker.slot] = Need(row.spent, row.wished, row.seen)
         self.arbiter.step(now, needs)
--- a/frostspindle/net/platform.py
+++ b/frostspindle/net/platform.py
@@ -401,6 +401,11 @@
     def connections(self) -> int:
         return len(self.clients)
 
+    @property
+    def held(self) -> int:
+        """Connections, with those that were accepted in this turn."""
+        return len(self.clients) + len(self._joining)
+
     async def close(self) -> None:
         if self._sweeper is not None:
             self._sweeper.cancel()
