Ask for a lease by what a cold engine was denied, not by what is held

Under load that warm engines could take, nothing was held, so nobody wished for units of an engine that had just started: with 4 workers its first query came after 1.38 s.

--- a/frostspindle/lab/bench.py
+++ b/frostspindle/lab/bench.py
@@ -175,7 +175,8 @@
                 if time.time() > until or child.poll() is not None:
                     raise RuntimeError(f"the coordinator does not start: {log.read_text()[-500:]}")
                 time.sleep(0.05)
-            ready = [json.loads(line) for line in log.read_text().splitlines() if '"ready"' in line]
+            while not (ready := [json.loads(line) for line in log.read_text().splitlines() if '"ready"' in line]):
+                time.sleep(0.01)
             port = int([e for e in ready if e.get("worker") is None][0]["listen"].rpartition(":")[2])
             yield port, (desk, child.pid)
         finally:
@@ -183,12 +184,13 @@
             child.wait(30)
 
 
-def one(workers: int, clients: int, connections: int, ports: dict[str, int], seconds: float) -> dict[str, Any]:
-    """One run with so many workers."""
+def one(workers: int, clients: int, connections: int, ports: dict[str, int], seconds: float,
+        source: str | None = None) -> dict[str, Any]:
+    """One run with so many workers, of this version or of the checkout in `source`."""
     from hdrh.histogram import HdrHistogram
 
     config = document([host(name, port) for name, port in ports.items()])
-    with coordinator(config, workers) as (port, (desk, pid)):
+    with coordinator(config, workers, source) as (port, (desk, pid)):
         began = json.loads(operate(desk, "show-stat").splitlines()[0])
         pids = [pid, *(row["pid"] for row in began.get("workers", []))]
         at = time.time() + 0.7
--- a/pinstage/control.py
+++ b/pinstage/control.py
@@ -113,6 +113,7 @@
         self.cold_sends: deque[tuple[float, float]] = deque()
         # Of the other workers of this dispatcher: what they have out here; our part of the cold budget.
         self.peers, self.peers_memory, self.part, self.hearsay = 0, 0.0, float(settings.workers == 1), False
+        self.denied = 0.0  # work that our part of the cold budget had no room for, lately
         self.reset()
 
     def reset(self) -> None:
@@ -304,11 +305,14 @@
         self._release(now)
 
     def cold_need(self, now: float) -> dict[int, tuple[float, float]]:
-        """Of each cold engine: the part of the budget spent in the window, and what is wished for."""
-        held = sum(self._cold_work(job) for *_, job in self.held)
+        """Of each cold engine: the part of the budget spent in the window, and what was lately wished for."""
         cold = [e for e in self.engines.values() if e.ready and e.cold(now)]
-        return {e.id: (self._cold_spent(e, now) / (budget := self._cold_budget(e, now) or 1.0), held / budget)
-                for e in cold}
+        needs = {}
+        for engine in cold:
+            engine.denied *= 0.9 if engine.denied > 1.0 else 0.0
+            budget = self._cold_budget(engine, now) or 1.0
+            needs[engine.id] = self._cold_spent(engine, now) / budget, engine.denied / budget
+        return needs
 
     def _on_due(self, now: float, event: api.Due) -> None:
         while self.deadlines and self.deadlines[0][0] - MARGIN_MS <= now:
@@ -458,7 +462,9 @@
             if turns < 1 or (slot * turns + self.s.number) % n >= turns or job.attempts:
                 return False
             n = turns / 2.0  # a turn is for two small queries, and most pass unused
-        return spent + usual <= budget / n * engine.part
+        fits = spent + usual <= budget / n * engine.part
+        engine.denied += 0.0 if fits else usual
+        return fits
 
     def _cold_spent(self, engine: Engine, now: float) -> float:
         while engine.cold_sends and engine.cold_sends[0][0] < now - self.s.cold_window_ms:
