--- a/pinstage/control.py
+++ b/pinstage/control.py
@@ -111,7 +111,7 @@
         self.attempts: dict[tuple[int, int], Attempt] = {}
         self.threads, self.granted = 0, 0.0  # of ours
         self.cold_sends: deque[tuple[float, float]] = deque()
-        # Of the other workers of this dispatcher: what they have out here; our part of the cold budget.
+        # Of the other workers of this coordinator: what they have out here; our part of the cold budget.
         self.peers, self.peers_memory, self.part, self.hearsay = 0, 0.0, float(settings.workers == 1), False
         self.denied = 0.0  # work that our part of the cold budget had no room for, lately
         self.reset()
@@ -151,8 +151,7 @@
         # Where a share of an engine is less than one query, the sum of the shares is the bound.
         most = max(c.threads for c in settings.classes)
         self.sparse = THREADS_A_CORE * max(settings.kind_cores) / settings.dispatchers < most
-        self.threads, self.peers, self.shares = 0, 0, 0.0
-        self.most_open = math.inf  # as the sockets allow
+        self.threads, self.shares, self.most_open = 0, 0.0, math.inf  # most_open: as the sockets allow
         # Where memory runs over, too much let in collapses all; elsewhere an engine's line takes it up.
         self.pages = settings.when_short == "page"
         self.widen = 1.0 if self.pages else WIDE
@@ -289,11 +288,10 @@
                 self._suspect(engine, now, "is silent and fails its probe")
 
     def _on_peers(self, now: float, event: api.Peers) -> None:
-        """The other workers' load and suspicion count as our own; their newest report stands for ours."""
+        """The other workers' load steers our choice, their suspicion is ours, their newest report too."""
         for word in event.entries:
             if (engine := self.engines.get(word.engine)) is None:
                 continue
-            self.peers += word.threads - engine.peers
             engine.peers, engine.peers_memory, engine.part = word.threads, word.memory_mb, word.part
             if word.report and now - word.report_age_ms > engine.report_at:
                 self._hear(engine, word.report, now - word.report_age_ms)
@@ -310,7 +308,7 @@
         needs = {}
         for engine in cold:
             engine.denied *= 0.9 if engine.denied > 1.0 else 0.0
-            budget = self._cold_budget(engine, now) or 1.0
+            budget = self._cold_budget(engine, now) * self.s.workers / self.s.dispatchers or 1.0
             needs[engine.id] = self._cold_spent(engine, now) / budget, engine.denied / budget
         return needs
 
@@ -425,7 +423,7 @@
         """Threads left of the widened sum of our shares of all engines; one query may always be out."""
         free = max(0.0, 1.0 - self.pool[1] * self.used / ROOMY) if self.pages and self.sees_memory else 0.0
         limit = limits * (1.0 + (WIDE - 1.0) * free) * self.widen * self.shares
-        return limit - self.threads - self.peers if self.sparse and self.threads else math.inf
+        return limit - self.threads if self.sparse and self.threads else math.inf
 
     def _fits(self, job: Job) -> bool:
         """What is small passes the bound over all engines by up to as much again."""
@@ -455,7 +453,7 @@
         if not engine.cold(now):
             return True
         spent, budget = self._cold_spent(engine, now), self._cold_budget(engine, now)
-        usual, n = self._cold_work(job), self.s.dispatchers
+        usual, n = self._cold_work(job), self.s.dispatchers // self.s.workers  # workers have leases
         turns = min(n, int(budget / min(self.sizes.mean_cost)))
         if turns < n and self.sparse:
             slot = int(now / self.s.cold_window_ms) + engine.id
@@ -497,7 +495,7 @@
         if engine.suspect:
             small = self.sizes.band(job.cost) == 3 and cs.effect != Effect.ONCE
             return small and now >= engine.retest_at and not engine.attempts and not job.attempts
-        if (engine.attempts or engine.peers) and engine.bound - engine.threads - engine.peers < cs.threads:
+        if engine.attempts and engine.bound - engine.threads < cs.threads:
             return False
         if engine.memory <= 0 or not self.threads:
             return True
@@ -662,7 +660,7 @@
         engine.slow += weight * (min(10.0, ratio / best) - engine.slow)
         if engine.slow > CUT_ABOVE:
             self._cut(engine, now)
-        elif engine.slow < GROW_BELOW and engine.bound - engine.threads - engine.peers < 2 * job.cs.threads:
+        elif engine.slow < GROW_BELOW and engine.bound - engine.threads < 2 * job.cs.threads:
             step = GROW_BY * job.cs.threads / self.s.dispatchers
             engine.bound = min(MOST_THREADS_A_CORE * engine.cores, engine.bound + step)
 
--- a/pinstage/interface.py
+++ b/pinstage/interface.py
@@ -118,7 +118,7 @@
     retry_ratio: float = 0.0
     retry_span_ms: float = 0.0
     over_share_worth: float = 1.0
-    workers: int = 1  # processes that serve as this one dispatcher
+    workers: int = 1  # of one coordinator, each a dispatcher; they lease cold engines' budgets from each other
 
     def __post_init__(self) -> None:
         if not self.classes:
@@ -212,9 +212,9 @@
 
 
 class Peer(NamedTuple):
-    """What the other workers of this dispatcher have out at an engine, and their newest word on it.
+    """What the other workers of this coordinator have out at an engine, and their newest word on it.
 
-    `part` is this worker's part of the dispatcher's budget for the engine while it is cold, from 0 to 1.
+    `part` is this worker's part of the coordinator's budget for the engine while it is cold, from 0 to 1.
     """
 
     engine: int
@@ -227,7 +227,7 @@
 
 
 class Peers(NamedTuple):
-    """Word of the other workers of this dispatcher; without any, everything is this worker's own."""
+    """Word of the other workers of this coordinator."""
 
     entries: tuple[Peer, ...]
 
