Give the sockets between workers abstract addresses, open to this user's processes only

A killed supervisor left a folder of socket files behind. Abstract addresses end with their processes; the peer's user is checked on each connection (SO_PEERCRED).

--- a/frostspindle/cores/mesh.py
+++ b/frostspindle/cores/mesh.py
@@ -9,7 +9,9 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import socket
+import sys
 from collections.abc import Callable
 from typing import Any
 
@@ -92,6 +94,14 @@
         self.front = front
         self.slots: set[_FarSlot] = set()
 
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        super().connection_made(transport)
+        # The address has no owner in any file system: only processes of this user are listened to.
+        credentials = transport.get_extra_info("socket").getsockopt(socket.SOL_SOCKET, socket.SO_PEERCRED, 12)
+        if int.from_bytes(credentials[4:8], sys.byteorder) != os.geteuid():
+            self.front.events.count("mesh_strangers")
+            self.transport.abort()
+
     def frame(self, message: Any) -> None:
         number, method, url = message
         slot = _FarSlot(lambda reply: self._answer(number, slot, reply))
--- a/frostspindle/cores/supervisor.py
+++ b/frostspindle/cores/supervisor.py
@@ -10,16 +10,13 @@
 
 import asyncio
 import os
-import shutil
 import signal
 import socket
 import subprocess
 import sys
-import tempfile
 import time
 from collections import Counter
 from dataclasses import dataclass, field
-from pathlib import Path
 from typing import Any
 
 import msgspec
@@ -84,7 +81,6 @@
         self.reserved = RESERVED + 4 * count
         self.divider = Divider(config.limits.sockets - self.reserved, least=LEAST_SOCKETS)
         self.longest_s = max(3.0, *(c.deadline_ms / 1000.0 for c in settings.classes))
-        self.folder = tempfile.mkdtemp(prefix="frostspindle-mesh-")
         self.workers: list[Worker] = []
         self.lost: list[tuple[float, int]] = []
         self.names: dict[str, None] = {}
@@ -145,7 +141,8 @@
                 raise OSError(f"tds.listen: {error}") from None
 
     def _path(self, slot: int) -> str:
-        return str(Path(self.folder, f"{slot}.sock"))
+        """An abstract address: nothing of it is left over, whichever way the program ends."""
+        return f"\0frostspindle-{self.board.nonce:016x}-{slot}"
 
     def _spawn(self, worker: Worker) -> None:
         if self.stopping.is_set():
@@ -250,7 +247,6 @@
             if worker.process is not None:
                 worker.process.kill()
             worker.listening.close()
-        shutil.rmtree(self.folder, ignore_errors=True)
         if self.desk:
             self.desk.close()
         if self.agent:
