--- a/frostspindle/cli.py
+++ b/frostspindle/cli.py
@@ -10,6 +10,7 @@
 
 import asyncio
 import http.client
+import importlib.util
 import json
 import os
 import secrets
@@ -241,6 +242,8 @@
 def bench(workers: str, clients: int, connections: int, engines: int, delay_ms: float, seconds: float, rounds: int,
           cold: bool, out: str | None, plot: str | None) -> None:
     """Load a coordinator of this machine and compare numbers of workers."""
+    if importlib.util.find_spec("hdrh") is None:
+        raise click.UsageError("bench needs the extra: pip install -e '.[bench]'")
     from frostspindle.lab import bench as measuring
 
     try:
--- a/frostspindle/lab/bench.py
+++ b/frostspindle/lab/bench.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 import asyncio
-import importlib.util
 import json
 import multiprocessing
 import os
@@ -251,8 +250,6 @@
 def compare(numbers: list[int], clients: int, connections: int, count: int, delay_s: float, seconds: float,
             rounds: int) -> dict[str, Any]:
     """Each number of workers in turn, `rounds` times over; medians of the rounds."""
-    if importlib.util.find_spec("hdrh") is None:
-        raise SystemExit("frostspindle: bench needs the extra: pip install 'frostspindle[bench]'")
     runs = []
     with engines([f"s-{n:08x}" for n in range(1, count + 1)], delay_s, min(2, count)) as (ports, _):
         for _ in range(rounds):
