Name each request's tenant by the operator's rules, and hold tenants to their shares

The ledger to come and the module's quotas need to know whose a request is; the core told the module tenant 0 for all. Off unless set up.

--- /dev/null
+++ b/bench/tenants.py
@@ -0,0 +1,66 @@
+"""The index of tenant rules against a look at every rule, and what it costs to build.
+
+    PYTHONPATH=. python bench/tenants.py
+"""
+
+from __future__ import annotations
+
+import random
+import time
+import tracemalloc
+from collections.abc import Callable
+from functools import partial
+
+from frostspindle.ledger.tenants import Facts, Index, Rule, scan
+
+
+def rules(count: int, draw: random.Random) -> list[Rule]:
+    """Teams by header, database, schema and network, some with several conditions."""
+    out = []
+    for number in range(count):
+        kind = number % 5
+        out.append(Rule(
+            f"t{number}", header=f"X-Team=team-{number}" if kind == 0 else "",
+            database=f"db_{number}" if kind in (1, 4) else "", schema=f"sales_{number}" if kind == 2 else "",
+            application=f"app{number % 7}" if kind == 4 else "",
+            address=f"10.{number >> 8 & 255}.{number & 255}.0/{draw.choice((20, 24, 28))}".replace(
+                ".0/20", ".0/24") if kind == 3 else ""))
+    return out
+
+
+def facts(count: int, draw: random.Random) -> Facts:
+    number = draw.randrange(count)
+    return Facts("http", f"10.{number >> 8 & 255}.{number & 255}.{draw.randrange(256)}",
+                 {b"x-team": b"team-%d" % number, b"host": b"x"}, "me", f"app{number % 7}", f"db_{number}",
+                 f"sales_{number}")
+
+
+def timed(find: Callable[[Facts], object], asked: list[Facts], least_s: float = 0.3) -> float:
+    """Microseconds a call."""
+    count, began = 0, time.perf_counter()
+    while time.perf_counter() - began < least_s:
+        find(asked[count % len(asked)])
+        count += 1
+    return (time.perf_counter() - began) / count * 1e6
+
+
+def main() -> None:
+    print(f"{'rules':>8}{'build ms':>10}{'MB':>7}{'index us':>10}{'scan us':>12}")
+    for count in (10, 1_000, 100_000):
+        draw = random.Random(count)
+        made = rules(count, draw)
+        tracemalloc.start()
+        began = time.perf_counter()
+        index = Index(made)
+        built = (time.perf_counter() - began) * 1000.0
+        size = tracemalloc.get_traced_memory()[0] / 2**20
+        tracemalloc.stop()
+        asked = [facts(count, draw) for _ in range(200)]
+        for one in asked[:5]:
+            assert index.find(one) == scan(made, one)
+        by_index, by_scan = timed(index.find, asked), timed(partial(scan, made), asked)
+        print(f"{count:>8}{built:>10.1f}{size:>7.1f}{by_index:>10.1f}{by_scan:>12.1f}")
+
+
+if __name__ == "__main__":
+    main()
--- a/frostspindle/cli.py
+++ b/frostspindle/cli.py
@@ -101,6 +101,9 @@
                    "cores.within_ms": cores.within_ms,
                    "each worker": f"{config.limits.sockets // cores.workers} descriptors, "
                                   f"{config.limits.memory_mb / cores.workers:g} MB"}
+    values["tenants"] = ", ".join(
+        f"{tenant.name} ({tenant.share_per_s:g}/s)" if tenant.share_per_s else tenant.name
+        for tenant in config.operator.tenant) or "off"
     values["tds.listen"] = tds.listen if tds else "off"
     if tds:
         values |= {"tds.max_sessions": tds.max_sessions, "tds.login": len(tds.login),
--- a/frostspindle/config.py
+++ b/frostspindle/config.py
@@ -19,6 +19,7 @@
 import msgspec
 from msgspec import Meta, Struct
 
+from frostspindle.ledger.tenants import Index, Rule
 from pinstage.interface import Settings
 from pinstage.settings import flatten, read_settings
 
@@ -125,6 +126,26 @@
     community: Annotated[str, Meta(min_length=1)]
 
 
+class TenantRule(Struct, forbid_unknown_fields=True):
+    """What must hold of a request of the tenant; see ledger/tenants.py."""
+
+    front: str = ""
+    header: str = ""
+    login: str = ""
+    application: str = ""
+    database: str = ""
+    schema: str = ""
+    address: str = ""
+
+
+class Tenant(Struct, forbid_unknown_fields=True):
+    """A team that shares the engines, and its share of them."""
+
+    name: Annotated[str, Meta(min_length=1, max_length=64)]
+    share_per_s: Annotated[float, Meta(ge=0)] = 0.0  # requests a second of all coordinators; 0: no bound
+    rule: list[TenantRule] = []
+
+
 class Cores(Struct, forbid_unknown_fields=True):
     """How many processes serve, and when one of them is given up."""
 
@@ -139,6 +160,8 @@
 
     tds: Tds | None = None
     snmp: Snmp | None = None
+    tenant: list[Tenant] = []
+    default_tenant: str = "default"  # of requests that no rule fits
     cores: Cores = msgspec.field(default_factory=Cores)
 
 
@@ -220,9 +243,34 @@
                 raise ConfigError(f"tds.login[{number}].class: the settings have no class {login.cls!r}")
     if operator.snmp:
         address(operator.snmp.listen, "snmp.listen")
+    _check_tenants(operator)
     return operator
 
 
+def _check_tenants(operator: Operator) -> None:
+    names = {operator.default_tenant}
+    for number, tenant in enumerate(operator.tenant):
+        if tenant.name in names:
+            raise ConfigError(f"tenant[{number}].name: {tenant.name!r} stands there twice")
+        names.add(tenant.name)
+        for place, rule in enumerate(tenant.rule):
+            key = f"tenant[{number}].rule[{place}]"
+            if rule.front not in ("", "http", "tds"):
+                raise ConfigError(f"{key}.front: not http or tds: {rule.front!r}")
+            try:
+                Rule(tenant.name, *msgspec.structs.astuple(rule)).check()
+            except ValueError as error:
+                raise ConfigError(f"{key}: {_one_line(error)}") from None
+
+
+def tenant_index(operator: Operator) -> tuple[Index, dict[str, int]] | None:
+    """The rules compiled, and the module's number of each tenant; None where there are none."""
+    if not operator.tenant:
+        return None
+    rules = [Rule(tenant.name, *msgspec.structs.astuple(rule)) for tenant in operator.tenant for rule in tenant.rule]
+    return Index(rules), {tenant.name: number for number, tenant in enumerate(operator.tenant, 1)}
+
+
 def _read_cores(cores: Cores, environ: Mapping[str, str], limits: Limits) -> None:
     """The number of workers, which the command line may name, against what each of them needs."""
     key = "cores.workers"
@@ -287,6 +335,10 @@
     _read_cores(operator.cores, environ, document.limits)
     desk = environ.get("LB_OPERATOR") or document.operator
     plan = TdsPlan({}, {})
+    if operator.tenant:
+        # Tenant 0 is the default, without a bound of ours; a platform that names tenants itself keeps that one's.
+        settings = dataclasses.replace(settings, tenant_quota_per_s=(
+            *(settings.tenant_quota_per_s or (0.0,))[:1], *(tenant.share_per_s for tenant in operator.tenant)))
     if operator.tds:
         settings, plan = with_tds(settings, classes, operator.tds)
     return Config(
--- a/frostspindle/core.py
+++ b/frostspindle/core.py
@@ -63,6 +63,7 @@
     memory_mb: float = 0.0
     group: int = 0
     place: str = ""  # the database, for drivers that need to name it
+    tenant: int = 0  # the module's number of it; 0: the default
     number: int = 0  # the core's own, once taken
 
 
@@ -448,7 +449,7 @@
         left_ms = ask.left_ms - (now - ask.taken_ms)
         self._at(ask.taken_ms + ask.left_ms, _Overdue(ask.number))
         self.events.count("taken", ask.front, self.classes[ask.cls][1])
-        self._tell(now, api.Request(ask.number, ask.cls, 0, 0, left_ms, ask.cost_ms, ask.memory_mb,
+        self._tell(now, api.Request(ask.number, ask.cls, ask.tenant, 0, left_ms, ask.cost_ms, ask.memory_mb,
                                     float(ask.group)))
 
     def _leave(self, now: float, number: int, why: str) -> None:
--- a/frostspindle/net/platform.py
+++ b/frostspindle/net/platform.py
@@ -15,6 +15,7 @@
 import select
 import socket
 from collections import deque
+from collections.abc import Callable
 from typing import Any, Protocol
 
 import msgspec
@@ -23,6 +24,7 @@
 from frostspindle.config import Config
 from frostspindle.core import FAILED, REFUSED, SERVED, Answer, Ask, Core, clock
 from frostspindle.events import Events
+from frostspindle.ledger.tenants import Facts
 
 FRONT = "http"
 HOLD_S = 1.0  # a call is held this long for its answer, then the client is given a path to ask again
@@ -66,13 +68,25 @@
         self.status, self.text = status, text
 
 
-def table_group(statement: str) -> int:
-    """The number behind the underscore in the name of the schema that the statement reads or writes."""
+def _schema(statement: str) -> re.Match[str] | None:
+    """The first name of a schema that the statement reads or writes."""
     for match in _SQL.finditer(statement):
         name = match.group(1)
         if name and name.lower() != "staging":
-            return int(match.group(2)[:18]) % (1 << 24)
-    return 0
+            return match
+    return None
+
+
+def table_group(statement: str) -> int:
+    """The number behind the underscore in the name of the schema that the statement reads or writes."""
+    match = _schema(statement)
+    return int(match.group(2)[:18]) % (1 << 24) if match else 0
+
+
+def schema(statement: str) -> str:
+    """That name whole."""
+    match = _schema(statement)
+    return f"{match.group(1)}_{match.group(2)}" if match else ""
 
 
 class Relay(Protocol):
@@ -320,6 +334,7 @@
         self.crowd(False)
         self.prefix = ""  # of paths: it names the worker among several
         self.relay: Relay | None = None
+        self.tenant: Callable[[Facts], int] | None = None
         self.most_memory = max((*core.settings.kind_memory_mb, 1.0))
         self.keep_bytes = int(config.limits.memory_mb * 2**20 / 24)
         self.classes = {name.encode(): number for number, name in enumerate(config.classes)}
@@ -550,6 +565,9 @@
         opened = _Open(self, name, f"/call/{cls.decode()}/{self.prefix}{self._paths:x}-{name}")
         ask = Ask(FRONT, number, name, statement, clock(), left_ms, opened.settle, cost_ms, memory_mb,
                   table_group(statement))
+        if self.tenant is not None:
+            peer = slot.client.transport.get_extra_info("peername") or ("",)
+            ask.tenant = self.tenant(Facts(FRONT, peer[0], fields, schema=schema(statement)))
         if not self.core.submit(ask):
             if self.relay is not None:
                 self.relay.release(name)
--- a/frostspindle/net/tds/front.py
+++ b/frostspindle/net/tds/front.py
@@ -45,6 +45,7 @@
         self.packet = codec.PACKET
         self.profile: TdsLogin | None = None
         self.database = ""
+        self.login: codec.Login | None = None
         self.since = asyncio.get_running_loop().time()  # when it began to wait for its client
         self.busy = False  # a batch runs
 
@@ -128,7 +129,7 @@
             await self.fail(LOGIN_FAILED, f"Login failed for user '{login.user}': no entry for application "
                                           f"'{login.application}' and database '{login.database}'", 14)
             return False
-        self.database = login.database
+        self.database, self.login = login.database, login
         self.front.events.count("logins", FRONT, self.profile.cls)
         tokens = codec.login_ack(login.database, login.packet)
         await self.send(tokens)
@@ -159,6 +160,9 @@
         ask = Ask(FRONT, front.classes[profile.cls], f"{front.seed ^ front.tickets:016x}", statement, clock(),
                   profile.deadline_ms, settle, profile.cost_ms, profile.memory_mb, front.group(statement),
                   place=self.database)
+        if front.tenant is not None and self.login is not None:
+            peer = self.writer.get_extra_info("peername") or ("",)
+            ask.tenant = front.tenant(self.login, peer[0], statement)
         if not front.core.submit(ask):
             await self.fail(REFUSED, _busy(ADVISED_MS))
             return True
@@ -211,6 +215,7 @@
     def __init__(self, tds: Tds, listen: Address, classes: dict[str, int], seed: int, core: Core, events: Events,
                  group: Callable[[str], int]) -> None:
         self.tds, self.listen, self.classes, self.core, self.events = tds, listen, classes, core, events
+        self.tenant: Callable[[codec.Login, str, str], int] | None = None  # of a log-in, address and statement
         self.group, self.seed, self.tickets = group, seed & 0xFFFFFFFFFFFFFFFF, 0
         self.sessions: dict[asyncio.Task[None], _Session] = {}
         self._server: asyncio.Server | None = None
--- a/frostspindle/program.py
+++ b/frostspindle/program.py
@@ -16,10 +16,11 @@
 from frostspindle.config import Config, ConfigError
 from frostspindle.core import Core
 from frostspindle.events import Events
+from frostspindle.ledger.tenants import Facts
 from frostspindle.net.bus import Bus
 from frostspindle.net.engines import Engines
 from frostspindle.net.operator import Desk, Nak
-from frostspindle.net.platform import FRONT, Platform, table_group
+from frostspindle.net.platform import FRONT, Platform, schema, table_group
 from frostspindle.net.tds.driver import TdsEngines
 from frostspindle.net.tds.front import TdsFront
 from frostspindle.shared import Shared
@@ -52,6 +53,16 @@
             self.tds_driver = TdsEngines(tds, config.plan.kinds, self.core, self.events)
             self.tds = TdsFront(tds, configuration.address(tds.listen, "tds.listen"), config.plan.classes,
                                 config.seed, self.core, self.events, table_group)
+        if tenants := configuration.tenant_index(config.operator):
+            index, numbers = tenants
+
+            def tenant(facts: Facts) -> int:
+                rule = index.find(facts)
+                return numbers[rule.tenant] if rule is not None else 0
+            self.platform.tenant = tenant
+            if self.tds:
+                self.tds.tenant = lambda login, at, statement: tenant(Facts(
+                    "tds", at, {}, login.user, login.application, login.database, schema(statement)))
         self.agent: Any = None
         self.desk: Desk | None = None
         if config.desk:
@@ -175,6 +186,8 @@
             fresh = configuration.read(self.config.environ)
             if fresh.operator.cores != self.config.operator.cores:
                 raise ConfigError("cores: needs a new start")
+            if fresh.operator.tenant != self.config.operator.tenant:
+                raise ConfigError("tenant: needs a new start")
             if self.tds and self.tds_driver:
                 self._reload_tds(fresh.operator.tds)
         except Exception as error:  # noqa: BLE001 - whatever the files hold, the program goes on as it was
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -46,6 +46,9 @@
     ("[cores]\nworkers = 5\n", "cores.workers: 5 workers need 40 MB of limits.memory_mb each"),
     ("[cores]\nworkers = 9\n", "cores.workers: 9 workers need 128 of limits.sockets each"),
     ("[cores]\nworkers = 2\nhang_ms = 10\n", "$.cores.hang_ms"), ("[cores]\ncrashes = 0\n", "$.cores.crashes"),
+    ("[[tenant]]\nname='a'\n[[tenant.rule]]\nschema='a*b'\n", "tenant[0].rule[0]: schema"),
+    ("[[tenant]]\nname='a'\n[[tenant]]\nname='a'\n", "tenant[1].name"),
+    ("[[tenant]]\nname='a'\n[[tenant.rule]]\nfront='ftp'\n", "tenant[0].rule[0].front"),
     ("[cores]\nworker = 2\n", "worker"), ("[cores\n", "FROSTSPINDLE_OPERATOR")])
 def test_bad_values_get_one_line_that_names_the_key(files, text, key):
     files[1].write_text(text)
