--- a/bench/tenants.py
+++ b/bench/tenants.py
@@ -49,10 +49,11 @@
     for count in (10, 1_000, 100_000):
         draw = random.Random(count)
         made = rules(count, draw)
-        tracemalloc.start()
         began = time.perf_counter()
         index = Index(made)
         built = (time.perf_counter() - began) * 1000.0
+        tracemalloc.start()
+        index = Index(made)
         size = tracemalloc.get_traced_memory()[0] / 2**20
         tracemalloc.stop()
         asked = [facts(count, draw) for _ in range(200)]
--- a/frostspindle/ledger/tenants.py
+++ b/frostspindle/ledger/tenants.py
@@ -9,16 +9,17 @@
 more conditions, then the longer names, then the one that stands first.
 
 The index is a tuple space: rules of the same kind (the same names as conditions, those with a `*` of the same length,
-the same header) share one table, keyed by all its names together; below each key address prefixes stand by length, so
-that the longest match is found first.
+the same header) share one table, keyed by all its names together and, for rules with an address, by the prefix: a look
+tries each length of prefix that the kind has, the longest first.
 """
 
 from __future__ import annotations
 
 import ipaddress
-from collections.abc import Iterable, Iterator, Mapping, Sequence
+import socket
+from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass, field
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 NAMES = ("front", "login", "application", "database", "schema")  # of a rule, each with or without a `*`
 Rank = tuple[int, int, int, int]
@@ -62,37 +63,34 @@
 
 
 def _bits(address: str) -> tuple[int, int, int] | None:
-    """An address or network: its family, its bits from the left, how many."""
-    try:
-        network = ipaddress.ip_network(address)
-    except ValueError:
+    """Of a network: its family, its bits from the left, how many."""
+    if not address:
         return None
-    size = network.max_prefixlen
-    return network.version, int(network.network_address) >> (size - network.prefixlen), network.prefixlen
+    network = ipaddress.ip_network(address)
+    length = network.prefixlen
+    return network.version, int(network.network_address) >> (network.max_prefixlen - length), length
 
 
-@dataclass(slots=True)
-class _Prefixes:
-    """Address prefixes of one family by length; a look starts at the longest length that any rule has."""
-
-    tables: dict[int, dict[int, tuple[Rank, int]]] = field(default_factory=dict)
-    lengths: list[int] = field(default_factory=list)
-
-    def add(self, bits: int, length: int, entry: tuple[Rank, int]) -> None:
-        table = self.tables.setdefault(length, {})
-        if bits not in table or entry < table[bits]:
-            table[bits] = entry
-        self.lengths = sorted(self.tables, reverse=True)
-
-    def find(self, bits: int, size: int) -> tuple[Rank, int] | None:
-        for length in self.lengths:
-            if (entry := self.tables[length].get(bits >> (size - length))) is not None:
-                return entry
+def _packed(address: str) -> tuple[int, int, int] | None:
+    """Of one address, as a socket names it: its family, its bits, how many; None for what is no address."""
+    try:
+        if ":" in address:
+            return 6, int.from_bytes(socket.inet_pton(socket.AF_INET6, address.partition("%")[0]), "big"), 128
+        return 4, int.from_bytes(socket.inet_pton(socket.AF_INET, address), "big"), 32
+    except OSError:
         return None
 
 
+Key = tuple[object, ...]  # the values of a kind's names, its header's last
 Kind = tuple[tuple[tuple[int, int], ...], bytes]  # place and length (-1: whole) of each name; the header
-Table = dict[tuple[object, ...], dict[int, _Prefixes]]  # by the names' values; then by address family, 0 for any
+
+
+@dataclass(slots=True)
+class _Table:
+    """The rules of one kind, by number: those without an address, and the others by family and length of prefix."""
+
+    anywhere: dict[Key, int] = field(default_factory=dict)
+    networks: dict[tuple[int, int], dict[tuple[Key, int], int]] = field(default_factory=dict)
 
 
 class Index:
@@ -100,9 +98,12 @@
 
     def __init__(self, rules: Sequence[Rule]) -> None:
         self.rules = rules
-        self._kinds: dict[Kind, Table] = {}
+        self._ranks: list[Rank] = []
+        self._kinds: dict[Kind, _Table] = {}
         for number, rule in enumerate(rules):
             self._add(number, rule)
+        for table in self._kinds.values():  # longest first: the first hit is the best of its key
+            table.networks = dict(sorted(table.networks.items(), reverse=True))
 
     def _add(self, number: int, rule: Rule) -> None:
         names, values = [], list[object]()
@@ -116,54 +117,62 @@
         header = header_name.strip().lower().encode()
         if header:
             values.append(header_value.strip().encode())
-        table = self._kinds.setdefault((tuple(names), header), {})
-        entry = (rank(rule, number), number)
-        family, bits, length = _bits(rule.address) or (0, 0, 0)
-        prefixes = table.setdefault(tuple(values), {}).setdefault(family, _Prefixes())
-        prefixes.add(bits, length, entry)
+        network = _bits(rule.address)
+        self._ranks.append(_rank(rule, number, network[2] if network else -1))
+        table, key = self._kinds.setdefault((tuple(names), header), _Table()), tuple(values)
+        if network is None:
+            self._keep(table.anywhere, key, number)
+        else:
+            family, bits, length = network
+            self._keep(table.networks.setdefault((family, length), {}), (key, bits), number)
+
+    def _keep(self, table: dict[Any, int], key: Any, number: int) -> None:
+        if key not in table or self._ranks[number] < self._ranks[table[key]]:
+            table[key] = number
 
     def find(self, facts: Facts) -> Rule | None:
         """The rule that fits best, or None."""
         texts = [getattr(facts, name).casefold() for name in NAMES]
-        address = _bits(facts.address)
-        best: tuple[Rank, int] | None = None
+        address = _packed(facts.address)
+        best: int | None = None
         for (names, header), table in self._kinds.items():
-            key: list[object] = []
+            values: list[object] = []
             for place, length in names:
                 text = texts[place]
                 if length >= 0:
                     if len(text) < length:
                         break
                     text = text[:length]
-                key.append(text)
+                values.append(text)
             else:
                 if header:
-                    value = facts.headers.get(header)
-                    if value is None:
+                    if (value := facts.headers.get(header)) is None:
                         continue
-                    key.append(value.strip())
-                for entry in self._below(table.get(tuple(key)), address):
-                    if best is None or entry < best:
-                        best = entry
-        return self.rules[best[1]] if best is not None else None
+                    values.append(value.strip())
+                found = self._in(table, tuple(values), address)
+                if found is not None and (best is None or self._ranks[found] < self._ranks[best]):
+                    best = found
+        return self.rules[best] if best is not None else None
 
     @staticmethod
-    def _below(families: Mapping[int, _Prefixes] | None,
-               address: tuple[int, int, int] | None) -> Iterator[tuple[Rank, int]]:
-        if families is None:
-            return
-        if (anywhere := families.get(0)) is not None and (entry := anywhere.find(0, 0)) is not None:
-            yield entry
-        if address is not None and (prefixes := families.get(address[0])) is not None:
-            if (entry := prefixes.find(address[1], address[2])) is not None:
-                yield entry
+    def _in(table: _Table, key: Key, address: tuple[int, int, int] | None) -> int | None:
+        if address is not None:
+            family, bits, size = address
+            for (of, length), networks in table.networks.items():
+                if of == family and (number := networks.get((key, bits >> (size - length)))) is not None:
+                    return number
+        return table.anywhere.get(key)
 
 
 def rank(rule: Rule, number: int) -> Rank:
     """Smaller is better: longer prefix, more conditions, longer names, earlier."""
-    conditions = [getattr(rule, name) for name in NAMES if getattr(rule, name)] + ([rule.header] if rule.header else [])
-    bits = _bits(rule.address)
-    return -(bits[2] if bits else -1), -len(conditions), -sum(map(len, conditions)), number
+    network = _bits(rule.address)
+    return _rank(rule, number, network[2] if network else -1)
+
+
+def _rank(rule: Rule, number: int, length: int) -> Rank:
+    conditions = [text for name in NAMES if (text := getattr(rule, name))] + ([rule.header] if rule.header else [])
+    return -length, -len(conditions), -sum(map(len, conditions)), number
 
 
 def fits(rule: Rule, facts: Facts) -> bool:
