--- a/frostspindle/cores/board.py
+++ b/frostspindle/cores/board.py
@@ -91,7 +91,10 @@
         return self.cells[self.layout.control // 8]
 
     def publish(self, control: Control) -> None:
-        """The page that nobody reads is written first, then the version that points to it."""
+        """The page that nobody reads is written first, then the version that points to it.
+
+        ValueError: it does not fit; the version before stays in force.
+        """
         version = self.version + 1
         at = self.layout.control + 8 + (version % 2) * form.PAGE
         page = form.pack_page(_ENCODER.encode(control))
@@ -105,7 +108,7 @@
             if not version:
                 return 0, Control()
             at = self.layout.control + 8 + (version % 2) * form.PAGE
-            blob = form.unpack_page(bytes(self.bytes[at:at + form.PAGE]))
+            blob = form.unpack_page(self.bytes[at:at + form.PAGE])
             if blob is not None:
                 return version, _DECODER.decode(blob)
         return None
--- a/frostspindle/cores/layout.py
+++ b/frostspindle/cores/layout.py
@@ -22,7 +22,7 @@
 MAGIC, VERSION = b"FSBOARD\x00", 1
 HEADER = struct.Struct("<8sIIIIIQQ")  # magic, version, slots, engines, counters, buckets, nonce, size
 HEAD_BYTES = 128
-PAGE = 64 * 1024  # one control page: length, CRC, blob
+PAGE = 1024 * 1024  # one control page: length, CRC, blob; only what is written of it takes memory
 PAGE_HEAD = struct.Struct("<II")
 CELLS = 32  # of a region's head, eight bytes each
 NAME_BYTES = 96  # of a counter: what, front and class
@@ -156,10 +156,10 @@
     return PAGE_HEAD.pack(len(blob), zlib.crc32(blob)) + blob
 
 
-def unpack_page(data: bytes) -> bytes | None:
+def unpack_page(data: bytes | memoryview) -> bytes | None:
     """None: it was being written."""
     length, crc = PAGE_HEAD.unpack_from(data)
-    blob = data[PAGE_HEAD.size:PAGE_HEAD.size + length]
+    blob = bytes(data[PAGE_HEAD.size:PAGE_HEAD.size + length])
     return blob if len(blob) == length and zlib.crc32(blob) == crc else None
 
 
--- a/frostspindle/cores/supervisor.py
+++ b/frostspindle/cores/supervisor.py
@@ -43,7 +43,7 @@
 RESERVED = 24  # descriptors of the supervisor itself, beside a few for each worker
 STOP_S = 8.0  # beyond the longest deadline, workers are killed
 MOST_LOST, KEEP_LOST_S = 4096, 5.0  # ids of requests that died with their worker; kept beyond the longest deadline
-MOST_NAMES = 4096
+MOST_NAMES, MOST_BANS = 4096, 1024
 
 
 @dataclass(slots=True)
@@ -312,7 +312,11 @@
     def _publish(self) -> None:
         self._dirty = False
         self.control.lost = [ticket for _, ticket in self.lost]
-        self.board.publish(self.control)
+        try:
+            self.board.publish(self.control)
+        except ValueError as error:  # what is in force stays: units that were not told are not used, nor given on
+            self.count("control_full")
+            self.events.log("board", error=str(error))
 
     def _banned(self, banned: frozenset[str]) -> None:
         self.control.bans = sorted(banned)
@@ -343,6 +347,8 @@
         self._standings()
         if name not in self.names:
             raise Nak(f"{name} was never listed")
+        if on and len(self.shared.banned) >= MOST_BANS:
+            raise Nak(f"{MOST_BANS} engines are left out already")
         try:
             self.shared.ban(name, on)
         except OSError as error:
