--- a/frostspindle/core.py
+++ b/frostspindle/core.py
@@ -316,7 +316,7 @@
         """What is believed now of requests and engines, to be held against what crosses the sockets."""
         out = Counter(a.engine for r in self._records.values() for a in r.attempts if not a.over)
         engines = [{"name": state.name, "health": state.entry.health, "out": out[number],
-                    "threads": believed.threads, "bound": round(believed.bound, 1),
+                    "threads": believed.threads, "peers": believed.peers, "bound": round(believed.bound, 1),
                     "slow": round(believed.slow, 2), "fails": round(believed.fails, 2),
                     "granted_mb": round(believed.granted), "suspect": believed.suspect,
                     "report_age_ms": round(min(clock() - believed.report_at, 1e6))}
--- a/tests/test_cores.py
+++ b/tests/test_cores.py
@@ -144,6 +144,12 @@
         ended = await fleet.event("worker_ended")
         self.assertEqual((ended["code"], ended["slot"]), (-signal.SIGKILL, slot))
         self.assertGreaterEqual(ended["lost"], 1)
+        # The other worker's module counts what runs on at the engines: the load has two threads.
+        def seen() -> bool:
+            fleet.process.send_signal(signal.SIGUSR1)
+            return any(engine["peers"] >= 2 for e in fleet.events if e["event"] == "worker" and e["worker"] != slot
+                       and e["ts"] > ended["ts"] for engine in e["engines"])
+        await self.until(seen, 2.0)  # engines forget it after that
         # Its path and its id are failed everywhere: nobody runs it again.
         self.assertEqual(await self.in_thread(other.ask, "GET", path), (502, {"failure": "Failed"}))
         for _ in range(6):
