--- a/frostspindle/cores/board.py
+++ b/frostspindle/cores/board.py
@@ -133,6 +133,7 @@
         self._rows = self.base + layout.rows
         self._names = self.base + layout.names
         self._kept: dict[int, int] = {}  # the writer's: ids to their cells
+        self._ids, self._width = layout.ids, 8 * form.WAYS * layout.slots  # where buckets begin; bytes of one
         self._places: dict[int, int] = {}  # the writer's: engine to row
         self._spare: list[int] = []
         self._counters: dict[Any, int] = {}
@@ -241,8 +242,7 @@
 
     def add(self, ticket: int) -> bool:
         """False: its bucket is full."""
-        layout = self.board.layout
-        first = layout.ids // 8 + form.WAYS * (ticket % layout.buckets * layout.slots + self.slot)
+        first = (self._ids + ticket % self.board.layout.buckets * self._width) // 8 + form.WAYS * self.slot
         try:
             cell = first + self.board.cells[first:first + form.WAYS].tolist().index(0)
         except ValueError:
@@ -257,9 +257,8 @@
 
     def elsewhere(self, ticket: int) -> bool:
         """Whether another slot holds the id."""
-        layout, size = self.board.layout, 8 * form.WAYS * self.board.layout.slots
-        at = layout.ids + ticket % layout.buckets * size
-        data, key = bytes(self.board.bytes[at:at + size]), ticket.to_bytes(8, "little")
+        at = self._ids + ticket % self.board.layout.buckets * self._width
+        data, key = bytes(self.board.bytes[at:at + self._width]), ticket.to_bytes(8, "little")
         found = data.find(key)
         while found >= 0:
             if found % 8 == 0 and found // (8 * form.WAYS) != self.slot:
