Keep connections to engines: ranks on the query's own, calls given up, an old one where new are refused

Changes, net/engines.py: a priority goes out with the next ask for news (within 250 ms) on the query's own connection (rank); idle ones are kept until 2 s before the engine's own limit, or half of it where that is later (EARLY_S); a call that is given up leaves its connection to the answer that is on its way (_unheard). What must reach this very process now waits for one of the old connections (line, stay). With it, and in control.py's _choose: a new connection and another zone count in the choice by the prices in the settings (a tenth longer to its end is held to cost a query a hundredth of its worth), and engines that a connection stands to are looked at beside the sample.

--- a/frostspindle/net/engines.py
+++ b/frostspindle/net/engines.py
@@ -10,6 +10,7 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 import math
 import select
 from collections import deque
@@ -36,6 +37,7 @@
 # Of all sockets, for connections to engines, alone and beside another process; clients have another part.
 ENGINE_PART, CROWDED_PART = 0.38, 0.15
 TIDY_S = 1.0
+EARLY_S = 2.0  # so long before its engine closes it an idle connection is closed here, or at half the time
 NOTES = {b"pct": NoteKind.PROGRESS, b"overflow": NoteKind.SPILLS, b"queued": NoteKind.WAITS}
 NAMES = {"util": "load_share", "queue": "depth", "inflight": "concurrent"}
 Rows = list[list[str]]
@@ -207,13 +209,29 @@
         return self._answer(timer)
 
     async def _answer(self, timer: asyncio.TimerHandle) -> _Reply:
+        waiter = self.waiter
         try:
-            return await self.waiter  # type: ignore[misc]
+            return await waiter  # type: ignore[misc]
+        except asyncio.CancelledError:
+            if self.good and not self.whole:
+                # The call is given up, its answer is on its way, and a new connection costs the engine more.
+                self.waiter = self.loop.create_future()
+                self.waiter.add_done_callback(functools.partial(self._unheard, timer))
+            raise
         finally:
-            timer.cancel()
-            if not self.whole:  # given up, or not to be read: whatever still comes belongs to no call
-                self.drop()
-            self.waiter = None
+            if self.waiter is waiter:
+                timer.cancel()
+                if not self.whole:  # not to be read: whatever still comes belongs to no call
+                    self.drop()
+                self.waiter = None
+
+    def _unheard(self, timer: asyncio.TimerHandle, waiter: asyncio.Future[_Reply]) -> None:
+        """The answer to a call that was given up has come, or will not: the line is free, or gone."""
+        timer.cancel()
+        self.waiter = None
+        if waiter.cancelled() or waiter.exception() is not None:
+            self.good = False
+        self.peer.release(self)
 
 
 class _Peer:
@@ -258,8 +276,12 @@
         self.idle.append(line)
         self._next()
 
-    async def line(self, fresh: bool = False, eldest: bool = False) -> _Line:
-        """A connection to use: an idle one, the last used or the eldest, unless it must be fresh; else a new one."""
+    async def line(self, fresh: bool = False, eldest: bool = False, stay: bool = False) -> _Line:
+        """A connection to use: an idle one, the last used or the eldest, unless it must be fresh; else a new one.
+
+        An engine that drains refuses new connections and serves the old ones: who must reach this process and no
+        other (`stay`) waits for one of those then.
+        """
         limit_s, resets, bound = self.driver.core.settings.connect_timeout_ms / 1000.0, 0, False
         try:
             async with asyncio.timeout(limit_s):
@@ -272,12 +294,19 @@
                         line.drop()
                     if self.driver.may_open(self):
                         # Reset when new: nothing was written yet, so that one more can be tried.
-                        if (line := await self._open()) is not None:
-                            return line
-                        resets += 1
-                        if resets >= ASKS:
-                            raise NoLine("connections are reset as they open")
-                        continue
+                        try:
+                            if (line := await self._open()) is not None:
+                                return line
+                            resets += 1
+                            if resets >= ASKS:
+                                raise NoLine("connections are reset as they open")
+                            continue
+                        except NoLine as error:
+                            if not (stay and error.refused and self.lines):
+                                raise
+                            fresh = False
+                            if self.idle:
+                                continue
                     bound = True
                     waiter: asyncio.Future[None] = self.driver.loop.create_future()
                     self.waiting.append(waiter)
@@ -305,12 +334,13 @@
 
     async def call(self, method: str, path: str, head: str = "", body: bytes = b"",
                    sending: Attempt | None = None, wired: list[bool] | None = None, within_s: float = ANSWER_S,
-                   fresh: bool = False, page: int | None = None, eldest: bool = False) -> _Reply:
+                   fresh: bool = False, page: int | None = None, eldest: bool = False,
+                   stay: bool = False) -> _Reply:
         """One call. `wired` is set once bytes may go out; `sending` is an attempt whose POST this is.
 
         The answer is checked as that of `page` while the connection is still held: a spoilt one ends it.
         """
-        line = await self.line(fresh, eldest)
+        line = await self.line(fresh, eldest, stay)
         if sending is not None and not self.driver.core.may_send(sending):
             self.release(line)
             raise Drained("the engine drains")
@@ -331,7 +361,8 @@
             line.good = False
             raise
         finally:
-            self.release(line)
+            if line.waiter is None:  # else an answer is still to come
+                self.release(line)
 
 
 class Engines(TaskDriver):
@@ -343,8 +374,8 @@
         super().__init__(core)
         self.events = events
         self.loop = asyncio.get_running_loop()
-        # Idle connections are closed here well before the engine does: a call that crosses its close is lost.
-        self.idle_s = config.idle_ms / 2000.0
+        # Idle connections are closed here before the engine does: a call that crosses its close is lost.
+        self.idle_s = max(config.idle_ms / 2000.0, config.idle_ms / 1000.0 - EARLY_S)
         self.sockets = config.limits.sockets
         self.crowd(False)
         self.opening = 0
@@ -397,9 +428,7 @@
             self.peers[number] = _Peer(self, engine)
 
     def rank(self, attempt: Attempt) -> None:
-        peer = self.peers.get(attempt.engine)
-        if peer is not None:
-            self.spawn(self._rank(peer, attempt))
+        """Told with the next ask for news, within 250 ms: a call of its own would open a connection for itself."""
 
     async def close(self) -> None:
         self._tidier.cancel()
@@ -460,6 +489,7 @@
         path = f"/v1/store/{ask.ticket}/"
         report: tuple[float, ...] = ()
         reply: _Reply | None = None
+        told = attempt.priority
         try:
             reply = await peer.call("POST", "/v1/store", head, ask.statement.encode(), attempt, course.wired,
                                     page=0)
@@ -473,6 +503,9 @@
             course.doubted = True
         while True:
             if reply is None:
+                if told != attempt.priority:
+                    told = attempt.priority
+                    await self._rank(peer, attempt, course)
                 reply = await self._news(peer, attempt, path, 0, course)
                 if reply is None:
                     return Verdict.RESET, report, None
@@ -511,7 +544,7 @@
         while True:
             wired, began = [False], clock()
             try:
-                reply = await peer.call("GET", f"{path}{number}", wired=wired, fresh=fresh, page=number)
+                reply = await peer.call("GET", f"{path}{number}", wired=wired, fresh=fresh, page=number, stay=True)
                 wired[0] = reply.status != 500  # a process that does not know it keeps nothing going
                 return reply
             except NoLine as error:
@@ -563,7 +596,7 @@
             unsure = course.unsure
             try:
                 reply = await peer.call("DELETE", path, wired=delete, within_s=GIVE_UP_S, fresh=fresh,
-                                        eldest=unsure)
+                                        eldest=unsure, stay=True)
                 if not unsure or once or reply.line_ms <= course.began_ms:
                     return
                 break
@@ -579,13 +612,13 @@
                 return  # an old connection still answers: so it was the same process that got the DELETE
             await asyncio.sleep(min(LOOK_S, left / 1000.0))
 
-    async def _rank(self, peer: _Peer, attempt: Attempt) -> None:
-        sent = attempt.priority
+    async def _rank(self, peer: _Peer, attempt: Attempt, course: _Course) -> None:
         try:
-            reply = await peer.call("PUT", f"/v1/store/{attempt.ask.ticket}", body=b"%d" % sent)
+            reply = await peer.call("PUT", f"/v1/store/{attempt.ask.ticket}", body=b"%d" % attempt.priority)
             self.events.count("ranked" if reply.status == 204 else "rank_failed")
         except (NoLine, Broken, TimeoutError, BadReply):
             self.events.count("rank_failed")
+            course.doubted = True
 
     async def probing(self, engine: int) -> None:
         began, peer, wired = clock(), self.peers.get(engine), [False]
--- a/pinstage/books.py
+++ b/pinstage/books.py
@@ -28,6 +28,23 @@
         self.mid += max(-0.8, min(0.8, x - self.mid)) / min(2 + self.count, 40)
 
 
+class Spares:
+    """When each of our idle connections to an engine was last in use, as far as the attempts there tell."""
+
+    def __init__(self, settings: api.Settings) -> None:
+        self.lasts_ms, self.many = 0.85 * settings.conn_idle_ms, settings.streams_per_conn > 1
+        self.idle = list[float]()
+
+    def take(self) -> None:
+        del self.idle[-1:]
+
+    def free(self, now: float) -> None:
+        self.idle = [*(at for at in self.idle if now - at < self.lasts_ms), now]
+
+    def any(self, now: float, out: int) -> bool:
+        return (self.many and out > 0) or (len(self.idle) > 0 and now - self.idle[-1] < self.lasts_ms)
+
+
 class Attempt:
     def __init__(self, job: Job, number: int, engine: Any, now: float, grant: float, trial: bool) -> None:
         self.job, self.number, self.engine, self.sent = job, number, engine, now
--- a/pinstage/control.py
+++ b/pinstage/control.py
@@ -16,7 +16,7 @@
 from typing import Any
 
 from pinstage import interface as api
-from pinstage.books import Attempt, Job, Learned
+from pinstage.books import Attempt, Job, Learned, Spares
 from pinstage.interface import Effect, Health, ListKind, NoteKind, Verdict
 
 TICK_MS = 20.0  # own timer: deadlines and resting keys
@@ -42,7 +42,8 @@
 WIDE = 3.0  # the bound over all engines starts at this many of our shares
 ROOMY = 0.5  # up to this part of memory in use, as reported, that bound is wider, WIDE when all is free
 REPORT_LASTS_MS = 8000.0  # a report's worth falls to a third in this time
-SAMPLE = 12  # engines looked at for one query
+SAMPLE = 12  # engines looked at for one query, beside those that a connection stands to
+PRICED = 10.0  # so much is a price in time: a tenth longer costs a query about a hundredth of its worth
 UNSURE = 0.7  # how far off, as a log, a class's memory estimates may lie before any answer
 ABSENT_MS = 30_000.0  # an engine gone for so long, with nothing out, is forgotten: new ids come for ever
 UNHEARD = 2.5  # an attempt without a note for so many of their periods does not run
@@ -122,6 +123,7 @@
         self.suspect, self.retest_at, self.backoff, self.cleared_at = False, 0.0, RETEST_MS, -math.inf
         self.sign_at, self.gap, self.probed_at, self.probe_out = -math.inf, 200.0, -math.inf, False
         self.warm: deque[int] = deque(maxlen=4)
+        self.spares = Spares(self.settings)
         # What others hold here by the last report: queries, and the share of memory granted to them.
         self.report_at, self.others, self.others_memory = -math.inf, 0.0, 0.0
 
@@ -264,6 +266,8 @@
         job = attempt.job
         attempt.verdict = event.verdict
         self._book(attempt, -1)
+        if event.verdict not in (Verdict.CONNECT_FAILED, Verdict.RESET, Verdict.MOOT):
+            engine.spares.free(now)
         if job.key and job.cs.in_order and event.verdict in MAY_STILL_RUN:  # it may run on: the key rests
             self.rest_until[job.key] = max(self.rest_until.get(job.key, 0.0), now + self.s.order_pause_ms)
         self._judge(engine, attempt, event, now)
@@ -537,10 +541,16 @@
             score = engine.slow * (1.0 + busy) * (0.95 + 0.1 * self.random.random())
             score *= (4.0 if engine.id in job.avoid else 1.0) * (0.5 if engine.cold(now) else 1.0)
             score *= self._group_factor(job, engine) if job.group else 1.0
+            score *= 1.0 + PRICED * self._price(engine, now)
             if score < best_score:
                 best, best_score = engine, score
         return best
 
+    def _price(self, engine: Engine, now: float) -> float:
+        """Points that one query costs there: a new connection, another zone."""
+        new = 0.0 if engine.spares.any(now, len(engine.attempts)) else self.s.price_handshake
+        return new + (engine.entry.zone != self.s.zone) * self.s.price_cross_zone
+
     def _group_factor(self, job: Job, engine: Engine) -> float:
         """Warm groups draw their readers; a load and the readers it would stop are kept apart."""
         factor = 0.8 if job.group in engine.warm else 1.0
@@ -557,7 +567,11 @@
         at = misses = 0
         while self.usable and at < len(self.held) and misses < MISSES and self._fits(self.held[at][3]):
             job = self.held[at][3]
-            few = self.usable if len(self.usable) <= SAMPLE else self.random.sample(self.usable, SAMPLE)
+            few = self.usable
+            if len(few) > SAMPLE:
+                few = self.random.sample(few, SAMPLE)
+                if self.s.price_handshake > 0:
+                    few += [e for e in self.usable if e.spares.idle]
             if (engine := self._choose(job, few, now)) is None:
                 at, misses = at + 1, misses + 1
                 continue
@@ -575,6 +589,7 @@
         job.attempts.append(attempt)
         engine.attempts[(job.request, attempt.number)] = attempt
         self._book(attempt, 1)
+        engine.spares.take()
         if engine.cold(now):
             engine.cold_sends.append((now, self._cold_work(job)))
         if job.group and job.group not in engine.warm:
--- a/pinstage/interface.py
+++ b/pinstage/interface.py
@@ -118,6 +118,12 @@
     retry_ratio: float = 0.0
     retry_span_ms: float = 0.0
     over_share_worth: float = 1.0
+    zone: int = 0  # this dispatcher's own
+    # Points off the result: a new connection to an engine, for each request; an attempt in another zone, likewise.
+    price_handshake: float = 0.0
+    price_cross_zone: float = 0.0
+    conn_idle_ms: float = 0.0  # an engine closes a connection that is idle for so long; 0: not told
+    streams_per_conn: int = 1  # attempts that one connection carries at once
     workers: int = 1  # of one coordinator, each a dispatcher; they lease cold engines' budgets from each other
 
     def __post_init__(self) -> None:
--- a/pinstage/settings.py
+++ b/pinstage/settings.py
@@ -137,4 +137,8 @@
         cold_multiple=p.number("rules.tipMultiple", 1.0), cold_window_ms=p.number("rules.fall", 1000.0),
         order_pause_ms=p.number("rules.orderPause", 0.0), retry_floor=p.number("rules.extraFloor", 0.0),
         retry_ratio=p.number("rules.extraRatio", 0.0), retry_span_ms=p.number("rules.resendSpan", 0.0),
-        over_share_worth=p.number("overShareWorth", 1.0))
+        over_share_worth=p.number("overShareWorth", 1.0), zone=int(p.number("locality", 0)),
+        price_handshake=p.number("deductions.handshake", 0.0),
+        price_cross_zone=p.number("deductions.crossZone", 0.0),
+        conn_idle_ms=p.number("limits.connIdle", 0.0),
+        streams_per_conn=int(p.number("limits.streamsPerConn", 1)))
--- a/tests/test_module.py
+++ b/tests/test_module.py
@@ -18,7 +18,8 @@
 
 def test_the_decision_module_keeps_its_limits():
     lines = (ROOT / "pinstage/control.py").read_text().splitlines()
-    assert sum(bool(line.strip()) for line in lines) <= 750
+    books = (ROOT / "pinstage/books.py").read_text().splitlines()
+    assert sum(bool(line.strip()) for line in lines + books) <= 750
     assert max(len(line) for line in lines) <= 110
     assert "pinstage/interface.py" in "\n".join(lines[:3])
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -124,11 +124,54 @@
         self.assertEqual((await self.ask())[0], 200)
         self.assertEqual([m for m in order if m != "GET"], ["POST", "DELETE", "POST"])
 
+    async def test_a_query_is_given_up_on_its_own_connection_where_a_draining_engine_refuses_new_ones(self):
+        """Refused was taken for gone: on a day of 40 coordinators the request ran at two engines."""
+        engines, order = await self.start(2), []
+
+        async def script(engine, request):
+            order.append((request.method, engine))
+            if request.method in ("POST", "GET") and engine is order[0][1]:
+                await asyncio.sleep(0.2)
+                return web.Response(status=202)
+            return None
+        for engine in engines:
+            engine.script = lambda request, body, e=engine: script(e, request)
+        asked = asyncio.create_task(self.ask())
+        await self.until(lambda: ("GET", order[0][1]) in order if order else False)
+        first = order[0][1]
+        first.server.close()  # the open connections stay
+        (record,) = self.program.core._records.values()
+        self.program.driver.stop(record.attempts[0])
+        self.assertEqual((await asked)[0], 200)
+        self.assertEqual([(method, engine is first) for method, engine in order if method != "GET"],
+                         [("POST", True), ("DELETE", True), ("POST", False)])
+        self.assertEqual(len(self.program.driver.peers[engines.index(first)].idle), 1, "the connection was kept")
+
+    async def test_priorities_change_on_the_querys_own_connection(self):
+        (engine,) = await self.start()
+        transports, go = set(), asyncio.Event()
+
+        async def script(request):
+            transports.add(request.transport)
+            if request.method == "PUT":
+                go.set()
+                return None
+            await asyncio.sleep(0.05)
+            return None if go.is_set() else web.Response(status=202)
+        engine.script = lambda request, body: script(request)
+        asked = asyncio.create_task(self.ask())
+        await engine.seen("GET")
+        (record,) = self.program.core._records.values()
+        record.attempts[0].priority = 3
+        self.program.driver.rank(record.attempts[0])
+        self.assertEqual((await asked)[0], 200)
+        self.assertEqual(([body for _, _, body in engine.of("PUT")], len(transports)), (["3"], 1))
+
     async def test_only_an_ask_that_had_a_connection_keeps_a_query_going(self):
         class Peer:
             wired = False
 
-            async def call(self, method, path, wired, fresh, page):
+            async def call(self, method, path, wired, **how):
                 wired[0] = self.wired
                 raise TimeoutError
         await self.start()
@@ -227,10 +270,10 @@
         peer = next(iter(self.program.driver.peers.values()))
         plain = type(peer).line
 
-        async def slow(self_, fresh=False, eldest=False):
+        async def slow(self_, *how):
             # the drain comes while the connection is being made
             core.engines[0].entry = core.engines[0].entry._replace(health=2)
-            return await plain(self_, fresh)
+            return await plain(self_, *how)
         with unittest.mock.patch.object(type(peer), "line", slow):
             status, body, _ = await self.ask(LOAD, timeout=500.0)
         self.assertEqual((status, body), (503, {"failure": "Busy"}))
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -181,3 +181,37 @@
         return len(k.open) - before
 
     assert out(0.1) > 2 * out(0.7)
+
+
+@pytest.mark.parametrize("dispatchers", [3, 40])
+def test_connections_that_stand_are_used_where_new_ones_cost(dispatchers):
+    """40 dispatchers that each spread over all engines opened a connection for every third request."""
+    def opened(**prices: float) -> tuple[int, int]:
+        s = settings(READ, HEAVY, LOAD, dispatchers=dispatchers, conn_idle_ms=15000.0, zone=0, **prices)
+        k = Keeper(s, engines=0)
+        k.list(*(entry(i, zone=i % 3) for i in range(30)), how=ListKind.FULL)
+        new, idle = 0, dict.fromkeys(range(30), 0)
+        for i in range(200):
+            k.request(i, 0, cost=100.0)
+            for _, _, engine in k.sent[i:]:
+                new += not idle[engine]
+                idle[engine] = max(0, idle[engine] - 1)
+            k.wait(40)
+            if i % 4 == 3:  # up to four at once
+                for (request, _), engine in list(k.open.items()):
+                    idle[engine] += 1
+                    k.end(request)
+        return new, sum(k.c.engines[engine].entry.zone != 0 for _, _, engine in k.sent)
+
+    assert opened(price_handshake=0.08)[0] * 2 < opened()[0]
+    assert opened(price_cross_zone=0.02)[1] * 1.3 < opened()[1]
+
+
+def test_an_engine_that_is_busy_or_slow_is_left_for_a_new_connection():
+    k = Keeper(settings(READ, HEAVY, LOAD, dispatchers=3, conn_idle_ms=15000.0, price_handshake=0.08), engines=4)
+    k.request(1, 0, cost=100.0)
+    used = k.sent[-1][2]
+    k.end(1)
+    k.c.engines[used].slow = 5.0
+    k.request(2, 0, cost=100.0)
+    assert k.sent[-1][2] != used
