--- a/pinstage/control.py
+++ b/pinstage/control.py
@@ -547,9 +547,10 @@
         return best
 
     def _price(self, engine: Engine, now: float) -> float:
-        """Points that one query costs there: a new connection, another zone."""
-        new = 0.0 if engine.spares.any(now, len(engine.attempts)) else self.s.price_handshake
-        return new + (engine.entry.zone != self.s.zone) * self.s.price_cross_zone
+        """Points for a new connection, and for its zone: preferred every time, one zone's engines pile up."""
+        if self.s.price_handshake <= 0 or engine.spares.any(now, len(engine.attempts)):
+            return 0.0
+        return self.s.price_handshake + (engine.entry.zone != self.s.zone) * self.s.price_cross_zone
 
     def _group_factor(self, job: Job, engine: Engine) -> float:
         """Warm groups draw their readers; a load and the readers it would stop are kept apart."""
@@ -567,11 +568,8 @@
         at = misses = 0
         while self.usable and at < len(self.held) and misses < MISSES and self._fits(self.held[at][3]):
             job = self.held[at][3]
-            few = self.usable
-            if len(few) > SAMPLE:
-                few = self.random.sample(few, SAMPLE)
-                if self.s.price_handshake > 0:
-                    few += [e for e in self.usable if e.spares.idle]
+            few = self.usable if len(self.usable) <= SAMPLE else self.random.sample(self.usable, SAMPLE) + [
+                e for e in self.usable if self.s.price_handshake > 0 and e.spares.idle]
             if (engine := self._choose(job, few, now)) is None:
                 at, misses = at + 1, misses + 1
                 continue
