Let one at a time use a cold engine's whole budget; waiting for memory is no sign of sickness

In the second in which a new engine counted as warm it was sent 74 s of work on average (126 s at most), 11 times its capacity: harmless in one, each with two queries, harmful in 40. Cause: control.py _cold_allowed. Of 40 each had 2/13 of the budget, 630 ms at first, in its turn, and no report or load fits into that. Notes were traced: a query in an engine's line for memory sends one note when it enters and none until it has left; _look_over took the silence for sickness and _on_note the wait for a bad plan. Change: every other window of a cold engine belongs to one coordinator in turn, with the whole budget (still half of what the rule allows); a query in line for memory is not taken for kept, and its wait does not count as running. Ruled out as a cause: the bound over all engines (room for 10 threads and more all the time) and errors of bad engines (over by then).

--- a/pinstage/books.py
+++ b/pinstage/books.py
@@ -50,6 +50,7 @@
         self.job, self.number, self.engine, self.sent = job, number, engine, now
         self.cost, self.grant, self.trial = job.cost, grant, trial
         self.waited, self.seen, self.charge = 0.0, now, 0.0  # stood still, by its notes; last note; blame
+        self.in_line = False  # for memory, by its last note
         self.verdict: int | None = None
 
 
--- a/pinstage/control.py
+++ b/pinstage/control.py
@@ -246,6 +246,9 @@
             return
         engine.sign(now)
         job = attempt.job
+        if attempt.in_line:  # no notes come from there: it left the line a period ago at most
+            attempt.waited += max(0.0, now - attempt.seen - self.s.note_period_ms)
+        attempt.in_line = event.kind == NoteKind.WAITS and event.value == 1
         if event.kind == NoteKind.WAITS:
             attempt.waited += now - attempt.seen
         elif event.kind == NoteKind.PROGRESS and 0.0 < event.value <= 1.0 and not job.finished:
@@ -308,9 +311,8 @@
 
     def cold_need(self, now: float) -> dict[int, tuple[float, float]]:
         """Of each cold engine: the part of the budget spent in the window, and what was lately wished for."""
-        cold = [e for e in self.engines.values() if e.ready and e.cold(now)]
         needs = {}
-        for engine in cold:
+        for engine in [e for e in self.engines.values() if e.ready and e.cold(now)]:
             engine.denied *= 0.9 if engine.denied > 1.0 else 0.0
             budget = self._cold_budget(engine, now) * self.s.workers / self.s.dispatchers or 1.0
             needs[engine.id] = self._cold_spent(engine, now) / budget, engine.denied / budget
@@ -453,17 +455,18 @@
         return len(self.extras) + 1 <= self.s.retry_floor + self.s.retry_ratio * len(self.taken)
 
     def _cold_allowed(self, job: Job, engine: Engine, now: float) -> bool:
-        """Part of our share of a cold engine's budget; where that is under one query, turns of a few."""
+        """Part of our share of a cold engine's budget; under one query: turns of a few, or of one."""
         if not engine.cold(now):
             return True
         spent, budget = self._cold_spent(engine, now), self._cold_budget(engine, now)
         usual, n = self._cold_work(job), self.s.dispatchers // self.s.workers  # workers have leases
         turns = min(n, int(budget / min(self.sizes.mean_cost)))
-        if turns < n and self.sparse:
-            slot = int(now / self.s.cold_window_ms) + engine.id
-            if turns < 1 or (slot * turns + self.s.number) % n >= turns or job.attempts:
+        slot = int(now / self.s.cold_window_ms) + engine.id
+        if self.sparse and n > 1 and (slot % 2 or turns < n):
+            turns = 1 if slot % 2 else turns  # else all heavy ones wait until it is warm, and come at once
+            if turns < 1 or (slot // 2 * turns + self.s.number) % n >= turns or job.attempts:
                 return False
-            n = turns / 2.0  # a turn is for two small queries, and most pass unused
+            n = max(1.0, turns / 2.0)  # a turn is for two small queries, and most pass unused
         fits = spent + usual <= budget / n * engine.part
         engine.denied += 0.0 if fits else usual
         return fits
@@ -487,14 +490,12 @@
         cs = job.cs
         if not engine.ready or job.finished or len(job.attempts) >= self.s.max_attempts:
             return False
-        if cs.only_kinds is not None and engine.entry.kind not in cs.only_kinds:
-            return False
-        if cs.only_zones is not None and engine.entry.zone not in cs.only_zones:
+        if (cs.only_kinds is not None and engine.entry.kind not in cs.only_kinds) or (
+                cs.only_zones is not None and engine.entry.zone not in cs.only_zones):
             return False
         if job.attempts and (
-                job.out or not self._may_repeat(job, engine, now) or not self._retry_allowed(now)):
-            return False
-        if not self._cold_allowed(job, engine, now):
+                job.out or not self._may_repeat(job, engine, now) or not self._retry_allowed(now)) or (
+                not self._cold_allowed(job, engine, now)):
             return False
         if engine.suspect:
             small = self.sizes.band(job.cost) == 3 and cs.effect != Effect.ONCE
@@ -754,13 +755,13 @@
                 job, ran = attempt.job, now - attempt.sent - attempt.waited
                 expected = attempt.cost / job.cs.threads * self._pace(engine, job.cls)
                 overdue += ran > 500.0 + 2.0 * expected
-                limit = 300.0 + BAD_PLAN * expected
-                if ran > 500.0 + 2.0 * expected and 0 < UNHEARD * self.s.note_period_ms < now - attempt.seen:
+                unheard = 0 < UNHEARD * self.s.note_period_ms < now - attempt.seen and not attempt.in_line
+                if ran > 500.0 + 2.0 * expected and unheard:
                     attempt.seen = now  # taken and not run, though the engine may answer others
                     self._doubt(engine, attempt, now, "keeps what it takes")
                     if not engine.suspect:
                         self._move(job, attempt, now)
-                if not self.s.note_period_ms and not quiet and ran > limit:
+                if not self.s.note_period_ms and not quiet and ran > 300.0 + BAD_PLAN * expected:
                     self._bad_plan(job, attempt, now)
             if not quiet or not overdue or engine.suspect:
                 continue
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -4,7 +4,7 @@
 from helpers import HEAVY, LOAD, READ, Keeper, entry, settings
 
 from pinstage import interface as api
-from pinstage.interface import ListKind, Verdict
+from pinstage.interface import ListKind, NoteKind, Verdict
 
 
 def many(**changes: object):
@@ -217,3 +217,49 @@
     k.c.engines[used].slow = 5.0
     k.request(2, 0, cost=100.0)
     assert k.sent[-1][2] != used
+
+
+def test_heavy_queries_do_not_all_wait_until_an_engine_is_warm():
+    """No share of 40 held a heavy query: all came in the second in which the engine was warm, 11 times its capacity."""
+    window, work = 1000.0, list[tuple[float, float]]()
+    for number in range(40):
+        s = settings(READ, HEAVY, LOAD, dispatchers=40, number=number, cold_window_ms=window)
+        k = Keeper(s, engines=0, now=100000.0)
+        k.list(entry(7, since=99000.0), how=ListKind.FULL)
+        for i in range(4):
+            k.request(i, 1, cost=2500.0, left=100000.0)
+        while k.now < 99000.0 + s.warm_within_ms - 100.0:
+            k.wait(100)
+            for request, _ in list(k.open):
+                k.end(request)
+        work += [(k.attempts[r][0]["at"], 2500.0) for r, _, _ in k.sent]
+    budget = s.cold_multiple * s.cold_capacity * 0.85 * 8 * window
+    assert len(work) >= 6
+    assert max(sum(w for t, w in work if at <= t < at + window) for at, _ in work) <= budget
+
+
+def test_a_query_in_an_engines_line_for_memory_is_not_taken_for_kept():
+    """No notes come from the line: engines under load were suspected, and their queries moved to others."""
+    def logs(note: bool) -> list[str]:
+        k = Keeper(settings(READ, HEAVY, LOAD, dispatchers=40, note_period_ms=400.0), engines=4)
+        k.warm_up(60)
+        k.request(1, 0, cost=100.0, left=60000.0)
+        if note:
+            k.wait(5)
+            k.feed(api.Note(1, 0, k.sent[-1][2], NoteKind.WAITS, 1.0))
+        k.wait(1400)
+        return [line for line in k.logs if "keeps" in line]
+
+    assert logs(True) == [] != logs(False)
+
+
+def test_time_in_an_engines_line_speaks_for_no_bad_plan():
+    k = Keeper(settings(READ, HEAVY, LOAD, note_period_ms=400.0, may_cancel=True), engines=4)
+    k.warm_up(60)
+    k.request(1, 0, cost=100.0, left=60000.0)
+    engine = k.sent[-1][2]
+    k.feed(api.Note(1, 0, engine, NoteKind.WAITS, 1.0))
+    k.wait(1200)
+    k.feed(api.Note(1, 0, engine, NoteKind.PROGRESS, 0.9))
+    k.wait(50)
+    assert [sent[0] for sent in k.sent].count(1) == 1 and (1, 0) in k.open
