Count reported cores and lines as others' work where shares are small; keep cold turns large

Cause, control.py _hear and _choose: others' work was known only where reports name what is in flight ('concurrent'); here they name load_share and depth, and nothing of them reached the choice. And _cold_allowed: once the budget held a query for each of 40, everyone had a 40th of it, again less than one query; 0 sends in a test of 40 controllers. Two tests of 40 controllers fail without it. Fleets of few coordinators decide as before.

--- a/pinstage/control.py
+++ b/pinstage/control.py
@@ -1,8 +1,7 @@
 """Every decision of pinstage. The types, events and actions it uses are in pinstage/interface.py.
 
-One Controller serves one dispatcher. The ordinary path of a request is SRPT:
-a priority band from estimated remaining work, held requests released smallest first, a latency-led bound of
-running threads for each engine. The rest guards the rules, judges engines and ends requests. Times are in ms.
+One Controller serves one dispatcher. The ordinary path is SRPT: a priority band from estimated remaining
+work, held requests released smallest first, a latency-led bound of threads for each engine. Times are in ms.
 """
 
 from __future__ import annotations
@@ -462,8 +461,8 @@
         usual, n = self._cold_work(job), self.s.dispatchers // self.s.workers  # workers have leases
         turns = min(n, int(budget / min(self.sizes.mean_cost)))
         slot = int(now / self.s.cold_window_ms) + engine.id
-        if self.sparse and n > 1 and (slot % 2 or turns < n):
-            turns = 1 if slot % 2 else turns  # else all heavy ones wait until it is warm, and come at once
+        if self.sparse and n > 1:
+            turns = 1 if slot % 2 else min(turns, n // 2)  # or all heavy ones wait until it is warm
             if turns < 1 or (slot // 2 * turns + self.s.number) % n >= turns or job.attempts:
                 return False
             n = max(1.0, turns / 2.0)  # a turn is for two small queries, and most pass unused
@@ -532,12 +531,11 @@
     def _choose(self, job: Job, engines: list[Engine], now: float) -> Engine | None:
         """Least expected completion among the engines that may have it; near-ties are spread by the seed."""
         best, best_score = None, math.inf
-        scale = self.s.dispatchers if self.sparse and "concurrent" in self.s.report_columns else 1
+        scale = self.s.dispatchers if self.sparse and self.s.report_columns else 1
         for engine in engines:
             if not self._may_send(job, engine, now):
                 continue
-            others = self._others(engine, now)[0] if self.s.report_columns else 0.0
-            busy = engine.threads + engine.peers + job.cs.threads + others
+            busy = engine.threads + engine.peers + job.cs.threads + self._others(engine, now)[0]
             busy /= max(engine.bound * scale, job.cs.threads)
             score = engine.slow * (1.0 + busy) * (0.95 + 0.1 * self.random.random())
             score *= (4.0 if engine.id in job.avoid else 1.0) * (0.5 if engine.cold(now) else 1.0)
@@ -650,7 +648,9 @@
 
     def _hear(self, engine: Engine, report: tuple[float, ...], now: float) -> None:
         values = dict(zip(self.s.report_columns, report, strict=False))
-        engine.others = max(0.0, values.get("concurrent", 0.0) - len(engine.attempts) - engine.peers)
+        used = values.get("load_share", 0.0) * engine.cores + 2.0 * values.get("depth", 0.0)
+        others = values.get("concurrent", used * self.sparse) - len(engine.attempts) - engine.peers
+        engine.others = max(0.0, others)
         if engine.memory > 0:
             ours = (engine.granted + engine.peers_memory) / engine.memory
             engine.others_memory = max(0.0, values.get("x0", 0.0) - ours)
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -141,3 +141,31 @@
         go.set()
         self.assertEqual({(await one)[0] for one in asked}, {200})
         self.assertLessEqual(len(first.of("POST")), 3)
+
+
+def test_what_engines_report_of_others_steers_the_choice():
+    """Each of 40 knows little of an engine but its last report: full ones got as much as idle ones."""
+    full = idle = 0
+    for k in fleet(40, 8, report_columns=("load_share", "depth", "x0")):
+        for engine in range(8):  # one answer from each, half of them with all cores in use and a line
+            report = (1.0, 6.0, 0.5) if engine % 2 else (0.1, 0.0, 0.1)
+            k.c.engines[engine].spares.free(k.now)
+            k.c._hear(k.c.engines[engine], report, k.now)
+        for i in range(3):
+            k.request(i, 0, cost=100.0)
+        full += sum(engine % 2 for _, _, engine in k.sent)
+        idle += sum(engine % 2 == 0 for _, _, engine in k.sent)
+    assert full * 4 < idle
+
+
+def test_turns_at_a_cold_engine_stay_large_enough_for_a_query():
+    """Once the budget held a query for each of 40, all got their share of it, less than one: nobody sent any."""
+    sent = 0
+    for number in range(40):
+        k = Keeper(settings(READ, HEAVY, LOAD, dispatchers=40, number=number), engines=0, now=101000.0)
+        k.list(entry(7, since=96000.0), how=ListKind.FULL)
+        for i in range(60):
+            k.request(i, 0, cost=100.0)
+            k.wait(5)
+        sent += len(k.sent)
+    assert 20 <= sent <= 100
