Decide pools of connections and proofs of a process in a module without I/O

Also: engines that a connection had ever stood to were looked at in every choice for ever, and where connections have no price the whole list was read for nothing. No bound is changed.

--- a/frostspindle/net/engines.py
+++ b/frostspindle/net/engines.py
@@ -19,25 +19,22 @@
 
 from httptools import HttpParserError, HttpParserUpgrade, HttpResponseParser
 
+from frostspindle import pools
 from frostspindle.config import Config
 from frostspindle.core import Attempt, Core, EngineState, clock
 from frostspindle.events import Events
 from frostspindle.net import TaskDriver
+from frostspindle.pools import Course
 from pinstage.interface import Effect, Health, NoteKind, Verdict
 
 ANSWER_S = 0.5  # news come within 250 ms; an answer that is lost on the way is asked for again
 GIVE_UP_S = 0.3  # how long a DELETE may wait for its answer
-FORGOTTEN_MS = 2100.0  # an engine drops what has not been asked for in 2 s
 LOOK_S = 0.05  # so often it is looked whether an old connection has answered
-OVERDUE_MS = 400.0  # an ask for news that has been out for longer than this has met a silent machine
 ASKS = 3  # so many broken or unreadable answers to one ask for news or a page are borne
 PAGES, PAGE_BYTES, RESULT_BYTES = 64, 64 * 1024, 256 * 1024  # bounds on a result; the protocol has 48,000 bytes
 ANSWER_BYTES = PAGE_BYTES + 16 * 1024  # of one answer on the wire: head, page, and 1xx answers before it
 FIELDS, FIELD = 64, 4096  # headers of one answer, and their length
-# Of all sockets, for connections to engines, alone and beside another process; clients have another part.
-ENGINE_PART, CROWDED_PART = 0.38, 0.15
 TIDY_S = 1.0
-EARLY_S = 2.0  # so long before its engine closes it an idle connection is closed here, or at half the time
 NOTES = {b"pct": NoteKind.PROGRESS, b"overflow": NoteKind.SPILLS, b"queued": NoteKind.WAITS}
 NAMES = {"util": "load_share", "queue": "depth", "inflight": "concurrent"}
 Rows = list[list[str]]
@@ -89,21 +86,6 @@
         return self.headers.get(name, b"").decode("latin-1")
 
 
-class _Course:
-    """How far an attempt has come on the wire."""
-
-    __slots__ = ("wired", "asked_ms", "began_ms", "doubted")
-
-    def __init__(self) -> None:
-        self.wired = [False]  # bytes of its POST may have gone out
-        self.asked_ms = self.began_ms = clock()  # when the engine was last asked for this query, and first
-        self.doubted = False  # an answer did not come as it should: the process may be another one by now
-
-    @property
-    def unsure(self) -> bool:
-        return self.doubted or clock() - self.asked_ms > OVERDUE_MS
-
-
 class _Line(asyncio.Protocol):
     """One connection to an engine; one call at a time, and nothing more after the first doubt."""
 
@@ -287,7 +269,7 @@
             async with asyncio.timeout(limit_s):
                 while True:
                     while self.idle and not fresh:
-                        line = min(self.idle, key=lambda line: line.born_ms) if eldest else self.idle[-1]
+                        line = pools.pick(self.idle, eldest)
                         self.idle.remove(line)
                         if line.usable():
                             return line
@@ -374,8 +356,7 @@
         super().__init__(core)
         self.events = events
         self.loop = asyncio.get_running_loop()
-        # Idle connections are closed here before the engine does: a call that crosses its close is lost.
-        self.idle_s = max(config.idle_ms / 2000.0, config.idle_ms / 1000.0 - EARLY_S)
+        self.idle_s = pools.kept_ms(config.idle_ms) / 1000.0
         self.sockets = config.limits.sockets
         self.crowd(False)
         self.opening = 0
@@ -386,8 +367,7 @@
 
     def crowd(self, crowded: bool) -> None:
         """Bound the connections; while another process serves too, both must fit into the descriptors."""
-        self.most = max(16, int(self.sockets * (CROWDED_PART if crowded else ENGINE_PART)))
-        self.most_each = max(8, self.most // (2 if crowded else 3))
+        self.most, self.most_each = pools.bounds(self.sockets, crowded)
 
     @property
     def connections(self) -> int:
@@ -444,7 +424,7 @@
         if peer is None:
             self.core.ended(attempt, Verdict.CONNECT_FAILED)
             return
-        course = _Course()
+        course = Course(clock())
         try:
             async with asyncio.timeout(self.left_s(attempt)):
                 verdict, report, rows = await self._follow(peer, attempt, course)
@@ -470,14 +450,14 @@
         # A task of its own: a further cancel must not cut short what frees the engine.
         self.spawn(self._free(peer, attempt, course, verdict))
 
-    async def _free(self, peer: _Peer, attempt: Attempt, course: _Course, verdict: int) -> None:
+    async def _free(self, peer: _Peer, attempt: Attempt, course: Course, verdict: int) -> None:
         try:
             await self._give_up(peer, attempt, course)
         finally:
             self.core.ended(attempt, verdict)
 
     async def _follow(self, peer: _Peer, attempt: Attempt,
-                      course: _Course) -> tuple[int, tuple[float, ...], tuple[Rows, int] | None]:
+                      course: Course) -> tuple[int, tuple[float, ...], tuple[Rows, int] | None]:
         """From the POST to the last page; the verdict, the load report, and the rows with their size.
 
         RESET and CANCELLED leave open whether the query has ended.
@@ -535,7 +515,7 @@
             self.events.count("engine_breaks")
 
     async def _news(self, peer: _Peer, attempt: Attempt, path: str, number: int,
-                    course: _Course) -> _Reply | None:
+                    course: Course) -> _Reply | None:
         """Ask for news or a page, on a new connection if the answer is broken; None: the process is gone.
 
         An engine gives the same answer again, so that one which came spoilt is not yet lost.
@@ -566,7 +546,7 @@
             await asyncio.sleep(0.0 if wired[0] else 0.2)
 
     async def _pages(self, peer: _Peer, attempt: Attempt, path: str, first: _Reply,
-                     course: _Course) -> tuple[Rows, int] | None:
+                     course: Course) -> tuple[Rows, int] | None:
         """All rows of the result, in order; None: a page is lost."""
         rows, size = first.rows, len(first.body)
         for number in range(1, first.pages):
@@ -579,7 +559,7 @@
             rows += reply.rows
         return rows, size
 
-    async def _give_up(self, peer: _Peer, attempt: Attempt, course: _Course) -> None:
+    async def _give_up(self, peer: _Peer, attempt: Attempt, course: Course) -> None:
         """Free the engine's work. Returns once the attempt can't be out any more.
 
         After a silence or a broken answer the process that gets the DELETE may be a successor of the one that has
@@ -593,11 +573,11 @@
         path = f"/v1/store/{attempt.ask.ticket}"
         delete = [False]
         for fresh in (False, True):
-            unsure = course.unsure
+            unsure = course.unsure(clock())
             try:
                 reply = await peer.call("DELETE", path, wired=delete, within_s=GIVE_UP_S, fresh=fresh,
                                         eldest=unsure, stay=True)
-                if not unsure or once or reply.line_ms <= course.began_ms:
+                if not unsure or once or course.same(reply.line_ms):
                     return
                 break
             except NoLine as error:
@@ -606,13 +586,11 @@
             except (Broken, TimeoutError, BadReply):
                 if fresh and delete[0] and (once or not unsure):
                     return  # a live machine has the whole call; it merely does not answer
-        began = clock()
-        while (left := course.asked_ms + FORGOTTEN_MS - clock()) > 0:
-            if any(line.born_ms <= course.began_ms and line.heard_ms > began for line in peer.lines) and delete[0]:
-                return  # an old connection still answers: so it was the same process that got the DELETE
+        told = clock() if delete[0] else math.inf  # without a DELETE no answer ends the wait
+        while (left := course.wait_ms(clock(), told, peer.lines)) > 0:
             await asyncio.sleep(min(LOOK_S, left / 1000.0))
 
-    async def _rank(self, peer: _Peer, attempt: Attempt, course: _Course) -> None:
+    async def _rank(self, peer: _Peer, attempt: Attempt, course: Course) -> None:
         try:
             reply = await peer.call("PUT", f"/v1/store/{attempt.ask.ticket}", body=b"%d" % attempt.priority)
             self.events.count("ranked" if reply.status == 204 else "rank_failed")
--- a/pinstage/control.py
+++ b/pinstage/control.py
@@ -568,7 +568,7 @@
         while self.usable and at < len(self.held) and misses < MISSES and self._fits(self.held[at][3]):
             job = self.held[at][3]
             few = self.usable if len(self.usable) <= SAMPLE else self.random.sample(self.usable, SAMPLE) + [
-                e for e in self.usable if self.s.price_handshake > 0 and e.spares.idle]
+                e for e in (self.usable if self.s.price_handshake > 0 else ()) if e.spares.any(now, 0)]
             if (engine := self._choose(job, few, now)) is None:
                 at, misses = at + 1, misses + 1
                 continue
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -16,8 +16,9 @@
 from peers import LOAD, SQL, Bus, EdgeCase, HttpEngine, change, host, page, settings
 
 from frostspindle import config as configuration
-from frostspindle.net.engines import _Course
+from frostspindle.core import clock
 from frostspindle.net.platform import table_group
+from frostspindle.pools import Course
 
 ROOT = Path(__file__).parent.parent
 
@@ -47,7 +48,7 @@
         self.assertEqual((sent["X-Ticket"], sent["X-Queue"]), ("0000000000000abc", "lookup"))
         self.assertIn(sent["X-Priority"], "0123")
 
-    @unittest.mock.patch("frostspindle.net.engines.FORGOTTEN_MS", 200.0)
+    @unittest.mock.patch("frostspindle.pools.FORGOTTEN_MS", 200.0)
     async def test_a_repeatable_request_is_tried_again_when_its_engine_dies_and_a_load_is_not(self):
         engines = await self.start(2)
         for engine in engines:
@@ -109,7 +110,7 @@
         self.assertEqual(answer[:2], (200, {"rows": [["a", "1", "x"]]}))
         self.assertLess(order.index("DELETE"), order.index("again"))
 
-    @unittest.mock.patch("frostspindle.net.engines.FORGOTTEN_MS", 200.0)
+    @unittest.mock.patch("frostspindle.pools.FORGOTTEN_MS", 200.0)
     async def test_a_query_behind_broken_connections_is_given_up_before_the_next_attempt(self):
         engines = await self.start(2)
         order = []
@@ -176,7 +177,7 @@
                 raise TimeoutError
         await self.start()
         for Peer.wired in (False, True):
-            course = _Course()
+            course = Course(clock())
             course.asked_ms = 5.0
             with self.assertRaises(TimeoutError):
                 async with asyncio.timeout(0.05):
