Serve as one process where the host refuses workers, and say why in one line

Checked with a stand-in host (tests/refusing, a sitecustomize whose os.fork, posix_spawn, exec* and fork_exec answer ENOSYS): without this change the coordinator exits before `ready` (the new test times out).

Change: cores/probe.py asks once, before a supervisor is built, whether a process can be spawned (a path that does not exist: ENOENT means yes, and no program runs) and whether a Unix socket pair can be made. If not, serve() logs one `cores_refused` line with the workers asked for and the reason, and one process serves. SIGHUP compares against the file as it was, so the same file reloads and a new worker count still says "cores: needs a new start".

Measured: tests/test_refused.py passes (4 answers 200, reloads, SIGTERM exit 0); all 259 tests pass.

--- a/frostspindle/__main__.py
+++ b/frostspindle/__main__.py
@@ -1,7 +1,8 @@
 """The way in: what the process becomes, and its exit code.
 
 Owns the choice between one process that serves, several, and the command line, and the exit codes 1 and 2 of a
-start that fails. Without arguments it serves as the environment says, and imports no more than that needs.
+start that fails. Without arguments it serves as the environment says, and imports no more than that needs. Where
+the host refuses workers (no process may be started), it serves as one process and says so in one line.
 """
 
 from __future__ import annotations
@@ -22,7 +23,16 @@
     except ConfigError as error:
         print(f"frostspindle: {error}", file=sys.stderr)
         return 2
-    if config.operator.cores.workers > 1:
+    several = config.operator.cores.workers > 1
+    if several:
+        from frostspindle.cores.probe import refused
+
+        if why := refused():  # a host without processes still gets its coordinator, as one process
+            from frostspindle.events import Events
+
+            Events(config.name).log("cores_refused", workers=config.operator.cores.workers, reason=why)
+            several = False
+    if several:
         from frostspindle.cores.supervisor import run
     else:
         from frostspindle.program import run  # type: ignore[assignment]
