Log a line of memory and table sizes each minute of the coordinator's clock

Change: program.py logs `memory` every 60 s: resident MB from /proc/self/statm, Python's allocated blocks, open requests, clients and core.sizes() (records, timers, engines, names, believed, held). Off the path of requests; one line a minute.

--- a/frostspindle/core.py
+++ b/frostspindle/core.py
@@ -312,6 +312,11 @@
         self._inbox.append(event)
         self._wake.set()
 
+    def sizes(self) -> dict[str, int]:
+        """How many of each of the core's tables there are: each has a bound, and a long day shows if one creeps."""
+        return {"records": len(self._records), "timers": len(self._timers), "engines": len(self.engines),
+                "names": len(self.names), "believed": len(self.controller.engines), "held": len(self.controller.held)}
+
     def picture(self) -> dict[str, Any]:
         """What is believed now of requests and engines, to be held against what crosses the sockets."""
         out = Counter(a.engine for r in self._records.values() for a in r.attempts if not a.over)
--- a/frostspindle/program.py
+++ b/frostspindle/program.py
@@ -9,7 +9,9 @@
 
 import asyncio
 import gc
+import os
 import signal
+import sys
 from typing import TYPE_CHECKING, Any
 
 from frostspindle import config as configuration
@@ -33,6 +35,8 @@
 OPEN_PART, NEW_PART = 0.29, 0.6  # of all descriptors, open requests; of these, the new process's part
 KILL_S, LAST_S = 5.0, 0.5  # an upgrade kills after the longest deadline, KILL_S at most, and 0.7 s
 FLUSH_S = 0.1  # for the last answers to leave
+MEMORY_EVERY_S = 60.0  # a line of what the process holds: growth shows over a long day, at no cost to requests
+PAGE_MB = os.sysconf("SC_PAGE_SIZE") / 2**20
 
 
 class Program:
@@ -89,6 +93,7 @@
             task = asyncio.create_task(work)
             task.add_done_callback(self._ended)
             self.tasks.append(task)
+        self.tasks.append(asyncio.create_task(self._memory()))
         if self.tds and self.tds_driver:
             self.tds_driver.configure(self.tds.tds.engine, ListKind.FULL)
             await self.tds.start(self.config.inherited is not None, self.config.tds_listener)
@@ -163,6 +168,18 @@
 
     # What is told.
 
+    async def _memory(self) -> None:
+        """Every MEMORY_EVERY_S: resident MB, Python's blocks, and the sizes of what grows with load."""
+        while True:
+            await asyncio.sleep(MEMORY_EVERY_S)
+            try:
+                with open("/proc/self/statm", "rb") as statm:
+                    rss_mb: float | None = round(int(statm.read().split()[1]) * PAGE_MB, 1)
+            except (OSError, ValueError, IndexError):
+                rss_mb = None  # a host without /proc: the other figures still tell
+            self.events.log("memory", rss_mb=rss_mb, blocks=sys.getallocatedblocks(), open=self.core.open,
+                            clients=self.platform.connections, **self.core.sizes())
+
     def sessions(self) -> dict[str, int]:
         """Connections that clients hold now, by front."""
         return {FRONT: self.platform.connections, "tds": len(self.tds.sessions) if self.tds else 0}
