--- a/pinstage/control.py
+++ b/pinstage/control.py
@@ -217,7 +217,7 @@
             return
         job = Job(event, self.s.classes[event.cls], now)
         self.jobs[job.request] = job
-        self.taken.append(now)
+        self._recent(self.taken, now).append(now)
         if job.hint > 0:
             self.sizes.usual(job.cls, self.sizes.cost(job.cls, job.hint))
         self._size(job)
@@ -445,13 +445,14 @@
         return engine is None or not group or all(a.engine.entry[group] == engine.entry[group] for a in ran)
 
     def _retry_allowed(self, now: float) -> bool:
-        if (span := self.s.retry_span_ms) <= 0:
-            return True
-        while self.taken and self.taken[0] <= now - span:
-            self.taken.popleft()
-        while self.extras and self.extras[0] < now - span:
-            self.extras.popleft()
-        return len(self.extras) + 1 <= self.s.retry_floor + self.s.retry_ratio * len(self.taken)
+        return self.s.retry_span_ms <= 0 or len(self._recent(self.extras, now)) + 1 <= (
+            self.s.retry_floor + self.s.retry_ratio * len(self._recent(self.taken, now)))
+
+    def _recent(self, times: deque[float], now: float) -> deque[float]:
+        """Times within the retry span, pruned at every use: a day without retries must not keep them all."""
+        while times and (self.s.retry_span_ms <= 0 or times[0] <= now - self.s.retry_span_ms):
+            times.popleft()
+        return times
 
     def _cold_allowed(self, job: Job, engine: Engine, now: float) -> bool:
         """Part of our share of a cold engine's budget; under one query: turns of a few, or of one."""
@@ -578,7 +579,7 @@
 
     def _send(self, job: Job, engine: Engine, now: float) -> None:
         if job.attempts:
-            self.extras.append(now)
+            self._recent(self.extras, now).append(now)
         job.grant = self._grant(job, engine)
         attempt = Attempt(job, len(job.attempts), engine, now, job.grant, engine.suspect)
         if not engine.attempts:
--- a/tests/test_module.py
+++ b/tests/test_module.py
@@ -134,3 +134,15 @@
             k.end(request, Verdict.TIMEOUT)
     k.wait(10000, step=20.0)
     assert set(k.answers) == set(k.requests), "every request is answered once"
+
+
+def test_times_of_requests_are_kept_for_the_retry_span_only():
+    # A long day without retries: every request's time was kept for ever (0.1 MB an hour per request a second).
+    for span in (0.0, 1000.0):
+        keeper = Keeper(settings(retry_span_ms=span, retry_ratio=0.1, retry_floor=2.0))
+        keeper.list(*(entry(n) for n in range(1, 5)), how=ListKind.FULL)
+        for number in range(1, 2001):
+            keeper.request(number)
+            keeper.end(number)
+            keeper.now += 10.0  # 100 a second, 20 s in all
+        assert len(keeper.c.taken) <= max(1, span / 10.0 + 1), (span, len(keeper.c.taken))
