Drop the Unix socket check of the probe: the event loop needs one before it runs

Cause: serve()'s probe also made a Unix socket pair, but asyncio makes its own wake-up pair, so a host that refused one could run no coordinator at all: the check could never turn workers down on its own. Change: probe.py asks only whether a process can be spawned.

--- a/frostspindle/cores/probe.py
+++ b/frostspindle/cores/probe.py
@@ -1,6 +1,6 @@
-"""Whether this process may become a coordinator of several: can it start a process, and open a Unix socket?
+"""Whether this process may become a coordinator of several: can it start a process?
 
-Owns the one question asked before a supervisor is built. Some hosts refuse both to a process (a system-call filter
+Owns the one question asked before a supervisor is built. Some hosts refuse that to a process (a system-call filter
 answers ENOSYS or EPERM); a coordinator there serves as one process rather than failing to start. It must never start
 a program: the probe spawns a path that does not exist, which only a host that can start processes answers ENOENT.
 """
@@ -9,7 +9,6 @@
 
 import errno
 import os
-import socket
 
 NOWHERE = "/nonexistent/frostspindle-probe"  # no program is ever there, so nothing runs when spawning works
 
@@ -21,10 +20,4 @@
     except OSError as error:
         if error.errno not in (errno.ENOENT, errno.ENOTDIR):  # spawned, and the path was missing: it works
             return f"starting a process: {errno.errorcode.get(error.errno or 0, error.errno)}"
-    try:
-        ends = socket.socketpair(socket.AF_UNIX)
-    except OSError as error:
-        return f"a Unix socket: {errno.errorcode.get(error.errno or 0, error.errno)}"
-    for end in ends:
-        end.close()
     return None
