--- a/frostspindle/cores/leases.py
+++ b/frostspindle/cores/leases.py
@@ -21,6 +21,8 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
+from frostspindle.division import fair
+
 UNITS = 240  # of one engine's budget; divisible by most numbers of workers
 RESERVE = 4  # a live worker keeps a RESERVE-th of its even share, so that a first request need not wait
 LEASE_MS = 300.0  # a lease that is not renewed ends after this
@@ -67,15 +69,6 @@
     return max(reserve, min(whole, math.ceil((need.spent + need.wished) * whole) + 1))
 
 
-def fair(wants: Mapping[int, int], whole: int = UNITS) -> dict[int, int]:
-    """Max-min fair: the smallest wants are met whole, the others share what is left evenly."""
-    out, left = dict.fromkeys(wants, 0), whole
-    open_wants = sorted(wants, key=lambda slot: (wants[slot], slot))
-    while open_wants:
-        slot = open_wants.pop(0)
-        out[slot] = min(wants[slot], left // (len(open_wants) + 1))
-        left -= out[slot]
-    return out
 
 
 class Arbiter:
--- a/frostspindle/cores/limits.py
+++ b/frostspindle/cores/limits.py
@@ -9,11 +9,7 @@
 
 from collections.abc import Mapping
 
-
-def even(whole: int, among: int) -> list[int]:
-    """Whole numbers that differ by one at most and add up to the whole."""
-    base, rest = divmod(whole, max(1, among))
-    return [base + (place < rest) for place in range(among)]
+from frostspindle.division import even
 
 
 class Divider:
--- a/frostspindle/cores/worker.py
+++ b/frostspindle/cores/worker.py
@@ -14,6 +14,7 @@
 import msgspec
 
 from frostspindle import config as configuration
+from frostspindle import division
 from frostspindle.config import Config, ConfigError
 from frostspindle.cores import limits
 from frostspindle.cores.board import Board
@@ -29,7 +30,7 @@
     """The configuration of one of several workers: its part of each limit, and no address of its own."""
     count, settings = passport.slots, config.settings
     operator = config.operator
-    tds = operator.tds and msgspec.structs.replace(operator.tds, max_sessions=max(1, limits.even(
+    tds = operator.tds and msgspec.structs.replace(operator.tds, max_sessions=max(1, division.even(
         operator.tds.max_sessions, count)[passport.slot]))
     return dataclasses.replace(
         config, desk=None, worker=passport.slot, seed=config.seed ^ (0x9E3779B97F4A7C15 * (passport.slot + 1)),
--- /dev/null
+++ b/frostspindle/division.py
@@ -0,0 +1,28 @@
+"""How a whole is divided among claimants.
+
+Owns the two rules that workers and fleets share. It must never know what is divided.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Hashable, Mapping
+from typing import TypeVar
+
+Key = TypeVar("Key", bound=Hashable)
+
+
+def even(whole: int, among: int) -> list[int]:
+    """Whole numbers that differ by one at most and add up to the whole."""
+    base, rest = divmod(whole, max(1, among))
+    return [base + (place < rest) for place in range(among)]
+
+
+def fair(wants: Mapping[Key, int], whole: int) -> dict[Key, int]:
+    """Max-min fair: the smallest wants are met whole, the others share what is left evenly. Ties go by the key."""
+    out, left = dict.fromkeys(wants, 0), whole
+    open_wants = sorted(wants, key=lambda key: (wants[key], key))
+    while open_wants:
+        key = open_wants.pop(0)
+        out[key] = min(wants[key], left // (len(open_wants) + 1))
+        left -= out[key]
+    return out
--- a/tests/test_cores_decisions.py
+++ b/tests/test_cores_decisions.py
@@ -8,6 +8,7 @@
 from hypothesis import given, strategies
 from hypothesis import settings as hypothesis_settings
 
+from frostspindle import division
 from frostspindle.cores import fleet, leases, limits, ownership, totals
 from frostspindle.cores import layout as form
 from frostspindle.cores.board import Board, Control, Region, Sight
@@ -122,7 +123,7 @@
 
 @given(strategies.dictionaries(strategies.integers(0, 9), strategies.integers(0, 300), min_size=1))
 def test_a_fair_share_wastes_nothing_and_starves_nobody(wants):
-    out = leases.fair(wants)
+    out = division.fair(wants, UNITS)
     assert sum(out.values()) <= UNITS and all(out[slot] <= want for slot, want in wants.items())
     short = [slot for slot in wants if out[slot] < wants[slot]]
     if short:
