--- /dev/null
+++ b/frostspindle/fleet/membership.py
@@ -0,0 +1,425 @@
+"""Who is in the fleet: SWIM (Das et al., 2002) with Lifeguard's refinements (Dadgar et al., 2018).
+
+Owns the table of members, the probes, suspicions and their ends, and what of these is passed on. It must never open a
+socket or read a clock: `tick` and the `on_` calls get the time, in ms of the own monotonic clock, and append to `out`
+what is to be sent. It never takes an incarnation that its owner did not make, nor a new process of a living member from
+hearsay before the member's own address was asked.
+"""
+
+from __future__ import annotations
+
+import math
+import random
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass, field
+from typing import NamedTuple
+
+from frostspindle.fleet import wire
+from frostspindle.fleet.incarnation import Chain, owned
+from frostspindle.fleet.wire import ALIVE, DEAD, LEFT, SUSPECT, Claim
+
+Address = tuple[str, int]
+MOST_MEMBERS = 8_192  # tombstones too; past that nobody new is taken
+HELPERS = 3  # members asked to probe for us
+FANOUT, GOSSIP_MS = 3, 200.0  # who is told news, and how often
+RESEND = 4  # times log10 of the fleet: so often is one piece of news passed on by each
+CONFIRMS = 3  # independent suspicions that bring the time to answer one down to its least
+LEAST, SPAN = 5.0, 6.0  # least time to refute, in probe intervals times log10 of the fleet; most: SPAN times that
+HEALTH_MOST = 8  # Lifeguard's local health: probes become so much slower at most
+REJOIN_MS, SYNC_MS, FORGET_MS = 5_000.0, 30_000.0, 600_000.0
+
+
+class Out(NamedTuple):
+    """One message to be sent."""
+
+    address: Address
+    to: str
+    body: wire.Body
+
+
+@dataclass(slots=True)
+class Member:
+    """One other member, as believed here."""
+
+    claim: Claim
+    since: float  # of its state
+    heard: float = -math.inf  # a message of its own came
+    confirmers: set[str] = field(default_factory=set)  # who suspects it
+    suspected_at: float = 0.0
+    contested: float = -math.inf  # a new process in its name was told of, and its own address asked
+
+
+@dataclass(slots=True)
+class _Probe:
+    seq: int
+    target: str
+    began: float
+    direct_until: float
+    until: float
+    helped: bool = False
+    nacks: int = 0
+    helpers: int = 0
+
+
+@dataclass(slots=True)
+class _Errand:
+    """A probe on behalf of another member."""
+
+    asker: str
+    seq: int
+    target: str
+    until: float
+
+
+def rank(claim: Claim) -> tuple[int, int, int]:
+    """The order of claims on one member: a later process, a later incarnation, a graver state."""
+    return claim.epoch, claim.incarnation, claim.state
+
+
+class Membership:
+    """One member's view of the fleet."""
+
+    def __init__(self, me: Claim, chain: Chain, seeds: dict[str, Address], seed: int, now: float,
+                 probe_ms: float = 1_000.0, timeout_ms: float = 300.0) -> None:
+        self.me, self.chain, self.seeds = me, chain, {n: a for n, a in seeds.items() if n != me.name}
+        self.random = random.Random(seed)
+        self.probe_ms, self.timeout_ms = probe_ms, timeout_ms
+        self.members: dict[str, Member] = {}
+        self.alive: dict[str, Member] = {}  # those alive or suspected: who is sent to
+        self.suspects: dict[str, Member] = {}
+        self.health = 0
+        self.out: list[Out] = []
+        self.changes: list[tuple[str, str, str]] = []  # name, state, why: for the log
+        self.count: Callable[[str], None] = lambda what: None
+        self.more: Callable[[], bool] = lambda: False  # whether there is other news to pass on
+        self.false_suspicions = self.deaths = 0
+        self.leaving = False
+        self._news: dict[str, tuple[int, Claim]] = {}  # times sent, claim
+        self._seq = 0
+        self._probe: _Probe | None = None
+        self._errands: dict[int, _Errand] = {}
+        self._round: list[str] = []
+        self._probe_at = now + self.random.random() * probe_ms
+        self._gossip_at = now + self.random.random() * GOSSIP_MS
+        self._rejoin_at, self._sync_at = now, now + self.random.random() * SYNC_MS
+        self._join_wait = min(250.0, probe_ms)
+        self._names: list[str] = []  # of `alive`, for draws
+
+    # The fleet.
+
+    @property
+    def size(self) -> int:
+        return len(self.alive) + 1
+
+    def peers(self, count: int, but: tuple[str, ...] = ()) -> list[str]:
+        """So many live members, drawn evenly, without those named."""
+        if len(self._names) <= count + len(but):
+            return [name for name in self._names if name not in but]
+        drawn = self.random.sample(self._names, count + len(but))
+        return [name for name in drawn if name not in but][:count]
+
+    def address(self, name: str) -> Address | None:
+        member = self.alive.get(name)
+        return member.claim.address if member else None
+
+    def send(self, name: str, body: wire.Body) -> None:
+        if (address := self.address(name)) is not None:
+            self.out.append(Out(address, name, body))
+
+    # Time.
+
+    def due(self) -> float:
+        """When `tick` must be called next, at the latest."""
+        at = min(self._probe_at, self._rejoin_at, self._sync_at)
+        if self._news or self.more():
+            at = min(at, self._gossip_at)
+        if self._probe is not None:
+            at = min(at, self._probe.until if self._probe.helped else self._probe.direct_until)
+        for errand in self._errands.values():
+            at = min(at, errand.until)
+        for member in self.suspects.values():
+            at = min(at, self._verdict_at(member))
+        return at
+
+    def tick(self, now: float) -> None:
+        if self.leaving:
+            return
+        self._overdue(now)
+        for name, member in list(self.suspects.items()):
+            if now >= self._verdict_at(member):
+                self._apply(now, _as(member.claim, DEAD), "did not answer its suspicion")
+                if name not in self.suspects:
+                    self.deaths += 1
+        if now >= self._probe_at and self._probe is None:
+            self._start(now)
+        if now >= self._rejoin_at:
+            self._rejoin(now)
+        if now >= self._sync_at:
+            self._sync_at = now + SYNC_MS * max(1.0, self.size / 100.0) * (0.75 + 0.5 * self.random.random())
+            for name in self.peers(1):
+                self.send(name, wire.Pull("", False))
+            for name, member in list(self.members.items()):
+                if member.claim.state in (DEAD, LEFT) and now - member.since > FORGET_MS:
+                    del self.members[name]
+        if now >= self._gossip_at:
+            self._gossip_at = now + GOSSIP_MS
+            if self._news or self.more():
+                for name in self.peers(FANOUT):
+                    self.send(name, wire.Gossip())
+
+    def _overdue(self, now: float) -> None:
+        for seq, errand in list(self._errands.items()):
+            if now >= errand.until:
+                del self._errands[seq]
+                self.send(errand.asker, wire.Nack(errand.seq))
+        probe = self._probe
+        if probe is None:
+            return
+        if not probe.helped and now >= probe.direct_until:
+            probe.helped = True
+            helpers = self.peers(HELPERS, (probe.target,))
+            probe.helpers = len(helpers)
+            for name in helpers:
+                self.send(name, wire.Relay(probe.seq, probe.target))
+        if probe.helped and now >= probe.until:
+            self._probe = None
+            # Lifeguard: who hears no word of its helpers either is likely the one in trouble.
+            self._feel(1 + max(0, probe.helpers - probe.nacks) if probe.helpers else 1)
+            if (member := self.alive.get(probe.target)) is not None and member.heard < probe.began:
+                member.confirmers.add(self.me.name)
+                self._apply(now, _as(member.claim, SUSPECT), "no answer to a probe")
+
+    def _feel(self, worse: int) -> None:
+        self.health = max(0, min(HEALTH_MOST, self.health + worse))
+
+    def _start(self, now: float) -> None:
+        self._probe_at = now + self.probe_ms * (1 + self.health)
+        while self._round and self._round[-1] not in self.alive:
+            self._round.pop()
+        if not self._round:
+            self._round = list(self.alive)
+            self.random.shuffle(self._round)
+        if not self._round:
+            return
+        target = self._round.pop()
+        self._seq += 1
+        wait = min(self.timeout_ms * (1 + self.health), self._probe_at - now)
+        self._probe = _Probe(self._seq, target, now, now + wait, max(self._probe_at, now + 2.0 * wait))
+        self.send(target, wire.Ping(self._seq))
+
+    def _rejoin(self, now: float) -> None:
+        """Ask seeds that are not here, and one of those that were lost: partitions end."""
+        away = [(name, at) for name, at in self.seeds.items() if name not in self.alive]
+        lost = [m.claim for m in self.members.values() if m.claim.state == DEAD]
+        if not self.alive:  # joining: all seeds, soon again
+            asked, self._join_wait = away, min(REJOIN_MS, 1.5 * self._join_wait)
+            self._rejoin_at = now + self._join_wait * (0.75 + 0.5 * self.random.random())
+        else:
+            asked = self.random.sample(away, min(1, len(away)))
+            if lost:
+                claim = self.random.choice(lost)
+                asked.append((claim.name, claim.address))
+            self._rejoin_at = now + REJOIN_MS * (0.75 + 0.5 * self.random.random())
+        for name, address in asked:
+            self._seq += 1
+            self.out.append(Out(address, name, wire.Ping(self._seq)))
+
+    def _verdict_at(self, member: Member) -> float:
+        """Lifeguard: long at first, shorter with each member that suspects the same by itself."""
+        least = LEAST * max(1.0, math.log10(self.size)) * self.probe_ms
+        share = math.log(max(1, len(member.confirmers))) / math.log(CONFIRMS + 1)
+        return member.suspected_at + least * max(1.0, SPAN - (SPAN - 1.0) * share)
+
+    # News.
+
+    def news(self, to: str, room: int) -> Iterator[Claim]:
+        """Claims to pass on to a member, within so many bytes: first what is wrongly believed of itself."""
+        member = self.members.get(to)
+        if member is not None and member.claim.state != ALIVE:
+            room -= wire.size(member.claim)
+            yield member.claim
+        most = RESEND * math.ceil(math.log10(self.size + 1))
+        for name in sorted(self._news, key=lambda n: self._news[n][0])[:32]:
+            times, claim = self._news[name]
+            room -= wire.size(claim)
+            if room < 0:
+                return
+            if times + 1 >= most:
+                del self._news[name]
+            else:
+                self._news[name] = (times + 1, claim)
+            if name != to:
+                yield claim
+
+    def page(self, after: str, room: int) -> tuple[list[Claim], str]:
+        """Claims in the order of names, and the last name, "" at the end."""
+        out: list[Claim] = []
+        for name in sorted(name for name in self.members if name > after):
+            claim = self.members[name].claim
+            room -= wire.size(claim)
+            if room < 0 or len(out) == 32:
+                return out, out[-1].name if out else ""
+            out.append(claim)
+        return out, ""
+
+    # Messages.
+
+    def heard(self, now: float, me: Claim, source: Address) -> bool:
+        """The sender of a message: whether it is who it says it is. A message of a stranger is not read further."""
+        if me.name == self.me.name or me.state not in (ALIVE, LEFT):
+            self.count("fleet_impostor")
+            return False
+        if source != me.address:
+            self.count("fleet_spoofed")
+            return False
+        known = self.members.get(me.name)
+        if known is not None and known.claim.state in (ALIVE, SUSPECT) and known.claim.epoch < me.epoch:
+            if known.claim.address != source and known.claim.state == ALIVE:
+                self._contest(now, known)
+                return False
+        if not self._apply(now, me, "spoke", direct=True):
+            return False
+        if (member := self.members.get(me.name)) is not None:
+            if member.claim.epoch != me.epoch or member.claim.address != source:
+                self.count("fleet_spoofed")
+                return False
+            member.heard = now
+        return True
+
+    def told(self, now: float, claim: Claim, by: str) -> None:
+        """A claim that another passes on."""
+        if claim.name == self.me.name:
+            self._refute(now, claim, by)
+        else:
+            self._apply(now, claim, f"told by {by}", by=by)
+
+    def on_ping(self, now: float, sender: str, ping: wire.Ping) -> None:
+        if (member := self.members.get(sender)) is not None:  # also one that is held for dead: it has to hear so
+            self.out.append(Out(member.claim.address, sender, wire.Ack(ping.seq)))
+
+    def on_ack(self, now: float, sender: str, ack: wire.Ack) -> None:
+        if (errand := self._errands.get(ack.seq)) is not None and errand.target == sender:
+            del self._errands[ack.seq]
+            self.send(errand.asker, wire.Ack(errand.seq))
+        probe = self._probe
+        # A helper's Ack stands for the target's; one that no probe waits for changes nothing.
+        if probe is not None and probe.seq == ack.seq and (sender == probe.target or probe.helped):
+            self._probe = None
+            self._feel(-1)
+
+    def on_nack(self, nack: wire.Nack) -> None:
+        if self._probe is not None and self._probe.seq == nack.seq:
+            self._probe.nacks += 1
+
+    def on_relay(self, now: float, sender: str, relay: wire.Relay) -> None:
+        if len(self._errands) < 64 and relay.target in self.alive:
+            self._seq += 1
+            self._errands[self._seq] = _Errand(sender, relay.seq, relay.target, now + self.timeout_ms)
+            self.send(relay.target, wire.Ping(self._seq))
+
+    def leave(self, now: float) -> None:
+        """Say so to some; the rest hear it from them."""
+        self.leaving = True
+        self.me = _as(self.me, LEFT)
+        for name in self.peers(3 * FANOUT):
+            self.send(name, wire.Gossip())
+
+    # Beliefs.
+
+    def _refute(self, now: float, claim: Claim, by: str) -> None:
+        """Somebody believes that we are not well, or says what we never said."""
+        if claim.epoch > self.me.epoch or (claim.epoch == self.me.epoch and claim.incarnation > self.me.incarnation):
+            self.count("fleet_forged")  # nobody but us can have proof of such a one: others drop it too
+            self.changes.append((self.me.name, "forged", f"by {by}"))
+            return
+        if claim.epoch == self.me.epoch and claim.incarnation == self.me.incarnation and claim.state != ALIVE \
+                and not self.leaving:
+            self._feel(1)
+            try:
+                proof = self.chain.proof(self.me.incarnation + 1)
+            except ValueError:
+                self.count("fleet_chain_used_up")
+                return
+            self.me = Claim(self.me.name, self.me.host, self.me.port, ALIVE, self.me.epoch,
+                            self.me.incarnation + 1, proof)
+            self._tell(self.me)
+
+    def _tell(self, claim: Claim) -> None:
+        self._news[claim.name] = (0, claim)
+
+    def _contest(self, now: float, known: Member) -> None:
+        """A new process in a living member's name: its own address decides, or its suspicion."""
+        if now - known.contested > self.probe_ms:
+            known.contested = now
+            self.count("fleet_contested")
+            self._seq += 1
+            self.out.append(Out(known.claim.address, known.claim.name, wire.Ping(self._seq)))
+
+    def _apply(self, now: float, claim: Claim, why: str, by: str = "", direct: bool = False) -> bool:
+        """Take a claim if it is newer and its owner made its incarnation; False: it is not to be believed."""
+        known = self.members.get(claim.name)
+        if known is None:
+            if claim.state in (DEAD, LEFT):
+                return True  # who was never known need not be remembered
+            if len(self.members) >= MOST_MEMBERS:
+                self.count("fleet_full")
+                return False
+            self.members[claim.name] = member = Member(claim, now, confirmers={by} if by else set(), suspected_at=now)
+            self._place(now, member, claim, why)
+            return True
+        old = known.claim
+        if claim.epoch == old.epoch:
+            if claim.incarnation > old.incarnation:
+                if claim.address != old.address or not owned(old.incarnation, old.proof, claim.incarnation,
+                                                             claim.proof):
+                    self.count("fleet_forged")
+                    return False
+            elif claim.incarnation == old.incarnation and claim.proof != old.proof:
+                self.count("fleet_forged")
+                return False
+        elif claim.epoch > old.epoch and not direct and old.state in (ALIVE, SUSPECT):
+            self._contest(now, known)
+            return True
+        if claim.state == SUSPECT and old.state == SUSPECT and rank(claim) == rank(old) and by not in known.confirmers:
+            if by and len(known.confirmers) <= CONFIRMS:
+                known.confirmers.add(by)
+                self._tell(old)  # Lifeguard: an independent suspicion is passed on anew
+        if rank(claim) <= rank(old):
+            return True
+        self._place(now, known, claim, why, by)
+        return True
+
+    def _place(self, now: float, member: Member, claim: Claim, why: str, by: str = "") -> None:
+        name, before = claim.name, member.claim
+        if claim.state == SUSPECT and before.state != SUSPECT:
+            member.suspected_at, member.confirmers = now, {by or self.me.name}
+        elif claim.state == ALIVE:
+            if before.state == SUSPECT and before.epoch == claim.epoch:
+                self.false_suspicions += 1
+            member.confirmers = set()
+        if claim.state != before.state or claim.epoch != before.epoch or name not in self.alive:
+            member.since = now
+            self.changes.append((name, wire.STATES[claim.state], why))
+        revived = claim.state == ALIVE and before.state in (DEAD, LEFT)
+        member.claim = claim
+        here = claim.state in (ALIVE, SUSPECT)
+        if here != (name in self.alive):
+            if here:
+                self.alive[name] = member
+                self._names.append(name)
+                self._round.insert(self.random.randrange(len(self._round) + 1), name)
+            else:
+                del self.alive[name]
+                self._names.remove(name)
+        if claim.state == SUSPECT:
+            self.suspects[name] = member
+        else:
+            self.suspects.pop(name, None)
+        self._tell(claim)
+        if len(self.alive) == 1 and here or revived:  # we join, or a partition ends: hear all that it knows
+            self.send(name, wire.Pull("", False))
+            self.send(name, wire.Pull("", True))
+
+
+def _as(claim: Claim, state: int) -> Claim:
+    return Claim(claim.name, claim.host, claim.port, state, claim.epoch, claim.incarnation, claim.proof)
--- /dev/null
+++ b/frostspindle/fleet/node.py
@@ -0,0 +1,337 @@
+"""One coordinator in the fleet: membership, budgets, counts and judgements, tied together without I/O.
+
+Owns which part hears which message, what each message carries besides, and when the parts are due. It must never open a
+socket or read a clock: datagrams, the own monotonic time in ms and Unix time for the windows come in; datagrams, log
+lines and answers go out. A message from who is not proven to be its sender reaches no part.
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+from hashlib import blake2b
+from random import Random
+from typing import Any, NamedTuple
+
+from frostspindle.division import even
+from frostspindle.fleet import flow, wire
+from frostspindle.fleet.counts import Counts, interval
+from frostspindle.fleet.escrow import Rights
+from frostspindle.fleet.incarnation import LENGTH, Chain
+from frostspindle.fleet.membership import Address, Membership
+from frostspindle.fleet.verdicts import TELL_MS, Verdicts
+from frostspindle.fleet.wire import Claim, Packet
+
+ENVELOPE = 180  # bytes kept free of piggyback for the sender's claim and the frame
+MOST_BUDGETS = 32
+COUNT_WINDOW_MS = 10_000.0
+ROWS = 4.0  # all counts of one other member are asked for once in so many intervals of writing
+
+
+@dataclass(slots=True, frozen=True)
+class Budget:
+    """So many units in any window, of the whole fleet."""
+
+    name: str
+    units: int
+    window_ms: float
+
+
+@dataclass(slots=True, frozen=True)
+class Terms:
+    """What all coordinators of a fleet must have alike, and a few times of the own."""
+
+    seeds: dict[str, Address]  # also the homes of all budgets, in the order of names
+    budgets: tuple[Budget, ...] = ()
+    lease_ms: float = 5_000.0
+    drift: float = 0.055  # a clock may be so much faster or slower than real time
+    probe_ms: float = 1_000.0
+    timeout_ms: float = 300.0
+    judges: int = 3
+    verdict_ms: float = 10_000.0
+    chain: int = LENGTH
+
+
+class Datagram(NamedTuple):
+    address: Address
+    data: bytes
+
+
+@dataclass(slots=True)
+class _Budget:
+    budget: Budget
+    number: int
+    digest: int
+    rights: Rights
+    demand: flow.Demand
+    lenders: flow.Lenders
+    flow_at: float
+    asks: dict[str, tuple[int, float]] = field(default_factory=dict)  # by lender: the last Ask, unanswered yet
+
+
+class Node:
+    """One process of the fleet."""
+
+    def __init__(self, name: str, address: Address, epoch: int, secret: bytes, terms: Terms, now: float) -> None:
+        chain = Chain(secret, terms.chain)
+        seed = int.from_bytes(blake2b(secret, digest_size=8, person=b"draws").digest())
+        me = Claim(name, address[0], address[1], wire.ALIVE, epoch, 0, chain.proof(0))
+        self.terms, self.name, self.epoch = terms, name, epoch
+        self.random = Random(seed)
+        self.members = Membership(me, chain, terms.seeds, seed + 1, now, terms.probe_ms, terms.timeout_ms)
+        self.counts = Counts(name, epoch, now)
+        self.verdicts = Verdicts(terms.judges, terms.verdict_ms)
+        self.counted: Counter[str] = Counter()
+        self.members.count = self.counts.count = self._count
+        self.note: Callable[..., None] = lambda event, **fields: None  # a log line
+        self.homes = sorted(terms.seeds)
+        self.budgets: dict[str, _Budget] = {}
+        for number, budget in enumerate(terms.budgets, 1):
+            shares = dict(zip(self.homes, even(budget.units, len(self.homes)), strict=True))
+            rights = Rights(shares.get(name, 0), budget.window_ms, terms.lease_ms, terms.drift, now)
+            digest = int.from_bytes(blake2b(repr(
+                (budget, self.homes, terms.lease_ms, terms.drift)).encode(), digest_size=6).digest())
+            self.budgets[budget.name] = _Budget(budget, number, digest, rights,
+                                                flow.Demand(budget.window_ms, rights.rest_ms), flow.Lenders(seed + 2),
+                                                now + self.random.random() * flow.ASK_MS)
+        self.members.more = lambda: self.counts.pending
+        self._seq = 0
+        self._rows_at = now + self.random.random() * ROWS * interval(1)
+        self._tell_at = now + self.random.random() * TELL_MS
+        self._told: list[str] = []
+        self._bytes_out = self._bytes_in = 0
+        self._on: dict[type, Callable[[float, Claim, Any], None]] = {
+            wire.Ping: lambda now, me, b: self.members.on_ping(now, me.name, b),
+            wire.Ack: lambda now, me, b: self.members.on_ack(now, me.name, b),
+            wire.Relay: lambda now, me, b: self.members.on_relay(now, me.name, b),
+            wire.Nack: lambda now, me, b: self.members.on_nack(b),
+            wire.Pull: self._on_pull, wire.Page: self._on_page, wire.Gossip: lambda now, me, b: None,
+            wire.Word: lambda now, me, b: self.verdicts.hear(now, me.name, b.verdicts),
+            wire.Ask: self._on_ask, wire.Grant: self._on_grant, wire.Back: self._on_back}
+
+    def _count(self, what: str) -> None:
+        self.counted[what] += 1
+
+    # What comes in.
+
+    def receive(self, now: float, source: Address, data: bytes) -> list[Datagram]:
+        """One datagram; whatever is wrong with it is counted, and it goes no further."""
+        self._bytes_in += len(data)
+        try:
+            packet = wire.decode(data)
+        except wire.BadPacket:
+            self._count("fleet_undecodable")
+            return []
+        if packet.to not in ("", self.name):
+            self._count("fleet_misdelivered")
+            return []
+        if self.members.heard(now, packet.me, source):
+            for claim in packet.news:
+                self.members.told(now, claim, packet.me.name)
+            for row in packet.rows:
+                self.counts.merge(now, row)
+            self._on[type(packet.body)](now, packet.me, packet.body)
+        return self._flush(now)
+
+    def tick(self, now: float, unix_ms: float) -> list[Datagram]:
+        """Whatever is due."""
+        self.counts.turn(int(unix_ms / COUNT_WINDOW_MS))
+        self.members.tick(now)
+        self.counts.publish(now, self.members.size)
+        for state in self.budgets.values():
+            if now >= state.flow_at:
+                state.flow_at = now + flow.ASK_MS
+                self._flow(now, state)
+        if now >= self._rows_at:  # what news missed: all rows of one member
+            self._rows_at = now + ROWS * interval(self.members.size) * (0.75 + 0.5 * self.random.random())
+            for name in self.members.peers(1):
+                self.members.send(name, wire.Pull("", True))
+        if now >= self._tell_at:
+            self._tell_at = now + TELL_MS
+            self._tell(now)
+        return self._flush(now)
+
+    def due(self) -> float:
+        at = min(self.members.due(), self.counts.due(self.members.size), self._tell_at, self._rows_at)
+        for state in self.budgets.values():
+            at = min(at, state.flow_at)
+        return at
+
+    # What the coordinator calls.
+
+    def spend(self, now: float, unix_ms: float, budget: str, units: int = 1) -> bool:
+        """Use units of a budget: True if this coordinator holds rights to them that have rested."""
+        state = self.budgets[budget]
+        state.demand.add(now, units)
+        if not state.rights.spend(now, units):
+            return False
+        window = int(unix_ms / COUNT_WINDOW_MS)
+        self.counts.add(f"spent:{budget}", units, stream=state.number)
+        self.counts.add(f"spent:{budget}", units, window=window, stream=state.number)
+        return True
+
+    def judge(self, now: float, standing: dict[tuple[str, int], tuple[float, ...]]) -> None:
+        """The own verdicts that hold now: by engine's name and kind, with their evidence."""
+        if self.verdicts.judge(now, standing, self.members.alive):
+            self._tell_at = now
+
+    def leave(self, now: float) -> list[Datagram]:
+        """Give back what is borrowed and say good-bye; the node must not be used any more."""
+        for state in self.budgets.values():
+            for lender in list(state.rights.borrowed):
+                state.rights.owe(now, lender, 2**53)
+                self._give_back(now, state, lender)
+        self.members.leave(now)
+        return self._flush(now)
+
+    # Budgets.
+
+    def _flow(self, now: float, state: _Budget) -> None:
+        rights, need = state.rights, state.demand.need(now, not state.lenders.scarce)
+        rights.tick(now)
+        for lender, units in flow.excess(rights, need):
+            rights.owe(now, lender, units)
+            self._give_back(now, state, lender)
+        for lender, (_, at) in list(state.asks.items()):
+            if now - at > 4.0 * flow.ASK_MS:  # no answer: whoever it is may be gone
+                del state.asks[lender]
+                state.lenders.silent(now, lender)
+        missing = need - rights.held
+        for lender in flow.renewals(rights, now):
+            if lender in self.members.alive and lender not in state.asks and need:
+                self._ask(now, state, lender, max(0, missing))
+                missing = min(missing, 0)
+        if missing > 0:
+            homes = [name for name in self.homes if name in self.members.alive and name not in state.asks]
+            chosen = state.lenders.choose(now, homes)
+            for place, lender in enumerate(chosen):
+                self._ask(now, state, lender, -(-missing // (len(chosen) - place)))
+                missing -= -(-missing // (len(chosen) - place))
+
+    def _ask(self, now: float, state: _Budget, lender: str, more: int) -> None:
+        member = self.members.alive[lender]
+        self._seq += 1
+        of, series, returned, closed = state.rights.asking(now, lender, member.claim.epoch, self._seq)
+        loan = state.rights.borrowed.get(lender)
+        state.asks[lender] = (self._seq, now)
+        self.members.send(lender, wire.Ask(state.budget.name, state.digest, self._seq, of, series, returned, closed,
+                                           (loan.held if loan else 0) + more))
+
+    def _on_ask(self, now: float, me: Claim, ask: wire.Ask) -> None:
+        state = self._same_terms(me, ask)
+        if state is None or not state.rights.own:
+            return
+        rights, need = state.rights, state.demand.need(now, False)  # others lack what would lie idle
+        loan = rights.on_ask(now, me.name, me.epoch, ask.lender == self.epoch, ask.series, ask.returned, ask.closed,
+                             ask.want)
+        give, keep = flow.offer(rights, need, loan, me.name)
+        rights.lend(loan, give)
+        self.members.send(me.name, wire.Grant(state.budget.name, state.digest, ask.seq, loan.series, loan.given,
+                                              keep, flow.spare(rights, need)))
+
+    def _on_grant(self, now: float, me: Claim, grant: wire.Grant) -> None:
+        if (state := self._same_terms(me, grant)) is None:
+            return
+        before = state.rights.held
+        if not state.rights.on_grant(now, me.name, me.epoch, grant.seq, grant.series, grant.given, grant.keep):
+            self._count("fleet_grants_late")
+        elif (ask := state.asks.get(me.name)) is not None and ask[0] == grant.seq:
+            del state.asks[me.name]
+            state.lenders.answered(now, me.name, state.rights.held - before, grant.spare)
+
+    def _on_back(self, now: float, me: Claim, back: wire.Back) -> None:
+        state = self.budgets.get(back.budget)
+        if state is not None and back.lender == self.epoch:
+            state.rights.on_back(now, me.name, me.epoch, back.series, back.returned)
+
+    def _give_back(self, now: float, state: _Budget, lender: str) -> None:
+        if (word := state.rights.give_back(now, lender)) is not None:
+            self.members.send(lender, wire.Back(state.budget.name, *word))
+
+    def _same_terms(self, me: Claim, body: wire.Ask | wire.Grant) -> _Budget | None:
+        """Rights move only among coordinators that divide the same budget in the same way."""
+        state = self.budgets.get(body.budget)
+        if state is None or state.digest != body.terms:
+            self._count("fleet_other_terms")
+            self.note("fleet_other_terms", budget=body.budget, peer=me.name)
+            return None
+        return state
+
+    # Judgements.
+
+    def _tell(self, now: float) -> None:
+        """The own word goes to some members at a time, from its maker only."""
+        self._told = [name for name in self._told if name in self.members.alive]
+        if not self._told:
+            self._told = list(self.members.alive)
+            self.random.shuffle(self._told)
+        for _ in range(min(self.verdicts.many(self.members.size), len(self._told))):
+            name = self._told.pop()
+            if self.verdicts.tells(name):
+                self.members.send(name, wire.Word(self.verdicts.word(now, name)))
+
+    # Pages.
+
+    def _on_pull(self, now: float, me: Claim, pull: wire.Pull) -> None:
+        self.members.send(me.name, wire.Page(pull.after, pull.rows))  # what it holds is put in as it leaves
+
+    def _on_page(self, now: float, me: Claim, page: wire.Page) -> None:
+        if page.last:
+            self.members.send(me.name, wire.Pull(page.last, page.rows))
+
+    # What goes out.
+
+    def _flush(self, now: float) -> list[Datagram]:
+        for name, state, why in self.members.changes:
+            if state in ("dead", "left"):
+                self.verdicts.gone(name)
+            self.note("fleet_member", member=name, state=state, why=why)
+        self.members.changes.clear()
+        out = []
+        while self.members.out:
+            address, to, body = self.members.out.pop(0)
+            data = wire.encode(self._packet(now, to, body))
+            if len(data) > wire.MOST_BYTES:  # the bounds on all parts leave no room for this
+                self._count("fleet_too_long")
+                continue
+            self._bytes_out += len(data)
+            out.append(Datagram(address, data))
+        return out
+
+    def _packet(self, now: float, to: str, body: wire.Body) -> Packet:
+        room = wire.MOST_BYTES - ENVELOPE
+        if isinstance(body, wire.Page):
+            if body.rows:
+                rows, last = self.counts.page(now, body.last, room)
+                return Packet(self.members.me, to, wire.Page(last, True), [], rows)
+            claims, last = self.members.page(body.last, room)
+            return Packet(self.members.me, to, wire.Page(last, False), claims)
+        if isinstance(body, (wire.Word, wire.Pull)):
+            return Packet(self.members.me, to, body)
+        claims = list(self.members.news(to, room))
+        room -= sum(map(wire.size, claims))
+        return Packet(self.members.me, to, body, claims, list(self.counts.news(now, room)))
+
+    # What is told.
+
+    def figures(self, now: float, unix_ms: float) -> dict[str, Any]:
+        """The fleet as this coordinator sees it, for operators."""
+        window = int(unix_ms / COUNT_WINDOW_MS)
+        stale = self.counts.staleness(now)
+        return {
+            "name": self.name, "size": self.members.size, "health": self.members.health,
+            "members": {name: wire.STATES[member.claim.state] for name, member in sorted(self._shown())},
+            "budgets": {name: {
+                "units": s.budget.units, "window_ms": s.budget.window_ms, "own": s.rights.own, "held": s.rights.held,
+                "ready": s.rights.ready(now), "lent": s.rights.own - s.rights.in_hand,
+                "borrowed": sum(loan.held for loan in s.rights.borrowed.values()), "need": s.demand.need(now, True),
+                "spent": s.rights.spent, "denied": s.rights.denied} for name, s in self.budgets.items()},
+            "sums": self.counts.sums(), "last_window": self.counts.sums(window - 1),
+            "stale_ms": {name: round(stale[name]) for name in sorted(stale)[:256]},
+            "verdicts": self.verdicts.table(now)[:64],
+            "false_suspicions": self.members.false_suspicions, "bytes_in": self._bytes_in,
+            "bytes_out": self._bytes_out, "counted": dict(sorted(self.counted.items()))}
+
+    def _shown(self) -> Iterable[tuple[str, Any]]:
+        return list(self.members.members.items())[:256]
--- /dev/null
+++ b/frostspindle/fleet/wire.py
@@ -0,0 +1,173 @@
+"""The fleet's messages: msgspec structs in msgpack, one UDP datagram each.
+
+Owns the form of every message and the bounds on its parts. It must never hold state, and whatever can't be decoded, is
+longer than MOST_BYTES or has a value out of its range is an error here, before anything is made of it.
+"""
+
+from __future__ import annotations
+
+from typing import Annotated
+
+import msgspec
+from msgspec import Meta, Struct
+
+MOST_BYTES = 1200  # of one datagram: fits a usual path without being cut in pieces
+ALIVE, SUSPECT, DEAD, LEFT = range(4)
+STATES = ("alive", "suspect", "dead", "left")
+PROOF = 16  # bytes of an incarnation's proof
+
+Whole = Annotated[int, Meta(ge=0, le=2**53)]
+Name = Annotated[str, Meta(min_length=1, max_length=64)]  # of a member or an engine
+Key = Annotated[str, Meta(min_length=1, max_length=24)]
+Proof = Annotated[bytes, Meta(min_length=PROOF, max_length=PROOF)]
+Ms = Annotated[float, Meta(ge=0, le=1e9)]
+
+
+class Claim(Struct, array_like=True, frozen=True):
+    """What somebody says of a member. The proof shows that the member itself made this incarnation."""
+
+    name: Name
+    host: Annotated[str, Meta(min_length=7, max_length=15)]
+    port: Annotated[int, Meta(ge=1, le=65535)]
+    state: Annotated[int, Meta(ge=ALIVE, le=LEFT)]
+    epoch: Whole  # of the member's process; a later process of the same name has a higher one
+    incarnation: Whole
+    proof: Proof
+
+    @property
+    def address(self) -> tuple[str, int]:
+        return self.host, self.port
+
+
+class Row(Struct, array_like=True, frozen=True):
+    """Counts of one origin: all of a stream where `base` is 0, else those changed since its version `base`."""
+
+    origin: Name
+    epoch: Whole
+    stream: Annotated[int, Meta(ge=0, le=63)]
+    base: Whole
+    version: Whole
+    age_ms: Ms  # since the origin wrote it; each hop adds what it kept the row for
+    entries: Annotated[list[tuple[Key, Whole, Whole, Whole]], Meta(max_length=20)]  # key, window, plus, minus
+
+
+class Verdict(Struct, array_like=True, frozen=True):
+    """A coordinator's own judgement on an engine."""
+
+    engine: Name
+    kind: Annotated[int, Meta(ge=0, le=3)]
+    age_ms: Ms
+    evidence: Annotated[list[Annotated[float, Meta(ge=-1e9, le=1e9)]], Meta(max_length=4)]
+
+
+class Ping(Struct, array_like=True, frozen=True, tag=0):
+    seq: Whole
+
+
+class Ack(Struct, array_like=True, frozen=True, tag=1):
+    seq: Whole
+
+
+class Relay(Struct, array_like=True, frozen=True, tag=2):
+    """Ping `target` for me; answer Ack if it answers, Nack if it does not in time."""
+
+    seq: Whole
+    target: Name
+
+
+class Nack(Struct, array_like=True, frozen=True, tag=3):
+    seq: Whole
+
+
+class Pull(Struct, array_like=True, frozen=True, tag=4):
+    """Tell me what you hold of members and counts, from this place on in the order of names."""
+
+    after: Annotated[str, Meta(max_length=96)]
+    rows: bool  # counts, else members
+
+
+class Page(Struct, array_like=True, frozen=True, tag=5):
+    """The piggyback holds what was asked for; `last` is the name to go on after, "" at the end."""
+
+    last: Annotated[str, Meta(max_length=96)]
+    rows: bool
+
+
+class Gossip(Struct, array_like=True, frozen=True, tag=6):
+    """Nothing but the piggyback."""
+
+
+class Word(Struct, array_like=True, frozen=True, tag=7):
+    """The sender's standing judgements, all of them: what is missing is withdrawn."""
+
+    verdicts: Annotated[list[Verdict], Meta(max_length=16)]
+
+
+class Ask(Struct, array_like=True, frozen=True, tag=8):
+    """Lend me rights of a budget, or go on lending them; `returned` and `closed` are given back for good."""
+
+    budget: Name
+    terms: Whole  # a digest of the budget's definition
+    seq: Whole
+    lender: Whole  # the epoch of the lender's process that the loan is of; 0: none yet
+    series: Whole
+    returned: Whole
+    closed: Whole  # the highest series of this lender's process that I use no more
+    want: Whole  # units of this lender in all
+
+
+class Grant(Struct, array_like=True, frozen=True, tag=9):
+    """The whole of what stands lent; `seq` says from which Ask on the borrower counts its time."""
+
+    budget: Name
+    terms: Whole
+    seq: Whole
+    series: Whole
+    given: Whole
+    keep: Whole  # what the borrower should hold at most
+    spare: Whole  # what the lender has left
+
+
+class Back(Struct, array_like=True, frozen=True, tag=10):
+    """So many units of a series in all are given back, unused for a whole window."""
+
+    budget: Name
+    lender: Whole
+    series: Whole
+    returned: Whole
+
+
+Body = Ping | Ack | Relay | Nack | Pull | Page | Gossip | Word | Ask | Grant | Back
+
+
+class Packet(Struct, array_like=True, frozen=True):
+    """One datagram: who speaks, to whom, what, and what is passed on besides."""
+
+    me: Claim
+    to: Annotated[str, Meta(max_length=64)]  # "": whoever is there
+    body: Body
+    news: Annotated[list[Claim], Meta(max_length=32)] = []
+    rows: Annotated[list[Row], Meta(max_length=32)] = []
+
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(Packet)
+encode = _encoder.encode
+
+
+class BadPacket(Exception):
+    """A datagram that is no message of ours."""
+
+
+def decode(data: bytes) -> Packet:
+    """BadPacket for whatever is too long, malformed or out of range."""
+    if len(data) > MOST_BYTES:
+        raise BadPacket("too long")
+    try:
+        return _decoder.decode(data)
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+        raise BadPacket(str(error)[:120]) from None
+
+
+def size(part: Struct) -> int:
+    return len(encode(part))
--- /dev/null
+++ b/frostspindle/lab/faults/script.py
@@ -0,0 +1,163 @@
+"""A script of faults: which happen when, to whom, drawn from one seed.
+
+Owns the text form of a script and the fate of each message under it. It must never send, sleep or read a clock, so that
+the emulator and the relay play the same script alike.
+
+    [FROM[-TO]] KIND ARGUMENTS; ...       times in seconds; without TO it lasts; nodes are numbers, as in 0-2,7 or *
+
+    loss SHARE [NODES]      messages to or from the nodes are lost with this share
+    delay LOW-HIGH          each message takes so many milliseconds, drawn evenly
+    dup SHARE               so many come twice
+    reorder SHARE           so many come up to 200 ms later than they would
+    cut A|B|...             groups that hear nothing of each other; who is in none hears all
+    oneway A>B              nothing that A sends reaches B
+    kill NODES, start NODES, stop NODES, cont NODES     SIGKILL, a new process, SIGSTOP, SIGCONT
+    clock NODES RATE        these clocks run so much faster (at the start only)
+"""
+
+from __future__ import annotations
+
+import math
+import random
+from collections.abc import Collection
+from dataclasses import dataclass
+
+LATE_MS = 200.0
+ACTS = ("kill", "start", "stop", "cont")
+SHARES = ("loss", "dup", "reorder")
+
+
+class BadScript(ValueError):
+    """A script that can't be read; the text names the part."""
+
+
+@dataclass(slots=True, frozen=True)
+class Rule:
+    """What holds for messages from `begins` to `ends`, in seconds."""
+
+    begins: float
+    ends: float
+    kind: str
+    share: float = 0.0
+    low: float = 0.0
+    high: float = 0.0
+    groups: tuple[frozenset[int], ...] = ()
+
+
+@dataclass(slots=True, frozen=True)
+class Act:
+    """What is done to a process at a time."""
+
+    at: float
+    kind: str
+    node: int
+
+
+@dataclass(slots=True, frozen=True)
+class Script:
+    """All faults of a run."""
+
+    rules: tuple[Rule, ...] = ()
+    acts: tuple[Act, ...] = ()
+    clocks: tuple[tuple[int, float], ...] = ()
+
+    @property
+    def healed_at(self) -> float:
+        """When the last cut ends, in seconds; 0 without one."""
+        return max((rule.ends for rule in self.rules if rule.kind in ("cut", "oneway") and rule.ends < math.inf),
+                   default=0.0)
+
+
+def nodes(text: str, count: int) -> frozenset[int]:
+    """`0-2,7` or `*`."""
+    if text == "*":
+        return frozenset(range(count))
+    out: set[int] = set()
+    for part in text.split(","):
+        low, mark, high = part.partition("-")
+        out.update(range(int(low), int(high if mark else low) + 1))
+    if not out or min(out) < 0 or max(out) >= count:
+        raise ValueError(f"no such nodes: {text}")
+    return frozenset(out)
+
+
+def parse(text: str, count: int) -> Script:
+    """A script for so many nodes; BadScript names the part that can't be read."""
+    rules, acts, clocks = [], [], []
+    for part in filter(None, (part.strip() for part in text.split(";"))):
+        try:
+            words = part.split()
+            begins, ends = 0.0, math.inf
+            if words[0][0].isdigit():
+                first, _, last = words.pop(0).partition("-")
+                begins, ends = float(first), float(last) if last else math.inf
+            kind, *rest = words
+            if kind in ACTS:
+                acts += [Act(begins, kind, node) for node in sorted(nodes(rest[0], count))]
+            elif kind == "clock":
+                rate = float(rest[1])
+                if not 0.5 <= rate <= 2.0:
+                    raise ValueError("a rate from 0.5 to 2")
+                clocks += [(node, rate) for node in sorted(nodes(rest[0], count))]
+            elif kind in SHARES:
+                share = float(rest[0])
+                if not 0.0 <= share <= 1.0:
+                    raise ValueError("a share from 0 to 1")
+                rules.append(Rule(begins, ends, kind, share,
+                                  groups=(nodes(rest[1], count),) if len(rest) > 1 else ()))
+            elif kind == "delay":
+                low, high = map(float, rest[0].split("-"))
+                if not 0.0 <= low <= high <= 60_000.0:
+                    raise ValueError("milliseconds, LOW-HIGH")
+                rules.append(Rule(begins, ends, kind, low=low, high=high))
+            elif kind in ("cut", "oneway"):
+                groups = tuple(nodes(group, count) for group in rest[0].split("|" if kind == "cut" else ">"))
+                if len(groups) < 2 or kind == "oneway" and len(groups) != 2:
+                    raise ValueError("groups")
+                rules.append(Rule(begins, ends, kind, groups=groups))
+            else:
+                raise ValueError("no such fault")
+        except (ValueError, IndexError) as error:
+            raise BadScript(f"{part!r}: {error}") from None
+    return Script(tuple(rules), tuple(sorted(acts, key=lambda act: act.at)), tuple(clocks))
+
+
+class Weather:
+    """The fate of each message under a script."""
+
+    def __init__(self, script: Script, seed: int, base_ms: float = 0.0) -> None:
+        self.script, self.random, self.base_ms = script, random.Random(seed), base_ms
+        self.lost = self.passed = 0
+        self._edges = sorted({0.0, *(r.begins for r in script.rules), *(r.ends for r in script.rules)})
+        self._now: tuple[float, list[Rule]] = (-1.0, [])  # until when, the rules that hold
+
+    def _holding(self, now: float) -> Collection[Rule]:
+        if now >= self._now[0]:
+            until = next((edge for edge in self._edges if edge > now), math.inf)
+            self._now = (until, [rule for rule in self.script.rules if rule.begins <= now < rule.ends])
+        return self._now[1]
+
+    def fate(self, now: float, source: int, target: int) -> list[float]:
+        """`now` in seconds since the start, which never goes back. The delays, in ms, of each copy that arrives."""
+        delays = [self.base_ms]
+        for rule in self._holding(now):
+            if rule.kind == "loss":
+                among = not rule.groups or source in rule.groups[0] or target in rule.groups[0]
+                lost = among and self.random.random() < rule.share
+            elif rule.kind == "cut":
+                sides = [next((n for n, group in enumerate(rule.groups) if node in group), -1)
+                         for node in (source, target)]
+                lost = sides[0] != sides[1] and -1 not in sides
+            else:
+                lost = rule.kind == "oneway" and source in rule.groups[0] and target in rule.groups[1]
+            if lost:
+                self.lost += 1
+                return []
+            if rule.kind == "delay":
+                delays = [delay + self.random.uniform(rule.low, rule.high) for delay in delays]
+            elif rule.kind == "dup" and self.random.random() < rule.share:
+                delays.append(delays[0] + self.random.uniform(0.0, LATE_MS))
+            elif rule.kind == "reorder" and self.random.random() < rule.share:
+                delays[0] += self.random.uniform(0.0, LATE_MS)
+        self.passed += 1
+        return delays
--- /dev/null
+++ b/frostspindle/lab/fleet.py
@@ -0,0 +1,259 @@
+"""The fleet's emulator: the same nodes without I/O, on a simulated network and simulated clocks.
+
+Owns simulated time, the processes' lives (killed, started anew without memory, stopped, continued), their clocks, their
+demand, and what is measured of a run. The same arguments give the same run. It must never look into a node to make a
+figure that a fleet could not show, except where a figure says so (`overspend` counts each unit at its true time).
+"""
+
+from __future__ import annotations
+
+import heapq
+import random
+from bisect import bisect_left
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+from frostspindle.fleet.node import Budget, Node, Terms
+from frostspindle.lab.faults.script import Script, Weather
+
+CHAIN = 512  # incarnations of one process here
+BUDGET = "shared"
+CALM = 0.05  # part of the run after the first rights have rested that is not measured: rights have yet to flow
+
+
+@dataclass(slots=True)
+class Process:
+    """One coordinator's place: its node while it lives, and its clock."""
+
+    name: str
+    rate: float
+    offset: float
+    demand: float  # units a second
+    node: Node | None = None
+    lives: int = 0
+    stopped: bool = False
+    waiting: list[tuple[tuple[str, int], bytes]] = field(default_factory=list)  # came while it was stopped
+    due: float = 0.0  # true ms of its next tick; an older entry in the queue is void
+    arrives: float = 0.0
+    was: dict[str, int] = field(default_factory=dict)  # what its earlier lives counted
+
+
+class Emulator:
+    """One run. True time is in ms from 0; each process has its own clock."""
+
+    def __init__(self, count: int, seed: int, script: Script, seconds: float = 60.0, units: int = 0,
+                 window_ms: float = 1_000.0, demand: Callable[[int], float] | None = None, homes: int = 0,
+                 base_ms: float = 0.5, join_s: float = 0.0, terms: dict[str, Any] | None = None) -> None:
+        self.random = random.Random(seed)
+        self.count, self.seed, self.script, self.seconds = count, seed, script, seconds
+        self.units = units or 20 * count
+        self.window_ms = window_ms
+        self.weather = Weather(script, seed + 1, base_ms)
+        homes = min(count, homes or 64)
+        # Addresses are names only here: a process keeps its own over all its lives.
+        self.addresses = [(f"127.{n >> 16}.{n >> 8 & 255}.{n & 255}", 4_000) for n in range(count)]
+        self.numbers = {address: n for n, address in enumerate(self.addresses)}
+        width = len(str(count - 1))
+        names = [f"c{n:0{width}d}" for n in range(count)]
+        self.named = {name: n for n, name in enumerate(names)}
+        self.terms = Terms(dict(zip(names[:homes], self.addresses, strict=False)),
+                           (Budget(BUDGET, self.units, window_ms),), chain=CHAIN, **(terms or {}))
+        clocks = dict(script.clocks)
+        demand = demand or (lambda n: self.units / window_ms * 1_000.0 * 0.02)
+        self.processes = [Process(names[n], clocks.get(n, 1.0), self.random.uniform(0.0, 1e7), demand(n))
+                          for n in range(count)]
+        self.now = 0.0
+        self.queue: list[tuple[float, int, int, Any]] = []  # when, order, node, what
+        self.order = 0
+        self.spends: list[tuple[float, int]] = []  # true time, node; one unit each
+        self.bytes = self.messages = self.events = 0
+        self.false_suspicions = 0
+        self.detected: dict[int, list[float]] = {}  # of a killed node: when others held it for dead
+        self.killed_at: dict[int, float] = {}
+        self.agreed_at: float | None = None
+        self.on_step: Callable[[Emulator], None] | None = None  # every 100 ms of true time
+        for n in range(count):
+            self._push(self.random.uniform(0.0, join_s * 1_000.0), n, "start")
+        for act in script.acts:
+            self._push(act.at * 1_000.0, act.node, act.kind)
+
+    def _push(self, at: float, node: int, what: Any) -> None:
+        self.order += 1
+        heapq.heappush(self.queue, (at, self.order, node, what))
+
+    # Time.
+
+    def clock(self, process: Process, at: float | None = None) -> float:
+        """The process's own monotonic ms."""
+        return process.offset + (self.now if at is None else at) * process.rate
+
+    def unix(self) -> float:
+        """All processes' Unix clocks agree here; only counts by window look at them."""
+        return 1.7e12 + self.now
+
+    def run(self) -> None:
+        until, step = self.seconds * 1_000.0, 0.0
+        while self.queue and self.queue[0][0] <= until:
+            at, _, number, what = heapq.heappop(self.queue)
+            while step <= at:
+                self.now = max(self.now, step)
+                step += 100.0
+                if self.on_step is not None:
+                    self.on_step(self)
+            self.now = at
+            self.events += 1
+            self._handle(number, self.processes[number], what)
+        self.now = until
+
+    def _handle(self, number: int, process: Process, what: Any) -> None:
+        if isinstance(what, tuple):  # a datagram: who sent it, the bytes
+            if process.stopped:
+                if len(process.waiting) < 200:  # as much as a socket holds
+                    process.waiting.append(what)
+            elif process.node is not None:
+                self._send(number, process.node.receive(self.clock(process), *what))
+                self._plan(number, process)
+        elif what == "tick":
+            if process.node is not None and not process.stopped and self.now >= process.due:
+                self._send(number, process.node.tick(self.clock(process), self.unix()))
+                self._plan(number, process, True)
+        elif what == "want":
+            self._want(number, process)
+        elif what == "kill":
+            self._end(number, process)
+        elif what == "start":
+            if process.node is None:
+                self._begin(number, process)
+        elif what == "stop":
+            process.stopped = True
+        elif what == "cont":
+            process.stopped = False
+            if process.node is not None:  # a process that wakes up: its timers are due, then its socket is read
+                process.due = self.now
+                self._push(self.now, number, "tick")
+                for datagram in process.waiting:
+                    self._push(self.now, number, datagram)
+                process.waiting = []
+
+    def _begin(self, number: int, process: Process) -> None:
+        process.lives += 1
+        secret = self.random.randbytes(16)
+        epoch = int(self.unix() * 1_000) + process.lives
+        process.node = node = Node(process.name, self.addresses[number], epoch, secret, self.terms,
+                                   self.clock(process))
+        process.stopped, process.waiting = False, []
+
+        def note(event: str, **fields: Any) -> None:
+            if event == "fleet_member":
+                self._noted(fields["member"], fields["state"])
+        node.note = note
+        self._plan(number, process, True)
+        if process.lives == 1 and process.demand > 0:
+            process.arrives = self.now
+            self._push(self.now + self._gap(process), number, "want")
+
+    def _end(self, number: int, process: Process) -> None:
+        if process.node is not None:
+            self.false_suspicions += process.node.members.false_suspicions
+            process.node, process.stopped = None, False
+            self.killed_at[number] = self.now
+
+    def _noted(self, member: str, state: str) -> None:
+        number = self.named.get(member, -1)  # -1: a name that nobody has
+        if state == "dead" and number in self.killed_at and self.processes[number].node is None:
+            self.detected.setdefault(number, []).append(self.now - self.killed_at[number])
+
+    def _plan(self, number: int, process: Process, anew: bool = False) -> None:
+        assert process.node is not None
+        due = max(self.now, (process.node.due() - process.offset) / process.rate)
+        if anew or due < process.due:
+            process.due = due
+            self._push(due, number, "tick")
+
+    def _gap(self, process: Process) -> float:
+        return self.random.expovariate(process.demand / 1_000.0)
+
+    def _want(self, number: int, process: Process) -> None:
+        if process.demand > 0:
+            self._push(self.now + self._gap(process), number, "want")
+        if process.node is not None and not process.stopped and process.node.spend(
+                self.clock(process), self.unix(), BUDGET):
+            self.spends.append((self.now, number))
+
+    def _send(self, number: int, datagrams: list[Any]) -> None:
+        for address, data in datagrams:
+            self.messages += 1
+            self.bytes += len(data)
+            target = self.numbers.get(address)
+            if target is None:
+                continue
+            for delay in self.weather.fate(self.now / 1_000.0, number, target):
+                self._push(self.now + delay, target, (self.addresses[number], data))
+
+    # Figures.
+
+    def live(self) -> list[Node]:
+        return [p.node for p in self.processes if p.node is not None]
+
+    def sums_agree(self) -> bool:
+        """Every live process sums up the same, and as much as the fleet has spent up to the last versions."""
+        return len({tuple(sorted(node.counts.sums().items())) for node in self.live()}) == 1
+
+
+def excess(times: list[float], units: int, window_ms: float) -> tuple[int, int]:
+    """Of units spent at these true times, in order: those that came when the window before them, of any start, had the
+    whole budget already, and the most in one window."""
+    over = most = 0
+    for place, at in enumerate(times):
+        inside = place + 1 - bisect_left(times, at - window_ms + 1e-6)
+        most = max(most, inside)
+        over += inside > units
+    return over, most
+
+
+def measure(emulator: Emulator) -> dict[str, Any]:
+    """The figures of a run."""
+    e = emulator
+    times = [at for at, _ in e.spends]
+    over, most = excess(times, e.units, e.window_ms)
+    terms = e.terms
+    rested = (terms.lease_ms * (1 + terms.drift) / (1 - terms.drift) + e.window_ms * (1 + terms.drift))
+    begin = rested + CALM * e.seconds * 1_000.0 + 1_000.0
+    span = max(0.0, e.seconds * 1_000.0 - begin)
+    used = sum(at >= begin for at in times)
+    wanted = sum(p.demand for p in e.processes) * span / 1_000.0
+    budget = e.units * span / e.window_ms
+    detected = sorted(at for ats in e.detected.values() for at in ats)
+    live = e.live()
+    return {
+        "nodes": e.count, "seed": e.seed, "seconds": e.seconds, "units": e.units, "window_ms": e.window_ms,
+        "overspend": over, "most_in_a_window": most, "spent": len(times),
+        "utilisation": round(used / min(budget, wanted), 4) if min(budget, wanted) > 0 else None,
+        "demand_over_budget": round(wanted / budget, 3) if budget else None,
+        "converge_s": e.agreed_at,
+        "false_suspicions": e.false_suspicions + sum(node.members.false_suspicions for node in live),
+        "detect_s": {"p50": round(detected[len(detected) // 2] / 1e3, 2), "max": round(detected[-1] / 1e3, 2)}
+        if detected else None,
+        "bytes_per_node_s": round(e.bytes / e.count / e.seconds, 1), "messages": e.messages, "events": e.events,
+        "members": {"least": min((n.members.size for n in live), default=0),
+                    "most": max((n.members.size for n in live), default=0)},
+        "counted": dict(sorted(sum((n.counted for n in live), start=type(live[0].counted)()).items())) if live else {}}
+
+
+def settle(emulator: Emulator, every_ms: float = 500.0) -> None:
+    """From the last heal on nothing more is wanted; note when all live processes sum up alike."""
+    healed = emulator.script.healed_at * 1_000.0
+    healed = max([healed, *(act.at * 1_000.0 for act in emulator.script.acts)])
+    looked = 0.0
+
+    def step(e: Emulator) -> None:
+        nonlocal looked
+        if e.now < healed or e.agreed_at is not None or e.now - looked < every_ms:
+            return
+        looked = e.now
+        for process in e.processes:
+            process.demand = 0.0
+        if e.now > healed and e.sums_agree():
+            e.agreed_at = round((e.now - healed) / 1_000.0, 2)
+    emulator.on_step = step
