Wire the fleet's state into the program behind [fleet], with a fault relay and runner

Need: operators turn the shared state on by their file; tests need processes of the program with faults between them. Change: fleet/service.py owns the UDP socket and the timer; a tenant's budget marks requests over it, which the module puts last (api.Request.over, no line more under policy); judgements of enough others reach the module as the workers' do. Off without [fleet]: nothing of it is imported. lab/faults/relay.py and runner.py start N processes, cut, kill, stop them.

--- a/frostspindle/config.py
+++ b/frostspindle/config.py
@@ -146,6 +146,38 @@
     rule: list[TenantRule] = []
 
 
+class FleetSeed(Struct, forbid_unknown_fields=True):
+    """A coordinator that others join the fleet at; all of them are the homes of the budgets' rights."""
+
+    name: Annotated[str, Meta(min_length=1, max_length=64)]
+    address: str
+
+
+class FleetBudget(Struct, forbid_unknown_fields=True):
+    """So many units in any window, of all coordinators together."""
+
+    name: Annotated[str, Meta(min_length=1, max_length=16)]
+    units: Annotated[int, Meta(ge=1, le=10_000_000)]
+    window_ms: Annotated[float, Meta(ge=100, le=600_000)] = 1_000.0
+    tenant: str = ""  # each request of this tenant is one unit; one over the budget goes last
+
+
+class Fleet(Struct, forbid_unknown_fields=True):
+    """This coordinator's part in a fleet; seeds, budgets, lease and drift must be the same everywhere."""
+
+    listen: str
+    seed: Annotated[list[FleetSeed], Meta(min_length=1, max_length=256)]
+    advertise: str = ""  # where others reach it, if that is not `listen`
+    name: str = ""  # in the fleet; else the configuration's
+    budget: Annotated[list[FleetBudget], Meta(max_length=32)] = []
+    lease_ms: Annotated[float, Meta(ge=1_000, le=600_000)] = 5_000.0
+    drift: Annotated[float, Meta(ge=0, le=0.2)] = 0.055
+    probe_ms: Annotated[float, Meta(ge=100, le=60_000)] = 1_000.0
+    timeout_ms: Annotated[float, Meta(ge=20, le=10_000)] = 300.0
+    judges: Annotated[int, Meta(ge=2)] = 3  # one coordinator alone never speaks for others
+    verdict_ms: Annotated[float, Meta(ge=1_000, le=600_000)] = 10_000.0
+
+
 class Cores(Struct, forbid_unknown_fields=True):
     """How many processes serve, and when one of them is given up."""
 
@@ -163,6 +195,7 @@
     tenant: list[Tenant] = []
     default_tenant: str = "default"  # of requests that no rule fits
     cores: Cores = msgspec.field(default_factory=Cores)
+    fleet: Fleet | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -244,6 +277,8 @@
     if operator.snmp:
         address(operator.snmp.listen, "snmp.listen")
     _check_tenants(operator)
+    if operator.fleet:
+        _check_fleet(operator, operator.fleet)
     return operator
 
 
@@ -263,6 +298,28 @@
                 raise ConfigError(f"{key}: {_one_line(error)}") from None
 
 
+def _check_fleet(operator: Operator, fleet: Fleet) -> None:
+    for key, text in (("listen", fleet.listen), ("advertise", fleet.advertise or fleet.listen),
+                      *((f"seed[{n}].address", seed.address) for n, seed in enumerate(fleet.seed))):
+        if ":" in address(text, f"fleet.{key}")[0]:
+            raise ConfigError(f"fleet.{key}: not an IPv4 address: {text!r}")
+    for what, names in (("seed", [seed.name for seed in fleet.seed]), ("budget", [b.name for b in fleet.budget])):
+        for number, name in enumerate(names):
+            if name in names[:number]:
+                raise ConfigError(f"fleet.{what}[{number}].name: {name!r} stands there twice")
+    shares = {tenant.name: tenant.share_per_s for tenant in operator.tenant}
+    bound: set[str] = set()
+    for number, budget in enumerate(fleet.budget):
+        key = f"fleet.budget[{number}].tenant"
+        if budget.tenant and budget.tenant not in shares:
+            raise ConfigError(f"{key}: there is no [[tenant]] {budget.tenant!r}")
+        if budget.tenant in bound:
+            raise ConfigError(f"{key}: {budget.tenant!r} has a budget already")
+        if shares.get(budget.tenant):
+            raise ConfigError(f"{key}: {budget.tenant!r} has a share_per_s too; one of both bounds it")
+        bound |= {budget.tenant} - {""}
+
+
 def tenant_index(operator: Operator) -> tuple[Index, dict[str, int]] | None:
     """The rules compiled, and the module's number of each tenant; None where there are none."""
     if not operator.tenant:
@@ -333,6 +390,10 @@
     operator_file = environ.get("FROSTSPINDLE_OPERATOR", "")
     operator = read_operator(operator_file, classes, document.limits)
     _read_cores(operator.cores, environ, document.limits)
+    if operator.fleet and operator.cores.workers > 1:
+        raise ConfigError("fleet: needs cores.workers = 1")
+    if operator.fleet and not (operator.fleet.name or environ.get("LB_NAME") or document.name):
+        raise ConfigError("fleet.name: not set, and no name in LB_CONFIG")
     desk = environ.get("LB_OPERATOR") or document.operator
     plan = TdsPlan({}, {})
     if operator.tenant:
--- a/frostspindle/core.py
+++ b/frostspindle/core.py
@@ -202,6 +202,8 @@
         # Of a worker among several: asked before each send, and told of engines whose work has changed.
         self.fence: Callable[[EngineState, Attempt], bool] | None = None
         self.watch: Callable[[int, tuple[float, ...]], None] | None = None
+        # In a fleet: whether one more request of a tenant is within what all coordinators may take of it.
+        self.within: Callable[[int], bool] | None = None
         self._records: dict[int, Record] = {}
         self._open = self._numbers = self._version = 0
         self._urgent: deque[Any] = deque()  # the engine list; never waits behind client work
@@ -455,7 +457,7 @@
         self._at(ask.taken_ms + ask.left_ms, _Overdue(ask.number))
         self.events.count("taken", ask.front, self.classes[ask.cls][1])
         self._tell(now, api.Request(ask.number, ask.cls, ask.tenant, 0, left_ms, ask.cost_ms, ask.memory_mb,
-                                    float(ask.group)))
+                                    float(ask.group), self.within is not None and not self.within(ask.tenant)))
 
     def _leave(self, now: float, number: int, why: str) -> None:
         record = self._records.get(number)
--- /dev/null
+++ b/frostspindle/lab/faults/runner.py
@@ -0,0 +1,233 @@
+"""Starts processes of the program as a fleet, does to them what a script says, and collects what they tell.
+
+Owns the processes, their files and their logs, and ends all that it started, by their ids. It must never listen
+anywhere but on loopback and never judge a run: it hands out the log lines and figures.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+import socket
+import sys
+import tempfile
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+from frostspindle.cli import operate
+from frostspindle.lab.engines import Bus, Engine, document, host
+from frostspindle.lab.faults.relay import Relay
+from frostspindle.lab.faults.script import Script
+
+SIGNALS = {"kill": signal.SIGKILL, "stop": signal.SIGSTOP, "cont": signal.SIGCONT}
+READY_S = 30.0
+
+
+def free_port(kind: int = socket.SOCK_DGRAM) -> int:
+    """A port of loopback that was free a moment ago, and will not be drawn again soon by the kernel."""
+    with socket.socket(socket.AF_INET, kind) as line:
+        line.bind(("127.0.0.1", 0))
+        return int(line.getsockname()[1])
+
+
+class Process:
+    """One coordinator: its files, its current process, and all log lines of all its processes."""
+
+    def __init__(self, number: int, folder: Path) -> None:
+        self.number, self.folder = number, folder
+        self.lines: list[dict[str, Any]] = []
+        self.child: asyncio.subprocess.Process | None = None
+        self.reader: asyncio.Task[None] | None = None
+        self.http = self.desk = 0
+        self.lives = 0
+        self.changed = asyncio.Event()
+
+    @property
+    def name(self) -> str:
+        return f"c{self.number}"
+
+    def events(self, name: str, **fields: Any) -> list[dict[str, Any]]:
+        return [line for line in self.lines if line.get("event") == name
+                and all(line.get(key) == value for key, value in fields.items())]
+
+    async def start(self) -> None:
+        self.lives += 1
+        self.child = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "frostspindle", stderr=asyncio.subprocess.PIPE, env={
+                **os.environ, "LB_CONFIG": str(self.folder / "config.json"), "TMPDIR": str(self.folder),
+                "FROSTSPINDLE_OPERATOR": str(self.folder / "operator.toml"), "LB_NAME": self.name,
+                "LB_LISTEN": f"127.0.0.1:{self.http}", "LB_OPERATOR": f"127.0.0.1:{self.desk}"})
+        self.reader = asyncio.create_task(self._read(self.child))
+
+    async def _read(self, child: asyncio.subprocess.Process) -> None:
+        assert child.stderr is not None
+        async for line in child.stderr:
+            try:
+                self.lines.append({"life": self.lives, **json.loads(line)})
+            except json.JSONDecodeError:
+                self.lines.append({"life": self.lives, "event": "text", "text": line.decode(errors="replace")})
+            self.changed.set()
+
+    async def until(self, true: Callable[[], Any], within_s: float = READY_S) -> Any:
+        """Wait for log lines until something holds."""
+        async with asyncio.timeout(within_s):
+            while not (found := true()):
+                self.changed.clear()
+                await self.changed.wait()
+        return found
+
+    async def figures(self, call: str = "show-fleet") -> dict[str, Any]:
+        """What the operators' port answers."""
+        answer = await asyncio.to_thread(operate, ("127.0.0.1", self.desk), call)
+        return dict(json.loads(answer.splitlines()[0]))
+
+    def send_signal(self, number: int) -> None:
+        if self.child is not None and self.child.returncode is None:
+            self.child.send_signal(number)
+
+    async def end(self, number: int = signal.SIGTERM) -> int | None:
+        if self.child is None:
+            return None
+        self.send_signal(signal.SIGCONT)
+        self.send_signal(number)
+        try:
+            async with asyncio.timeout(20.0):
+                code = await self.child.wait()
+        except TimeoutError:
+            self.child.kill()
+            code = await self.child.wait()
+        if self.reader is not None:
+            await self.reader
+        self.child = None
+        return code
+
+
+class Fleet:
+    """So many coordinators with the relay between them, and engines and a bus that they share."""
+
+    def __init__(self, count: int, script: Script, seed: int, fleet: str = "", tenants: str = "", engines: int = 2,
+                 delay_s: float = 0.0, homes: int = 0) -> None:
+        self.count, self.script, self.fleet, self.tenants = count, script, fleet, tenants
+        self.homes = homes or count
+        self.relay = Relay(count, script, seed)
+        self.engines = [Engine(f"toy-{n}", delay_s) for n in range(engines)]
+        self.bus = Bus()
+        self.folder = tempfile.TemporaryDirectory()
+        self.processes = [Process(n, Path(self.folder.name, f"c{n}")) for n in range(count)]
+        self.script_task: asyncio.Task[None] | None = None
+        self.done: list[tuple[float, str, int]] = []  # acts, at their Unix times
+
+    async def start(self) -> Fleet:
+        for engine in self.engines:
+            await engine.start()
+        await self.bus.start()
+        self.bus.say(*(host(f"toy-{n}", engine.port) for n, engine in enumerate(self.engines)), whole=True)
+        self.relay.start()
+        seeds = "".join(f'[[fleet.seed]]\nname = "c{n}"\naddress = "{self.relay.outside(n)}"\n'
+                        for n in range(self.homes))
+        config = document(self.bus.events[0]["topology"]["hosts"], self.bus.port)
+        for process in self.processes:
+            process.folder.mkdir()
+            process.http, process.desk = free_port(socket.SOCK_STREAM), free_port(socket.SOCK_STREAM)
+            inside = ("127.0.0.1", free_port())
+            self.relay.place(process.number, inside)
+            (process.folder / "config.json").write_text(json.dumps(config))
+            (process.folder / "operator.toml").write_text(
+                f'{self.tenants}\n[fleet]\nlisten = "127.0.0.1:{inside[1]}"\n'
+                f'advertise = "{self.relay.outside(process.number)}"\n{self.fleet}\n{seeds}')
+        for process in self.processes:
+            await process.start()
+        for process in self.processes:
+            await process.until(lambda p=process: p.events("ready") and p.events("fleet"))
+        return self
+
+    def begin(self) -> None:
+        """The script's time begins."""
+        self.relay.begin()
+        self.script_task = asyncio.create_task(self._play())
+
+    async def _play(self) -> None:
+        for act in self.script.acts:
+            await asyncio.sleep(max(0.0, act.at - self.relay.now))
+            process = self.processes[act.node]
+            if act.kind == "start":
+                await process.start()
+            else:
+                process.send_signal(SIGNALS[act.kind])
+                if act.kind == "kill":
+                    await process.end(signal.SIGKILL)
+            self.done.append((asyncio.get_running_loop().time(), act.kind, act.node))
+
+    async def figures(self) -> list[dict[str, Any]]:
+        """Of all that live."""
+        return list(await asyncio.gather(*(p.figures() for p in self.processes if p.child is not None)))
+
+    async def until(self, true: Callable[[list[dict[str, Any]]], bool], within_s: float) -> list[dict[str, Any]]:
+        """Ask all for their figures until something holds of them."""
+        async with asyncio.timeout(within_s):
+            while True:
+                found = await self.figures()
+                if true(found):
+                    return found
+                await asyncio.sleep(0.1)
+
+    async def close(self) -> list[int | None]:
+        """End all; their exit codes."""
+        if self.script_task is not None:
+            self.script_task.cancel()
+        codes = list(await asyncio.gather(*(process.end() for process in self.processes)))
+        self.relay.close()
+        self.folder.cleanup()
+        return codes
+
+
+async def demand(port: int, rate: float, ended: asyncio.Event, header: str = "X-Team: blue", lines: int = 8,
+                 first: int = 1) -> dict[int, int]:
+    """So many requests a second over some connections until the event; how many answers had which status.
+
+    A connection that is refused or breaks is opened anew: the process may be dead, stopped or not there yet.
+    """
+    statuses: dict[int, int] = {}
+
+    async def line(number: int) -> None:
+        writer: asyncio.StreamWriter | None = None
+        ticket = first * 1_000_000 + number * 100_000
+        while not ended.is_set():
+            try:
+                async with asyncio.timeout(3.0):
+                    if writer is None:
+                        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+                    ticket += 1
+                    writer.write(f"POST /call/lookup HTTP/1.1\r\nHost: f\r\nX-Request-Id: {ticket:016x}\r\n"
+                                 f"X-Timeout-Ms: 2000\r\nX-Cost-Ms: 10\r\nX-Memory: 16\r\n{header}\r\n"
+                                 "Content-Length: 8\r\n\r\nSELECT 1".encode())
+                    head = (await reader.readuntil(b"\r\n\r\n")).lower()
+                    await reader.readexactly(int(head.split(b"content-length:")[1].split(b"\r\n")[0]))
+                    status = int(head.split()[1])
+                    statuses[status] = statuses.get(status, 0) + 1
+            except (OSError, TimeoutError, asyncio.IncompleteReadError, IndexError):
+                if writer is not None:
+                    writer.close()
+                writer = None
+            await asyncio.sleep(lines / rate)
+        if writer is not None:
+            writer.close()
+
+    await asyncio.gather(*(line(number) for number in range(lines)))
+    return statuses
+
+
+def overspent(spans: list[tuple[float, float, int]], units: int, window_s: float) -> int:
+    """Of units that were spent within spans of time: how many more than `units` lie for certain within one window.
+
+    A span counts only where it lies whole within the window, so that this is never more than what was overspent.
+    """
+    spans = sorted(spans)
+    worst = 0
+    for begin, _, _ in spans:
+        inside = sum(count for since, until, count in spans if since >= begin and until <= begin + window_s)
+        worst = max(worst, inside - units)
+    return worst
--- a/frostspindle/program.py
+++ b/frostspindle/program.py
@@ -67,12 +67,15 @@
             if self.tds:
                 self.tds.tenant = lambda login, at, statement: tenant(Facts(
                     "tds", at, {}, login.user, login.application, login.database, schema(statement)))
+        self.fleet = self._fleet() if config.operator.fleet else None
         self.agent: Any = None
         self.desk: Desk | None = None
         if config.desk:
             self.desk = Desk(config.desk, {"ready": self.ready, "show-stat": self.core.figures, "drain": self.drain,
                                            "resume": self.resume, "disable-server": self.disable,
                                            "enable-server": self.enable}, self.events)
+            if self.fleet:
+                self.desk.does["show-fleet"] = self.fleet.figures
         self.shared = link or Shared(config.environ, config.name, self.events)
         if link is not None:
             link.bind(self)
@@ -80,6 +83,24 @@
         self.stopping, self.failed = asyncio.Event(), False
         self.tasks: list[asyncio.Task[Any]] = []
 
+    def _fleet(self) -> Any:
+        """This coordinator's part in a fleet, where the operator's file has one."""
+        from frostspindle.fleet.node import Budget, Terms
+        from frostspindle.fleet.service import Service
+
+        fleet = self.config.operator.fleet
+        assert fleet is not None
+        terms = Terms({seed.name: configuration.address(seed.address, "fleet.seed") for seed in fleet.seed},
+                      tuple(Budget(b.name, b.units, b.window_ms) for b in fleet.budget), fleet.lease_ms, fleet.drift,
+                      fleet.probe_ms, fleet.timeout_ms, fleet.judges, fleet.verdict_ms)
+        numbers = {tenant.name: number for number, tenant in enumerate(self.config.operator.tenant, 1)}
+        service = Service(fleet.name or self.config.name, configuration.address(fleet.listen, "fleet.listen"),
+                          configuration.address(fleet.advertise, "fleet.advertise") if fleet.advertise else None,
+                          terms, {numbers[b.tenant]: b.name for b in fleet.budget if b.tenant}, self.core, self.events)
+        if service.tenants:
+            self.core.within = service.within
+        return service
+
     async def start(self) -> None:
         if self.desk:
             try:
@@ -94,6 +115,8 @@
             task.add_done_callback(self._ended)
             self.tasks.append(task)
         self.tasks.append(asyncio.create_task(self._memory()))
+        if self.fleet:
+            await self.fleet.start()
         if self.tds and self.tds_driver:
             self.tds_driver.configure(self.tds.tds.engine, ListKind.FULL)
             await self.tds.start(self.config.inherited is not None, self.config.tds_listener)
@@ -203,6 +226,8 @@
             fresh = configuration.read(self.config.environ)
             if fresh.operator.cores != self.config.operator.cores:
                 raise ConfigError("cores: needs a new start")
+            if fresh.operator.fleet != self.config.operator.fleet:
+                raise ConfigError("fleet: needs a new start")
             if fresh.operator.tenant != self.config.operator.tenant:
                 raise ConfigError("tenant: needs a new start")
             if self.tds and self.tds_driver:
@@ -266,6 +291,8 @@
             self.agent.close()
         if self.desk:
             self.desk.close()
+        if self.fleet:
+            self.fleet.close()
         self.shared.close()
         await self.driver.close()
         for task in self.tasks:
--- a/pinstage/control.py
+++ b/pinstage/control.py
@@ -222,7 +222,7 @@
             self.sizes.usual(job.cls, self.sizes.cost(job.cls, job.hint))
         self._size(job)
         self.sizes.seen(job.cost)
-        job.over = self._over_share(job, now)
+        job.over = event.over or self._over_share(job, now)
         heapq.heappush(self.deadlines, (job.deadline, job.request))
         if job.deadline - MARGIN_MS < now + LOOK_MS:
             self.out.append(api.Remind(1, max(now, job.deadline - MARGIN_MS)))  # before the next own turn
--- a/pinstage/interface.py
+++ b/pinstage/interface.py
@@ -174,6 +174,7 @@
     cost_ms: float
     memory_mb: float
     group: float
+    over: bool = False  # over the tenant's share, as all dispatchers together count it
 
 
 class Started(NamedTuple):
--- /dev/null
+++ b/tests/test_fleet_processes.py
@@ -0,0 +1,94 @@
+"""Several processes of the program with the fault relay between them: their logs and figures are what is checked."""
+
+import asyncio
+import unittest
+
+from frostspindle.lab.faults.runner import Fleet, demand, overspent
+from frostspindle.lab.faults.script import parse
+
+TENANTS = '[[tenant]]\nname = "blue"\n[[tenant.rule]]\nheader = "X-Team=blue"\n'
+FLEET = ('lease_ms = 2000\nprobe_ms = 400\ntimeout_ms = 120\njudges = 2\nverdict_ms = 3000\n'
+         '[[fleet.budget]]\nname = "blue"\nunits = {units}\ntenant = "blue"\n')
+UNITS = 100
+
+
+def spans(fleet: Fleet) -> list[tuple[float, float, int]]:
+    return [(line["since"], line["until"], line["units"]) for p in fleet.processes for line in p.events("fleet_spent")]
+
+
+class ProcessesCase(unittest.IsolatedAsyncioTestCase):
+    async def fleet(self, count: int, script: str, units: int = UNITS, **kw) -> Fleet:
+        fleet = Fleet(count, parse(script, count), 7, FLEET.format(units=units), TENANTS, **kw)
+        self.codes = None
+
+        async def end() -> None:
+            if self.codes is None:
+                self.codes = await fleet.close()
+        self.addAsyncCleanup(end)
+        await fleet.start()
+        await fleet.until(lambda all_: all(f.get("size") == count for f in all_), 20.0)
+        return fleet
+
+    async def test_five_processes_cut_two_from_three_and_one_killed_never_pass_the_budget(self):
+        fleet = await self.fleet(5, "0- loss 0.05; 0- dup 0.1; 0- reorder 0.1; 4-10 cut 0-1|2-4; 6 kill 4; 8 start 4; "
+                                    "11 stop 1; 14 cont 1")
+        fleet.begin()
+        ended = asyncio.Event()
+        rates = (120.0, 40.0, 40.0, 40.0, 40.0)  # three times the budget, one with three times the others'
+        load = [asyncio.create_task(demand(p.http, rate, ended, first=p.number + 1))
+                for p, rate in zip(fleet.processes, rates, strict=True)]
+        async with asyncio.timeout(40.0):
+            while fleet.relay.now < 18.0:
+                await asyncio.sleep(0.05)
+        ended.set()
+        answers = await asyncio.gather(*load)
+
+        # Never more than the budget in any second, from what each process logged with its times.
+        self.assertEqual(overspent(spans(fleet), UNITS, 1.0), 0)
+        self.assertGreater(sum(units for _, _, units in spans(fleet)), 5 * UNITS)
+        # Both sides went on spending through the partition, from what they held.
+        began = min(line["ts"] for line in fleet.processes[0].events("fleet_spent"))
+        for side in ((0, 1), (2, 3)):
+            self.assertTrue([line for n in side for line in fleet.processes[n].events("fleet_spent")
+                             if began + 5.0 < line["ts"] < began + 9.0], side)
+        # A request over the share goes last, it is not lost.
+        self.assertGreater(sum(statuses.get(200, 0) for statuses in answers), 500)
+        # After the end, all sum up alike, within the stated time: 3 s after the load's end.
+        figures = await fleet.until(
+            lambda all_: len({f["sums"].get("spent:blue") for f in all_}) == 1 and all(f["size"] == 5 for f in all_)
+            and all(max(f["stale_ms"].values()) < 4_000 for f in all_), 10.0)
+        total = figures[0]["sums"]["spent:blue"]
+        logged = sum(units for _, _, units in spans(fleet))
+        # What the killed process spent in its last moments is in nobody's sums, and may be in no log line.
+        self.assertLessEqual(abs(total - logged), UNITS)
+        self.assertEqual(sum(f["budgets"]["blue"]["spent"] for f in figures) <= total, True)
+        # The one that was killed came back without rights, and with a later epoch.
+        epochs = [line["epoch"] for line in fleet.processes[4].events("fleet")]
+        self.assertEqual(len(epochs), 2)
+        self.assertLess(epochs[0], epochs[1])
+        self.codes = await fleet.close()
+        self.assertEqual(self.codes, [0] * 5)
+        self.assertEqual([line for p in fleet.processes for line in p.lines if line["event"] in ("fault", "text")], [])
+
+    async def test_two_of_three_who_call_an_engine_sick_are_heard_and_one_alone_is_not(self):
+        fleet = await self.fleet(4, "", engines=3, delay_s=0.0)
+        fleet.begin()
+        bad = "toy-0"
+        for process in fleet.processes[:1]:
+            self.assertTrue((await self.operate(process, f"disable-server {bad}")).startswith("ACK"))
+        await fleet.until(lambda all_: sum(any(v["engine"] == bad and v["kind"] == "banned" and v["judges"] == 1
+                                               for v in f["verdicts"]) for f in all_) == 3, 8.0)
+        alone = [v["counts"] for f in await fleet.figures() for v in f["verdicts"] if v["kind"] == "banned"]
+        self.assertFalse(any(alone))
+        self.assertTrue((await self.operate(fleet.processes[1], f"disable-server {bad}")).startswith("ACK"))
+        await fleet.until(lambda all_: sum(any(v["engine"] == bad and v["kind"] == "banned" and v["counts"]
+                                               for v in f["verdicts"]) for f in all_) >= 2, 8.0)
+        # Withdrawn by its makers, it ends everywhere.
+        for process in fleet.processes[:2]:
+            await self.operate(process, f"enable-server {bad}")
+        await fleet.until(lambda all_: not any(v["kind"] == "banned" for f in all_ for v in f["verdicts"]), 8.0)
+
+    async def operate(self, process, call: str) -> str:
+        from frostspindle.cli import operate
+
+        return await asyncio.to_thread(operate, ("127.0.0.1", process.desk), call)
