Add the commands fleet and lab fleet, a page with plots, and the bench of the fleet's state

Need: operators want to read the fleet's view, and to try faults and budgets out before they set them.

--- /dev/null
+++ b/bench/fleet_state.py
@@ -0,0 +1,169 @@
+"""Measures the fleet's shared state: overspending, use, convergence, bytes and detection, emulated and on sockets.
+
+    python bench/fleet_state.py [--runs 500] [--sizes 3,30,300,3000] [--processes 9] [--out FILE]
+
+Prints one JSON object. Runs are seeded; those on sockets depend on the machine.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import json
+import os
+import random
+import sys
+import time
+from concurrent.futures import ProcessPoolExecutor
+from statistics import median
+from typing import Any
+
+sys.path.insert(0, os.path.join(os.path.dirname(__file__), ".."))
+
+from frostspindle.lab.faults.script import parse  # noqa: E402
+from frostspindle.lab.fleet import Emulator, measure, settle  # noqa: E402
+
+
+def mixed(seed: int) -> dict[str, Any]:
+    """One run with faults of all kinds, drawn from the seed."""
+    draw = random.Random(seed)
+    count = draw.choice((3, 5, 7, 9))
+    some = draw.sample(range(count), count)
+    half = draw.randrange(1, count)
+    parts = [f"0- loss {draw.choice((0, 0.05, 0.3))}", f"0- dup {draw.choice((0, 0.1, 0.5))}",
+             f"0- reorder {draw.choice((0, 0.2, 0.5))}", f"0- delay {draw.choice(('0-1', '1-20', '20-200'))}",
+             f"clock {some[0]} {draw.choice((1.0, 1.05, 0.95))}"]
+    at = draw.uniform(8.0, 25.0)
+    parts.append(f"{at:.2f}-{at + draw.uniform(2.0, 25.0):.2f} cut {','.join(map(str, some[:half]))}|"
+                 f"{','.join(map(str, some[half:]))}")
+    parts.append(f"{at:.2f}-{at + 10:.2f} oneway {some[0]}>{some[1]}")
+    for _ in range(draw.randrange(4)):
+        node, when = draw.randrange(count), draw.uniform(5.0, 40.0)
+        parts += [f"{when:.2f} kill {node}", f"{when + draw.uniform(0.05, 8.0):.2f} start {node}"]
+    for _ in range(draw.randrange(3)):
+        node, when = draw.randrange(count), draw.uniform(5.0, 40.0)
+        parts += [f"{when:.2f} stop {node}", f"{when + draw.uniform(0.2, 20.0):.2f} cont {node}"]
+    hot, over, units = draw.choice((1.0, 10.0)), draw.choice((0.6, 1.5, 3.0)), count * draw.choice((5, 20, 60))
+    emulator = Emulator(count, seed, parse("; ".join(parts), count), 55.0, units, demand=lambda n: (
+        hot if n == 0 else 1.0) * units * over / (count - 1 + hot))
+    emulator.run()
+    return measure(emulator)
+
+
+def sized(count: int, seed: int = 1) -> dict[str, Any]:
+    """Half of the fleet cut off for 30 s; then how long until all sum up alike; bytes of the whole run."""
+    half = f"0-{count // 2 - 1}|{count // 2}-{count - 1}" if count > 3 else "0|1-2"
+    seconds = 120.0 if count < 1_000 else 75.0
+    cut = "" if count >= 1_000 else f"20-50 cut {half}"
+    began = time.perf_counter()
+    emulator = Emulator(count, seed, parse(cut or "40 cont 0", count), seconds, 20 * count,
+                        demand=lambda n: 2.0 if count < 1_000 else 0.2, homes=min(count, 64))
+    settle(emulator, 1_000.0)
+    emulator.run()
+    figures = measure(emulator)
+    return {key: figures[key] for key in ("nodes", "overspend", "converge_s", "bytes_per_node_s", "messages",
+                                          "members", "false_suspicions")} | {
+        "partition": bool(cut), "took_s": round(time.perf_counter() - began, 1)}
+
+
+def use(count: int, each: int, over: float) -> dict[str, Any]:
+    """A calm fleet, the first coordinator wants ten times the others'."""
+    units = count * each
+    emulator = Emulator(count, 1, parse("", count), 40.0, units, demand=lambda n: (
+        10.0 if n == 0 else 1.0) * units * over / (count + 9))
+    emulator.run()
+    figures = measure(emulator)
+    return {"nodes": count, "units_each": each, "demand": over, "utilisation": figures["utilisation"],
+            "overspend": figures["overspend"]}
+
+
+def sides(each: int) -> dict[str, Any]:
+    """Two cut off from three: what each side uses of what its homes hold."""
+    units = 5 * each
+    emulator = Emulator(5, 1, parse("20-60 cut 0-1|2-4", 5), 60.0, units, demand=lambda n: each * 2.0)
+    emulator.run()
+    rights = emulator.processes[0].node.budgets["shared"].rights
+    out = {"units_each": each, "overspend": measure(emulator)["overspend"]}
+    for name, side in (("two", (0, 1)), ("three", (2, 3, 4))):
+        used = sum(at >= 30_000.0 and n in side for at, n in emulator.spends) / 30.0
+        out[name] = round(used / (len(side) * each), 3)
+    return out | {"most_possible": round(1_000.0 / (rights.rest_ms + rights.grain / 2), 3)}
+
+
+def detection(seed: int) -> dict[str, Any]:
+    """Under 30 percent loss: how soon a killed one is held for dead, and who is suspected that lives."""
+    emulator = Emulator(9, seed, parse("0- loss 0.3; 30 kill 8", 9), 90.0, 180, demand=lambda n: 1.0)
+    emulator.run()
+    figures = measure(emulator)
+    dead = sum(node.members.deaths for node in emulator.live())
+    return {"detect_s": [round(at / 1e3, 2) for at in sorted(emulator.detected.get(8, []))],
+            "false_suspicions": figures["false_suspicions"], "declared_dead_by_own_timer": dead}
+
+
+async def sockets(count: int) -> dict[str, Any]:
+    """The program itself: so many processes, 30 percent of the messages lost, one cut off and one killed."""
+    from frostspindle.lab.faults.runner import Fleet, demand, overspent
+
+    fleet = Fleet(count, parse(f"4-9 cut 0-{count // 2 - 1}|{count // 2}-{count - 1}; 6 kill 1; 8 start 1; "
+                               "0- loss 0.1; 0- dup 0.1", count), 1,
+                  'lease_ms = 2000\nprobe_ms = 400\ntimeout_ms = 120\n[[fleet.budget]]\nname = "blue"\n'
+                  f'units = {20 * count}\ntenant = "blue"\n',
+                  '[[tenant]]\nname = "blue"\n[[tenant.rule]]\nheader = "X-Team=blue"\n')
+    try:
+        await fleet.start()
+        fleet.begin()
+        ended = asyncio.Event()
+        load = [asyncio.create_task(demand(p.http, 100.0 if p.number == 0 else 25.0, ended, first=p.number + 1))
+                for p in fleet.processes]
+        while fleet.relay.now < 14.0:
+            await asyncio.sleep(0.05)
+        ended.set()
+        await asyncio.gather(*load)
+        began = time.monotonic()
+        figures = await fleet.until(lambda all_: len({f["sums"].get("spent:blue") for f in all_}) == 1
+                                    and all(f["size"] == count for f in all_), 60.0)
+        agreed = time.monotonic() - began
+        spans = [(line["since"], line["until"], line["units"]) for p in fleet.processes
+                 for line in p.events("fleet_spent")]
+        return {"processes": count, "overspend": overspent(spans, 20 * count, 1.0),
+                "spent": sum(units for _, _, units in spans), "agree_after_load_s": round(agreed, 2),
+                "sum": figures[0]["sums"].get("spent:blue"),
+                "bytes_out_per_node_s": round(median(f["bytes_out"] for f in figures) / fleet.relay.now)}
+    finally:
+        await fleet.close()
+
+
+def main() -> None:
+    options = argparse.ArgumentParser()
+    options.add_argument("--runs", type=int, default=500)
+    options.add_argument("--sizes", default="3,30,300")
+    options.add_argument("--processes", type=int, default=9)
+    options.add_argument("--jobs", type=int, default=os.cpu_count() or 1)
+    options.add_argument("--out")
+    given = options.parse_args()
+    out: dict[str, Any] = {}
+    with ProcessPoolExecutor(given.jobs) as pool:
+        sizes = [pool.submit(sized, int(text)) for text in given.sizes.split(",") if text]
+        runs = list(pool.map(mixed, range(given.runs), chunksize=4))
+        out["mixed"] = {"runs": len(runs), "with_overspend": sum(r["overspend"] > 0 for r in runs),
+                        "overspend": sum(r["overspend"] for r in runs), "spent": sum(r["spent"] for r in runs)}
+        out["use"] = list(pool.map(use, *zip(*[(n, each, over) for n in (9, 30) for each in (20, 200)
+                                               for over in (1.3, 2.0)], strict=True)))
+        out["sides"] = list(pool.map(sides, (20, 200)))
+        found = list(pool.map(detection, range(20)))
+        times = sorted(at for one in found for at in one["detect_s"])
+        out["detection"] = {"runs": len(found), "detect_p50_s": median(times) if times else None,
+                            "detect_max_s": max(times, default=None), "found_by": len(times),
+                            "false_suspicions_a_run": median(one["false_suspicions"] for one in found)}
+        out["sizes"] = [future.result() for future in sizes]
+    if given.processes:
+        out["sockets"] = asyncio.run(sockets(given.processes))
+    text = json.dumps(out, indent=1)
+    print(text)
+    if given.out:
+        with open(given.out, "w", encoding="utf-8") as file:
+            file.write(text + "\n")
+
+
+if __name__ == "__main__":
+    main()
--- a/frostspindle/cli.py
+++ b/frostspindle/cli.py
@@ -261,3 +261,87 @@
             json.dump(result, file, indent=1)
     if plot:
         measuring.draw(result, plot)
+
+
+@cli.command()
+@click.option("--at", default="127.0.0.1:6566", show_default=True, help="The operators' address.")
+@click.option("--json", "as_json", is_flag=True, help="Print JSON.")
+def fleet(at: str, as_json: bool) -> None:
+    """Ask a running coordinator how it sees its fleet: members, budgets, sums, judgements."""
+    try:
+        place = at if at.startswith("/") else configuration.address(at, "--at")
+        answer = operate(place, "show-fleet")
+    except ConfigError as error:
+        click.echo(f"frostspindle: {error}", err=True)
+        sys.exit(BAD)
+    except OSError as error:
+        click.echo(f"frostspindle: {at}: {error}", err=True)
+        sys.exit(AWAY)
+    if answer.startswith("NAK"):
+        click.echo(f"frostspindle: {at}: no fleet there: {answer.strip()}", err=True)
+        sys.exit(BAD)
+    figures = json.loads(answer.splitlines()[0])
+    if as_json or "members" not in figures:
+        click.echo(json.dumps(figures, indent=2))
+        return
+    stale = figures["stale_ms"]
+    click.echo(f"{figures['name']}: {figures['size']} coordinators, health {figures['health']} (0 is well), "
+               f"{figures['false_suspicions']} false suspicions")
+    click.echo(f"\n{'member':<24}{'state':>10}{'word, s old':>14}")
+    for name, state in figures["members"].items():
+        click.echo(f"{name:<24}{state:>10}{stale[name] / 1000.0 if name in stale else float('nan'):>14.1f}")
+    columns = ("units", "own", "held", "ready", "lent", "borrowed", "need", "spent", "denied")
+    click.echo("\n" + f"{'budget':<17}" + "".join(f"{column:>10}" for column in columns))
+    for name, row in figures["budgets"].items():
+        click.echo(f"{name:<17}" + "".join(f"{row[column]:>10}" for column in columns))
+    for key, value in figures["sums"].items():
+        click.echo(f"fleet {key:<24}{value:>12}")
+    for row in figures["verdicts"]:
+        click.echo(f"{row['engine']} {row['kind']}: {row['judges']} others{', and we' if row['own'] else ''}"
+                   f"{'; counts' if row['counts'] else ''}")
+
+
+@cli.group()
+def lab() -> None:
+    """Try things out without serving: emulators and experiments."""
+
+
+@lab.command("fleet")
+@click.option("--nodes", default=9, show_default=True, type=click.IntRange(1, 10_000), help="Coordinators.")
+@click.option("--seed", default=1, show_default=True, help="The same seed gives the same run.")
+@click.option("--faults", default="", help="A script, as in '10-40 cut 0-3|4-8; 20 kill 2; 0- loss 0.3'.")
+@click.option("--seconds", default=60.0, show_default=True, type=click.FloatRange(1.0, 36_000.0), help="Simulated.")
+@click.option("--units", type=click.IntRange(1), help="The budget in each second; else 20 a coordinator.")
+@click.option("--demand", default=1.5, show_default=True, help="Wanted, as a part of the budget.")
+@click.option("--hot", default=10.0, show_default=True, help="The first coordinator wants so many times the others'.")
+@click.option("--settle", is_flag=True, help="From the last fault on nothing is wanted; measure when sums agree.")
+@click.option("--json", "as_json", is_flag=True, help="Print one JSON object.")
+@click.option("--report", type=click.Path(), help="Write a page with plots there (needs the extra `plot`).")
+def lab_fleet(nodes: int, seed: int, faults: str, seconds: float, units: int | None, demand: float, hot: float,
+              settle: bool, as_json: bool, report: str | None) -> None:
+    """Play a fleet's shared state under faults, on a simulated network and clocks."""
+    from frostspindle.lab import fleet as emulating
+    from frostspindle.lab.faults.script import BadScript, parse
+
+    if report and importlib.util.find_spec("matplotlib") is None:
+        raise click.UsageError("--report needs the extra: pip install -e '.[plot]'")
+    try:
+        script = parse(faults, nodes)
+    except BadScript as error:
+        raise click.BadParameter(str(error), param_hint="--faults") from None
+    whole = units or 20 * nodes
+    emulator = emulating.Emulator(nodes, seed, script, seconds, whole, demand=lambda n: (
+        hot if n == 0 else 1.0) * whole * demand / (nodes - 1 + hot))
+    if settle:
+        emulating.settle(emulator)
+    emulator.run()
+    figures = emulating.measure(emulator)
+    if report:
+        from frostspindle.lab.fleet_report import write
+
+        click.echo(f"wrote {write(emulator, figures, report)}", err=True)
+    if as_json:
+        click.echo(json.dumps(figures))
+        return
+    for key, value in figures.items():
+        click.echo(f"{key:<20}{value}")
