Join counts of an equal version, count suspicions by who made them, thin out what is passed on

At fault: Counts.merge passed over a row of a known version, though an origin counts on after it wrote and rows sent later hold more. Also seen: each relayer of a suspicion counted as one that confirms it; asks left empty loans behind (36 a coordinator of 200); every news round sorted all news. Change: rows of a known version are joined too and passed on if they held more; a suspicion names whose probe failed; no loan is kept of nothing; news is kept by how often it was sent; all rows of one member are pulled every two intervals.

--- a/frostspindle/fleet/counts.py
+++ b/frostspindle/fleet/counts.py
@@ -11,10 +11,12 @@
 
 from __future__ import annotations
 
+import heapq
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 
 from frostspindle.fleet import wire
+from frostspindle.fleet.rumours import Rumours
 from frostspindle.fleet.wire import Row
 
 MOST_ORIGINS, MOST_STREAMS, MOST_KEYS = 8_192, 64, 20  # a whole stream fits into one datagram
@@ -22,7 +24,7 @@
 EPOCHS = 8  # processes of one name whose counts are kept
 RELAYS = 4  # times that a row is passed on by each
 WHOLE_EVERY = 8  # so often an origin sends its whole row instead of a delta
-PUBLISH_MS, STEADY = 1_000.0, 8.0  # an origin writes so often in a fleet of up to STEADY times log2(size)
+PUBLISH_MS, STEADY = 1_000.0, 4.0  # an origin writes so often in a fleet of up to STEADY times log2(size)
 
 Key = tuple[str, int]  # name, window; window 0: in all
 Place = tuple[str, int, int]  # name, epoch, stream
@@ -59,7 +61,7 @@
         self.origins: dict[Place, Origin] = {(name, epoch, 0): Origin(made=now)}
         self.count: Callable[[str], None] = lambda what: None
         self._changed: dict[int, dict[Key, None]] = {0: {}}  # by stream, since its last version
-        self._news: dict[Place, tuple[int, int, tuple[Key, ...], int]] = {}  # times sent, base, keys, version
+        self._news: Rumours[Place, tuple[int, tuple[Key, ...], int]] = Rumours()  # base, keys, version
         self._window = 0
         self._published = now
 
@@ -89,7 +91,8 @@
                 mine.version += 1
                 mine.made = now
                 whole = mine.version % WHOLE_EVERY == 1
-                self._news[place] = (0, 0 if whole else mine.version - 1, () if whole else tuple(changed), mine.version)
+                word = (0, (), mine.version) if whole else (mine.version - 1, tuple(changed), mine.version)
+                self._news.put(place, word)
                 self._changed[stream] = {}
 
     def due(self, size: int) -> float:
@@ -97,7 +100,7 @@
 
     @property
     def pending(self) -> bool:
-        return bool(self._news)
+        return len(self._news) > 0
 
     # Others'.
 
@@ -112,22 +115,26 @@
                 self.count("fleet_rows_full")
                 return
             known = self.origins[place] = Origin(made=now - row.age_ms)
-        if row.version <= known.version:
-            if row.version == known.version:
-                known.made = max(known.made, now - row.age_ms)
+        if row.version < known.version:
             return
+        changed = False
         for key, window, plus, minus in row.entries:
             if window and window <= self._window - KEEP:
                 continue
             old = known.values.get((key, window))
             if old is None and len(known.values) >= MOST_KEYS:
                 self.count("fleet_keys_full")
-                continue
-            known.values[key, window] = (max(plus, old[0]), max(minus, old[1])) if old else (plus, minus)
-        if row.base <= known.version:  # a whole row stands on version 0
+            elif old is None or plus > old[0] or minus > old[1]:
+                known.values[key, window] = (max(plus, old[0]), max(minus, old[1])) if old else (plus, minus)
+                changed = True
+        if row.version == known.version:  # an origin counts on after it wrote: a row sent later may hold more
+            known.made = max(known.made, now - row.age_ms)
+            if changed:
+                self._news.put(place, (0, (), row.version))
+        elif row.base <= known.version:  # a whole row stands on version 0
             known.version, known.made = row.version, max(known.made, now - row.age_ms)
             keys = tuple((key, window) for key, window, _, _ in row.entries) if row.base else ()
-            self._news[place] = (0, row.base, keys, row.version)
+            self._news.put(place, (row.base, keys, row.version))
 
     def _room(self, place: Place) -> bool:
         """Processes of one name come for ever: the oldest make way, and never for one that is older still."""
@@ -138,7 +145,7 @@
                 return False
             for old in [old for old in self.origins if old[:2] == (place[0], epochs[0])]:
                 del self.origins[old]
-                self._news.pop(old, None)
+                self._news.drop(old)
             self.count("fleet_origins_dropped")
         return len(self.origins) < MOST_ORIGINS
 
@@ -160,23 +167,19 @@
 
     def news(self, now: float, room: int) -> Iterator[Row]:
         """Rows to pass on within so many bytes, those sent least often first."""
-        for place in sorted(self._news, key=lambda o: self._news[o][0])[:32]:
-            times, base, keys, version = self._news[place]
+        for place, (base, keys, version) in self._news.next(32):
             row = self._row(now, place, base if self.origins[place].version == version else 0, keys)
             room -= wire.size(row)
             if room < 0:
                 return
-            if times + 1 >= RELAYS:
-                del self._news[place]
-            else:
-                self._news[place] = (times + 1, base, keys, version)
+            self._news.sent(place, RELAYS)
             yield row
 
     def page(self, now: float, after: str, room: int) -> tuple[list[Row], str]:
         """Whole rows in the order of their places, and the place to go on after, "" at the end."""
         begin = _place(after)
         out: list[Row] = []
-        for place in sorted(place for place in self.origins if place > begin):
+        for place in heapq.nsmallest(33, (place for place in self.origins if place > begin)):
             row = self._row(now, place, 0, ())
             room -= wire.size(row)
             if out and (room < 0 or len(out) == 32):
--- a/frostspindle/fleet/escrow.py
+++ b/frostspindle/fleet/escrow.py
@@ -257,6 +257,8 @@
             self._close(lender, loan)
             loan = None
         if loan is None:
+            if not given:
+                return True  # nothing was to be had: there is no loan to keep
             loan = self.borrowed[lender] = Borrowed(epoch, series, asked + self.lease_ms, asked=asked)
         if given > loan.given:
             loan.pool.ready += given - loan.given
--- a/frostspindle/fleet/membership.py
+++ b/frostspindle/fleet/membership.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import heapq
 import math
 import random
 from collections.abc import Callable, Iterator
@@ -16,6 +17,7 @@
 
 from frostspindle.fleet import wire
 from frostspindle.fleet.incarnation import Chain, owned
+from frostspindle.fleet.rumours import Rumours
 from frostspindle.fleet.wire import ALIVE, DEAD, LEFT, SUSPECT, Claim
 
 Address = tuple[str, int]
@@ -94,7 +96,7 @@
         self.more: Callable[[], bool] = lambda: False  # whether there is other news to pass on
         self.false_suspicions = self.deaths = 0
         self.leaving = False
-        self._news: dict[str, tuple[int, Claim]] = {}  # times sent, claim
+        self._news: Rumours[str, Claim] = Rumours()
         self._seq = 0
         self._probe: _Probe | None = None
         self._errands: dict[int, _Errand] = {}
@@ -186,8 +188,7 @@
             # Lifeguard: who hears no word of its helpers either is likely the one in trouble.
             self._feel(1 + max(0, probe.helpers - probe.nacks) if probe.helpers else 1)
             if (member := self.alive.get(probe.target)) is not None and member.heard < probe.began:
-                member.confirmers.add(self.me.name)
-                self._apply(now, _as(member.claim, SUSPECT), "no answer to a probe")
+                self._apply(now, _as(member.claim, SUSPECT, self.me.name), "no answer to a probe")
 
     def _feel(self, worse: int) -> None:
         self.health = max(0, min(HEALTH_MOST, self.health + worse))
@@ -211,8 +212,9 @@
         """Ask seeds that are not here, and one of those that were lost: partitions end."""
         away = [(name, at) for name, at in self.seeds.items() if name not in self.alive]
         lost = [m.claim for m in self.members.values() if m.claim.state == DEAD]
-        if not self.alive:  # joining: all seeds, soon again
-            asked, self._join_wait = away, min(REJOIN_MS, 1.5 * self._join_wait)
+        if not self.alive:  # joining: some seeds, soon again
+            asked = self.random.sample(away, min(FANOUT, len(away)))
+            self._join_wait = min(REJOIN_MS, 1.5 * self._join_wait)
             self._rejoin_at = now + self._join_wait * (0.75 + 0.5 * self.random.random())
         else:
             asked = self.random.sample(away, min(1, len(away)))
@@ -239,22 +241,18 @@
             room -= wire.size(member.claim)
             yield member.claim
         most = RESEND * math.ceil(math.log10(self.size + 1))
-        for name in sorted(self._news, key=lambda n: self._news[n][0])[:32]:
-            times, claim = self._news[name]
+        for name, claim in self._news.next(32):
             room -= wire.size(claim)
             if room < 0:
                 return
-            if times + 1 >= most:
-                del self._news[name]
-            else:
-                self._news[name] = (times + 1, claim)
+            self._news.sent(name, most)
             if name != to:
                 yield claim
 
     def page(self, after: str, room: int) -> tuple[list[Claim], str]:
         """Claims in the order of names, and the last name, "" at the end."""
         out: list[Claim] = []
-        for name in sorted(name for name in self.members if name > after):
+        for name in heapq.nsmallest(33, (name for name in self.members if name > after)):
             claim = self.members[name].claim
             room -= wire.size(claim)
             if room < 0 or len(out) == 32:
@@ -291,7 +289,7 @@
         if claim.name == self.me.name:
             self._refute(now, claim, by)
         else:
-            self._apply(now, claim, f"told by {by}", by=by)
+            self._apply(now, claim, f"told by {by}")
 
     def on_ping(self, now: float, sender: str, ping: wire.Ping) -> None:
         if (member := self.members.get(sender)) is not None:  # also one that is held for dead: it has to hear so
@@ -345,7 +343,7 @@
             self._tell(self.me)
 
     def _tell(self, claim: Claim) -> None:
-        self._news[claim.name] = (0, claim)
+        self._news.put(claim.name, claim)
 
     def _contest(self, now: float, known: Member) -> None:
         """A new process in a living member's name: its own address decides, or its suspicion."""
@@ -355,7 +353,7 @@
             self._seq += 1
             self.out.append(Out(known.claim.address, known.claim.name, wire.Ping(self._seq)))
 
-    def _apply(self, now: float, claim: Claim, why: str, by: str = "", direct: bool = False) -> bool:
+    def _apply(self, now: float, claim: Claim, why: str, direct: bool = False) -> bool:
         """Take a claim if it is newer and its owner made its incarnation; False: it is not to be believed."""
         known = self.members.get(claim.name)
         if known is None:
@@ -364,7 +362,7 @@
             if len(self.members) >= MOST_MEMBERS:
                 self.count("fleet_full")
                 return False
-            self.members[claim.name] = member = Member(claim, now, confirmers={by} if by else set(), suspected_at=now)
+            self.members[claim.name] = member = Member(claim, now, confirmers={claim.by}, suspected_at=now)
             self._place(now, member, claim, why)
             return True
         old = known.claim
@@ -380,19 +378,19 @@
         elif claim.epoch > old.epoch and not direct and old.state in (ALIVE, SUSPECT):
             self._contest(now, known)
             return True
-        if claim.state == SUSPECT and old.state == SUSPECT and rank(claim) == rank(old) and by not in known.confirmers:
-            if by and len(known.confirmers) <= CONFIRMS:
-                known.confirmers.add(by)
-                self._tell(old)  # Lifeguard: an independent suspicion is passed on anew
+        if claim.state == SUSPECT and rank(claim) == rank(old) and claim.by not in known.confirmers:
+            if claim.by and len(known.confirmers) <= CONFIRMS:
+                known.confirmers.add(claim.by)
+                self._tell(claim)  # Lifeguard: an independent suspicion is passed on anew
         if rank(claim) <= rank(old):
             return True
-        self._place(now, known, claim, why, by)
+        self._place(now, known, claim, why)
         return True
 
-    def _place(self, now: float, member: Member, claim: Claim, why: str, by: str = "") -> None:
+    def _place(self, now: float, member: Member, claim: Claim, why: str) -> None:
         name, before = claim.name, member.claim
         if claim.state == SUSPECT and before.state != SUSPECT:
-            member.suspected_at, member.confirmers = now, {by or self.me.name}
+            member.suspected_at, member.confirmers = now, {claim.by}
         elif claim.state == ALIVE:
             if before.state == SUSPECT and before.epoch == claim.epoch:
                 self.false_suspicions += 1
@@ -421,5 +419,5 @@
             self.send(name, wire.Pull("", True))
 
 
-def _as(claim: Claim, state: int) -> Claim:
-    return Claim(claim.name, claim.host, claim.port, state, claim.epoch, claim.incarnation, claim.proof)
+def _as(claim: Claim, state: int, by: str = "") -> Claim:
+    return Claim(claim.name, claim.host, claim.port, state, claim.epoch, claim.incarnation, claim.proof, by)
--- a/frostspindle/fleet/node.py
+++ b/frostspindle/fleet/node.py
@@ -26,7 +26,7 @@
 ENVELOPE = 180  # bytes kept free of piggyback for the sender's claim and the frame
 MOST_BUDGETS = 32
 COUNT_WINDOW_MS = 10_000.0
-ROWS = 4.0  # all counts of one other member are asked for once in so many intervals of writing
+ROWS = 2.0  # all counts of one other member are asked for once in so many intervals of writing
 
 
 @dataclass(slots=True, frozen=True)
--- a/frostspindle/fleet/wire.py
+++ b/frostspindle/fleet/wire.py
@@ -33,6 +33,7 @@
     epoch: Whole  # of the member's process; a later process of the same name has a higher one
     incarnation: Whole
     proof: Proof
+    by: Annotated[str, Meta(max_length=64)] = ""  # of a suspicion: whose own probe it was that failed
 
     @property
     def address(self) -> tuple[str, int]:
--- a/tests/test_fleet_state.py
+++ b/tests/test_fleet_state.py
@@ -267,6 +267,20 @@
         self.assertEqual(views[0], views[1])
         self.assertEqual(views[1], views[2])
 
+    def test_a_row_sent_again_with_more_in_it_under_the_same_version_is_still_joined(self):
+        """An origin that dies after that must not leave two views that never agree."""
+        origin, early, late = Counts("o", 1, 0.0), Counts("a", 1, 0.0), Counts("b", 1, 0.0)
+        origin.add("k", 1)
+        origin.publish(10**6, 1)
+        early.merge(0.0, next(origin.news(0.0, 2_000)))
+        origin.add("k", 5)
+        late.merge(0.0, next(origin.news(0.0, 2_000)))
+        self.assertEqual((early.sums(), late.sums()), ({"k": 1}, {"k": 6}))
+        for row in late.page(0.0, "", 2_000)[0]:
+            early.merge(0.0, row)
+        self.assertEqual(early.sums(), {"k": 6})
+        self.assertTrue(early.pending)
+
     def test_a_later_process_of_a_name_adds_to_the_earlier_and_the_oldest_make_way(self):
         view = Counts("v", 1, 0.0)
         for epoch in range(1, 12):
