Test the fleet's configuration, commands and port, and the module's view of a request over budget

Need: every key that [fleet] reads must be named when it is wrong, and a successor beside a process that still serves must not spend what that one may spend.

--- a/tests/test_fleet_processes.py
+++ b/tests/test_fleet_processes.py
@@ -1,34 +1,18 @@
 """Several processes of the program with the fault relay between them: their logs and figures are what is checked."""
 
 import asyncio
-import unittest
 
-from frostspindle.lab.faults.runner import Fleet, demand, overspent
-from frostspindle.lab.faults.script import parse
+from faults import UNITS, FaultsCase, spans
 
-TENANTS = '[[tenant]]\nname = "blue"\n[[tenant.rule]]\nheader = "X-Team=blue"\n'
-FLEET = ('lease_ms = 2000\nprobe_ms = 400\ntimeout_ms = 120\njudges = 2\nverdict_ms = 3000\n'
-         '[[fleet.budget]]\nname = "blue"\nunits = {units}\ntenant = "blue"\n')
-UNITS = 100
+from frostspindle.cli import operate
+from frostspindle.lab.faults.runner import demand, overspent
 
 
-def spans(fleet: Fleet) -> list[tuple[float, float, int]]:
-    return [(line["since"], line["until"], line["units"]) for p in fleet.processes for line in p.events("fleet_spent")]
+async def operated(process, call: str) -> str:
+    return await asyncio.to_thread(operate, ("127.0.0.1", process.desk), call)
 
 
-class ProcessesCase(unittest.IsolatedAsyncioTestCase):
-    async def fleet(self, count: int, script: str, units: int = UNITS, **kw) -> Fleet:
-        fleet = Fleet(count, parse(script, count), 7, FLEET.format(units=units), TENANTS, **kw)
-        self.codes = None
-
-        async def end() -> None:
-            if self.codes is None:
-                self.codes = await fleet.close()
-        self.addAsyncCleanup(end)
-        await fleet.start()
-        await fleet.until(lambda all_: all(f.get("size") == count for f in all_), 20.0)
-        return fleet
-
+class ProcessesCase(FaultsCase):
     async def test_five_processes_cut_two_from_three_and_one_killed_never_pass_the_budget(self):
         fleet = await self.fleet(5, "0- loss 0.05; 0- dup 0.1; 0- reorder 0.1; 4-10 cut 0-1|2-4; 6 kill 4; 8 start 4; "
                                     "11 stop 1; 14 cont 1")
@@ -75,20 +59,15 @@
         fleet.begin()
         bad = "toy-0"
         for process in fleet.processes[:1]:
-            self.assertTrue((await self.operate(process, f"disable-server {bad}")).startswith("ACK"))
+            self.assertTrue((await operated(process, f"disable-server {bad}")).startswith("ACK"))
         await fleet.until(lambda all_: sum(any(v["engine"] == bad and v["kind"] == "banned" and v["judges"] == 1
                                                for v in f["verdicts"]) for f in all_) == 3, 8.0)
         alone = [v["counts"] for f in await fleet.figures() for v in f["verdicts"] if v["kind"] == "banned"]
         self.assertFalse(any(alone))
-        self.assertTrue((await self.operate(fleet.processes[1], f"disable-server {bad}")).startswith("ACK"))
+        self.assertTrue((await operated(fleet.processes[1], f"disable-server {bad}")).startswith("ACK"))
         await fleet.until(lambda all_: sum(any(v["engine"] == bad and v["kind"] == "banned" and v["counts"]
                                                for v in f["verdicts"]) for f in all_) >= 2, 8.0)
         # Withdrawn by its makers, it ends everywhere.
         for process in fleet.processes[:2]:
-            await self.operate(process, f"enable-server {bad}")
+            await operated(process, f"enable-server {bad}")
         await fleet.until(lambda all_: not any(v["kind"] == "banned" for f in all_ for v in f["verdicts"]), 8.0)
-
-    async def operate(self, process, call: str) -> str:
-        from frostspindle.cli import operate
-
-        return await asyncio.to_thread(operate, ("127.0.0.1", process.desk), call)
--- /dev/null
+++ b/tests/test_fleet_program.py
@@ -0,0 +1,96 @@
+"""The fleet's part of the program: its configuration, its commands, its port, and what the module makes of its word."""
+
+import json
+import tempfile
+import unittest
+from pathlib import Path
+
+from click.testing import CliRunner
+from faults import FaultsCase
+from helpers import entry, settings
+
+from frostspindle import config as configuration
+from frostspindle.cli import cli
+from frostspindle.config import ConfigError
+from frostspindle.lab.engines import document
+from pinstage import Controller
+from pinstage import interface as api
+
+GOOD = Path(__file__).parent.parent / "deploy" / "fleet.toml"
+
+
+class ConfigCase(unittest.TestCase):
+    def read(self, text: str, **environ: str) -> configuration.Config:
+        with tempfile.TemporaryDirectory() as folder:
+            config, operator = Path(folder, "config.json"), Path(folder, "operator.toml")
+            config.write_text(json.dumps(document([])))
+            operator.write_text(text)
+            return configuration.read({"LB_CONFIG": str(config), "FROSTSPINDLE_OPERATOR": str(operator),
+                                       "LB_LISTEN": "127.0.0.1:0", **environ})
+
+    def test_the_example_is_good_and_off_is_off(self):
+        fleet = self.read(GOOD.read_text()).operator.fleet
+        self.assertEqual([seed.name for seed in fleet.seed], ["c1", "c2", "c3"])
+        self.assertIsNone(self.read("").operator.fleet)
+
+    def test_each_fault_is_named_by_its_key(self):
+        good = GOOD.read_text()
+        for old, new, key in (
+                ('listen = "127.0.0.1:7946"       #', 'listen = "[::1]:1"  #', "fleet.listen"),
+                ('address = "127.0.0.1:7947"', 'address = "c2"', r"fleet.seed\[1\].address"),
+                ('name = "c2"', 'name = "c1"', r"fleet.seed\[1\].name"),
+                ('tenant = "blue"', 'tenant = "red"', r"fleet.budget\[0\].tenant"),
+                ("[[tenant.rule]]", "share_per_s = 5.0\n[[tenant.rule]]", r"fleet.budget\[0\].tenant"),
+                ("judges = 3", "judges = 1", "judges"), ("units = 60 ", "units = 0 ", "units")):
+            self.assertIn(old, good)
+            with self.assertRaisesRegex(ConfigError, key):
+                self.read(good.replace(old, new, 1))
+        with self.assertRaisesRegex(ConfigError, "fleet: needs cores.workers"):
+            self.read(good + "\n[cores]\nworkers = 2\n")
+
+
+class CommandCase(unittest.TestCase):
+    def test_lab_fleet_prints_one_object_the_same_for_the_same_seed(self):
+        call = ["lab", "fleet", "--nodes", "4", "--seed", "5", "--seconds", "20", "--json",
+                "--faults", "9-12 cut 0|1-3"]
+        first, second = (CliRunner().invoke(cli, call) for _ in range(2))
+        figures = json.loads(first.output)
+        self.assertEqual(first.output, second.output)
+        self.assertEqual(figures["overspend"], 0)
+        self.assertLessEqual({"utilisation", "converge_s", "false_suspicions", "bytes_per_node_s"}, figures.keys())
+        bad = CliRunner().invoke(cli, ["lab", "fleet", "--faults", "1 rain 2"])
+        self.assertEqual(bad.exit_code, 2)
+        self.assertIn("1 rain 2", bad.output)
+
+    def test_fleet_says_who_is_not_there(self):
+        self.assertEqual(CliRunner().invoke(cli, ["fleet", "--at", "127.0.0.1:1"]).exit_code, 5)
+
+
+class ModuleCase(unittest.TestCase):
+    def test_a_request_over_the_fleets_budget_goes_after_one_within_it(self):
+        module = Controller(settings(), 1)
+        for number, over in ((1, True), (2, False)):  # no engine yet: both are held
+            module.handle(1_000.0, api.Request(number, 0, 0, 0, 5_000.0, 100.0, 10.0, 0.0, over))
+        self.assertEqual([job.request for *_, job in module.held], [2, 1])
+        actions = module.handle(1_001.0, api.EngineList(api.ListKind.FULL, 1, (entry(1),)))
+        self.assertEqual([a.request for a in actions if isinstance(a, api.Send)][:1], [2])
+
+
+class PortCase(FaultsCase):
+    async def test_a_second_process_of_a_name_holds_no_rights_until_the_first_has_let_go(self):
+        fleet = await self.fleet(2, "")
+        first = fleet.processes[0]
+        old = first.child, first.reader
+        self.assertEqual((await first.figures())["budgets"]["blue"]["own"], 50)
+        desk, http = first.desk, first.http
+        first.desk = first.http = 0  # a successor beside it: other ports for clients and operators, the same fleet's
+        await first.start()
+        await first.until(lambda: first.events("fleet_waits"))
+        self.assertEqual(len(first.events("fleet")), 1)
+        old[0].terminate()
+        self.assertEqual(await old[0].wait(), 0)
+        await old[1]
+        await first.until(lambda: len(first.events("fleet")) == 2)
+        first.desk, first.http = desk, http
+        await fleet.processes[1].until(lambda: len(fleet.processes[1].events("fleet_member", member="c0",
+                                                                             state="alive")) >= 2)
