Plan no tick for a probe that waits; test it, and what reaches the module of others' word

Seen by reading: Membership.due() named the time of the next probe also while the last one still waited, which tick() can't begin; where time-outs are longer than half of probe_ms a node was due at once, for ever (the emulator never ended). Change: due() names the waiting probe's own end then.

--- a/frostspindle/fleet/membership.py
+++ b/frostspindle/fleet/membership.py
@@ -132,11 +132,11 @@
 
     def due(self) -> float:
         """When `tick` must be called next, at the latest."""
-        at = min(self._probe_at, self._rejoin_at, self._sync_at)
+        probe = self._probe
+        at = min(self._rejoin_at, self._sync_at,
+                 self._probe_at if probe is None else probe.until if probe.helped else probe.direct_until)
         if self._news or self.more():
             at = min(at, self._gossip_at)
-        if self._probe is not None:
-            at = min(at, self._probe.until if self._probe.helped else self._probe.direct_until)
         for errand in self._errands.values():
             at = min(at, errand.until)
         for member in self.suspects.values():
--- a/tests/test_fleet_program.py
+++ b/tests/test_fleet_program.py
@@ -3,7 +3,9 @@
 import json
 import tempfile
 import unittest
+from io import BytesIO
 from pathlib import Path
+from types import SimpleNamespace
 
 from click.testing import CliRunner
 from faults import FaultsCase
@@ -12,6 +14,10 @@
 from frostspindle import config as configuration
 from frostspindle.cli import cli
 from frostspindle.config import ConfigError
+from frostspindle.events import Events
+from frostspindle.fleet import verdicts, wire
+from frostspindle.fleet.node import Node, Terms
+from frostspindle.fleet.service import Service, monotonic
 from frostspindle.lab.engines import document
 from pinstage import Controller
 from pinstage import interface as api
@@ -76,6 +82,49 @@
         self.assertEqual([a.request for a in actions if isinstance(a, api.Send)][:1], [2])
 
 
+class WordCase(unittest.TestCase):
+    """What reaches the module of others' judgements, and what of its own goes out."""
+
+    def setUp(self):
+        at = {name: ("127.0.0.1", port) for port, name in enumerate("abcd", 1)}
+        self.module = Controller(settings(), 1)
+        self.module.handle(1_000.0, api.EngineList(api.ListKind.FULL, 1, tuple(entry(n) for n in (1, 2, 3))))
+        self.heard: list[api.Peer] = []
+
+        def hear(entries):
+            self.heard += entries
+            self.module.handle(2_000.0, api.Peers(entries))
+        core = SimpleNamespace(controller=self.module, banned=frozenset({"e-2"}), hear=hear, engines={
+            n: SimpleNamespace(name=f"e-{n}", entry=entry(n)) for n in (1, 2, 3)})
+        self.service = Service("a", at["a"], None, Terms(at, judges=3, chain=64), {}, core, Events(sink=BytesIO()))
+        self.service.node = Node("a", at["a"], 1, b"s" * 16, self.service.terms, 0.0)
+
+    def say(self, *names: str, sick: bool = True) -> None:
+        for name in names:
+            self.service.node.verdicts.hear(monotonic(), name, [wire.Verdict(
+                "e-1", verdicts.SICK, 0.0, [0.9])] if sick else [])
+        self.service._look()
+
+    def test_two_are_not_enough_three_are_and_their_withdrawal_ends_it(self):
+        self.say("b", "c")
+        self.assertEqual((self.heard, self.module.engines[1].suspect), ([], False))
+        self.say("d")
+        self.assertEqual([(peer.engine, peer.suspect, peer.part) for peer in self.heard], [(1, True, 1.0)])
+        self.assertTrue(self.module.engines[1].suspect)
+        self.service._look()
+        self.assertEqual(len(self.heard), 1)  # told once: a test passed here is not overruled by the same word again
+        self.say("b", sick=False)
+        self.assertFalse(self.module.engines[1].suspect)
+
+    def test_what_was_only_heard_is_not_passed_on_as_seen(self):
+        self.say("b", "c", "d")
+        self.service._look()
+        self.assertEqual(set(self.service.node.verdicts.own), {("e-2", verdicts.BANNED)})
+        self.module.engines[3].suspect = True  # as the module itself found
+        self.service._look()
+        self.assertIn(("e-3", verdicts.SICK), self.service.node.verdicts.own)
+
+
 class PortCase(FaultsCase):
     async def test_a_second_process_of_a_name_holds_no_rights_until_the_first_has_let_go(self):
         fleet = await self.fleet(2, "")
--- a/tests/test_fleet_state.py
+++ b/tests/test_fleet_state.py
@@ -137,6 +137,12 @@
         for node in emulator.live():  # what the dead one had spent is still counted
             self.assertEqual(node.counts.sums()["spent:shared"], emulator.live()[0].counts.sums()["spent:shared"])
 
+    def test_a_node_is_never_due_at_once_again_and_again(self):
+        emulator = Emulator(3, 1, parse("5 kill 2; 0- loss 0.5", 3), 30.0, 60, demand=lambda n: 0.0,
+                            terms={"probe_ms": 200.0, "timeout_ms": 190.0})
+        emulator.run()
+        self.assertLess(emulator.events, 30 * 3 * 200)
+
     def test_the_same_seed_is_the_same_run(self):
         first, second = (self.play(5, "0- loss 0.2; 10 kill 1; 15 start 1", 30.0, seed=9)[1] for _ in range(2))
         self.assertEqual(first, second)
