Let a timer of the emulator never fire before its time by the process's own clock

At fault: a due time turned to true time and back lost a rounding, so the tick came a hair before it was due and changed nothing. Change: true times of ticks are 10 ns later.

--- a/frostspindle/lab/fleet.py
+++ b/frostspindle/lab/fleet.py
@@ -19,6 +19,7 @@
 
 CHAIN = 512  # incarnations of one process here
 BUDGET = "shared"
+ROUNDING_MS = 1e-5  # a timer never fires before its time by the process's own clock, however that is computed
 JOINING_S = 15.0  # its bytes are told apart: every member hears of every other
 LOOKED_AT = 50
 CALM = 0.05  # part of the run after the first rights have rested that is not measured: rights have yet to flow
@@ -169,7 +170,7 @@
 
     def _plan(self, number: int, process: Process, anew: bool = False) -> None:
         assert process.node is not None
-        due = max(self.now, (process.node.due() - process.offset) / process.rate)
+        due = max(self.now, (process.node.due() - process.offset) / process.rate + ROUNDING_MS)
         if anew or due < process.due:
             process.due = due
             self._push(due, number, "tick")
