--- a/bench/fleet_state.py
+++ b/bench/fleet_state.py
@@ -1,6 +1,6 @@
 """Measures the fleet's shared state: overspending, use, convergence, bytes and detection, emulated and on sockets.
 
-    python bench/fleet_state.py [--runs 500] [--sizes 3,30,300,3000] [--processes 9] [--out FILE]
+    python bench/fleet_state.py [--runs 500] [--sizes 3,30,300] [--calm 3,30,300,3000] [--processes 9] [--out FILE]
 
 Prints one JSON object. Runs are seeded; those on sockets depend on the machine.
 """
@@ -53,17 +53,24 @@
 def sized(count: int, seed: int = 1) -> dict[str, Any]:
     """Half of the fleet cut off for 30 s; then how long until all sum up alike; bytes of the whole run."""
     half = f"0-{count // 2 - 1}|{count // 2}-{count - 1}" if count > 3 else "0|1-2"
-    cut = "" if count >= 1_000 else f"20-50 cut {half}"  # thousands: bytes only, as a cut would take an hour
     began = time.perf_counter()
-    emulator = Emulator(count, seed, parse(cut, count), 120.0 if cut else 40.0, 20 * count,
-                        demand=lambda n: 2.0 if cut else 0.2, homes=min(count, 64))
-    if cut:
-        settle(emulator, 1_000.0)
+    emulator = Emulator(count, seed, parse(f"20-50 cut {half}", count), 120.0, 20 * count, demand=lambda n: 2.0,
+                        homes=min(count, 64))
+    settle(emulator, 1_000.0)
     emulator.run()
     figures = measure(emulator)
     return {key: figures[key] for key in ("nodes", "overspend", "converge_s", "bytes_per_node_s", "messages", "members",
-                                          "joining_bytes_per_node", "false_suspicions")} | {
-        "partition": bool(cut), "took_s": round(time.perf_counter() - began, 1)}
+                                          "false_suspicions")} | {"took_s": round(time.perf_counter() - began, 1)}
+
+
+def calm(count: int) -> dict[str, Any]:
+    """Bytes a second of each in a fleet where nothing fails, after the joining."""
+    emulator = Emulator(count, 1, parse("", count), 60.0 if count < 1_000 else 40.0, 20 * count,
+                        demand=lambda n: 0.2, homes=min(count, 64))
+    emulator.run()
+    figures = measure(emulator)
+    return {key: figures[key] for key in ("nodes", "bytes_per_node_s", "joining_bytes_per_node", "false_suspicions",
+                                          "members")}
 
 
 def use(count: int, each: int, over: float) -> dict[str, Any]:
@@ -136,7 +143,8 @@
 def main() -> None:
     options = argparse.ArgumentParser()
     options.add_argument("--runs", type=int, default=500)
-    options.add_argument("--sizes", default="3,30,300")
+    options.add_argument("--sizes", default="3,30,300", help="of fleets that are cut in halves")
+    options.add_argument("--calm", default="3,30,300", help="of fleets where nothing fails; 3000 takes minutes")
     options.add_argument("--processes", type=int, default=9)
     options.add_argument("--jobs", type=int, default=os.cpu_count() or 1)
     options.add_argument("--out")
@@ -144,6 +152,7 @@
     out: dict[str, Any] = {}
     with ProcessPoolExecutor(given.jobs) as pool:
         sizes = [pool.submit(sized, int(text)) for text in given.sizes.split(",") if text]
+        quiet = [pool.submit(calm, int(text)) for text in given.calm.split(",") if text]
         runs = list(pool.map(mixed, range(given.runs), chunksize=4))
         out["mixed"] = {"runs": len(runs), "with_overspend": sum(r["overspend"] > 0 for r in runs),
                         "overspend": sum(r["overspend"] for r in runs), "spent": sum(r["spent"] for r in runs)}
@@ -156,6 +165,7 @@
                             "detect_max_s": max(times, default=None), "found_by": len(times),
                             "false_suspicions_a_run": median(one["false_suspicions"] for one in found)}
         out["sizes"] = [future.result() for future in sizes]
+        out["calm"] = [future.result() for future in quiet]
     if given.processes:
         out["sockets"] = asyncio.run(sockets(given.processes))
     text = json.dumps(out, indent=1)
--- a/tests/test_fleet_program.py
+++ b/tests/test_fleet_program.py
@@ -1,6 +1,8 @@
 """The fleet's part of the program: its configuration, its commands, its port, and what the module makes of its word."""
 
 import json
+import subprocess
+import sys
 import tempfile
 import unittest
 from io import BytesIO
@@ -55,6 +57,15 @@
             self.read(good + "\n[cores]\nworkers = 2\n")
 
 
+class OffCase(unittest.TestCase):
+    def test_a_process_without_a_fleet_loads_nothing_of_it(self):
+        loaded = subprocess.run(
+            [sys.executable, "-c", "import sys, frostspindle.program; print(*sys.modules)"], capture_output=True,
+            text=True, check=True).stdout.split()
+        self.assertIn("frostspindle.program", loaded)
+        self.assertEqual([name for name in loaded if name.startswith(("frostspindle.fleet", "frostspindle.lab"))], [])
+
+
 class CommandCase(unittest.TestCase):
     def test_lab_fleet_prints_one_object_the_same_for_the_same_seed(self):
         call = ["lab", "fleet", "--nodes", "4", "--seed", "5", "--seconds", "20", "--json",
