Let the emulator begin with a fleet that has joined; keep no empty set a member

Need: bytes of large fleets; the joining of thousands in one instant takes the emulator longer than all the rest.

--- a/frostspindle/fleet/membership.py
+++ b/frostspindle/fleet/membership.py
@@ -11,8 +11,8 @@
 import heapq
 import math
 import random
-from collections.abc import Callable, Iterator
-from dataclasses import dataclass, field
+from collections.abc import Callable, Iterable, Iterator
+from dataclasses import dataclass
 from typing import NamedTuple
 
 from frostspindle.fleet import wire
@@ -46,7 +46,7 @@
     claim: Claim
     since: float  # of its state
     heard: float = -math.inf  # a message of its own came
-    confirmers: set[str] = field(default_factory=set)  # who suspects it
+    confirmers: frozenset[str] = frozenset()  # who suspects it
     suspected_at: float = 0.0
     contested: float = -math.inf  # a new process in its name was told of, and its own address asked
 
@@ -113,6 +113,13 @@
     def size(self) -> int:
         return len(self.alive) + 1
 
+    def know(self, now: float, claims: Iterable[Claim]) -> None:
+        """Take these as members that are known already: nothing of it is news."""
+        for claim in claims:
+            if claim.name != self.me.name and claim.name not in self.members:
+                self.members[claim.name] = self.alive[claim.name] = Member(claim, now)
+                self._names.append(claim.name)
+
     def peers(self, count: int, but: tuple[str, ...] = ()) -> list[str]:
         """So many live members, drawn evenly, without those named."""
         if len(self._names) <= count + len(but):
@@ -362,7 +369,7 @@
             if len(self.members) >= MOST_MEMBERS:
                 self.count("fleet_full")
                 return False
-            self.members[claim.name] = member = Member(claim, now, confirmers={claim.by}, suspected_at=now)
+            self.members[claim.name] = member = Member(claim, now, confirmers=frozenset({claim.by}), suspected_at=now)
             self._place(now, member, claim, why)
             return True
         old = known.claim
@@ -380,7 +387,7 @@
             return True
         if claim.state == SUSPECT and rank(claim) == rank(old) and claim.by not in known.confirmers:
             if claim.by and len(known.confirmers) <= CONFIRMS:
-                known.confirmers.add(claim.by)
+                known.confirmers |= {claim.by}
                 self._tell(claim)  # Lifeguard: an independent suspicion is passed on anew
         if rank(claim) <= rank(old):
             return True
@@ -390,11 +397,11 @@
     def _place(self, now: float, member: Member, claim: Claim, why: str) -> None:
         name, before = claim.name, member.claim
         if claim.state == SUSPECT and before.state != SUSPECT:
-            member.suspected_at, member.confirmers = now, {claim.by}
+            member.suspected_at, member.confirmers = now, frozenset({claim.by})
         elif claim.state == ALIVE:
             if before.state == SUSPECT and before.epoch == claim.epoch:
                 self.false_suspicions += 1
-            member.confirmers = set()
+            member.confirmers = frozenset()
         if claim.state != before.state or claim.epoch != before.epoch or name not in self.alive:
             member.since = now
             self.changes.append((name, wire.STATES[claim.state], why))
--- a/frostspindle/lab/fleet.py
+++ b/frostspindle/lab/fleet.py
@@ -47,7 +47,8 @@
 
     def __init__(self, count: int, seed: int, script: Script, seconds: float = 60.0, units: int = 0,
                  window_ms: float = 1_000.0, demand: Callable[[int], float] | None = None, homes: int = 0,
-                 base_ms: float = 0.5, join_s: float = 0.0, terms: dict[str, Any] | None = None) -> None:
+                 base_ms: float = 0.5, join_s: float = 0.0, terms: dict[str, Any] | None = None,
+                 joined: bool = False) -> None:
         self.random = random.Random(seed)
         self.count, self.seed, self.script, self.seconds = count, seed, script, seconds
         self.units = units or 20 * count
@@ -78,7 +79,15 @@
         self.agreed_at: float | None = None
         self.on_step: Callable[[Emulator], None] | None = None  # every 100 ms of true time
         for n in range(count):
-            self._push(self.random.uniform(0.0, join_s * 1_000.0), n, "start")
+            if joined:  # all have started before, and know each other
+                self._begin(n, self.processes[n])
+            else:
+                self._push(self.random.uniform(0.0, join_s * 1_000.0), n, "start")
+        if joined:
+            claims = [node.members.me for node in self.live()]
+            for process in self.processes:
+                assert process.node is not None
+                process.node.members.know(self.clock(process), claims)
         for act in script.acts:
             self._push(act.at * 1_000.0, act.node, act.kind)
 
