--- a/tests/test_fleet_processes.py
+++ b/tests/test_fleet_processes.py
@@ -37,7 +37,7 @@
                              if began + 5.0 < line["ts"] < began + 9.0], side)
         # A request over the share goes last, it is not lost.
         self.assertGreater(sum(statuses.get(200, 0) for statuses in answers), 500)
-        # After the end all sum up alike, 2 to 16 s after it in seven runs, as 5% of all is still lost; at most a minute.
+        # After the end all sum up alike: 2 to 16 s after it in seven runs, as 5% of all is lost; at most a minute.
         figures = await fleet.until(
             lambda all_: len({f["sums"].get("spent:blue") for f in all_}) == 1 and all(f["size"] == 5 for f in all_)
             and all(max(f["stale_ms"].values()) < 10_000 for f in all_), 60.0)
