--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -5,5 +5,7 @@
 venv=${VENV:-.venv}
 test -x "$venv/bin/python" || python3 -m venv "$venv"
 "$venv/bin/pip" -q --disable-pip-version-check install -r requirements.txt -r requirements-dev.txt
+"$venv/bin/pip" -q --disable-pip-version-check install --no-deps -r requirements-nodeps.txt
 "$venv/bin/ruff" check .
-exec "$venv/bin/python" -m pytest -q "$@"
+# Files are spread over a few processes: most tests wait for sockets and timers, and all together took over five minutes.
+exec "$venv/bin/python" -m pytest -q -n 4 --dist loadfile "$@"
