--- /dev/null
+++ b/frostspindle/predicates/__init__.py
@@ -0,0 +1,38 @@
+"""One algebra of predicates on rows: what scatter queries and subscriptions are built on.
+
+Importing this loads neither the parser of the filter language (`language`), nor that of SQL (`statements`), nor the
+sketches (`summaries`): their users import them.
+"""
+
+from frostspindle.predicates.algebra import (
+    UNKNOWN,
+    And,
+    Compare,
+    Const,
+    In,
+    IsNull,
+    Not,
+    Or,
+    Predicate,
+    Starts,
+    Unknown,
+    all_of,
+    any_of,
+    between,
+    bounded,
+    compare,
+    is_null,
+    match,
+    negate,
+    one_of,
+    starts,
+)
+from frostspindle.predicates.judge import covers, may_match
+from frostspindle.predicates.normal import normal
+from frostspindle.predicates.values import FilterError, typed, typed_row
+
+__all__ = [
+    "UNKNOWN", "And", "Compare", "Const", "FilterError", "In", "IsNull", "Not", "Or", "Predicate", "Starts", "Unknown",
+    "all_of", "any_of", "between", "bounded", "compare", "covers", "is_null", "match", "may_match", "negate", "normal",
+    "one_of", "starts", "typed", "typed_row",
+]
--- /dev/null
+++ b/frostspindle/predicates/algebra.py
@@ -0,0 +1,219 @@
+"""Predicates on rows, and whether a row matches one.
+
+Owns the tree and SQL's three-valued logic on it: a comparison with null, or between values of two kinds, is neither
+true nor false (None), and only what is true matches. Must never do I/O and never hold what its constructors would
+refuse: columns are folded, values typed and bounded.
+"""
+
+from __future__ import annotations
+
+import operator
+from collections.abc import Iterable, Iterator, Mapping
+
+from msgspec import Struct
+
+from frostspindle.predicates.values import KIND_NAMES, KINDS, MAX_TEXT, NULL, TEXT, FilterError, Value, column, literal
+
+MAX_DEPTH = 32  # of the tree
+MAX_NODES = 1_000
+MAX_VALUES = 1_000  # of one IN
+OPERATORS = {"=": operator.eq, "<>": operator.ne, "<": operator.lt, "<=": operator.le, ">": operator.gt,
+             ">=": operator.ge}
+OPPOSITE = {"=": "<>", "<>": "=", "<": ">=", "<=": ">", ">": "<=", ">=": "<"}
+Row = Mapping[str, Value]
+
+
+class Const(Struct, frozen=True):
+    """Always true or always false."""
+
+    value: bool
+
+    def truth(self, row: Row) -> bool | None:
+        return self.value
+
+
+class Unknown(Struct, frozen=True):
+    """Nobody knows what this is for any row: the part of a statement that was not understood."""
+
+    def truth(self, row: Row) -> bool | None:
+        raise ValueError("the predicate has a part that was not understood")
+
+
+class Compare(Struct, frozen=True):
+    """`column op value`."""
+
+    column: str
+    op: str
+    value: Value
+    kind: int
+
+    def truth(self, row: Row) -> bool | None:
+        value = row.get(self.column)
+        if KINDS.get(type(value)) != self.kind or value is None:
+            return None
+        return OPERATORS[self.op](value, self.value)
+
+
+class In(Struct, frozen=True):
+    """`column [NOT] IN (values)`; `null` says that the list names null too."""
+
+    column: str
+    values: frozenset[Value]
+    kind: int
+    null: bool = False
+    negated: bool = False
+
+    def truth(self, row: Row) -> bool | None:
+        value = row.get(self.column)
+        if KINDS.get(type(value)) != self.kind or value is None:
+            return None
+        if value in self.values:
+            return not self.negated
+        return None if self.null else self.negated
+
+
+class Starts(Struct, frozen=True):
+    """`column [NOT] STARTS WITH prefix`, letter by letter (cases differ)."""
+
+    column: str
+    prefix: str
+    negated: bool = False
+    kind: int = TEXT
+
+    def truth(self, row: Row) -> bool | None:
+        value = row.get(self.column)
+        return value.startswith(self.prefix) is not self.negated if type(value) is str else None
+
+
+class IsNull(Struct, frozen=True):
+    """`column IS [NOT] NULL`."""
+
+    column: str
+    negated: bool = False
+
+    def truth(self, row: Row) -> bool | None:
+        return (row.get(self.column) is None) is not self.negated
+
+
+class And(Struct, frozen=True):
+    parts: tuple[Predicate, ...]
+
+    def truth(self, row: Row) -> bool | None:
+        out: bool | None = True
+        for part in self.parts:
+            truth = part.truth(row)
+            if truth is False:
+                return False
+            if truth is None:
+                out = None
+        return out
+
+
+class Or(Struct, frozen=True):
+    parts: tuple[Predicate, ...]
+
+    def truth(self, row: Row) -> bool | None:
+        out: bool | None = False
+        for part in self.parts:
+            truth = part.truth(row)
+            if truth is True:
+                return True
+            if truth is None:
+                out = None
+        return out
+
+
+class Not(Struct, frozen=True):
+    part: Predicate
+
+    def truth(self, row: Row) -> bool | None:
+        truth = self.part.truth(row)
+        return None if truth is None else not truth
+
+
+Atom = Compare | In | Starts | IsNull
+Predicate = Const | Unknown | Compare | In | Starts | IsNull | And | Or | Not
+TRUE, FALSE, UNKNOWN = Const(True), Const(False), Unknown()
+
+
+def match(predicate: Predicate, row: Row) -> bool:
+    """Whether the row matches, exactly. `row` has folded names and typed values (see `typed_row`); a column that it
+    lacks is null. ValueError if the answer hangs on a part that was not understood."""
+    return predicate.truth(row) is True
+
+
+def compare(name: str, op: str, value: object) -> Compare:
+    if op not in OPERATORS:
+        raise FilterError(f"no comparison {op!r:.20}")
+    held = literal(value)
+    return Compare(column(name), op, held, KINDS[type(held)])
+
+
+def one_of(name: str, values: Iterable[object]) -> In:
+    """`name IN (values)`: one value at least, all of one kind, null aside."""
+    held = [literal(value) for value in values]
+    kinds = {KINDS[type(value)] for value in held} - {NULL}
+    if not held or len(held) > MAX_VALUES:
+        raise FilterError(f"IN takes 1 to {MAX_VALUES} values")
+    if len(kinds) > 1:
+        names = " and ".join(KIND_NAMES[kind] for kind in sorted(kinds))
+        raise FilterError(f"IN takes values of one kind, not {names}")
+    return In(column(name), frozenset(value for value in held if value is not None), kinds.pop() if kinds else NULL,
+              None in held)
+
+
+def between(name: str, low: object, high: object) -> Predicate:
+    return all_of(compare(name, ">=", low), compare(name, "<=", high))
+
+
+def starts(name: str, prefix: str) -> Starts:
+    if type(prefix) is not str or len(prefix) > MAX_TEXT:
+        raise FilterError(f"a prefix is a text of up to {MAX_TEXT} characters")
+    return Starts(column(name), literal(prefix))  # type: ignore[arg-type]
+
+
+def is_null(name: str) -> IsNull:
+    return IsNull(column(name))
+
+
+def all_of(*parts: Predicate) -> Predicate:
+    """The conjunction, flattened; of no part: true."""
+    flat = tuple(inner for part in parts for inner in (part.parts if type(part) is And else (part,)))
+    return flat[0] if len(flat) == 1 else And(flat) if flat else TRUE
+
+
+def any_of(*parts: Predicate) -> Predicate:
+    """The disjunction, flattened; of no part: false."""
+    flat = tuple(inner for part in parts for inner in (part.parts if type(part) is Or else (part,)))
+    return flat[0] if len(flat) == 1 else Or(flat) if flat else FALSE
+
+
+def negate(part: Predicate) -> Not:
+    return Not(part)
+
+
+def nodes(predicate: Predicate) -> Iterator[tuple[Predicate, int]]:
+    """Each node with its depth, without recursion, so that a hostile tree can be measured."""
+    waiting = [(predicate, 1)]
+    while waiting:
+        node, depth = waiting.pop()
+        yield node, depth
+        kind = type(node)
+        if kind is And or kind is Or:
+            waiting.extend((part, depth + 1) for part in node.parts)  # type: ignore[union-attr]
+        elif kind is Not:
+            waiting.append((node.part, depth + 1))  # type: ignore[union-attr]
+
+
+def bounded(predicate: Predicate) -> Predicate:
+    """The predicate itself; FilterError if it is larger or deeper than recursion on it may be."""
+    for count, (_, depth) in enumerate(nodes(predicate), 1):
+        if depth > MAX_DEPTH:
+            raise FilterError(f"nested deeper than {MAX_DEPTH}")
+        if count > MAX_NODES:
+            raise FilterError(f"more than {MAX_NODES} parts")
+    return predicate
+
+
+def has_unknown(predicate: Predicate) -> bool:
+    return any(type(node) is Unknown for node, _ in nodes(predicate))
--- /dev/null
+++ b/frostspindle/predicates/language.py
@@ -0,0 +1,259 @@
+"""The operators' filter language: text to predicate and back.
+
+Owns the grammar (docs/filters.md) and its errors. Must never raise anything but FilterError for any text, nor take
+longer than its bounds on length and depth allow.
+"""
+
+from __future__ import annotations
+
+import re
+from decimal import Decimal
+from functools import cache
+from typing import Any
+
+import lark
+from msgspec.structs import replace
+
+from frostspindle.predicates.algebra import (
+    FALSE,
+    MAX_DEPTH,
+    TRUE,
+    And,
+    Compare,
+    Const,
+    In,
+    IsNull,
+    Not,
+    Or,
+    Predicate,
+    Starts,
+    all_of,
+    any_of,
+    between,
+    bounded,
+    compare,
+    is_null,
+    negate,
+    one_of,
+    starts,
+)
+from frostspindle.predicates.values import FilterError, Value, moment, number
+
+MAX_LENGTH = 16_384  # characters
+MAX_NESTING = 2 * MAX_DEPTH  # of parentheses and NOTs that are open at once
+KEYWORDS = ("AND", "OR", "NOT", "IN", "BETWEEN", "LIKE", "STARTS", "WITH", "IS", "NULL", "TRUE", "FALSE", "TIME")
+_PLAIN = re.compile(rf"(?!(?:{'|'.join(KEYWORDS)})$)[a-z_][a-z0-9_]*", re.ASCII | re.IGNORECASE)
+GRAMMAR = r"""
+    start: either
+    ?either: both (OR both)*
+    ?both: part (AND part)*
+    ?part: NOT part                                     -> negated
+         | atom
+    ?atom: "(" either ")"                               -> group
+         | TRUE                                         -> true
+         | FALSE                                        -> false
+         | name COMPARISON value                        -> compared
+         | name NOT? IN "(" value ("," value)* ")"      -> listed
+         | name NOT? BETWEEN value AND value            -> ranged
+         | name NOT? LIKE TEXT                          -> like
+         | name NOT? STARTS WITH TEXT                   -> started
+         | name IS NOT? NULL                            -> nulled
+    name: NAME | QUOTED
+    value: TEXT                                         -> text
+         | NUMBER                                       -> number
+         | TIME TEXT                                    -> time
+         | NULL                                         -> null
+    COMPARISON: "<=" | ">=" | "<>" | "!=" | "=" | "<" | ">"
+    TEXT: /'[^']*(?:''[^']*)*'/
+    QUOTED: /"[^"]*(?:""[^"]*)*"/
+    NUMBER: /[+-]?(?:[0-9]+(?:\.[0-9]+)?)(?![A-Za-z0-9_.])/
+    NAME: /(?!(?:KEYWORDS)\b)[A-Za-z_][A-Za-z0-9_]*/i
+    WORDS
+    %ignore /[ \t\r\n]+/
+""".replace("KEYWORDS", "|".join(KEYWORDS)).replace("WORDS", "\n    ".join(
+    rf"{word}: /{word}\b/i" for word in KEYWORDS))
+_READABLE = {"NAME": "a column", "QUOTED": "a column in double quotes", "TEXT": "a text in single quotes",
+             "NUMBER": "a number", "COMPARISON": "a comparison", "LPAR": "'('", "RPAR": "')'", "COMMA": "','",
+             "$END": "the end", "TIME": "TIME '...'"}
+
+
+class _Build(lark.Transformer):
+    """Called by the parser as it goes, from the innermost part outwards, so that no depth of text recurses."""
+
+    def start(self, children: list) -> Predicate:
+        return children[0]
+
+    def either(self, children: list) -> Predicate:
+        return any_of(*children[::2])
+
+    def both(self, children: list) -> Predicate:
+        return all_of(*children[::2])
+
+    def negated(self, children: list) -> Predicate:
+        return negate(children[1])
+
+    def group(self, children: list) -> Predicate:
+        return children[0]
+
+    def true(self, _: list) -> Predicate:
+        return TRUE
+
+    def false(self, _: list) -> Predicate:
+        return FALSE
+
+    def compared(self, children: list) -> Predicate:
+        name, sign, value = children
+        return _at(name, compare, name.value, "<>" if sign == "!=" else str(sign), value)
+
+    def listed(self, children: list) -> Predicate:
+        values = [child for child in children[1:] if type(child) is not lark.Token]
+        return self._not(children, _at(children[0], one_of, children[0].value, values))
+
+    def ranged(self, children: list) -> Predicate:
+        return self._not(children, _at(children[0], between, children[0].value, children[-3], children[-1]))
+
+    def like(self, children: list) -> Predicate:
+        pattern = _unquoted(children[-1])
+        if not pattern.endswith("%") or "%" in pattern[:-1] or "_" in pattern:
+            raise _Stop(children[-1], "LIKE takes one % at the end and no _ (STARTS WITH takes any text)")
+        return self._not(children, _at(children[-1], starts, children[0].value, pattern[:-1]))
+
+    def started(self, children: list) -> Predicate:
+        return self._not(children, _at(children[-1], starts, children[0].value, _unquoted(children[-1])))
+
+    def nulled(self, children: list) -> Predicate:
+        return self._not(children, _at(children[0], is_null, children[0].value))
+
+    def name(self, children: list) -> lark.Token:
+        token = children[0]
+        return token.update(value=_unquoted(token)) if token.type == "QUOTED" else token
+
+    def text(self, children: list) -> Value:
+        return _unquoted(children[0])
+
+    def number(self, children: list) -> Value:
+        return _at(children[0], number, str(children[0]))
+
+    def time(self, children: list) -> Value:
+        return _at(children[1], moment, _unquoted(children[1]))
+
+    def null(self, _: list) -> Value:
+        return None
+
+    @staticmethod
+    def _not(children: list, made: Predicate) -> Predicate:
+        if not any(type(child) is lark.Token and child.type == "NOT" for child in children):
+            return made
+        return replace(made, negated=True) if isinstance(made, In | Starts | IsNull) else negate(made)
+
+
+class _Stop(Exception):
+    """What a part of the text says can't be; `token` tells where."""
+
+    def __init__(self, token: lark.Token, reason: str):
+        self.token, self.reason = token, reason
+
+
+def _at(token: lark.Token, make: Any, *values: Any) -> Any:
+    try:
+        return make(*values)
+    except ValueError as error:
+        raise _Stop(token, getattr(error, "reason", str(error))) from None
+
+
+def _unquoted(token: lark.Token) -> str:
+    quote = token[0]
+    return token[1:-1].replace(quote * 2, quote)
+
+
+@cache
+def _parser() -> lark.Lark:
+    return lark.Lark(GRAMMAR, parser="lalr", lexer="contextual", transformer=_Build(), propagate_positions=False)
+
+
+def parse(text: str) -> Predicate:
+    """The predicate that a filter says; FilterError with line, column and what was expected."""
+    if type(text) is not str or len(text) > MAX_LENGTH:
+        raise FilterError(f"a filter is a text of up to {MAX_LENGTH} characters")
+    _check_nesting(text)
+    try:
+        made = _parser().parse(text)
+    except _Stop as stop:
+        raise FilterError(stop.reason, stop.token.line, stop.token.column) from None
+    except lark.UnexpectedInput as error:
+        raise _unexpected(text, error) from None
+    return bounded(made)
+
+
+def _check_nesting(text: str) -> None:
+    """Refuses early what is nested too deep: parentheses and chains of NOT, quoted texts apart."""
+    open_ = nots = 0
+    for found in re.finditer(r"'[^']*'|\"[^\"]*\"|[()]|\w+", text):
+        word = found[0]
+        open_ += (word == "(") - (word == ")")
+        nots = nots + 1 if word.upper() == "NOT" else nots if word == "(" else 0
+        if open_ + nots > MAX_NESTING:
+            line, column = _place(text, found.start())
+            raise FilterError(f"nested deeper than {MAX_NESTING}", line, column)
+
+
+def _place(text: str, at: int) -> tuple[int, int]:
+    return text.count("\n", 0, at) + 1, at - text.rfind("\n", 0, at)
+
+
+def _unexpected(text: str, error: lark.UnexpectedInput) -> FilterError:
+    if isinstance(error, lark.UnexpectedCharacters):
+        reason = "a quote that is not closed" if error.char in "'\"" else f"{error.char!r} can't stand here"
+        names = error.allowed or set()
+    else:
+        token = error.token
+        reason = "the filter ends too early" if token.type == "$END" else f"{str(token)!r:.40} can't stand here"
+        names = error.accepts or error.expected
+    at = error.pos_in_stream
+    ends = at is None or getattr(getattr(error, "token", None), "type", "") == "$END"
+    line, column = _place(text, len(text) if ends else at)
+    return FilterError(reason, line, column, tuple(sorted(_READABLE.get(name, name) for name in names)))
+
+
+def text(predicate: Predicate) -> str:
+    """The filter that says the predicate; `parse` gives an equal one, if it is no longer than MAX_LENGTH. ValueError
+    for parts that were not understood."""
+    return _text(predicate, 0)
+
+
+def _text(predicate: Predicate, tight: int) -> str:
+    """`tight`: 0 anywhere, 1 within AND, 2 after NOT."""
+    match predicate:
+        case Or() | And():
+            level = 0 if type(predicate) is Or else 1
+            word = " OR " if level == 0 else " AND "
+            out = word.join(_text(part, level + 1) for part in predicate.parts)
+            return f"({out})" if tight > level else out
+        case Not():
+            return f"NOT {_text(predicate.part, 2)}"
+        case Const():
+            return "TRUE" if predicate.value else "FALSE"
+        case Compare():
+            return f"{_name(predicate.column)} {predicate.op} {_literal(predicate.value)}"
+        case In():
+            values = [_literal(value) for value in sorted(predicate.values)] + ["NULL"] * predicate.null
+            return f"{_name(predicate.column)}{' NOT' * predicate.negated} IN ({', '.join(values)})"
+        case Starts():
+            return f"{_name(predicate.column)}{' NOT' * predicate.negated} STARTS WITH {_literal(predicate.prefix)}"
+        case IsNull():
+            return f"{_name(predicate.column)} IS {'NOT ' * predicate.negated}NULL"
+    raise ValueError("the predicate has a part that was not understood")
+
+
+def _name(column: str) -> str:
+    return column if _PLAIN.fullmatch(column) else '"' + column.replace('"', '""') + '"'
+
+
+def _literal(value: Value) -> str:
+    if value is None:
+        return "NULL"
+    if type(value) is str:
+        return "'" + value.replace("'", "''") + "'"
+    if type(value) is int or type(value) is Decimal:
+        return format(value, "f") if type(value) is Decimal else str(value)
+    return f"TIME '{value.isoformat().replace('+00:00', 'Z')}'"  # type: ignore[union-attr]
--- /dev/null
+++ b/frostspindle/predicates/values.py
@@ -0,0 +1,147 @@
+"""The typed values that predicates compare: text, number (integer or decimal), time, null.
+
+Owns what counts as a value and how two are ordered. Text goes by code point (binary collation), numbers by their exact
+value, times by their instant. Must never guess: what is no such value is refused, and values of two kinds are never
+compared.
+"""
+
+from __future__ import annotations
+
+import re
+from collections.abc import Mapping
+from datetime import UTC, date, datetime
+from decimal import Decimal
+from typing import Any
+
+NULL, NUMBER, TEXT, TIME = range(4)
+KINDS = {type(None): NULL, int: NUMBER, Decimal: NUMBER, str: TEXT, datetime: TIME}
+KIND_NAMES = ("null", "number", "text", "time")
+MAX_DIGITS = 38  # of a number, before and after the point
+MAX_TEXT = 1_000  # characters of a text in a predicate
+MAX_NAME = 128  # characters of a column's name
+_LIMIT = 10**MAX_DIGITS
+_TIME = re.compile(r"(\d{4}-\d\d-\d\d)(?:[T ](\d\d:\d\d:\d\d)(\.\d{1,6})?)?(Z|[+-]\d\d:\d\d)?", re.ASCII)
+# UTF-8 has no surrogates, so no engine holds them; they would also break the order by code point.
+_SURROGATE = re.compile("[\ud800-\udfff]")
+
+Value = str | int | Decimal | datetime | None
+
+
+class FilterError(ValueError):
+    """A filter that can't be used. `line` and `column` count from 1, 0 where there is no text; `expected` says what
+    could have stood there instead."""
+
+    def __init__(self, reason: str, line: int = 0, column: int = 0, expected: tuple[str, ...] = ()):
+        at = f"line {line}, column {column}: " if line else ""
+        super().__init__(at + reason + (f"; expected {' or '.join(expected)}" if expected else ""))
+        self.reason, self.line, self.column, self.expected = reason, line, column, expected
+
+
+def typed(value: Any) -> Value:
+    """The value as predicates take it; ValueError where it has none.
+
+    A float is read as its shortest decimal (whole floats exactly), so that 0.1 is what an engine prints as 0.1. Times
+    are turned to UTC; one without a zone is taken as UTC, a date as its midnight.
+    """
+    kind = type(value)
+    if kind is str:
+        if _SURROGATE.search(value):
+            raise ValueError("a text with surrogates")
+        return value
+    if kind is float:
+        if value != value or value in (float("inf"), float("-inf")):
+            raise ValueError(f"a number that is {value}")
+        value = int(value) if value.is_integer() else Decimal(repr(value))
+        kind = type(value)
+    if kind is int:
+        if not -_LIMIT < value < _LIMIT:
+            raise ValueError(f"an integer of more than {MAX_DIGITS} digits")
+        return value
+    if kind is Decimal:
+        if not value.is_finite() or value.adjusted() >= MAX_DIGITS or value.as_tuple().exponent < -MAX_DIGITS:
+            raise ValueError(f"a decimal with more than {MAX_DIGITS} digits before or after the point")
+        return value
+    if kind is datetime:
+        try:
+            return value.replace(tzinfo=UTC) if value.tzinfo is None else value.astimezone(UTC)
+        except OverflowError as error:  # beyond year 1 or 9999
+            raise ValueError(str(error)) from None
+    if kind is date:
+        return datetime(value.year, value.month, value.day, tzinfo=UTC)
+    if value is None:
+        return None
+    raise ValueError(f"a value of type {kind.__name__}")
+
+
+def typed_row(row: Mapping[str, Any]) -> dict[str, Value]:
+    """A row with typed values and its columns' names folded; ValueError names the column that can't be used."""
+    out: dict[str, Value] = {}
+    for name, value in row.items():
+        try:
+            folded = column(name)
+            if folded in out:
+                raise ValueError("two columns that differ in case only")
+            out[folded] = typed(value)
+        except ValueError as error:
+            raise ValueError(f"column {name!r:.140}: {error}") from None
+    return out
+
+
+def column(name: str) -> str:
+    """A column's name as predicates, rows and summaries have it: SQL's names don't tell cases apart."""
+    if not name or len(name) > MAX_NAME or _SURROGATE.search(name):
+        raise FilterError(f"a column's name has 1 to {MAX_NAME} characters")
+    return name.lower()
+
+
+def literal(value: Any) -> Value:
+    """A value that a predicate holds; FilterError where it can't be held."""
+    try:
+        value = typed(value)
+    except ValueError as error:
+        raise FilterError(str(error)) from None
+    if type(value) is str and len(value) > MAX_TEXT:
+        raise FilterError(f"a text of more than {MAX_TEXT} characters")
+    return value
+
+
+def number(text: str) -> int | Decimal:
+    """`12`, `-0.5`, `1e3`; ValueError for all else."""
+    if len(text) > 2 * MAX_DIGITS + 8 or not re.fullmatch(r"[+-]?(\d+\.?\d*|\.\d+)([eE][+-]?\d{1,3})?", text, re.ASCII):
+        raise ValueError("not a number of bounded length")
+    return typed(int(text) if text.lstrip("+-").isdigit() else Decimal(text))  # type: ignore[return-value]
+
+
+def moment(text: str) -> datetime:
+    """`YYYY-MM-DD`, with `HH:MM:SS`, a fraction of up to six digits and a zone as ISO 8601 writes them; ValueError for
+    all else. Without a zone: UTC."""
+    found = _TIME.fullmatch(text)
+    if not found:
+        raise ValueError("not a time as in 2026-01-31T23:59:59Z")
+    day, clock, fraction, zone = found.groups()
+    stamp = f"{day}T{clock or '00:00:00'}{(fraction or '.').ljust(7, '0')}{'+00:00' if zone in (None, 'Z') else zone}"
+    try:
+        return datetime.fromisoformat(stamp).astimezone(UTC)
+    except OverflowError as error:
+        raise ValueError(str(error)) from None
+
+
+def canonical(value: Value) -> str:
+    """Text that two values of one kind share exactly if they are equal (1 and 1.0 do)."""
+    kind = type(value)
+    if kind is str:
+        return value  # type: ignore[return-value]
+    if kind is datetime:
+        return value.astimezone(UTC).isoformat()  # type: ignore[union-attr]
+    if value == int(value):  # type: ignore[arg-type]
+        return str(int(value))  # type: ignore[arg-type]
+    return format(value, "f").rstrip("0")
+
+
+def successor(prefix: str) -> str | None:
+    """The least text above all texts that start with `prefix`; None where there is none."""
+    for end in range(len(prefix), 0, -1):
+        code = ord(prefix[end - 1])
+        if code < 0x10FFFF:
+            return prefix[:end - 1] + chr(0xE000 if code == 0xD7FF else code + 1)
+    return None
