--- /dev/null
+++ b/bench/log_cost.py
@@ -0,0 +1,87 @@
+"""What a line of the log costs, by hand, as events.py makes it and by structlog's usual chain, in turn; and memory.
+
+    python bench/log_cost.py [ROUNDS]
+
+Prints one JSON object: processor microseconds a line (medians), ratios within a round, and MB that a serving process
+holds more with each library loaded.
+"""
+
+from __future__ import annotations
+
+import io
+import json
+import subprocess
+import sys
+import time
+from statistics import median
+from typing import Any
+
+import orjson
+import structlog
+
+from frostspindle import events
+
+LINES = 5000
+SERVING = "import frostspindle.config, frostspindle.core, frostspindle.net.engines, frostspindle.net.platform\n"
+RESIDENT = "print(int(open('/proc/self/statm').read().split()[1]) * 4096 / 2**20)"
+
+
+class Nowhere(io.RawIOBase):
+    """A sink that costs nothing."""
+
+    def write(self, data: Any) -> int:
+        return len(data)
+
+
+def by_hand(sink: Nowhere) -> Any:
+    def log(event: str, **fields: Any) -> None:
+        line = {"ts": round(time.time(), 3), "node": "n", "event": event, **fields}
+        sink.write(orjson.dumps(line, default=str, option=orjson.OPT_APPEND_NEWLINE))
+        sink.flush()
+    return log
+
+
+def usual(sink: Nowhere) -> Any:
+    """The chain of structlog's own page on performance."""
+    logger = structlog.wrap_logger(
+        structlog.BytesLogger(sink), wrapper_class=structlog.make_filtering_bound_logger(20), processors=[
+            structlog.contextvars.merge_contextvars, structlog.processors.add_log_level,
+            structlog.processors.format_exc_info, structlog.processors.TimeStamper(),
+            structlog.processors.JSONRenderer(orjson.dumps)], node="n")
+    return logger.bind().info
+
+
+def cost_us(log: Any) -> float:
+    began = time.process_time()
+    for number in range(LINES):
+        log("relay", owner=number, error="the owner ended its connection")
+    return (time.process_time() - began) / LINES * 1e6
+
+
+def resident_mb(code: str) -> float:
+    return float(subprocess.run([sys.executable, "-c", f"{code}\n{RESIDENT}"], check=True, capture_output=True).stdout)
+
+
+def main() -> None:
+    rounds = int((sys.argv[1:] or ["9"])[0])
+    events.LINES_A_SECOND = 1 << 60
+    sink = Nowhere()
+    ways = {"hand": by_hand(sink), "events": events.Events("n", sink).log, "usual": usual(sink)}
+    lines = [{name: cost_us(log) for name, log in ways.items()} for _ in range(rounds)]
+    # events.py itself loads structlog: a stand-in takes its place in the process that goes without.
+    without = ("import sys, types\nfake = types.ModuleType('structlog'); fake.BoundLoggerBase = object\n"
+               "fake.typing = types.ModuleType('structlog.typing'); fake.typing.EventDict = dict\n"
+               "sys.modules.update({'structlog': fake, 'structlog.typing': fake.typing})\n")
+    memory = []
+    for _ in range(rounds):
+        none, log = resident_mb(without + SERVING), resident_mb(SERVING)
+        memory.append((none, log - none, resident_mb(SERVING + "import prometheus_client") - log))
+    print(json.dumps({
+        "us_a_line": {name: round(median(row[name] for row in lines), 2) for name in ways},
+        "times_hand": {name: round(median(row[name] / row["hand"] for row in lines), 2) for name in ways},
+        "mb": dict(zip(("without", "structlog", "prometheus_client"),
+                       (round(median(column), 2) for column in zip(*memory, strict=True)), strict=True))}))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/bench/order.py
@@ -0,0 +1,67 @@
+"""What it costs to keep the order of a key among processes: microseconds a keyed request, by how many others there are.
+
+    python bench/order.py [REQUESTS]
+
+Prints one JSON object: for 0, 1, 3 and 8 other processes with 256 places each, the median of entering and of leaving,
+where no other has the key, and the time until a waiting request is told its turn. All in turn within one run.
+"""
+
+from __future__ import annotations
+
+import json
+import random
+import sys
+import tempfile
+import time
+from pathlib import Path
+from statistics import median
+
+from frostspindle.order.sheets import Sheets
+from frostspindle.order.turns import Turns
+
+OTHERS, ROUNDS = (0, 1, 3, 8), 5
+
+
+def clock() -> float:
+    return time.monotonic() * 1000.0
+
+
+def process(folder: Path) -> tuple[Sheets, Turns]:
+    sheets = Sheets(folder, clock, 2100.0)
+    return sheets, Turns(sheets.own.owner, sheets.own, sheets.places)
+
+
+def timed(folder: Path, others: int, requests: int, draw: random.Random) -> tuple[float, float]:
+    mine, turns = process(folder)
+    there = [process(folder) for _ in range(others)]
+    for _, other in there:
+        for number in range(256):
+            other.enter(number, draw.getrandbits(62) | 1, number + 2)
+    enter, leave = [], []
+    for number in range(requests):
+        key = draw.getrandbits(62) | 1
+        at = time.perf_counter()
+        assert turns.enter(number, key, number + 1000) is True
+        mid = time.perf_counter()
+        turns.over(number)
+        enter.append(mid - at)
+        leave.append(time.perf_counter() - mid)
+    for sheets, _ in ((mine, turns), *there):
+        sheets.close(True)
+    return median(enter) * 1e6, median(leave) * 1e6
+
+
+def main() -> None:
+    requests = int((sys.argv[1:] or ["2000"])[0])
+    draw, runs = random.Random(1), {others: [] for others in OTHERS}
+    for _ in range(ROUNDS):
+        for others in OTHERS:
+            with tempfile.TemporaryDirectory() as folder:
+                runs[others].append(timed(Path(folder), others, requests, draw))
+    print(json.dumps({"requests": requests, "us": {
+        str(others): {"enter": round(median(run[0] for run in of), 1), "over": round(median(run[1] for run in of), 1)}
+        for others, of in runs.items()}}))
+
+
+if __name__ == "__main__":
+    main()
--- a/bench/spike_cores.py
+++ b/bench/spike_cores.py
@@ -21,7 +21,7 @@
 from contextlib import ExitStack
 from statistics import median
 
-from frostspindle.cli import operate
+from frostspindle.caller import operate
 from frostspindle.lab.bench import SPAWN, WARM_S, client_process, coordinator, cpu_s, engines, one
 from frostspindle.lab.engines import document, host
 
--- a/frostspindle/__main__.py
+++ b/frostspindle/__main__.py
@@ -1,47 +1,13 @@
-"""The way in: what the process becomes, and its exit code.
+"""The way in: without arguments the program serves as the environment says; else they are the command line's.
 
-Owns the choice between one process that serves, several, and the command line, and the exit codes 1 and 2 of a
-start that fails. Without arguments it serves as the environment says, and imports no more than that needs. Where
-the host refuses workers (no process may be started), it serves as one process and says so in one line.
+Owns nothing but that choice. It must never import the command line for those who only serve.
 """
 
 from __future__ import annotations
 
-import asyncio
-import os
 import sys
-from collections.abc import Mapping
-
-from frostspindle import config as configuration
-from frostspindle.config import ConfigError
-
-
-def serve(environ: Mapping[str, str] = os.environ) -> int:
-    """Serve until a signal ends it; the exit code: 0 after a signal, 1 for a fault, 2 for a bad configuration."""
-    try:
-        config = configuration.read(environ)
-    except ConfigError as error:
-        print(f"frostspindle: {error}", file=sys.stderr)
-        return 2
-    several = config.operator.cores.workers > 1
-    if several:
-        from frostspindle.cores.probe import refused
-
-        if why := refused():  # a host without processes still gets its coordinator, as one process
-            from frostspindle.events import Events
-
-            Events(config.name).log("cores_refused", workers=config.operator.cores.workers, reason=why)
-            several = False
-    if several:
-        from frostspindle.cores.supervisor import run
-    else:
-        from frostspindle.program import run  # type: ignore[assignment]
-
-    try:
-        return asyncio.run(run(config))
-    except OSError as error:
-        print(f"frostspindle: {error}", file=sys.stderr)
-        return 1
+
+from frostspindle.serving import serve
 
 
 def main() -> int:
--- /dev/null
+++ b/frostspindle/caller.py
@@ -0,0 +1,53 @@
+"""How a running coordinator is called: one request as a client makes it, one call as operators do.
+
+Owns these two calls for the command line, the demo and the benches. It must never decide what an answer means beyond
+its form, never wait without a bound, and is not part of what serves.
+"""
+
+from __future__ import annotations
+
+import http.client
+import json
+import socket
+from typing import Any
+
+from frostspindle import config as configuration
+
+
+def ask(at: str, cls: str, sql: str, ticket: str, timeout_ms: float, cost_ms: float,
+        memory: float) -> tuple[str, list[list[str]], float]:
+    """One request as a client of the platform makes it: how it ended, its rows, the wait that was advised."""
+    address, port = configuration.address(at, "--at")
+    line = http.client.HTTPConnection(address, port, timeout=timeout_ms / 1000.0 + 1.0)
+    try:
+        line.request("POST", f"/call/{cls}", sql.encode(), {
+            "X-Request-Id": ticket, "X-Timeout-Ms": f"{timeout_ms:.1f}", "X-Cost-Ms": f"{cost_ms:.1f}",
+            "X-Memory": f"{memory:.1f}"})
+        rows: list[list[str]] = []
+        while True:
+            answer = line.getresponse()
+            body = answer.read()
+            page = json.loads(body) if body else {}
+            if answer.status in (429, 503):
+                return "refused", rows, float(answer.headers.get("Retry-After-Ms", 0.0))
+            if answer.status != 200 or page.get("failure"):
+                return "failed", rows, 0.0
+            rows += page.get("rows") or []
+            if not page.get("next"):
+                return "served", rows, 0.0
+            line.request("GET", page["next"])
+    finally:
+        line.close()
+
+
+def operate(place: Any, text: str) -> str:
+    """One call to an operators' address."""
+    family = socket.AF_UNIX if isinstance(place, str) else socket.AF_INET6 if ":" in place[0] else socket.AF_INET
+    with socket.socket(family, socket.SOCK_STREAM) as line:
+        line.settimeout(5.0)
+        line.connect(place)
+        line.sendall(text.encode() + b"\n")
+        parts = []
+        while part := line.recv(65536):
+            parts.append(part)
+    return b"".join(parts).decode()
--- /dev/null
+++ b/frostspindle/catalogue.py
@@ -0,0 +1,211 @@
+"""What is spread over which sites: the operator's `[scatter]`, checked, and the classes that bind a part to its site.
+
+Owns the form of that table, its cross-checks and the numbers of the classes of parts. It must never guess a column's
+type: what is not named here is never merged, ordered or summed up. Its digest shows whether all have the same.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import re
+from collections.abc import Sequence
+from functools import cached_property
+from hashlib import blake2b
+from typing import Annotated, Any
+
+import msgspec
+from msgspec import Meta, Struct
+
+from pinstage.interface import Settings
+
+MOST_SITES, MOST_GROUPS, MOST_KEYS = 64, 256, 1_024
+INTEGER, DECIMAL, TEXT, TIME, FLOAT = "integer", "decimal", "text", "time", "float"
+CELLS = "\0"  # behind a column's name: the numbers of the cells that its values lie in; in no statement
+TYPES = (INTEGER, DECIMAL, TEXT, TIME, FLOAT)
+DIALECTS = ("sqlite", "tsql", "postgres", "mysql")
+_SCHEMA = re.compile(r"[a-z]\w*?_(\d{1,18})", re.ASCII)  # as the front finds it in a statement
+_NAME = re.compile(r"[a-z_]\w*", re.ASCII)
+Name = Annotated[str, Meta(min_length=1, max_length=24)]
+
+
+class CatalogueError(ValueError):
+    """One line that names the key at fault."""
+
+
+class Site(Struct, forbid_unknown_fields=True, frozen=True):
+    """A place with engines of its own: all that the engine list has in these failure domains."""
+
+    name: Name
+    zones: list[str] = []  # else the one of its name
+    foreign_loads: bool = False  # rows come there past the fleet: it is never left out
+
+
+class Column(Struct, forbid_unknown_fields=True, frozen=True):
+    """A column that summaries and merges know. `scale`: of a decimal, digits after the point that the engine keeps.
+    `step`: of numbers, the width of cells of which summaries know the ones that hold values, for narrow ranges."""
+
+    name: Annotated[str, Meta(min_length=1, max_length=64)]
+    type: str
+    scale: Annotated[int, Meta(ge=0, le=18)] = 0
+    step: Annotated[int, Meta(ge=0, le=10**15)] = 0  # 0: none
+
+
+class Group(Struct, forbid_unknown_fields=True, frozen=True):
+    """Tables of one schema whose rows are spread over sites; a column's name means the same in all of them."""
+
+    schema: Annotated[str, Meta(min_length=3, max_length=64)]
+    tables: Annotated[list[Annotated[str, Meta(min_length=1, max_length=64)]], Meta(min_length=1, max_length=32)]
+    column: Annotated[list[Column], Meta(min_length=1, max_length=32)]
+    sites: list[str] = []  # else all
+    by: list[str] = []  # a load without a site's name goes where these columns' values say
+
+    @property
+    def number(self) -> int:
+        found = _SCHEMA.fullmatch(self.schema)
+        return int(found.group(1)) % (1 << 24) if found else -1
+
+
+class Scatter(Struct, forbid_unknown_fields=True, frozen=True):
+    """The operator's `[scatter]`."""
+
+    site: Annotated[list[Site], Meta(min_length=1, max_length=MOST_SITES)]
+    group: Annotated[list[Group], Meta(min_length=1, max_length=MOST_GROUPS)]
+    dialect: str = "sqlite"
+    binary: bool = False  # engines tell texts apart and order them by code point, blanks and cases too
+    null: Annotated[str, Meta(max_length=16)] = "\\N"  # what an engine writes for null
+    learn_class: str = ""  # of the queries that learn a site anew; else it stays as it is: never left out
+    learn_ms: Annotated[float, Meta(ge=100, le=3_600_000)] = 5_000.0  # between two tries
+    lease_ms: Annotated[float, Meta(ge=500, le=600_000)] = 3_000.0
+    drift: Annotated[float, Meta(ge=0, le=0.2)] = 0.055
+    keep_ms: Annotated[float, Meta(ge=1_000, le=3_600_000)] = 60_000.0  # leases are kept so long after their last use
+    bits: Annotated[int, Meta(ge=0, le=16_384, multiple_of=8)] = 4_096  # of each column's sketch
+    most_rows: Annotated[int, Meta(ge=1, le=1_000_000)] = 100_000  # of one merged answer's parts together
+
+
+@dataclasses.dataclass(frozen=True)
+class Catalogue:
+    """The same, ready for use. `classes`: the module's number of a class of parts, by client's class and site."""
+
+    terms: Scatter
+    groups: dict[int, Group]
+    sites: dict[str, Site]
+    classes: dict[tuple[int, str], int]
+    loads: frozenset[int]  # classes of loads
+    learn_class: int  # -1: none
+
+    @cached_property
+    def digest(self) -> int:
+        """Leases and summaries move only among coordinators that spread the same tables in the same way."""
+        return int.from_bytes(blake2b(msgspec.json.encode(self.terms), digest_size=6).digest())
+
+    @cached_property
+    def columns(self) -> dict[int, dict[str, Column]]:
+        return {number: {column.name: column for column in group.column} for number, group in self.groups.items()}
+
+    def sites_of(self, group: int) -> Sequence[str]:
+        return self.groups[group].sites or list(self.sites)
+
+    def summed(self, group: int) -> list[str]:
+        """The columns that summaries hold. Nobody knows how an engine compares a float of four bytes."""
+        return [name for column in self.groups[group].column if column.type != FLOAT
+                for name in ([column.name, column.name + CELLS] if column.step else [column.name])]
+
+    def keys(self, group: int) -> list[str]:
+        """The summaries of a group, one a site that has no loads past the fleet."""
+        return [key_of(site, group) for site in self.sites_of(group) if not self.sites[site].foreign_loads]
+
+    def all_keys(self) -> list[str]:
+        return [key for group in self.groups for key in self.keys(group)]
+
+
+def key_of(site: str, group: int) -> str:
+    return f"{site}/{group}"
+
+
+def site_of(key: str) -> tuple[str, int]:
+    site, _, group = key.rpartition("/")
+    return site, int(group)
+
+
+def home_of(key: str, homes: Sequence[str]) -> str:
+    """The seed that keeps a summary: the highest by a hash, so that seeds share the work."""
+    return max(homes, key=lambda name: blake2b(f"{key}:{name}".encode(), digest_size=8).digest())
+
+
+def read(raw: Any) -> Scatter:
+    """The operator's table; CatalogueError names the key that can't be used."""
+    try:
+        terms = msgspec.convert(raw, Scatter)
+    except msgspec.ValidationError as error:
+        raise CatalogueError(f"scatter: {' '.join(str(error).split())}") from None
+    _unique("scatter.site", [site.name for site in terms.site])
+    _unique("scatter.group", [group.schema.lower() for group in terms.group])
+    if terms.dialect not in DIALECTS:
+        raise CatalogueError(f"scatter.dialect: not one of {', '.join(DIALECTS)}")
+    names = {site.name for site in terms.site}
+    for at, site in enumerate(terms.site):
+        if "/" in site.name or not site.name.isascii() or not site.name.isprintable():
+            raise CatalogueError(f"scatter.site[{at}].name: not plain, or with a slash: {site.name!r}")
+    for at, group in enumerate(terms.group):
+        key = f"scatter.group[{at}]"
+        if group.number < 0:
+            raise CatalogueError(f"{key}.schema: not of the form name_17 in small letters: {group.schema!r}")
+        _unique(f"{key}.tables", group.tables)
+        _unique(f"{key}.column", [column.name for column in group.column])
+        for name in (*group.tables, *(column.name for column in group.column)):
+            if not _NAME.fullmatch(name) or name != name.lower():
+                raise CatalogueError(f"{key}: not a plain name in small letters: {name!r}")
+        for column in group.column:
+            if column.type not in TYPES:
+                raise CatalogueError(f"{key}.column {column.name}: type: not one of {', '.join(TYPES)}")
+            if column.step and column.type not in (INTEGER, DECIMAL):
+                raise CatalogueError(f"{key}.column {column.name}: step: only of integers and decimals")
+        if missing := [name for name in group.sites if name not in names]:
+            raise CatalogueError(f"{key}.sites: there is no [[scatter.site]] {missing[0]!r}")
+        if missing := [name for name in group.by if name not in {column.name for column in group.column}]:
+            raise CatalogueError(f"{key}.by: no column {missing[0]!r}")
+    _unique("scatter.group numbers", [group.number for group in terms.group])
+    if sum(len(group.sites or names) for group in terms.group) > MOST_KEYS:
+        raise CatalogueError(f"scatter.group: more than {MOST_KEYS} pairs of a group and a site")
+    return terms
+
+
+def _unique(key: str, names: Sequence[Any]) -> None:
+    for at, name in enumerate(names):
+        if name in names[:at]:
+            raise CatalogueError(f"{key}[{at}]: {name!r} stands there twice")
+
+
+def with_scatter(settings: Settings, classes: Sequence[str], zones: Sequence[str],
+                 raw: Any) -> tuple[Settings, Catalogue]:
+    """The module's settings with a class of parts for each class and site added, and the catalogue.
+
+    A part runs on engines of its site only. The module itself sees to that, by its rule on placement: each class of
+    parts is bound to its site's failure domains.
+    """
+    terms = read(raw)
+    if terms.learn_class and terms.learn_class not in classes:
+        raise CatalogueError(f"scatter.learn_class: the settings have no class {terms.learn_class!r}")
+    made, numbers = list(settings.classes), dict[tuple[int, str], int]()
+    taken: dict[str, str] = {}
+    for at, site in enumerate(terms.site):
+        own = site.zones or [site.name]
+        for zone in own:
+            if zone not in zones:
+                raise CatalogueError(f"scatter.site[{at}].zones: the settings have no failure domain {zone!r}")
+            if zone in taken:
+                raise CatalogueError(f"scatter.site[{at}].zones: {zone!r} is of {taken[zone]!r}")
+            taken[zone] = site.name
+        here = frozenset(zones.index(zone) for zone in own)
+        for number in range(len(classes)):
+            cls = settings.classes[number]
+            allowed = here if cls.only_zones is None else here & cls.only_zones
+            if not allowed:
+                raise CatalogueError(f"scatter.site[{at}].zones: none is open to class {classes[number]!r}")
+            numbers[number, site.name] = len(made)
+            made.append(dataclasses.replace(cls, only_zones=allowed))
+    catalogue = Catalogue(
+        terms, {group.number: group for group in terms.group}, {site.name: site for site in terms.site}, numbers,
+        frozenset(number for number in range(len(classes)) if settings.classes[number].is_load),
+        classes.index(terms.learn_class) if terms.learn_class else -1)
+    return dataclasses.replace(settings, classes=tuple(made)), catalogue
--- a/frostspindle/cli.py
+++ b/frostspindle/cli.py
@@ -1,6 +1,6 @@
 """The command line.
 
-Owns the commands' names, options, exit codes and what a person reads. It must never serve by itself (__main__
+Owns the commands' names, options, exit codes and what a person reads. It must never serve by itself (serving.py
 does), never print a password or community, and is loaded only when there are arguments.
 
 Exit codes of `call`: 0 served, 3 refused, 4 failed, 5 no coordinator there; elsewhere 2 is a bad configuration.
@@ -14,7 +14,6 @@
 import json
 import os
 import secrets
-import socket
 import sys
 import time
 from typing import Any
@@ -23,6 +22,7 @@
 
 from frostspindle import __version__
 from frostspindle import config as configuration
+from frostspindle.caller import ask, operate
 from frostspindle.config import ConfigError
 
 SERVED, BAD, REFUSED, FAILED, AWAY = 0, 2, 3, 4, 5
@@ -59,9 +59,9 @@
 @files
 def serve(config_file: str | None, operator_file: str | None, workers: int | None) -> None:
     """Serve until SIGTERM or Ctrl-C."""
-    from frostspindle.__main__ import serve as serving
+    from frostspindle import serving
 
-    sys.exit(serving(environment(config_file, operator_file, workers)))
+    sys.exit(serving.serve(environment(config_file, operator_file, workers)))
 
 
 @cli.command()
@@ -95,15 +95,17 @@
         "known.offset": config.known_offset,
         "known.engines": len({host.host for event in config.known if event.topology
                               for host in event.topology.hosts}),
-        "classes": ", ".join(config.classes), "cores.workers": cores.workers}
+        "classes": ", ".join(f"{name} (in order)" if config.settings.classes[number].in_order else name
+                             for number, name in enumerate(config.classes)), "cores.workers": cores.workers}
     if cores.workers > 1:
         values |= {"cores.hang_ms": cores.hang_ms, "cores.crashes": cores.crashes,
                    "cores.within_ms": cores.within_ms,
                    "each worker": f"{config.limits.sockets // cores.workers} descriptors, "
                                   f"{config.limits.memory_mb / cores.workers:g} MB"}
+    shares = config.settings.tenant_quota_per_s[1:]  # the first is the default's
     values["tenants"] = ", ".join(
-        f"{tenant.name} ({tenant.share_per_s:g}/s)" if tenant.share_per_s else tenant.name
-        for tenant in config.operator.tenant) or "off"
+        f"{name} ({share:g}/s)" if share else name
+        for name, share in zip(config.tenants.names, shares, strict=True)) or "off"
     values["tds.listen"] = tds.listen if tds else "off"
     if tds:
         values |= {"tds.max_sessions": tds.max_sessions, "tds.login": len(tds.login),
@@ -144,32 +146,6 @@
     sys.exit({"served": SERVED, "refused": REFUSED}.get(how, FAILED))
 
 
-def ask(at: str, cls: str, sql: str, ticket: str, timeout_ms: float, cost_ms: float,
-        memory: float) -> tuple[str, list[list[str]], float]:
-    """One request as a client of the platform makes it: how it ended, its rows, the wait that was advised."""
-    address, port = configuration.address(at, "--at")
-    line = http.client.HTTPConnection(address, port, timeout=timeout_ms / 1000.0 + 1.0)
-    try:
-        line.request("POST", f"/call/{cls}", sql.encode(), {
-            "X-Request-Id": ticket, "X-Timeout-Ms": f"{timeout_ms:.1f}", "X-Cost-Ms": f"{cost_ms:.1f}",
-            "X-Memory": f"{memory:.1f}"})
-        rows: list[list[str]] = []
-        while True:
-            answer = line.getresponse()
-            body = answer.read()
-            page = json.loads(body) if body else {}
-            if answer.status in (429, 503):
-                return "refused", rows, float(answer.headers.get("Retry-After-Ms", 0.0))
-            if answer.status != 200 or page.get("failure"):
-                return "failed", rows, 0.0
-            rows += page.get("rows") or []
-            if not page.get("next"):
-                return "served", rows, 0.0
-            line.request("GET", page["next"])
-    finally:
-        line.close()
-
-
 @cli.command()
 @click.option("--at", help="The operators' address, IP:PORT or a path; else that of the configuration.")
 @click.option("--config", "config_file", type=click.Path(), help="The JSON file; else LB_CONFIG names it.")
@@ -207,19 +183,6 @@
                        f"{row['restarts']:>10}")
 
 
-def operate(place: Any, text: str) -> str:
-    """One call to an operators' address."""
-    family = socket.AF_UNIX if isinstance(place, str) else socket.AF_INET6 if ":" in place[0] else socket.AF_INET
-    with socket.socket(family, socket.SOCK_STREAM) as line:
-        line.settimeout(5.0)
-        line.connect(place)
-        line.sendall(text.encode() + b"\n")
-        parts = []
-        while part := line.recv(65536):
-            parts.append(part)
-    return b"".join(parts).decode()
-
-
 @cli.command()
 @click.option("--workers", default=2, show_default=True, help="Processes that serve.")
 @click.option("--port", default=6565, show_default=True, help="Where clients connect; the operators' is the next.")
@@ -268,19 +231,7 @@
 @click.option("--json", "as_json", is_flag=True, help="Print JSON.")
 def fleet(at: str, as_json: bool) -> None:
     """Ask a running coordinator how it sees its fleet: members, budgets, sums, judgements."""
-    try:
-        place = at if at.startswith("/") else configuration.address(at, "--at")
-        answer = operate(place, "show-fleet")
-    except ConfigError as error:
-        click.echo(f"frostspindle: {error}", err=True)
-        sys.exit(BAD)
-    except OSError as error:
-        click.echo(f"frostspindle: {at}: {error}", err=True)
-        sys.exit(AWAY)
-    if answer.startswith("NAK"):
-        click.echo(f"frostspindle: {at}: no fleet there: {answer.strip()}", err=True)
-        sys.exit(BAD)
-    figures = json.loads(answer.splitlines()[0])
+    figures = _asked(at, "show-fleet", "no fleet there")
     if as_json or "members" not in figures:
         click.echo(json.dumps(figures, indent=2))
         return
@@ -301,47 +252,109 @@
                    f"{'; counts' if row['counts'] else ''}")
 
 
-@cli.group()
-def lab() -> None:
-    """Try things out without serving: emulators and experiments."""
+def _asked(at: str, text: str, what: str) -> dict[str, Any]:
+    """A call's figures; ends the program where there are none."""
+    try:
+        answer = operate(at if at.startswith("/") else configuration.address(at, "--at"), text)
+    except ConfigError as error:
+        click.echo(f"frostspindle: {error}", err=True)
+        sys.exit(BAD)
+    except OSError as error:
+        click.echo(f"frostspindle: {at}: {error}", err=True)
+        sys.exit(AWAY)
+    if answer.startswith("NAK"):
+        click.echo(f"frostspindle: {at}: {what}: {answer.strip()}", err=True)
+        sys.exit(BAD)
+    return dict(json.loads(answer.splitlines()[0]))
 
 
-@lab.command("fleet")
-@click.option("--nodes", default=9, show_default=True, type=click.IntRange(1, 10_000), help="Coordinators.")
-@click.option("--seed", default=1, show_default=True, help="The same seed gives the same run.")
-@click.option("--faults", default="", help="A script, as in '10-40 cut 0-3|4-8; 20 kill 2; 0- loss 0.3'.")
-@click.option("--seconds", default=60.0, show_default=True, type=click.FloatRange(1.0, 36_000.0), help="Simulated.")
-@click.option("--units", type=click.IntRange(1), help="The budget in each second; else 20 a coordinator.")
-@click.option("--demand", default=1.5, show_default=True, help="Wanted, as a part of the budget.")
-@click.option("--hot", default=10.0, show_default=True, help="The first coordinator wants so many times the others'.")
-@click.option("--settle", is_flag=True, help="From the last fault on nothing is wanted; measure when sums agree.")
-@click.option("--json", "as_json", is_flag=True, help="Print one JSON object.")
-@click.option("--report", type=click.Path(), help="Write a page with plots there (needs the extra `plot`).")
-def lab_fleet(nodes: int, seed: int, faults: str, seconds: float, units: int | None, demand: float, hot: float,
-              settle: bool, as_json: bool, report: str | None) -> None:
-    """Play a fleet's shared state under faults, on a simulated network and clocks."""
-    from frostspindle.lab import fleet as emulating
-    from frostspindle.lab.faults.script import BadScript, parse
-
-    if report and importlib.util.find_spec("matplotlib") is None:
-        raise click.UsageError("--report needs the extra: pip install -e '.[plot]'")
-    try:
-        script = parse(faults, nodes)
-    except BadScript as error:
-        raise click.BadParameter(str(error), param_hint="--faults") from None
-    whole = units or 20 * nodes
-    emulator = emulating.Emulator(nodes, seed, script, seconds, whole, demand=lambda n: (
-        hot if n == 0 else 1.0) * whole * demand / (nodes - 1 + hot))
-    if settle:
-        emulating.settle(emulator)
-    emulator.run()
-    figures = emulating.measure(emulator)
-    if report:
-        from frostspindle.lab.fleet_report import write
-
-        click.echo(f"wrote {write(emulator, figures, report)}", err=True)
+_AT = click.option("--at", default="127.0.0.1:6566", show_default=True, help="The operators' address.")
+
+
+@cli.group(invoke_without_command=True)
+@_AT
+@click.option("--json", "as_json", is_flag=True, help="Print JSON.")
+@click.pass_context
+def owners(ctx: click.Context, at: str, as_json: bool) -> None:
+    """Who holds which task of the fleet, until when, under which token, and what was refused lately."""
+    ctx.obj = at
+    if ctx.invoked_subcommand is not None:
+        return
+    figures = _asked(at, "show-owners", "no owners there")
     if as_json:
-        click.echo(json.dumps(figures))
+        click.echo(json.dumps(figures, indent=2))
         return
-    for key, value in figures.items():
-        click.echo(f"{key:<20}{value}")
+    state = f"stands for nothing: {figures['waits']}" if figures["waits"] else f"wants {figures['wants']} tasks"
+    click.echo(f"{figures['name']}: leader {figures['leader'] or 'unknown'}, index {figures['index']}, {state}")
+    click.echo(f"\n{'task':<24}{'holder':<20}{'token':>10}{'left, s':>10}{'renewed':>10}")
+    for row in figures["owners"]:
+        notes = "".join((" here" if row["here"] else "", " released by an operator" if row["forced"] else ""))
+        click.echo(f"{row['task']:<24}{row['holder']:<20}{row['token']:>10}{row['left_ms'] / 1000.0:>10.1f}"
+                   f"{row['renewals']:>10}{notes}")
+    for task in figures["free"]:
+        click.echo(f"{task:<24}{'nobody':<20}")
+    click.echo(f"\n{figures['acted']} actions, {figures['refused']} refused")
+    for row in figures["refusals"]:
+        click.echo(f"refused: {row['task']} {row['action']} under {row['token']}, {row['highest']} was seen")
+
+
+@owners.command("release")
+@click.argument("task")
+@click.option("--wait-s", default=5.0, show_default=True, help="For it to come to be.")
+@click.pass_obj
+def release_owner(at: str, task: str, wait_s: float) -> None:
+    """Take a task from its holder; another gets it, at the latest when the lease is over. Exit 3: not within the
+    time."""
+    asked = _asked(at, f"release-owner {task}", "not released")
+    until = time.monotonic() + wait_s
+    while time.monotonic() < until:
+        rows = {row["task"]: row for row in _asked(at, "show-owners", "no owners there")["owners"]}
+        row = rows.get(task)
+        if row is None or row["token"] != asked["token"] or row["forced"]:
+            now = "nobody" if row is None else f"{row['holder']} ({row['token']})"
+            click.echo(f"{task}: {asked['holder']} ({asked['token']}) is released; now {now}")
+            return
+        time.sleep(0.05)
+    click.echo(f"frostspindle: {task}: not released within {wait_s:g} s", err=True)
+    sys.exit(REFUSED)
+
+
+class _Settings(click.Group):
+    """The commands of agreed settings, which nothing but `settings` loads."""
+
+    def list_commands(self, ctx: click.Context) -> list[str]:
+        if importlib.util.find_spec("immutables") is None:
+            raise click.UsageError("settings needs the extra: pip install -e '.[settings]'")
+        from frostspindle.settings.commands import COMMANDS
+
+        return sorted(COMMANDS)
+
+    def get_command(self, ctx: click.Context, name: str) -> click.Command | None:
+        self.list_commands(ctx)
+        from frostspindle.settings.commands import COMMANDS
+
+        return COMMANDS.get(name)
+
+
+@cli.group(cls=_Settings)
+def settings() -> None:
+    """Settings and lists in versions that all coordinators agree on."""
+
+
+class _Lab(click.Group):
+    """The lab's commands, which nothing but `lab` loads."""
+
+    def list_commands(self, ctx: click.Context) -> list[str]:
+        from frostspindle.lab.commands import COMMANDS
+
+        return sorted(COMMANDS)
+
+    def get_command(self, ctx: click.Context, name: str) -> click.Command | None:
+        from frostspindle.lab.commands import COMMANDS
+
+        return COMMANDS.get(name)
+
+
+@cli.group(cls=_Lab)
+def lab() -> None:
+    """Try things out without serving: emulators and experiments."""
--- a/frostspindle/config.py
+++ b/frostspindle/config.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import dataclasses
+import importlib.util
 import ipaddress
 import os
 import stat
@@ -19,7 +20,7 @@
 import msgspec
 from msgspec import Meta, Struct
 
-from frostspindle.ledger.tenants import Index, Rule
+from frostspindle.ledger.tenants import Rule, Tenants
 from pinstage.interface import Settings
 from pinstage.settings import flatten, read_settings
 
@@ -126,7 +127,7 @@
     community: Annotated[str, Meta(min_length=1)]
 
 
-class TenantRule(Struct, forbid_unknown_fields=True):
+class TenantRule(Struct, forbid_unknown_fields=True, frozen=True):
     """What must hold of a request of the tenant; see ledger/tenants.py."""
 
     front: str = ""
@@ -176,6 +177,94 @@
     timeout_ms: Annotated[float, Meta(ge=20, le=10_000)] = 300.0
     judges: Annotated[int, Meta(ge=2)] = 3  # one coordinator alone never speaks for others
     verdict_ms: Annotated[float, Meta(ge=1_000, le=600_000)] = 10_000.0
+    cold: bool = False  # a cold engine's budget is the fleet's, not so much for each coordinator
+    cold_lease_ms: Annotated[float, Meta(ge=300, le=60_000)] = 1_500.0
+    cold_outside: Annotated[int, Meta(ge=0)] = 0  # coordinators that go on by their plain share of cold engines
+
+
+class Recovery(Struct, forbid_unknown_fields=True):
+    """What is kept over a loss of power, and how long each stage of coming back may take, in ms; docs/recovery.md."""
+
+    folder: str = ""  # of the store; "": nothing is kept, and each start is one with a lost store
+    witness: str = ""  # a file that tells a store which was set back, best on another disk
+    first_start: bool = False  # the operator's word that an empty folder is none that was lost
+    store_ms: Annotated[float, Meta(ge=100, le=60_000)] = 5_000.0
+    address_ms: Annotated[float, Meta(ge=100, le=60_000)] = 10_000.0
+    find_ms: Annotated[float, Meta(ge=100, le=60_000)] = 1_000.0
+    agree_ms: Annotated[float, Meta(ge=100, le=60_000)] = 500.0
+    rights_ms: Annotated[float, Meta(ge=0, le=600_000)] = 100.0
+    service_ms: Annotated[float, Meta(ge=1_000, le=600_000)] = 60_000.0
+    ticket_ms: Annotated[float, Meta(ge=1_000, le=86_400_000)] = 600_000.0  # so long a load may be repeated by its id
+    claim_ms: Annotated[float, Meta(ge=50, le=10_000)] = 1_000.0  # a load's ticket is asked for so long
+
+
+class Replica(Struct, forbid_unknown_fields=True):
+    """The replicated log and this coordinator's part in it; voters and times must be the same everywhere, but for the
+    addresses by which each reaches the others. docs/replica.md"""
+
+    voters: Annotated[list[Annotated[str, Meta(max_length=128)]], Meta(min_length=1, max_length=7)]  # name=IP:PORT
+    folder: str  # of the journal
+    secret: str  # the file that holds the secret which all members share
+    me: str = ""  # this one's name; else fleet.name or the configuration's. Who is no voter is a follower
+    listen: str = ""  # IP:PORT, where it is not this one's among the voters
+    first_start: bool = False  # the operator's word that an empty folder is none whose journal was lost
+    heartbeat_ms: Annotated[float, Meta(ge=20, le=10_000)] = 100.0
+    election_ms: Annotated[float, Meta(ge=100, le=60_000)] = 500.0  # of a leader's silence; drawn up to twice that
+    most_open: Annotated[int, Meta(ge=1, le=4_096)] = 256  # proposals of this coordinator that wait at once
+
+
+class OwnedTask(Struct, forbid_unknown_fields=True):
+    """The export of the fleet's figures to a fenced sink, by one owner at a time."""
+
+    name: Annotated[str, Meta(pattern=r"^[!-~]{1,64}$")]
+    at: str  # the sink's IP:PORT
+    every_ms: Annotated[float, Meta(ge=10, le=86_400_000)] = 60_000.0
+    weight: Annotated[float, Meta(gt=0, le=1e6)] = 1.0  # a coordinator with a greater one is likelier to own it
+
+
+class OwnedWarming(Struct, forbid_unknown_fields=True):
+    """Statements by which the owner of the task `warm` warms cold HTTP engines up; needs fleet.cold."""
+
+    statement: Annotated[list[Annotated[str, Meta(min_length=1, max_length=4096)]], Meta(min_length=1, max_length=64)]
+    cls: str = msgspec.field(name="class")
+    cost_ms: Annotated[float, Meta(gt=0, le=60_000)] = 100.0  # of one, as rights are paid for it
+    most_ms: Annotated[float, Meta(ge=50, le=60_000)] = 2_000.0
+    every_ms: Annotated[float, Meta(ge=20, le=60_000)] = 250.0
+    weight: Annotated[float, Meta(gt=0, le=1e6)] = 1.0
+
+
+class Ownership(Struct, forbid_unknown_fields=True):
+    """One owner at a time for work on behalf of the fleet, on the replicated log; the same everywhere but for the
+    tasks. docs/ownership.md"""
+
+    lease_ms: Annotated[int, Meta(ge=300, le=600_000)] = 3_000
+    drift: Annotated[float, Meta(ge=0, le=0.2)] = 0.01  # no clock is faster or slower than real time by more
+    task: Annotated[list[OwnedTask], Meta(max_length=64)] = []
+    warm: OwnedWarming | None = None
+
+
+class Agreed(Struct, forbid_unknown_fields=True):
+    """`[settings]`: settings and lists in versions that all coordinators agree on; see docs/settings.md. All but the
+    places and `alone` must be the same everywhere."""
+
+    folder: str = ""  # of the versions that are kept; "": none is, and none acknowledged
+    file: str = ""  # of a coordinator without [replica]: its file is its next version, at the start and on SIGHUP
+    lease_ms: Annotated[float, Meta(ge=300, le=60_000)] = 2_000.0
+    drift: Annotated[float, Meta(ge=0, le=0.2)] = 0.01
+    trial_ms: Annotated[float, Meta(ge=1_000, le=600_000)] = 10_000.0  # a version may be rolled back for so long
+    alone: str = "meet"  # what to act on once nothing was heard for a lease; or "refuse"
+    guard: bool = True  # a version that harms is rolled back: its parts of requests leave what was usual by more than
+    band_failed: Annotated[float, Meta(gt=0, le=1)] = 0.01
+    band_refused: Annotated[float, Meta(gt=0, le=1)] = 0.05
+    band_slow: Annotated[float, Meta(gt=0, le=1)] = 0.03
+
+
+class Subscriptions(Struct, forbid_unknown_fields=True):
+    """Operators' programs may subscribe to events at this coordinator; see docs/subscriptions.md."""
+
+    most: Annotated[int, Meta(ge=1, le=10_000)] = 1_000  # subscriptions at once
+    remember: Annotated[int, Meta(ge=256, le=262_144)] = 16_384  # own events, for those that come back
+    backlog: Annotated[int, Meta(ge=16, le=16_384)] = 1_024  # events that wait for one subscriber
 
 
 class Cores(Struct, forbid_unknown_fields=True):
@@ -196,6 +285,13 @@
     default_tenant: str = "default"  # of requests that no rule fits
     cores: Cores = msgspec.field(default_factory=Cores)
     fleet: Fleet | None = None
+    metrics: bool = False  # the operators' port answers `metrics`, in Prometheus' text form
+    recovery: Recovery | None = None
+    scatter: dict[str, Any] | None = None  # read by catalogue.py, which is loaded for it alone
+    subscriptions: Subscriptions | None = None
+    replica: Replica | None = None
+    ownership: Ownership | None = None
+    settings: Agreed | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -225,11 +321,13 @@
     idle_ms: float
     operator: Operator
     plan: TdsPlan
+    tenants: Tenants
     desk: Address | str | None = None  # where operators call; a str is the path of a Unix socket
     inherited: int | None = None  # the descriptor of a listening socket that the platform holds
     listener: int | None = None  # of one that the supervisor holds for all its workers
     tds_listener: int | None = None
     worker: int | None = None  # which of several workers this process is
+    scatter: Any = None  # the catalogue of spread tables
 
 
 def address(text: str, key: str) -> Address:
@@ -320,12 +418,112 @@
         bound |= {budget.tenant} - {""}
 
 
-def tenant_index(operator: Operator) -> tuple[Index, dict[str, int]] | None:
-    """The rules compiled, and the module's number of each tenant; None where there are none."""
-    if not operator.tenant:
-        return None
+def _check_recovery(operator: Operator, name: str) -> None:
+    if operator.recovery is None:
+        return
+    if operator.cores.workers > 1:
+        raise ConfigError("recovery: needs cores.workers = 1")
+    if not 0 < len((operator.fleet and operator.fleet.name or name).encode()) <= 64:
+        raise ConfigError("recovery: needs a name of 1 to 64 bytes in LB_CONFIG or fleet.name")
+    for key, text in (("folder", operator.recovery.folder), ("witness", operator.recovery.witness)):
+        if text and not os.path.isabs(text):
+            raise ConfigError(f"recovery.{key}: not an absolute path: {text!r}")
+
+
+def _check_replica(operator: Operator, name: str) -> None:
+    if operator.replica is None:
+        return
+    replica = operator.replica
+    if importlib.util.find_spec("pysyncobj") is None:
+        raise ConfigError("replica: needs the extra: pip install 'frostspindle[replica]'")
+    if operator.cores.workers > 1:
+        raise ConfigError("replica: needs cores.workers = 1")
+    replica.me = replica.me or (operator.fleet.name if operator.fleet else "") or name
+    names = []
+    for number, text in enumerate(replica.voters):
+        voter, mark, at = text.partition("=")
+        key = f"replica.voters[{number}]"
+        if not mark or not _plain_name(voter):
+            raise ConfigError(f"{key}: not NAME=IP:PORT, the name of 1 to 64 letters, digits, . _ -: {text!r}")
+        if address(at, key)[1] == 0:
+            raise ConfigError(f"{key}: no port: {text!r}")
+        if voter in names:
+            raise ConfigError(f"{key}: {voter!r} stands there twice")
+        names.append(voter)
+    if len(names) % 2 == 0:
+        raise ConfigError(f"replica.voters: {len(names)} of them; an odd number bears as many losses with one fewer")
+    if not _plain_name(replica.me):
+        raise ConfigError(f"replica.me: not a name of 1 to 64 letters, digits, . _ -: {replica.me!r}")
+    if replica.listen:
+        address(replica.listen, "replica.listen")
+    if replica.election_ms <= 3 * replica.heartbeat_ms:
+        raise ConfigError("replica.election_ms: not above three heartbeats")
+    for key, text in (("folder", replica.folder), ("secret", replica.secret)):
+        if not os.path.isabs(text):
+            raise ConfigError(f"replica.{key}: not an absolute path: {text!r}")
+    try:
+        with open(replica.secret, "rb") as file:
+            length = len(file.read(4_097).strip())
+    except OSError as error:
+        raise ConfigError(f"replica.secret: {replica.secret}: {error.strerror}") from None
+    if not 16 <= length <= 4_096:
+        raise ConfigError("replica.secret: holds no 16 to 4096 bytes")
+
+
+def _check_ownership(operator: Operator, classes: tuple[str, ...]) -> None:
+    if operator.ownership is None:
+        return
+    if operator.replica is None:
+        raise ConfigError("ownership: needs [replica]")
+    names = [task.name for task in operator.ownership.task]
+    if (warm := operator.ownership.warm) is not None:
+        if operator.fleet is None or not operator.fleet.cold:
+            raise ConfigError("ownership.warm: needs fleet.cold")
+        if warm.cls not in classes:
+            raise ConfigError(f"ownership.warm.class: the settings have no class {warm.cls!r}")
+        if "warm" in names:
+            raise ConfigError(f"ownership.task[{names.index('warm')}].name: 'warm' is that of ownership.warm")
+    for number, task in enumerate(operator.ownership.task):
+        if task.name in names[:number]:
+            raise ConfigError(f"ownership.task[{number}].name: {task.name!r} stands there twice")
+        address(task.at, f"ownership.task[{number}].at")
+
+
+def _plain_name(text: str) -> bool:
+    return 0 < len(text) <= 64 and text.isascii() and text.replace("-", "").replace("_", "").replace(".", "").isalnum()
+
+
+def _check_settings(operator: Operator, name: str) -> None:
+    if (terms := operator.settings) is None:
+        return
+    if importlib.util.find_spec("immutables") is None:
+        raise ConfigError("settings: needs the extra: pip install 'frostspindle[settings]'")
+    if operator.cores.workers > 1:
+        raise ConfigError("settings: needs cores.workers = 1")
+    for key, text in (("folder", terms.folder), ("file", terms.file)):
+        if text and not os.path.isabs(text):
+            raise ConfigError(f"settings.{key}: not an absolute path: {text!r}")
+    if not 0 < len((operator.replica.me if operator.replica else name).encode()) <= 64:
+        raise ConfigError("settings: needs a name of 1 to 64 bytes in LB_CONFIG or replica.me")
+    if terms.alone not in ("meet", "refuse"):
+        raise ConfigError(f"settings.alone: not meet or refuse: {terms.alone!r}")
+    if terms.file and operator.replica:
+        raise ConfigError("settings.file: with [replica] versions are pushed: frostspindle settings push")
+
+
+def _check_subscriptions(operator: Operator, desk: bool) -> None:
+    if operator.subscriptions and operator.cores.workers > 1:
+        raise ConfigError("subscriptions: needs cores.workers = 1")
+    if operator.subscriptions and not desk:
+        raise ConfigError("subscriptions: needs LB_OPERATOR, where subscribers call")
+
+
+def _tenants(named: tuple[str, ...], operator: Operator) -> Tenants:
+    """Those of the settings and the operator's, who may add rules to one of the settings or a tenant of their own."""
+    if len(set(named)) < len(named):
+        raise ConfigError("settings: parties: a name stands there twice")
     rules = [Rule(tenant.name, *msgspec.structs.astuple(rule)) for tenant in operator.tenant for rule in tenant.rule]
-    return Index(rules), {tenant.name: number for number, tenant in enumerate(operator.tenant, 1)}
+    return Tenants(named, rules, [tenant.name for tenant in operator.tenant], operator.default_tenant)
 
 
 def _read_cores(cores: Cores, environ: Mapping[str, str], limits: Limits) -> None:
@@ -385,23 +583,43 @@
         idle_ms = float(pairs.get("limits.connIdle", 15000.0))
     except ValueError as error:
         raise ConfigError(f"settings: {_one_line(error)}") from None
-    categories = document.settings.get("categories", [])
-    classes = tuple(str(c.get("name", number)) for number, c in enumerate(categories))
+    classes = _named(document.settings, "categories")
     operator_file = environ.get("FROSTSPINDLE_OPERATOR", "")
     operator = read_operator(operator_file, classes, document.limits)
     _read_cores(operator.cores, environ, document.limits)
+    _check_recovery(operator, environ.get("LB_NAME") or document.name)
+    _check_replica(operator, environ.get("LB_NAME") or document.name)
+    _check_ownership(operator, classes)
+    _check_settings(operator, environ.get("LB_NAME") or document.name)
     if operator.fleet and operator.cores.workers > 1:
         raise ConfigError("fleet: needs cores.workers = 1")
+    if operator.fleet and operator.fleet.cold:
+        if operator.fleet.cold_outside > settings.dispatchers - 2:
+            raise ConfigError(f"fleet.cold: {settings.dispatchers} balancers, {operator.fleet.cold_outside} of them "
+                              "outside, leave fewer than two that share")
+        # To the module each coordinator leases its part of a cold engine, as one of several workers does.
+        settings = dataclasses.replace(settings, workers=settings.dispatchers)
     if operator.fleet and not (operator.fleet.name or environ.get("LB_NAME") or document.name):
         raise ConfigError("fleet.name: not set, and no name in LB_CONFIG")
     desk = environ.get("LB_OPERATOR") or document.operator
+    if operator.metrics and not desk:
+        raise ConfigError("metrics: needs operator (LB_OPERATOR), the port that answers it")
+    if operator.metrics and importlib.util.find_spec("prometheus_client") is None:
+        raise ConfigError("metrics: needs the extra: pip install 'frostspindle[metrics]'")
+    _check_subscriptions(operator, bool(desk))
     plan = TdsPlan({}, {})
-    if operator.tenant:
-        # Tenant 0 is the default, without a bound of ours; a platform that names tenants itself keeps that one's.
+    tenants = _tenants(_named(document.settings, "parties"), operator)
+    if tenants.on:
+        # The module's tenant 0 is the default, without a bound; the operator's word on a share goes first.
+        shares = dict(zip(tenants.names, settings.tenant_quota_per_s, strict=False))
+        shares.update({tenant.name: tenant.share_per_s for tenant in operator.tenant if tenant.share_per_s})
         settings = dataclasses.replace(settings, tenant_quota_per_s=(
-            *(settings.tenant_quota_per_s or (0.0,))[:1], *(tenant.share_per_s for tenant in operator.tenant)))
+            0.0, *(shares.get(name, 0.0) for name in tenants.names)))
     if operator.tds:
         settings, plan = with_tds(settings, classes, operator.tds)
+    scatter = None
+    if operator.scatter is not None:
+        settings, scatter = _with_scatter(settings, classes, _names(document.settings, "failureDomains"), operator)
     return Config(
         environ=environ, name=environ.get("LB_NAME") or document.name,
         listen=address(listen, "LB_LISTEN"), seed=seed,
@@ -409,11 +627,25 @@
         known_offset=document.known.offset, known=tuple(document.known.batch), settings=settings,
         classes=classes, kinds=_names(document.settings, "kinds"),
         zones=_names(document.settings, "failureDomains"), idle_ms=idle_ms,
-        operator=operator, plan=plan,
+        operator=operator, plan=plan, tenants=tenants, scatter=scatter,
         desk=desk if desk.startswith("/") else address(desk, "LB_OPERATOR") if desk else None,
         inherited=_descriptor(environ.get("LB_INHERITED_FD", "")))
 
 
+def _with_scatter(settings: Settings, classes: tuple[str, ...], zones: tuple[str, ...],
+                  operator: Operator) -> tuple[Settings, Any]:
+    if any(importlib.util.find_spec(name) is None for name in ("sqlglot", "rbloom")):
+        raise ConfigError("scatter: needs the extra: pip install -e '.[predicates]'")
+    from frostspindle.catalogue import CatalogueError, with_scatter
+
+    if operator.fleet is None:
+        raise ConfigError("scatter: needs [fleet], of one coordinator at least")
+    try:
+        return with_scatter(settings, classes, zones, operator.scatter)
+    except CatalogueError as error:
+        raise ConfigError(str(error)) from None
+
+
 def with_tds(settings: Settings, names: tuple[str, ...], tds: Tds) -> tuple[Settings, TdsPlan]:
     """The module's settings with the TDS classes and kinds added.
 
@@ -439,6 +671,14 @@
         kind_memory_mb=memory + tuple(size for _, size in kinds)), plan
 
 
+def _named(settings: dict[str, Any], key: str) -> tuple[str, ...]:
+    """The names of a list's entries, a number for one without."""
+    entries = settings.get(key) or []
+    if not isinstance(entries, list) or not all(isinstance(entry, dict) for entry in entries):
+        raise ConfigError(f"settings: {key}: not a list of objects")
+    return tuple(str(entry.get("name", number)) for number, entry in enumerate(entries))
+
+
 def _names(settings: dict[str, Any], key: str) -> tuple[str, ...]:
     value = settings.get(key, [])
     return tuple(value) if isinstance(value, list) else tuple(str(value).split(","))
--- a/frostspindle/core.py
+++ b/frostspindle/core.py
@@ -18,7 +18,7 @@
 from collections import Counter, deque
 from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass, field
-from typing import Any, Protocol
+from typing import Any, NamedTuple, Protocol
 
 from frostspindle.events import Events
 from pinstage import interface as api
@@ -26,6 +26,7 @@
 from pinstage.interface import Health, ListKind, Verdict
 
 SERVED, REFUSED, FAILED = "served", "refused", "failed"
+PART = "part"  # front of what is asked for on a client's behalf: figures of clients leave it out
 ABSENT_MS = 30_000.0  # an engine that is gone for so long is forgotten
 AGAIN_MS = 20.0  # a reminder of the module's that met a fault comes again after this
 # What operators are told of a class, and the counters behind it; lost: open when a worker died.
@@ -46,6 +47,8 @@
     how: str
     result: Any = None
     retry_after_ms: float = 0.0
+    reason: str = ""  # for the client: why trying again is of no use
+    mark: str = ""  # of a result: what is missing in it
 
 
 @dataclass(slots=True, eq=False)
@@ -61,9 +64,12 @@
     settle: Callable[[Answer], None]
     cost_ms: float = 0.0
     memory_mb: float = 0.0
-    group: int = 0
+    group: int = -1  # of tables, by number; -1: none
     place: str = ""  # the database, for drivers that need to name it
     tenant: int = 0  # the module's number of it; 0: the default
+    key: int = 0  # of what it must keep its order with; 0: with nothing
+    site: str = ""  # where its rows go, if its client says so
+    partial: bool = False  # a result without what could not be had will do
     number: int = 0  # the core's own, once taken
 
 
@@ -106,6 +112,16 @@
     version: int = 0  # of the list's event that told of it, where all workers number its events alike
 
 
+class Needed(NamedTuple):
+    """What a query turned out to need, as the answer tells it; 0: not told."""
+
+    cost_ms: float = 0.0
+    memory_mb: float = 0.0
+
+
+UNTOLD = Needed()
+
+
 class Driver(Protocol):
     """What the core needs of a kind of engines."""
 
@@ -130,6 +146,75 @@
         """Let go of all connections."""
 
 
+class Turns(Protocol):
+    """What the core needs to keep an order by key with other processes; Core.turn tells that one has come."""
+
+    def enter(self, number: int, key: int) -> bool | None:
+        """A request is taken: whether its turn has come; None: no place for it."""
+
+    def over(self, number: int) -> None:
+        """It is answered, and nothing of it is out."""
+
+
+class Gate(Protocol):
+    """What the core needs of a gate before the module; Core.admit or Core.turn_away follow for who waits there."""
+
+    def enter(self, now: float, ask: Ask, turn: bool) -> bool:
+        """A request is taken: whether the module is to hear of it now."""
+
+    def turned(self, number: int) -> bool:
+        """The turn of a request has come: whether it still waits here."""
+
+    def over(self, number: int, ran: bool) -> None:
+        """It is answered, or its client left; `ran`: something of it may have."""
+
+    def ended(self, engine: str, verdict: int) -> None:
+        """An attempt has ended."""
+
+    def close(self) -> list[int]:
+        """The program ends: who still waits."""
+
+
+@dataclass(slots=True, frozen=True)
+class _Admit:
+    """The gate is done with a request: on to the module, or with this answer to its client."""
+
+    number: int
+    turn: bool = True
+    answer: Answer | None = None
+
+
+@dataclass(slots=True, frozen=True)
+class _Chilled:
+    """Engines that have lost power, at a time that nobody knows."""
+
+    names: frozenset[str]
+
+
+class Ahead(Protocol):
+    """Takes requests before the ledger does, and answers each from others that it hands in."""
+
+    @property
+    def open(self) -> int:
+        """Requests taken and not yet answered."""
+
+    def takes(self, ask: Ask) -> bool | None:
+        """True: it settles this one; False: full; None: it is not its."""
+
+    def left(self, ask: Ask) -> bool:
+        """The client has gone; False: not one that it took."""
+
+
+class Witness(Protocol):
+    """What tells others of answers and engines; it only notes them."""
+
+    def answered(self, ask: Ask, how: str, engine: str) -> None:
+        """A request has its final answer; `engine`: the last that it was sent to, "" if none was."""
+
+    def engine(self, name: str, change: str, state: int | None = None) -> None:
+        """An engine is listed anew, banned, or taken back; `state`: its health on the list."""
+
+
 @dataclass(slots=True, frozen=True)
 class _Listing:
     driver: Driver
@@ -153,6 +238,13 @@
     most: int
 
 
+@dataclass(slots=True, frozen=True)
+class _Tuned:
+    """The module's settings from now on: shares and classes' times may differ from those of the start."""
+
+    settings: api.Settings
+
+
 @dataclass(slots=True, frozen=True)
 class _Over:
     """The program ends."""
@@ -179,6 +271,7 @@
     report: tuple[float, ...]
     result: Any
     at_ms: float
+    needed: Needed
 
 
 @dataclass(slots=True, frozen=True)
@@ -202,8 +295,14 @@
         # Of a worker among several: asked before each send, and told of engines whose work has changed.
         self.fence: Callable[[EngineState, Attempt], bool] | None = None
         self.watch: Callable[[int, tuple[float, ...]], None] | None = None
+        # Where processes of this coordinator share its keys: their turns.
+        self.turns: Turns | None = None
+        self.ahead: Ahead | None = None
         # In a fleet: whether one more request of a tenant is within what all coordinators may take of it.
         self.within: Callable[[int], bool] | None = None
+        # While service returns after a loss, and before loads: who goes on to the module.
+        self.gate: Gate | None = None
+        self.witness: Witness | None = None  # where somebody subscribes to what happens here
         self._records: dict[int, Record] = {}
         self._open = self._numbers = self._version = 0
         self._urgent: deque[Any] = deque()  # the engine list; never waits behind client work
@@ -224,7 +323,7 @@
     @property
     def open(self) -> int:
         """Requests taken and not yet answered."""
-        return self._open
+        return self._open + (self.ahead.open if self.ahead is not None else 0)
 
     @property
     def behind(self) -> bool:
@@ -233,8 +332,12 @@
 
     def submit(self, ask: Ask) -> bool:
         """Take a request; False: full, the front refuses it by itself and the module never hears of it."""
+        if self.ahead is not None and (taken := self.ahead.takes(ask)) is not None:
+            return taken
         if self._open >= self.most_open:
             self.events.count("full", ask.front, self.classes[ask.cls][1])
+            if self.witness is not None:
+                self.witness.answered(ask, REFUSED, "")
             return False
         self._open += 1
         self._put(ask)
@@ -242,6 +345,8 @@
 
     def left(self, ask: Ask) -> None:
         """The client has gone; nothing is owed."""
+        if self.ahead is not None and self.ahead.left(ask):
+            return
         self._put(_Leave(ask))
 
     def list_engines(self, driver: Driver, engines: Iterable[EngineState], how: int, version: int) -> None:
@@ -255,12 +360,12 @@
             self._put(api.Note(attempt.ask.number, attempt.number, attempt.engine, kind, value))
 
     def ended(self, attempt: Attempt, verdict: int, report: tuple[float, ...] = (),
-              result: Any = None) -> None:
+              result: Any = None, needed: Needed = UNTOLD) -> None:
         """The one end of an attempt; whatever a driver says of it later is dropped."""
         if attempt.over:
             return
         attempt.over = True
-        self._put(_End(attempt, verdict, report, result, clock()))
+        self._put(_End(attempt, verdict, report, result, clock(), needed))
 
     def probed(self, engine: int, verdict: int, elapsed_ms: float, report: tuple[float, ...] = ()) -> None:
         self._put(api.Probed(engine, verdict, elapsed_ms, report))
@@ -292,6 +397,24 @@
             self._urgent.append(_Banned(frozenset((name,)), False))
             self._wake.set()
 
+    def turn(self, number: int) -> None:
+        """The turn of a request has come that waited for another process's."""
+        self._put(api.Turn(number))
+
+    def admit(self, number: int, turn: bool) -> None:
+        """A request that waited at the gate goes on."""
+        self._put(_Admit(number, turn))
+
+    def turn_away(self, number: int, answer: Answer) -> None:
+        """One that waited at the gate is answered there."""
+        self._put(_Admit(number, True, answer))
+
+    def chill(self, starts: dict[str, float]) -> None:
+        """These engines are to be taken for started then, whatever the list says of an earlier start."""
+        self._back.update(starts)
+        self._urgent.append(_Chilled(frozenset(starts)))
+        self._wake.set()
+
     def hear(self, entries: tuple[api.Peer, ...]) -> None:
         """Word of the other workers, for the module."""
         self._put(api.Peers(entries))
@@ -305,6 +428,11 @@
         self._urgent.append(_Bound(most))
         self._wake.set()
 
+    def tune(self, settings: api.Settings) -> None:
+        """Other shares of tenants, aims, deadlines and worths; all else must be as at the start."""
+        self._urgent.append(_Tuned(settings))
+        self._wake.set()
+
     def give_up(self) -> None:
         """The program ends: the module ends what is still open, for no answer would come any more."""
         self._urgent.append(_Over())
@@ -336,6 +464,8 @@
         """What operators, SIGUSR1 and SNMP are all told, drawn from the counters and the ledger."""
         calls: dict[str, dict[str, int]] = {}
         for front, name in self.classes:
+            if front == PART:
+                continue
             row = calls.setdefault(name, dict.fromkeys(FIGURES, 0))
             for figure, counters in FIGURES.items():
                 row[figure] += sum(self.events.counts[what, front, name] for what in counters)
@@ -395,6 +525,8 @@
             for attempt in record.attempts:
                 if not attempt.over:
                     self.engines[attempt.engine].driver.stop(attempt)
+            if all(attempt.over for attempt in record.attempts):
+                self._passed(record.ask)
 
     @staticmethod
     def _request_of(event: Any) -> int:
@@ -413,10 +545,23 @@
             self._list(now, event)
         elif isinstance(event, _Banned):
             self._lay(now, event.names, event.by_hand)
+        elif isinstance(event, _Chilled):
+            self._lay(now, event.names, None)
+        elif isinstance(event, _Admit):
+            record = self._records.get(event.number)
+            if record is not None and not record.answered:
+                if event.answer is not None:
+                    self._answer(event.number, event.answer)
+                else:
+                    self._request(now, record.ask, event.turn)
         elif isinstance(event, _Bound):
             self.controller.most_open = event.most
+        elif isinstance(event, _Tuned):
+            self.controller.s = event.settings
         elif isinstance(event, _Over):
             self._do(now, self.controller.give_up(now))
+            for number in self.gate.close() if self.gate is not None else ():
+                self._answer(number, Answer(REFUSED))
         elif isinstance(event, _Leave):
             self._leave(now, event.ask.number, "left")
         elif isinstance(event, _Overdue):
@@ -428,7 +573,7 @@
                 self._leave(now, event.number, "overdue")
         elif isinstance(event, _Absent):
             self._drop_engine(now, event.engine)
-        else:
+        elif not (isinstance(event, api.Turn) and self.gate is not None and self.gate.turned(event.request)):
             self._tell(now, event)
 
     def _tell(self, now: float, event: api.Event) -> None:
@@ -453,11 +598,19 @@
         self._numbers += 1
         ask.number = self._numbers
         self._records[ask.number] = Record(ask)
-        left_ms = ask.left_ms - (now - ask.taken_ms)
         self._at(ask.taken_ms + ask.left_ms, _Overdue(ask.number))
         self.events.count("taken", ask.front, self.classes[ask.cls][1])
-        self._tell(now, api.Request(ask.number, ask.cls, ask.tenant, 0, left_ms, ask.cost_ms, ask.memory_mb,
-                                    float(ask.group), self.within is not None and not self.within(ask.tenant)))
+        turn = self.turns.enter(ask.number, ask.key) if ask.key and self.turns is not None else True
+        if turn is None:  # an order that can't be kept is turned down: nothing ran
+            self._answer(ask.number, Answer(REFUSED))
+            return
+        if self.gate is None or self.gate.enter(now, ask, turn):
+            self._request(now, ask, turn)
+
+    def _request(self, now: float, ask: Ask, turn: bool) -> None:
+        left_ms = ask.left_ms - (now - ask.taken_ms)
+        self._tell(now, api.Request(ask.number, ask.cls, ask.tenant, ask.key, left_ms, ask.cost_ms, ask.memory_mb,
+                                    float(ask.group), self.within is not None and not self.within(ask.tenant), turn))
 
     def _leave(self, now: float, number: int, why: str) -> None:
         record = self._records.get(number)
@@ -467,6 +620,8 @@
             record.answered = why
             self._open -= 1
             self.events.count(why, record.ask.front, self.classes[record.ask.cls][1])
+        if self.gate is not None:
+            self.gate.over(number, bool(record.attempts))
         self._tell(now, api.Left(number))
         self._forget(record)
 
@@ -495,6 +650,8 @@
             if state.entry.health == Health.GONE:
                 self._at(now + ABSENT_MS, _Absent(state.entry.engine))
             self.events.log("engine", name=state.name, health=state.entry.health, since=state.entry.since_ms)
+            if self.witness is not None:
+                self.witness.engine(state.name, "list", int(state.entry.health))
         self._version = listing.version
         self._tell(now, api.EngineList(ListKind.DELTA, listing.version, tuple(entries)))
 
@@ -507,16 +664,18 @@
         return EngineState(listed._replace(health=health, since_ms=since_ms), told.name, told.address, told.driver,
                            listed, told.version)
 
-    def _lay(self, now: float, names: frozenset[str], by_hand: bool) -> None:
-        """Bans have changed: tell driver and module of the engines that they are about."""
+    def _lay(self, now: float, names: frozenset[str], by_hand: bool | None) -> None:
+        """Bans or starts have changed: tell driver and module of the engines that they are about."""
         entries = []
         for number, state in self.engines.items():
             if state.name in names and state.entry.health != Health.GONE:
                 self.engines[number] = state = self._overlaid(state)
                 state.driver.listed(state)
                 entries.append(state.entry)
-        for name in sorted(names):
+        for name in sorted(names) if by_hand is not None else ():
             self.events.log("ban", name=name, on=name in self.banned) if by_hand else self.events.log("stop", name=name)
+            if self.witness is not None:
+                self.witness.engine(name, ("ban" if name in self.banned else "unban") if by_hand else "stop")
         if entries:
             self._tell(now, api.EngineList(ListKind.DELTA, self._version, tuple(entries)))
 
@@ -546,6 +705,8 @@
     def _end(self, now: float, end: _End) -> None:
         attempt, ask = end.attempt, end.attempt.ask
         record, verdict = self._records.get(ask.number), end.verdict
+        if self.gate is not None and (state := self.engines.get(attempt.engine)) is not None:
+            self.gate.ended(state.name, verdict)
         self.events.count(f"ended_{Verdict(verdict).name.lower()}", ask.front, self.classes[ask.cls][1])
         if verdict not in (Verdict.OK, Verdict.CANCELLED):
             self.events.log("attempt", request=ask.number, ticket=ask.ticket, attempt=attempt.number,
@@ -555,15 +716,23 @@
             self._answer(ask.number, Answer(SERVED, end.result))
         over = record is None or bool(record.answered)
         self._tell(now, api.Ended(ask.number, attempt.number, attempt.engine, verdict,
-                                  end.at_ms - attempt.sent_ms, over, 0.0, 0.0, end.report))
+                                  end.at_ms - attempt.sent_ms, over, *end.needed, end.report))
         if self.watch is not None:
             self.watch(attempt.engine, end.report)
         if record is not None:
             self._forget(record)
+        else:
+            self._passed(ask)  # what a fault hit has at most one attempt out
 
     def _forget(self, record: Record) -> None:
         if record.answered and all(attempt.over for attempt in record.attempts):
             self._records.pop(record.ask.number, None)
+            self._passed(record.ask)
+
+    def _passed(self, ask: Ask) -> None:
+        """Nothing of the request can run any more."""
+        if ask.key and self.turns is not None:
+            self.turns.over(ask.number)
 
     # Actions.
 
@@ -611,8 +780,13 @@
         record.answered = answer.how
         self._open -= 1
         self.events.count(answer.how, record.ask.front, self.classes[record.ask.cls][1])
+        if self.gate is not None:
+            self.gate.over(number, bool(record.attempts) and answer.how != REFUSED)
         try:
             record.ask.settle(answer)
             record.ask.statement = ""  # the line may stay for an attempt that has yet to end
         finally:
             self._forget(record)
+            if self.witness is not None:
+                last = self.engines.get(record.attempts[-1].engine) if record.attempts else None
+                self.witness.answered(record.ask, answer.how, last.name if last else "")
--- a/frostspindle/cores/link.py
+++ b/frostspindle/cores/link.py
@@ -10,7 +10,7 @@
 import asyncio
 import time
 from collections.abc import Callable
-from typing import TYPE_CHECKING
+from pathlib import Path
 
 import msgspec
 
@@ -22,12 +22,11 @@
 from frostspindle.cores.fleet import Row, Sibling
 from frostspindle.cores.mesh import Gone, Mesh
 from frostspindle.cores.ownership import Owner, Route
-from frostspindle.net.platform import FRONT, Refusal, _Slot
+from frostspindle.net.fields import Refusal
+from frostspindle.net.http.calls import FRONT, Slot
+from frostspindle.program import Program
 from pinstage.interface import Health, Peer
 
-if TYPE_CHECKING:
-    from frostspindle.program import Program
-
 TICK_S = 0.02  # how often the others' rows are read and the heart beats
 FLUSH_S = 0.005  # changes of own rows are written together, so late at most
 ALL_TICKS = 25  # every so many ticks all engines are looked at, for what ages without a change
@@ -53,6 +52,7 @@
     listener: int
     paths: dict[int, str]
     tds: int | None = None
+    order: str = ""  # the folder in which processes keep the order of their keys
 
 
 class Link:
@@ -66,6 +66,7 @@
         self.version, self.told = 0, Control()
         self.lost: frozenset[int] = frozenset()
         self.crowded = self.orphaned = False
+        self.theirs: int | None = None  # what the other processes of an upgrade have open: not told among workers
         self.banned: frozenset[str] = frozenset()
         self.dirty: set[int] = set()
         self.reports: dict[int, tuple[float, tuple[float, ...]]] = {}
@@ -79,6 +80,10 @@
         self._full = False
         self._asking: set[asyncio.Task[None]] = set()
 
+    @property
+    def order(self) -> Path | None:
+        return Path(self.passport.order) if self.passport.order else None
+
     @property
     def ending(self) -> bool:
         """The whole program ends: nobody else accepts."""
@@ -326,7 +331,7 @@
         if number := int(ticket, 16):
             self.region.remove(number)
 
-    def passes(self, slot: _Slot, method: bytes, path: str, url: bytes) -> bool:
+    def passes(self, slot: Slot, method: bytes, path: str, url: bytes) -> bool:
         if method not in (b"GET", b"DELETE"):
             return False
         self._obey()  # a worker that has just died is known to have
@@ -341,7 +346,7 @@
             task.add_done_callback(self._asking.discard)
         return way is not Route.UNKNOWN
 
-    async def _ask(self, slot: _Slot, owner: int, method: bytes, path: str, url: bytes) -> None:
+    async def _ask(self, slot: Slot, owner: int, method: bytes, path: str, url: bytes) -> None:
         self.events.count("relayed", FRONT)
         try:
             status, body, extra, last = await self.mesh.ask(owner, method, url)
--- a/frostspindle/cores/mesh.py
+++ b/frostspindle/cores/mesh.py
@@ -17,14 +17,17 @@
 
 import msgspec
 
-from frostspindle.net.platform import Platform, Refusal, _Slot
+from frostspindle.net.fields import Refusal
+from frostspindle.net.http.calls import Slot
+from frostspindle.net.platform import Platform
 
 LONGEST = 1 << 20  # a page and its frame are far shorter
 MOST = 512  # calls of one worker that wait at another
 WITHIN_S = 1.5  # a call is held for 1 s at its owner
 _ENCODE = msgspec.msgpack.Encoder().encode
-_DECODE = msgspec.msgpack.Decoder().decode
 Reply = tuple[int, Any, str, bool]  # status, body, further headers, whether it ends the connection
+_CALL = msgspec.msgpack.Decoder(tuple[int, bytes, bytes])  # number, method, URL
+_REPLY = msgspec.msgpack.Decoder(tuple[int, int, Any, str, bool])
 
 
 class Gone(Exception):
@@ -32,7 +35,9 @@
 
 
 class _Frames(asyncio.Protocol):
-    """Frames of one connection."""
+    """Frames of one connection; one that can't be read ends it."""
+
+    decoder: msgspec.msgpack.Decoder[Any]
 
     def __init__(self) -> None:
         self.buffer = bytearray()
@@ -46,13 +51,22 @@
         while len(self.buffer) >= 4:
             length = int.from_bytes(self.buffer[:4], "little")
             if length > LONGEST:
-                self.transport.abort()
+                self.broken()
                 return
             if len(self.buffer) < 4 + length:
                 return
             message = bytes(self.buffer[4:4 + length])
             del self.buffer[:4 + length]
-            self.frame(_DECODE(message))
+            try:
+                content = self.decoder.decode(message)
+            except (msgspec.DecodeError, UnicodeDecodeError, RecursionError):
+                self.broken()
+                return
+            self.frame(content)
+
+    def broken(self) -> None:
+        self.buffer.clear()
+        self.transport.abort()
 
     def frame(self, message: Any) -> None:
         raise NotImplementedError
@@ -69,7 +83,7 @@
     line: tuple[()] = ()
 
 
-class _FarSlot(_Slot):
+class _FarSlot(Slot):
     """A call of another worker's client."""
 
     __slots__ = ("answer",)
@@ -89,19 +103,26 @@
 class _Owner(_Frames):
     """The owner's side: another worker's calls, answered by this worker's front."""
 
-    def __init__(self, front: Platform) -> None:
+    decoder = _CALL
+
+    def __init__(self, front: Platform, all_of: set[_Owner]) -> None:
         super().__init__()
-        self.front = front
+        self.front, self.all_of = front, all_of
         self.slots: set[_FarSlot] = set()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         super().connection_made(transport)
+        self.all_of.add(self)
         # The address has no owner in any file system: only processes of this user are listened to.
         credentials = transport.get_extra_info("socket").getsockopt(socket.SOL_SOCKET, socket.SO_PEERCRED, 12)
         if int.from_bytes(credentials[4:8], sys.byteorder) != os.geteuid():
             self.front.events.count("mesh_strangers")
             self.transport.abort()
 
+    def broken(self) -> None:
+        self.front.events.count("mesh_broken")
+        super().broken()
+
     def frame(self, message: Any) -> None:
         number, method, url = message
         slot = _FarSlot(lambda reply: self._answer(number, slot, reply))
@@ -124,6 +145,7 @@
         self.send((number, *reply))
 
     def connection_lost(self, error: Exception | None) -> None:
+        self.all_of.discard(self)
         for slot in self.slots:
             slot.data = b""
             self.front.gone(slot)
@@ -133,6 +155,8 @@
 class _Asker(_Frames):
     """The side of the worker that a client called."""
 
+    decoder = _REPLY
+
     def __init__(self) -> None:
         super().__init__()
         self.waiting: dict[int, asyncio.Future[Reply]] = {}
@@ -171,27 +195,35 @@
     def __init__(self, listening: int, paths: dict[int, str], front: Platform) -> None:
         self.listening, self.paths, self.front = socket.socket(fileno=listening), paths, front
         self.askers: dict[int, _Asker] = {}
+        self.owners: set[_Owner] = set()  # the others' connections here
+        self._opening: dict[int, asyncio.Lock] = {}
         self._server: asyncio.Server | None = None
 
     async def start(self) -> None:
         self.listening.setblocking(False)
         self._server = await asyncio.get_running_loop().create_unix_server(
-            lambda: _Owner(self.front), sock=self.listening)
+            lambda: _Owner(self.front, self.owners), sock=self.listening)
 
     def close(self) -> None:
         if self._server is not None:
-            self._server.close()
+            self._server.close()  # this ends no connection that was taken
+        for owner in self.owners:
+            owner.transport.close()
         for asker in self.askers.values():
             asker.transport.abort()
 
     async def ask(self, slot: int, method: bytes, url: bytes) -> Reply:
         """The answer of the worker in that slot; Gone if there is none to be had."""
-        asker = self.askers.get(slot)
-        if asker is None or asker.transport.is_closing():
-            try:
-                async with asyncio.timeout(WITHIN_S):
-                    _, asker = await asyncio.get_running_loop().create_unix_connection(_Asker, self.paths[slot])
+        if (asker := self._asker(slot)) is None:
+            try:  # one at a time: calls that come together would each open a connection, and all but one be lost
+                async with asyncio.timeout(WITHIN_S), self._opening.setdefault(slot, asyncio.Lock()):
+                    if (asker := self._asker(slot)) is None:
+                        _, asker = await asyncio.get_running_loop().create_unix_connection(_Asker, self.paths[slot])
+                        self.askers[slot] = asker
             except (OSError, TimeoutError) as error:
                 raise Gone(repr(error)) from None
-            self.askers[slot] = asker
         return await asker.ask(method, url)
+
+    def _asker(self, slot: int) -> _Asker | None:
+        asker = self.askers.get(slot)
+        return None if asker is None or asker.transport.is_closing() else asker
--- a/frostspindle/cores/supervisor.py
+++ b/frostspindle/cores/supervisor.py
@@ -14,6 +14,7 @@
 import socket
 import subprocess
 import sys
+import tempfile
 import time
 from collections import Counter
 from dataclasses import dataclass, field
@@ -33,8 +34,9 @@
 from frostspindle.cores.restarts import Restarts
 from frostspindle.cores.worker import PASSPORT
 from frostspindle.events import Events
+from frostspindle.net.http.calls import FRONT
+from frostspindle.net.http.door import BACKLOG
 from frostspindle.net.operator import Desk, Nak
-from frostspindle.net.platform import BACKLOG, FRONT
 from frostspindle.net.tds.front import BACKLOG as TDS_BACKLOG
 from frostspindle.shared import Shared
 
@@ -73,6 +75,8 @@
         self.classes = [(FRONT, name) for name in config.classes] + [("tds", name) for name in config.plan.classes]
         count = self.cores.workers
         buckets = 1 << max(8, (config.limits.sockets // 4 - 1).bit_length())
+        self.order = ""  # the folder in which the workers keep the order of their keys
+        self._folder: tempfile.TemporaryDirectory[str] | None = None  # that, where it is for them only
         self.board = Board.create(form.Layout(count, buckets=buckets))
         self.control = Control()
         settings = config.settings
@@ -89,6 +93,10 @@
         self.desk = Desk(config.desk, {"ready": self.ready, "show-stat": self.figures, "drain": self.drain,
                                        "resume": self.resume, "disable-server": self.disable,
                                        "enable-server": self.enable}, self.events) if config.desk else None
+        if self.desk and config.operator.metrics:
+            from frostspindle.net import metrics  # the library costs memory that only its users pay
+
+            self.desk.does["metrics"] = lambda: metrics.text(self.figures())
         self.agent: Any = None
         self.listener: socket.socket | None = None
         self.tds: socket.socket | None = None
@@ -113,6 +121,10 @@
             self.workers.append(Worker(
                 slot, Region(self.board, slot), Sight(Region(self.board, slot)), listening))
         self.shared.start(self._banned, self._crowd)
+        if any(cls.in_order for cls in self.config.settings.classes):
+            if self.shared.order is None:  # without a $TMPDIR that lasts there are no others than these workers
+                self._folder = tempfile.TemporaryDirectory(prefix="frostspindle-")
+            self.order = self._folder.name if self._folder else str(self.shared.order)
         self._publish()
         for worker in self.workers:
             self._spawn(worker)
@@ -169,7 +181,7 @@
         passport = Passport(worker.slot, worker.incarnation, len(self.workers), self.board.nonce, share,
                             self.board.fd, self.life, worker.listening.fileno(), listening,
                             {w.slot: self._path(w.slot) for w in self.workers},
-                            self.tds.fileno() if self.tds else None)
+                            self.tds.fileno() if self.tds else None, self.order)
         fds = [fd for fd in (passport.board, passport.life, passport.mesh, passport.listener, passport.tds)
                if fd is not None]
         worker.process = subprocess.Popen(
@@ -252,6 +264,8 @@
         if self.agent:
             self.agent.close()
         self.shared.close()
+        if self._folder is not None:
+            self._folder.cleanup()
 
     # The turn.
 
--- a/frostspindle/division.py
+++ b/frostspindle/division.py
@@ -5,7 +5,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Hashable, Mapping
+from collections.abc import Hashable, Mapping, Sequence
 from typing import TypeVar
 
 Key = TypeVar("Key", bound=Hashable)
@@ -26,3 +26,16 @@
         out[key] = min(wants[key], left // (len(open_wants) + 1))
         left -= out[key]
     return out
+
+
+def level(wants: Sequence[tuple[int, Key]], whole: int) -> tuple[int, int, int]:
+    """`fair` for claimants in its order, without a share for each: those from the first of the three on get the second,
+    and from the last of the three on one more; those before the first get what they want."""
+    left, open_wants = whole, len(wants)
+    for want, _ in wants:
+        if want > left // open_wants:
+            base, rest = divmod(left, open_wants)
+            return len(wants) - open_wants, base, len(wants) - rest
+        left -= want
+        open_wants -= 1
+    return len(wants), 0, len(wants)
--- a/frostspindle/events.py
+++ b/frostspindle/events.py
@@ -2,7 +2,8 @@
 
 Owns the log, one JSON line an event on standard error, and the counters of what is taken in, sent and
 answered, by front and class; SIGUSR1, the exit and the SNMP agent all read these same counters. It never
-decides anything, never raises into its caller, and never writes statements, rows or passwords.
+decides anything, never raises into its caller, and never writes statements, rows or passwords. Lines are made by
+structlog; which of its processors, and what they cost: docs/design/plumbing.md.
 """
 
 from __future__ import annotations
@@ -14,19 +15,61 @@
 from typing import Any, BinaryIO
 
 import orjson
+import structlog
+from structlog.typing import EventDict
 
 LINES_A_SECOND = 200  # a fault that repeats must not cost the core its processor
 
 
+class Allowance:
+    """So many lines in each second. It reads no clock: `now` is in Unix seconds."""
+
+    def __init__(self, lines: int) -> None:
+        self.lines = lines
+        self._second = self._taken = self._dropped = 0
+
+    def take(self, now: float) -> tuple[bool, int]:
+        """Whether one more line may be written, and how many were dropped before this second, told once."""
+        dropped = 0
+        if int(now) != self._second:
+            dropped, self._second, self._taken, self._dropped = self._dropped, int(now), 0, 0
+        self._taken += 1
+        if self._taken > self.lines:
+            self._dropped += 1
+            return False, dropped
+        return True, dropped
+
+
+class _Line(structlog.BoundLoggerBase):
+    """What is bound here goes into each line."""
+
+    def write(self, event: str, ts: float, fields: dict[str, Any]) -> None:
+        self._proxy_to_logger("msg", event, ts=ts, fields=fields)
+
+
+def _ordered(_: Any, __: str, said: EventDict) -> EventDict:
+    """The order of keys that readers of the log know: when, who, what, then the rest and the worker."""
+    line = {"ts": said["ts"], "node": said["node"], "event": said["event"], **said["fields"]}
+    if said["worker"] is not None:
+        line["worker"] = said["worker"]
+    return line
+
+
+def _line(sink: BinaryIO, node: str, worker: int | None) -> _Line:
+    return _Line(structlog.BytesLogger(sink), [_ordered, structlog.processors.JSONRenderer(orjson.dumps, default=str)],
+                 {"node": node, "worker": worker})
+
+
 class Events:
     """The log and the counters of one process."""
 
     def __init__(self, name: str = "", sink: BinaryIO | None = None, worker: int | None = None) -> None:
-        self.name, self.sink, self.worker = name, sink or sys.stderr.buffer, worker
+        self.name = name
+        self._line = _line(sink or sys.stderr.buffer, name, worker)
+        self._allowance = Allowance(LINES_A_SECOND)
         self.mirror: Callable[[tuple[str, str, str], int], None] | None = None  # each count as it stands now
         self.started = time.time()
         self.counts: Counter[tuple[str, str, str]] = Counter()
-        self._second, self._lines, self._dropped = 0, 0, 0
 
     def count(self, what: str, front: str = "", cls: str = "", by: int = 1) -> None:
         key = (what, front, cls)
@@ -36,24 +79,16 @@
 
     def log(self, event: str, **fields: Any) -> None:
         now = time.time()
-        if int(now) != self._second:
-            dropped, self._second, self._lines, self._dropped = self._dropped, int(now), 0, 0
-            if dropped:
-                self._write(now, "lines_dropped", {"lines": dropped})
-        self._lines += 1
-        if self._lines > LINES_A_SECOND:
-            self._dropped += 1
-            return
-        self._write(now, event, fields)
+        may, dropped = self._allowance.take(now)
+        if dropped:
+            self._write(now, "lines_dropped", {"lines": dropped})
+        if may:
+            self._write(now, event, fields)
 
     def _write(self, now: float, event: str, fields: dict[str, Any]) -> None:
-        line = {"ts": round(now, 3), "node": self.name, "event": event, **fields}
-        if self.worker is not None:
-            line["worker"] = self.worker
         try:
-            self.sink.write(orjson.dumps(line, default=str, option=orjson.OPT_APPEND_NEWLINE))
-            self.sink.flush()
-        except (OSError, ValueError, orjson.JSONEncodeError):
+            self._line.write(event, round(now, 3), fields)
+        except (OSError, ValueError, TypeError):  # a sink that is gone, a text or a key that JSON can't have
             self.counts[("log_failed", "", "")] += 1
 
     def report(self, **more: Any) -> None:
--- a/frostspindle/ledger/tenants.py
+++ b/frostspindle/ledger/tenants.py
@@ -1,7 +1,8 @@
-"""Which tenant a request is of: the operator's rules, compiled once into an index.
+"""Which tenant a request is of: the operator's rules, compiled once into an index, and the names of the settings.
 
-Owns the meaning of a rule and of the best fit among several. It must never read a file, a socket or a clock, and never
-costs a request more than one look for each *kind* of rule, however many rules there are.
+Owns the meaning of a rule, of the best fit among several, and of a name that a client gives beside them. It must never
+read a file, a socket or a clock, and never costs a request more than one look for each *kind* of rule, however many
+rules there are.
 
 A rule names what must hold of a request: its front, one HTTP header, the TDS login, application and database, the
 schema that the statement names, the client's address. A name may end in `*` and then fits all that begin so; names do
@@ -81,6 +82,42 @@
         return None
 
 
+class Unknown(ValueError):
+    """A client names a tenant that the settings do not have."""
+
+
+class Tenants:
+    """The module's number of each tenant: 0 the default, then those of the settings, then the operator's further ones.
+
+    The operator's word goes first: a rule that fits names the tenant, whatever the client says. Else a client's own
+    word counts, where the settings have tenants at all; one that they do not have is a mistake of the client's. A
+    request without either is of the default, which may be one of the settings' tenants.
+    """
+
+    def __init__(self, settings: Sequence[str], rules: Sequence[Rule] = (), operator: Sequence[str] = (),
+                 default: str = "") -> None:
+        self.names = tuple(dict.fromkeys((*settings, *operator)))
+        self.numbers = {name: number for number, name in enumerate(self.names, 1)}
+        self.default = self.numbers.get(default, 0)
+        self._said = {name.encode(): self.numbers[name] for name in settings}
+        self._index = Index(rules) if rules else None
+
+    @property
+    def on(self) -> bool:
+        """Whether there is any tenant beside the default."""
+        return bool(self.names)
+
+    def number(self, facts: Facts, said: bytes | None = None) -> int:
+        """Of one request; `said` is the client's word. Raises Unknown."""
+        if self._index is not None and (rule := self._index.find(facts)) is not None:
+            return self.numbers[rule.tenant]
+        if said is None or not self._said:
+            return self.default
+        if said not in self._said:
+            raise Unknown("the settings have no such tenant")
+        return self._said[said]
+
+
 Key = tuple[object, ...]  # the values of a kind's names, its header's last
 Kind = tuple[tuple[tuple[int, int], ...], bytes]  # place and length (-1: whole) of each name; the header
 
--- a/frostspindle/net/bus.py
+++ b/frostspindle/net/bus.py
@@ -33,6 +33,7 @@
         self.config, self.core, self.driver, self.events = config, core, driver, events
         self.at, self.last = config.bus, 0
         self._moved = asyncio.Event()
+        self.spoke = False  # the bus itself has told something that made sense
         self._doubts = 0  # lines that made no sense since the last event
         self._ids: dict[str, int] = {}  # of the engines that are not gone
         self._numbers: set[int] = set()
@@ -49,6 +50,10 @@
             self.at = at
             self._moved.set()
 
+    def restore(self, event: BusEvent) -> None:
+        """The whole list as other coordinators have it from the bus; what is not newer than ours is passed over."""
+        self._event(event)
+
     async def run(self) -> None:
         """Follow the bus until cancelled, connecting again whenever it ends, moves or makes no sense."""
         wait = AGAIN_S
@@ -97,10 +102,12 @@
             if isinstance(word, int):
                 if word > self.last and not again:
                     raise ValueError(f"the bus is at {word}, here it is {self.last}")
+                self.spoke = True
                 return
             if word.offset > self.last + 1 and not again:
                 raise ValueError(f"event {word.offset} came after {self.last}")
             self._event(word)
+            self.spoke = True
         except ValueError as error:  # also all that msgspec raises
             if not again:
                 self._doubts += 1
--- /dev/null
+++ b/frostspindle/net/fields.py
@@ -0,0 +1,85 @@
+"""What the headers of a client's request say, read within bounds.
+
+Owns the form and the range of each field of a request, and what a client is told of one that can't be used. It must
+never let a figure through that is not plain digits in its range, never keep a text longer than its bound, and never
+repeat what a client wrote. Source of the fields: the platform's protocol, "Clients to coordinators".
+"""
+
+from __future__ import annotations
+
+import hashlib
+import math
+import re
+from collections.abc import Mapping
+from typing import NamedTuple
+
+RANGE = 10.0  # a client may say that it waits for so many times its class's longest wait
+MOST_COST_MS = 3_600_000.0  # and that its work takes this long
+TEXT = 256  # bytes of a key
+# Those that mean one thing only: given twice, which of the two would hold is anyone's guess.
+SINGLE = frozenset((b"x-request-id", b"x-timeout-ms", b"x-cost-ms", b"x-memory", b"x-object", b"x-tenant", b"x-retry"))
+_ID = re.compile(rb"[0-9a-f]{16}\Z")
+_FIGURE = re.compile(rb"[0-9]{1,10}(?:\.[0-9]{0,9})?\Z")
+_RETRY = re.compile(rb"[0-9]{1,3}\Z")
+_TEXT = re.compile(rb"[\x21-\x7e]{1,%d}\Z" % TEXT)
+
+Fields = Mapping[bytes, bytes]  # by lower-case name
+
+
+class Refusal(Exception):
+    """A client's call that is answered with a 4xx and goes no further; its connection is closed."""
+
+    def __init__(self, status: int, text: str) -> None:
+        super().__init__(text)
+        self.status, self.text = status, text
+
+
+class Request(NamedTuple):
+    """The fields of one request. Times in ms, memory in MB; an estimate of 0 was not given."""
+
+    ticket: str
+    left_ms: float
+    cost_ms: float
+    memory_mb: float
+    key: int  # of what it keeps its order with; 0: with nothing
+    tenant: bytes | None  # as the client names it
+    retry: bool
+
+
+def read(fields: Fields, cls: int, deadline_ms: float, most_memory_mb: float, in_order: bool) -> Request:
+    """The fields of a request of that class; Refusal says which one can't be used, and why."""
+    ticket = fields.get(b"x-request-id", b"")
+    if not _ID.match(ticket):
+        raise Refusal(400, "X-Request-Id: not 16 hex digits")
+    # A key means something where the class keeps order, and nothing elsewhere.
+    key = _text(fields, b"X-Object") if in_order else None
+    retry = fields.get(b"x-retry", b"0")
+    if not _RETRY.match(retry):
+        raise Refusal(400, "X-Retry: not a small number")
+    return Request(ticket.decode(), _figure(fields, b"X-Timeout-Ms", RANGE * deadline_ms),
+                   _figure(fields, b"X-Cost-Ms", MOST_COST_MS, False),
+                   _figure(fields, b"X-Memory", most_memory_mb, False),
+                   0 if key is None else key_number(cls, key), fields.get(b"x-tenant"), int(retry) > 0)
+
+
+def key_number(cls: int, key: bytes) -> int:
+    """A number for a class's key, the same in every process; two keys that share one merely wait for each other."""
+    return int.from_bytes(hashlib.blake2b(b"%d:%b" % (cls, key), digest_size=8).digest()) >> 1 or 1
+
+
+def _text(fields: Fields, header: bytes) -> bytes | None:
+    text = fields.get(header.lower())
+    if text is not None and not _TEXT.match(text):
+        raise Refusal(400, f"{header.decode()}: not of 1 to {TEXT} plain characters")
+    return text
+
+
+def _figure(fields: Fields, header: bytes, most: float, needed: bool = True) -> float:
+    """A figure in plain digits and in its range."""
+    text = fields.get(header.lower(), b"")
+    if not text and not needed:
+        return 0.0
+    value = float(text) if _FIGURE.match(text) else math.nan
+    if not 0.0 <= value <= most or (needed and value <= 0):
+        raise Refusal(400, f"{header.decode()}: missing or not a usable figure")
+    return value
--- /dev/null
+++ b/frostspindle/net/http/calls.py
@@ -0,0 +1,88 @@
+"""A client's call, and the request that calls ask for: the objects that the parts of the front share.
+
+Owns the form of an answer on the wire, and that each call is answered once. It must never decide what an answer says,
+never write to a connection past its line (`flush` does, in the order of the calls), and never hold more of a request
+than its one answer and who waits for it.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections import deque
+from collections.abc import Callable
+from typing import Any, Protocol
+
+import msgspec
+
+from frostspindle.core import Answer, Ask
+
+FRONT = "http"
+_ENCODE = msgspec.json.Encoder().encode
+_REASONS = {200: "OK", 204: "No Content", 502: "Bad Gateway", 503: "Service Unavailable"}
+_CLOSE = "Connection: close\r\n"
+
+
+class Drains(Protocol):
+    """The front, as a call sees it."""
+
+    @property
+    def draining(self) -> bool: ...
+
+
+class Holder(Protocol):
+    """The connection that a call came on."""
+
+    front: Drains
+    line: deque[Slot]
+    awaited: bool  # it was given a `next`, which only this process knows, and has not called it yet
+
+    def flush(self) -> None:
+        """Write the answers that are due, in order."""
+
+
+class Opened:
+    """One request at this front: its answer, and the path under which it is fetched."""
+
+    __slots__ = ("settled", "ticket", "path", "ask", "answer", "pages", "size", "told", "slots", "timer")
+
+    def __init__(self, settled: Callable[[Opened], None], ticket: str, path: str) -> None:
+        self.settled, self.ticket, self.path = settled, ticket, path
+        self.ask: Ask | None = None
+        self.answer: Answer | None = None
+        self.pages: list[list[Any]] | None = None
+        self.size, self.told = 0, False  # told: the client has had the last answer
+        self.slots: list[Slot] = []  # the calls that wait for its answer
+        self.timer: asyncio.TimerHandle | None = None
+
+    def settle(self, answer: Answer) -> None:
+        """Take the one answer; any later one is none."""
+        if self.answer is None:
+            self.answer, self.ask = answer, None
+            self.settled(self)
+
+
+class Slot:
+    """One call in its connection's line; answers leave in the order of the calls."""
+
+    __slots__ = ("client", "opened", "page", "timer", "data", "last")
+
+    def __init__(self, client: Holder, opened: Opened | None = None, page: int = 0) -> None:
+        self.client, self.opened, self.page = client, opened, page
+        self.timer: asyncio.TimerHandle | None = None
+        self.data: bytes | None = None
+        self.last = False
+
+    def reply(self, status: int, body: Any = None, extra: str = "", last: bool = False) -> None:
+        if self.timer is not None:
+            self.timer.cancel()
+        more = isinstance(body, dict) and "next" in body
+        if self.client.front.draining and not more and self.client.line and self.client.line[-1] is self:
+            last = True
+        self.client.awaited = more
+        last = self.last = self.last or last
+        data = b"" if body is None else _ENCODE(body)
+        length = "" if status == 204 else f"Content-Length: {len(data)}\r\n"
+        head = (f"HTTP/1.1 {status} {_REASONS.get(status, 'Refused')}\r\nContent-Type: application/json\r\n"
+                f"{length}{extra}{_CLOSE if last else ''}\r\n")
+        self.data = head.encode() + data
+        self.client.flush()
--- /dev/null
+++ b/frostspindle/net/http/door.py
@@ -0,0 +1,102 @@
+"""The listening socket: who is let in, how many in one turn, and when others are let first.
+
+Owns the socket and the connections that were accepted and are not yet set up. It must never bind, shut down or listen
+anew on a socket that the platform holds, never accept more in one turn than fits into the descriptors, and never
+look at what a client sends.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections.abc import Callable
+from typing import Any
+
+from frostspindle.config import Config
+from frostspindle.events import Events
+
+ACCEPT, BACKLOG = 16, 512  # connections accepted in one turn, and those that the system keeps waiting
+LET_GO_S = 0.003  # how long a worker with more connections than another leaves a new one to it
+SHORT_S = 0.1  # accepting rests for so long when descriptors run out all the same
+
+
+class Door:
+    """Accepts until it is told to leave. `joins` makes the protocol of a new connection."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, events: Events,
+                 joins: Callable[[], asyncio.BaseProtocol]) -> None:
+        self.loop, self.events, self.joins = loop, events, joins
+        self.accepts: Callable[[], bool] | None = None  # whether a new one is ours before it is another worker's
+        self.port = 0
+        self._listener: socket.socket | None = None
+        self._joining: set[asyncio.Task[Any]] = set()
+
+    @property
+    def joining(self) -> int:
+        """Connections that were accepted in this turn."""
+        return len(self._joining)
+
+    def last(self) -> None:
+        """Take who waits in the system's line, who would be reset with it, and leave."""
+        for _ in range(BACKLOG):
+            if self._listener is None or not self._accept_one():
+                break
+        self.leave()
+
+    def start(self, config: Config) -> None:
+        """Accept from the socket that the platform holds, or from one of our own."""
+        held = config.inherited if config.listener is None else config.listener
+        if held is not None:
+            # It is shared with the platform and another process: no bind, no shutdown, and no listen, which would
+            # set its backlog anew.
+            listener = socket.socket(fileno=held)
+        else:
+            host, port = config.listen
+            listener = socket.create_server(
+                (host, port), family=socket.AF_INET6 if ":" in host else socket.AF_INET, backlog=BACKLOG)
+        listener.setblocking(False)
+        self._listener, self.port = listener, listener.getsockname()[1]
+        self._listen()
+
+    def _listen(self, waited: bool = False) -> None:
+        if self._listener is not None:
+            self.loop.add_reader(self._listener, self._accept)
+            if waited:
+                self._accept_one()
+
+    def _accept(self) -> None:
+        """Take a few: all of one turn must fit into the descriptors; the others wait in the system."""
+        for _ in range(ACCEPT):
+            if self._listener is None:
+                return
+            if self.accepts is not None and not self.accepts():
+                # Another worker holds fewer: it has a moment to be first, then whoever still waits is taken here.
+                self.loop.remove_reader(self._listener)
+                self.loop.call_later(LET_GO_S, self._listen, True)
+                return
+            if not self._accept_one():
+                return
+
+    def _accept_one(self) -> bool:
+        assert self._listener is not None
+        try:
+            accepted, _ = self._listener.accept()
+        except (BlockingIOError, InterruptedError, ConnectionAbortedError):
+            return False  # the other process was first, or the client has gone
+        except OSError as error:
+            self.events.log("accept", error=repr(error))
+            self.loop.remove_reader(self._listener)
+            self.loop.call_later(SHORT_S, self._listen)
+            return False
+        accepted.setblocking(False)
+        joining = self.loop.create_task(self.loop.connect_accepted_socket(self.joins, accepted))
+        self._joining.add(joining)
+        joining.add_done_callback(self._joining.discard)
+        return True
+
+    def leave(self) -> None:
+        """Stop accepting; who waits in an inherited socket's line is the other process's."""
+        if self._listener is not None:
+            self.loop.remove_reader(self._listener)
+            self._listener.close()
+            self._listener = None
--- /dev/null
+++ b/frostspindle/net/http/line.py
@@ -0,0 +1,175 @@
+"""One connection to an engine: a call is written, one answer is read.
+
+Owns the parser and the bounds of an answer, and whether the connection may be used again. It must never be used again
+after the first doubt: when more or less came than one good answer, or something that was not asked for. The parser is
+httptools (llhttp in its strict mode).
+"""
+
+from __future__ import annotations
+
+import asyncio
+import functools
+import select
+from collections.abc import Coroutine
+from typing import Any, Protocol
+
+from httptools import HttpParserError, HttpParserUpgrade, HttpResponseParser
+
+from frostspindle.core import clock
+from frostspindle.net.http.replies import ANSWER_BYTES, FIELD, FIELDS, PAGE_BYTES, BadReply, Reply
+
+
+class Broken(Exception):
+    """The connection ended under a call."""
+
+
+class Terms(Protocol):
+    """What holds for all connections to engines."""
+
+    loop: asyncio.AbstractEventLoop
+    idle_s: float  # how long an idle one is used
+
+
+class Keeper(Protocol):
+    """Whose connection it is: the engine's process behind it."""
+
+    @property
+    def driver(self) -> Terms: ...
+
+    lines: set[Line]
+
+    def lost(self, line: Line) -> None:
+        """It has ended."""
+
+    def release(self, line: Line) -> None:
+        """Its call is over; it may serve another one."""
+
+
+class Line(asyncio.Protocol):
+    """One connection to an engine; one call at a time, and nothing more after the first doubt."""
+
+    def __init__(self, peer: Keeper) -> None:
+        self.peer, self.loop = peer, peer.driver.loop
+        self.transport: asyncio.Transport = None  # type: ignore[assignment]  # set before anything else is called
+        self.parser = HttpResponseParser(self)
+        self.waiter: asyncio.Future[Reply] | None = None
+        self.good, self.whole, self.idle_at = True, False, self.loop.time()
+        self.born_ms = self.heard_ms = clock()  # up since, and last answered
+        self.came = self.fields = self.status = 0
+        self.headers: dict[bytes, bytes] = {}
+        self.body: list[bytes] = []
+        self.poll = select.poll()
+
+    # What asyncio calls.
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = transport  # type: ignore[assignment]
+        self.peer.lines.add(self)
+        self.poll.register(transport.get_extra_info("socket").fileno(), select.POLLIN)
+
+    def connection_lost(self, error: Exception | None) -> None:
+        self.good = False
+        self.peer.lost(self)
+        self._fail(Broken(repr(error) if error else "the engine ended its connection"))
+
+    def data_received(self, data: bytes) -> None:
+        if self.waiter is None or self.waiter.done():
+            self.drop()  # nothing was asked: what it is can't be known, nor what it would do to the next answer
+            return
+        self.came += len(data)
+        try:
+            self.parser.feed_data(data)
+        except (HttpParserError, HttpParserUpgrade) as error:
+            self.good = False  # noise behind a whole answer leaves that answer good
+            if not self.whole:
+                self._fail(BadReply(str(error.__context__ or error)))
+        if self.whole:
+            if not self.waiter.done():
+                self.waiter.set_result(Reply(self.status, self.headers, b"".join(self.body)))
+        elif self.came > ANSWER_BYTES:
+            self._fail(BadReply("an answer is too long"))
+        if not self.good:
+            self.drop()
+
+    def _fail(self, error: Exception) -> None:
+        self.good = False
+        if self.waiter is not None and not self.waiter.done():
+            self.waiter.set_exception(error)
+
+    # What the parser calls.
+
+    def on_message_begin(self) -> None:
+        if self.whole:
+            self.good = False
+            raise BadReply("more than one answer")
+        self.headers, self.body, self.fields = {}, [], 0
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        self.fields += 1
+        if self.fields > FIELDS or len(name) + len(value) > FIELD:
+            raise BadReply("a head without bounds")
+        self.headers[name.lower()] = value
+
+    def on_headers_complete(self) -> None:
+        self.status = self.parser.get_status_code()
+        if self.status >= 200 and self.status != 204 and not (
+                b"content-length" in self.headers or b"transfer-encoding" in self.headers):
+            raise BadReply("an answer without a length")  # nothing would show that it was cut
+        if int(self.headers.get(b"content-length", b"0")) > PAGE_BYTES:
+            raise BadReply("an answer is too long")
+
+    def on_body(self, part: bytes) -> None:
+        self.body.append(part)
+
+    def on_message_complete(self) -> None:
+        if self.status >= 200:
+            self.whole = True
+            self.good = self.good and self.parser.should_keep_alive()
+
+    # What the peer calls.
+
+    def usable(self) -> bool:
+        """Asked right before a call is written: an end, a reset or noise may lie unread in the system."""
+        return (self.good and not self.transport.is_closing()
+                and self.loop.time() - self.idle_at < self.peer.driver.idle_s and not self.poll.poll(0))
+
+    def drop(self) -> None:
+        self.good = False
+        self.transport.abort()
+
+    def expire(self) -> None:
+        self._fail(TimeoutError())  # type: ignore[arg-type]
+        self.drop()
+
+    def ask(self, data: bytes, within_s: float) -> Coroutine[Any, Any, Reply]:
+        """Write a call at once; its answer is to be awaited."""
+        self.waiter = self.loop.create_future()
+        self.whole, self.came = False, 0
+        timer = self.loop.call_later(within_s, self.expire)
+        self.transport.write(data)
+        return self._answer(timer)
+
+    async def _answer(self, timer: asyncio.TimerHandle) -> Reply:
+        waiter = self.waiter
+        try:
+            return await waiter  # type: ignore[misc]
+        except asyncio.CancelledError:
+            if self.good and not self.whole:
+                # The call is given up, its answer is on its way, and a new connection costs the engine more.
+                self.waiter = self.loop.create_future()
+                self.waiter.add_done_callback(functools.partial(self._unheard, timer))
+            raise
+        finally:
+            if self.waiter is waiter:
+                timer.cancel()
+                if not self.whole:  # not to be read: whatever still comes belongs to no call
+                    self.drop()
+                self.waiter = None
+
+    def _unheard(self, timer: asyncio.TimerHandle, waiter: asyncio.Future[Reply]) -> None:
+        """The answer to a call that was given up has come, or will not: the line is free, or gone."""
+        timer.cancel()
+        self.waiter = None
+        if waiter.cancelled() or waiter.exception() is not None:
+            self.good = False
+        self.peer.release(self)
--- /dev/null
+++ b/frostspindle/net/http/paths.py
@@ -0,0 +1,156 @@
+"""The requests that clients have open, how a call waits for an answer, and the paths under which answers are kept.
+
+Owns the ids that are open, the paths with their answers cut into pages, and how long and how many of them are kept.
+It must never answer a request before it is settled, never let a path give other rows a second time, never keep more
+than its bound in bytes, and never leave a request at the core that its client has given up.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import math
+from collections.abc import Callable
+from typing import Any
+
+from frostspindle.core import FAILED, REFUSED, SERVED, Answer, Core
+from frostspindle.net.http.calls import Opened, Slot
+
+HOLD_S = 1.0  # a call is held this long for its answer, then the client is given a path to ask again
+PAGE_BYTES = 48 * 1024  # rows in one answer
+KEEP_S = 5.0  # how long answers are kept for a repeated GET
+
+
+class Paths:
+    """What is open at this front, by id and by path."""
+
+    def __init__(self, core: Core, loop: asyncio.AbstractEventLoop, keep_bytes: int,
+                 released: Callable[[str], None]) -> None:
+        self.core, self.loop, self.keep_bytes, self.released = core, loop, keep_bytes, released
+        self.ids: set[str] = set()  # of the requests that are open
+        self.open: dict[str, Opened] = {}  # by path
+        self._kept = self._numbers = 0
+
+    @property
+    def owing(self) -> int:
+        """Requests whose client has yet to fetch its last answer."""
+        return sum(not opened.told for opened in self.open.values())
+
+    def new(self, ticket: str, before: str) -> Opened:
+        """A request under a path of its own, which begins so."""
+        self._numbers += 1
+        return Opened(self._settled, ticket, f"{before}{self._numbers:x}-{ticket}")
+
+    def _settled(self, opened: Opened) -> None:
+        self.ids.discard(opened.ticket)
+        self.released(opened.ticket)
+        slots, opened.slots = opened.slots, []
+        for slot in slots:
+            self.give(slot)
+
+    def wait(self, slot: Slot) -> None:
+        """Answer the call now, or when there is an answer, or with a path once it was held long enough."""
+        assert slot.opened is not None
+        if slot.opened.answer is not None:
+            self.give(slot)
+        else:
+            slot.opened.slots.append(slot)
+            slot.timer = self.loop.call_later(HOLD_S, self._held, slot)
+
+    def _held(self, slot: Slot) -> None:
+        opened = slot.opened
+        assert opened is not None
+        opened.slots.remove(slot)
+        if slot.page < 0:
+            self._publish(opened)
+        slot.reply(200, {"next": f"{opened.path}/{max(0, slot.page)}"})
+
+    def _publish(self, opened: Opened) -> None:
+        """From here on the request outlives its connection: a poor link may break, the path stays."""
+        self.open[opened.path] = opened
+        left_ms = opened.ask.left_ms if opened.ask is not None else 0.0
+        opened.timer = self.loop.call_later(left_ms / 1000.0 + KEEP_S, self._drop, opened)
+
+    def give(self, slot: Slot) -> None:
+        """Answer a call whose request is settled."""
+        opened = slot.opened
+        assert opened is not None and opened.answer is not None
+        answer, page = opened.answer, max(0, slot.page)
+        if answer.how != SERVED:
+            self._told(opened)
+            wait = answer.retry_after_ms if answer.how == REFUSED else 0.0
+            slot.reply(503 if answer.how == REFUSED else 502,
+                       {"failure": "Busy" if answer.how == REFUSED else "Failed"},
+                       f"Retry-After-Ms: {math.ceil(wait)}\r\n" if wait > 0 else "")
+            return
+        if opened.pages is None:
+            opened.pages, opened.size = _paged(*answer.result)
+            if slot.page < 0 and len(opened.pages) > 1:
+                self._publish(opened)
+            if opened.path in self.open:
+                self._keep(opened)
+        if page >= len(opened.pages):
+            slot.reply(404, {"failure": "no such page"}, last=True)
+            return
+        body: dict[str, Any] = {"rows": opened.pages[page]}
+        if page + 1 < len(opened.pages):
+            body["next"] = f"{opened.path}/{page + 1}"
+        else:
+            self._told(opened)
+        slot.reply(200, body)
+
+    def _told(self, opened: Opened) -> None:
+        """The client has all; the path stays a little, should its connection have broken meanwhile."""
+        opened.told = True
+        if opened.timer is not None:
+            opened.timer.cancel()
+            opened.timer = self.loop.call_later(KEEP_S, self._drop, opened)
+
+    def _keep(self, opened: Opened) -> None:
+        self._kept += opened.size
+        for other in list(self.open.values()) if self._kept > self.keep_bytes else ():
+            if self._kept <= self.keep_bytes:
+                return
+            if other is not opened and other.pages is not None:
+                self._drop(other)
+
+    def _drop(self, opened: Opened) -> None:
+        if self.open.pop(opened.path, None) is not None:
+            self._kept -= opened.size
+            if opened.timer is not None:
+                opened.timer.cancel()
+
+    def gone(self, slot: Slot) -> None:
+        """The connection of a call has ended."""
+        if slot.timer is not None:
+            slot.timer.cancel()
+        opened = slot.opened
+        if opened is None or slot.data is not None:
+            return
+        if slot in opened.slots:
+            opened.slots.remove(slot)
+        if slot.page < 0:
+            self.leave(opened)  # the client has no path yet: its connection was the request
+
+    def leave(self, opened: Opened) -> None:
+        """The client stopped waiting: nothing is owed, and the engine's work is freed."""
+        self._drop(opened)
+        if opened.answer is None and opened.ask is not None:
+            self.core.left(opened.ask)
+            opened.settle(Answer(FAILED))
+
+
+def _paged(rows: list[list[str]], size: int) -> tuple[list[list[Any]], int]:
+    """Cut the rows into answers, once; the same path gives the same rows again."""
+    if size <= PAGE_BYTES:
+        return [rows], size
+    pages: list[list[Any]] = []
+    page: list[Any] = []
+    length = 0
+    for row in rows:
+        part = sum(map(len, row)) + 4 * len(row)
+        if page and length + part > PAGE_BYTES:
+            pages.append(page)
+            page, length = [], 0
+        page.append(row)
+        length += part
+    return [*pages, page], size
--- /dev/null
+++ b/frostspindle/net/http/peer.py
@@ -0,0 +1,173 @@
+"""One engine's process: the connections to it, who waits for one, and a call from its place in line to its answer.
+
+Owns the use of the pool, whose bounds pools.py decides. It must never begin a send to an engine that has started to
+drain meanwhile, never give one connection to two calls, and never open one past the bounds.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections import deque
+from typing import Protocol
+
+from frostspindle import pools
+from frostspindle.core import Attempt, Core, EngineState, clock
+from frostspindle.net.http.line import Line, Terms
+from frostspindle.net.http.replies import BadReply, Reply
+
+ANSWER_S = 0.5  # news come within 250 ms; an answer that is lost on the way is asked for again
+ASKS = 3  # so many broken or unreadable answers to one ask for news or a page are borne
+
+
+class Drained(Exception):
+    """The engine may get nothing new; nothing of the call was written."""
+
+
+class NoLine(Exception):
+    """No connection could be had; nothing of the call was written."""
+
+    def __init__(self, text: str, refused: bool = False, full: bool = False) -> None:
+        super().__init__(text)
+        self.refused, self.full = refused, full  # by the engine's machine; by the bounds here
+
+
+class Driver(Terms, Protocol):
+    """What the processes of all engines share."""
+
+    core: Core
+    peers: dict[int, Peer]
+    opening: int
+
+    def may_open(self, peer: Peer) -> bool:
+        """Whether the bounds leave room for one more."""
+
+
+class Peer:
+    """One engine's process: its address and the connections to it. A successor at the same address has its own."""
+
+    def __init__(self, driver: Driver, state: EngineState) -> None:
+        self.driver, self.state = driver, state
+        self.idle: list[Line] = []
+        self.lines: set[Line] = set()
+        self.opening = 0
+        self.waiting: deque[asyncio.Future[None]] = deque()
+        self.gone = False
+        self.host = f"{state.address[0]}:{state.address[1]}"
+
+    def retire(self) -> None:
+        """The process is gone: idle connections end now, the others with their calls."""
+        self.gone = True
+        for line in self.idle:
+            line.drop()
+        self.idle.clear()
+
+    def lost(self, line: Line) -> None:
+        self.lines.discard(line)
+        if line in self.idle:
+            self.idle.remove(line)
+        self._next()
+
+    def _next(self) -> None:
+        """A line or a place is free: for a call that waits here, or else for one that waits for another engine."""
+        for peer in (self, *self.driver.peers.values()):
+            while peer.waiting:
+                waiter = peer.waiting.popleft()
+                if not waiter.done():
+                    waiter.set_result(None)
+                    return
+
+    def release(self, line: Line) -> None:
+        if not line.good or self.gone:
+            line.drop()
+            return
+        line.idle_at = line.loop.time()
+        self.idle.append(line)
+        self._next()
+
+    async def line(self, fresh: bool = False, eldest: bool = False, stay: bool = False) -> Line:
+        """A connection to use: an idle one, the last used or the eldest, unless it must be fresh; else a new one.
+
+        An engine that drains refuses new connections and serves the old ones: who must reach this process and no
+        other (`stay`) waits for one of those then.
+        """
+        limit_s, resets, bound = self.driver.core.settings.connect_timeout_ms / 1000.0, 0, False
+        try:
+            async with asyncio.timeout(limit_s):
+                while True:
+                    while self.idle and not fresh:
+                        line = pools.pick(self.idle, eldest)
+                        self.idle.remove(line)
+                        if line.usable():
+                            return line
+                        line.drop()
+                    if self.driver.may_open(self):
+                        # Reset when new: nothing was written yet, so that one more can be tried.
+                        try:
+                            if (line := await self._open()) is not None:
+                                return line
+                            resets += 1
+                            if resets >= ASKS:
+                                raise NoLine("connections are reset as they open")
+                            continue
+                        except NoLine as error:
+                            if not (stay and error.refused and self.lines):
+                                raise
+                            fresh = False
+                            if self.idle:
+                                continue
+                    bound = True
+                    waiter: asyncio.Future[None] = self.driver.loop.create_future()
+                    self.waiting.append(waiter)
+                    await waiter
+        except TimeoutError:
+            raise NoLine("no connection in time", full=bound) from None
+
+    async def _open(self) -> Line | None:
+        """A new connection; None: reset as it opened."""
+        self.opening += 1
+        self.driver.opening += 1
+        try:
+            _, line = await self.driver.loop.create_connection(lambda: Line(self), *self.state.address)
+        except ConnectionResetError:
+            return None
+        except OSError as error:
+            raise NoLine(repr(error), isinstance(error, ConnectionRefusedError)) from None
+        finally:
+            self.opening -= 1
+            self.driver.opening -= 1
+        if line.usable():
+            return line
+        line.drop()
+        return None
+
+    async def call(self, method: str, path: str, head: str = "", body: bytes = b"",
+                   sending: Attempt | None = None, wired: list[bool] | None = None, within_s: float = ANSWER_S,
+                   fresh: bool = False, page: int | None = None, eldest: bool = False,
+                   stay: bool = False) -> Reply:
+        """One call. `wired` is set once bytes may go out; `sending` is an attempt whose POST this is.
+
+        The answer is checked as that of `page` while the connection is still held: a spoilt one ends it.
+        """
+        line = await self.line(fresh, eldest, stay)
+        if sending is not None and not self.driver.core.may_send(sending):
+            self.release(line)
+            raise Drained("the engine drains")
+        if wired is not None:
+            wired[0] = True
+        length = f"Content-Length: {len(body)}\r\n" if body or method in ("POST", "PUT") else ""
+        try:
+            answer = line.ask(
+                f"{method} {path} HTTP/1.1\r\nHost: {self.host}\r\n{head}{length}\r\n".encode() + body, within_s)
+            if sending is not None and not line.transport.get_write_buffer_size():
+                self.driver.core.written(sending)
+            reply = await answer
+            reply.line_ms, line.heard_ms = line.born_ms, clock()
+            if page is not None:
+                reply.read(page)
+            return reply
+        except BadReply:
+            line.good = False
+            raise
+        finally:
+            if line.waiter is None:  # else an answer is still to come
+                self.release(line)
--- /dev/null
+++ b/frostspindle/net/http/readings.py
@@ -0,0 +1,74 @@
+"""What engines say of themselves and of their queries: load reports, notes on progress, what a query took.
+
+Owns the reading of those headers and the count of what can't be read. It must never let a figure through that is not
+finite and in its range, and never raise: an unreadable word costs its sender nothing but the word.
+"""
+
+from __future__ import annotations
+
+import math
+
+from frostspindle.core import UNTOLD, Needed
+from frostspindle.events import Events
+from frostspindle.net.http.replies import Reply
+from pinstage.interface import NoteKind
+
+MOST_COST_MS, MOST_MEMORY_MB = 3_600_000.0, 1e8  # of what an answer may say that its query needed
+NOTES = {b"pct": NoteKind.PROGRESS, b"overflow": NoteKind.SPILLS, b"queued": NoteKind.WAITS}
+NAMES = {"util": "load_share", "queue": "depth", "inflight": "concurrent", "latency_ms": "mean_ms", "qps": "tps",
+         "eps": "err_ps"}
+
+
+class Readings:
+    """The reader of one program's engines. `columns` are the names of a load report's figures, in order."""
+
+    def __init__(self, events: Events, columns: tuple[str, ...]) -> None:
+        self.events, self.columns = events, columns
+
+    def report(self, reply: Reply) -> tuple[float, ...]:
+        """The engine's load, in the order of the columns; empty where there is none that can be read."""
+        text = reply.text(b"x-meter")
+        if not text or not self.columns:
+            return ()
+        values: dict[str, float] = {}
+        try:
+            for part in text.split(";"):
+                name, _, value = part.partition(":")
+                number = float(value)
+                values[NAMES.get(name.strip(), name.strip())] = number if math.isfinite(number) else 0.0
+            return tuple(values[column] for column in self.columns)
+        except (ValueError, KeyError):
+            self._unreadable("engine_bad_reports", text)
+            return ()
+
+    def needed(self, reply: Reply) -> Needed:
+        """What the query took, as its good end tells it; nothing where that can't be read."""
+        said = reply.text(b"x-cost-ms"), reply.text(b"x-needed-mb")
+        try:
+            cost_ms, memory_mb = (float(text) if text else 0.0 for text in said)
+        except ValueError:
+            cost_ms = math.nan
+        if not (0.0 <= cost_ms <= MOST_COST_MS and 0.0 <= memory_mb <= MOST_MEMORY_MB):
+            self._unreadable("engine_bad_needs", "; ".join(said))
+            return UNTOLD
+        return Needed(cost_ms, memory_mb)
+
+    def _unreadable(self, what: str, text: str) -> None:
+        """Count it, and log it the first time: an engine that writes it once writes it with every answer."""
+        if not self.events.counts[what, "", ""]:
+            self.events.log(what, text=text[:200])
+        self.events.count(what)
+
+    def note(self, reply: Reply) -> tuple[NoteKind, float] | None:
+        """News of a query that still runs: their kind and figure; None: there are none that can be read."""
+        remark = reply.headers.get(b"x-remark")
+        if not remark:
+            return None
+        try:
+            value = float(reply.headers.get(b"x-value", b""))
+        except ValueError:
+            value = math.nan
+        if remark not in NOTES or not math.isfinite(value):
+            self._unreadable("engine_bad_notes", f"{reply.text(b'x-remark')}: {reply.text(b'x-value')}")
+            return None
+        return NOTES[remark], value
--- /dev/null
+++ b/frostspindle/net/http/replies.py
@@ -0,0 +1,55 @@
+"""An engine's answer: its form, its bounds, and the rows of a page.
+
+Owns the check that an answer is the one to what was asked. It must never take rows that are not whole, nor a page for
+another. Source: the platform's protocol, "Coordinators to engines". No I/O, no clock.
+"""
+
+from __future__ import annotations
+
+PAGES, PAGE_BYTES, RESULT_BYTES = 64, 64 * 1024, 256 * 1024  # bounds on a result; the protocol has 48,000 bytes
+ANSWER_BYTES = PAGE_BYTES + 16 * 1024  # of one answer on the wire: head, page, and 1xx answers before it
+FIELDS, FIELD = 64, 4096  # headers of one answer, and their length
+Rows = list[list[str]]
+
+
+class BadReply(Exception):
+    """An engine's answer that can't be read."""
+
+
+class Reply:
+    __slots__ = ("status", "headers", "body", "pages", "rows", "line_ms")
+
+    def __init__(self, status: int, headers: dict[bytes, bytes], body: bytes) -> None:
+        self.status, self.headers, self.body = status, headers, body
+        self.pages, self.rows, self.line_ms = 0, list[list[str]](), 0.0  # line_ms: when its connection came up
+
+    def read(self, number: int) -> None:
+        """Check it as the answer to an ask for a page, 0 being the news; BadReply if it can't be that."""
+        if self.status not in (200, 202, 500, 503, 504):
+            raise BadReply(f"status {self.status}")
+        if self.status != 200:
+            return
+        if number == 0:
+            text = self.text(b"x-pages")
+            if not (text.isascii() and text.isdecimal() and 1 <= int(text[:4]) <= PAGES):
+                raise BadReply(f"a count of {text!r} pages")
+            self.pages = int(text)
+        elif self.text(b"x-page") != str(number):
+            raise BadReply(f"page {self.text(b'x-page')!r} in place of {number}")
+        self.rows = rows_of(self.body)
+
+    def text(self, name: bytes) -> str:
+        return self.headers.get(name, b"").decode("latin-1")
+
+
+def rows_of(page: bytes) -> Rows:
+    """A page's rows: columns end with a tab, rows with a line feed; unchanged or not at all."""
+    if not page:
+        return []
+    try:
+        text = page.decode()
+    except UnicodeDecodeError:
+        raise BadReply("a page is not UTF-8") from None
+    if not text.endswith("\n"):
+        raise BadReply("a page ends inside a row")
+    return [line.split("\t") for line in text[:-1].split("\n")]
--- /dev/null
+++ b/frostspindle/net/metrics.py
@@ -0,0 +1,59 @@
+"""The figures of `show-stat` in Prometheus' text form, for the operators' call `metrics`.
+
+Owns the families' names and which figure is which. It must never count by itself: it is handed the one source's figures
+at each call. It must never be imported where `metrics` is off: the library costs memory that only its users pay. No
+I/O, no clock.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator, Mapping
+from typing import Any
+
+from prometheus_client import CollectorRegistry, generate_latest
+from prometheus_client.metrics_core import CounterMetricFamily, GaugeMetricFamily, Metric
+
+BEFORE = "frostspindle_"
+# A family for each figure: its key in `show-stat`, whether it only grows, its name, and what it counts.
+WHOLE = (
+    ("backend_calls", True, "backend_calls", "Attempts that were written whole to engines."),
+    ("inflight", False, "inflight", "Requests taken and not yet ended."),
+    ("hosts_listed", False, "hosts_listed", "Engines in the list."),
+    ("hosts_down", False, "hosts_down", "Listed engines that get no work now."),
+)
+OF_WORKER = (
+    ("restarts", True, "worker_restarts", "Times that the worker was started again."),
+    ("taken", True, "worker_taken", "Requests that the worker took."),
+    ("inflight", False, "worker_inflight", "Requests of the worker that have not yet ended."),
+    ("clients", False, "worker_clients", "Connections that clients hold to the worker."),
+    ("sockets", False, "worker_sockets", "Descriptors that are the worker's share."),
+)
+
+
+class _Figures:
+    """A collector of one call's figures."""
+
+    def __init__(self, figures: Mapping[str, Any]) -> None:
+        self.figures = figures
+
+    def collect(self) -> Iterator[Metric]:
+        calls = CounterMetricFamily(BEFORE + "calls", "Requests by class and end, of all fronts.",
+                                    labels=("class", "end"))
+        for name, row in self.figures["calls"].items():
+            for end, count in row.items():
+                calls.add_metric((name, end), count)
+        yield calls
+        for key, grows, name, text in WHOLE:
+            yield (CounterMetricFamily if grows else GaugeMetricFamily)(BEFORE + name, text, value=self.figures[key])
+        for key, grows, name, text in OF_WORKER if "workers" in self.figures else ():
+            family = (CounterMetricFamily if grows else GaugeMetricFamily)(BEFORE + name, text, labels=("worker",))
+            for row in self.figures["workers"]:
+                family.add_metric((str(row["worker"]),), row[key])
+            yield family
+
+
+def text(figures: Mapping[str, Any]) -> bytes:
+    """The exposition in the text form 0.0.4, ended by a comment `# EOF`; `figures` as `show-stat` has them."""
+    registry = CollectorRegistry(auto_describe=False)
+    registry.register(_Figures(figures))  # type: ignore[arg-type]
+    return generate_latest(registry) + b"# EOF\n"
--- a/frostspindle/net/operator.py
+++ b/frostspindle/net/operator.py
@@ -1,6 +1,7 @@
-"""The operators' port: one line a connection, one answer, then a close.
+"""The operators' port: one line a connection, one answer, then a close; or lines for as long as a caller stays.
 
-Owns the listening socket that operators' staff call and how long and how large a call may be. It must never keep
+Owns the listening socket that operators' staff call and how long and how large a call may be. A call that is one of
+`stays` keeps its connection: whoever took it writes to it, and is told when it stops reading. It must never keep
 a caller waiting behind client work (each answer is made in the callback that brings the call's last byte), never
 let those who say nothing keep out those who ask, and never decide anything about requests: what a call does is
 done by the parts that it is given.
@@ -10,7 +11,7 @@
 
 import asyncio
 from collections.abc import Callable
-from typing import Any
+from typing import Any, Protocol
 
 import msgspec
 
@@ -18,19 +19,37 @@
 from frostspindle.events import Events
 
 LINE, CALLERS = 1024, 16  # the longest call, and how many callers may be connected
+LONG, STAYING = 65_536, 10_000  # the longest call of one who stays, and how many may
+WAITS = 65_536  # bytes that wait for one who stays before it counts as not reading
 WHOLE_S = 5.0  # from connecting until a call must be whole
 _ENCODE = msgspec.json.Encoder().encode
 
 
+def _words(takes: str) -> int:
+    """How many words a call takes."""
+    return 2 * takes.startswith("two ") + sum(word in ("a", "an", "one") for word in takes.split())
+
+
 class Nak(Exception):
     """The reason why a call is answered with no."""
 
 
+class Stay(Protocol):
+    """Whoever writes to a caller that stays."""
+
+    def paused(self, on: bool) -> None:
+        """The caller has stopped reading, or reads again."""
+
+    def gone(self) -> None:
+        """The connection has ended."""
+
+
 class _Caller(asyncio.Protocol):
-    """One connection: it reads up to the first line feed, answers, and closes."""
+    """One connection: it reads up to the first line feed, answers, and closes, or stays."""
 
     def __init__(self, desk: Desk) -> None:
         self.desk, self.line = desk, b""
+        self.stay: Stay | None = None
         self.transport: asyncio.Transport = None  # type: ignore[assignment]  # set before anything else is called
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -41,20 +60,45 @@
     def connection_lost(self, error: Exception | None) -> None:
         self.timer.cancel()
         self.desk.callers.pop(self, None)
+        self.desk.staying.discard(self)
+        if self.stay is not None:
+            self.stay.gone()
 
     def data_received(self, data: bytes) -> None:
-        if self.transport.is_closing():
+        if self.transport.is_closing() or self.stay is not None:
             return
         self.line += data
         line, mark, _ = self.line.partition(b"\n")
-        if mark:
-            self._say(self.desk.answer(line))
-        elif len(self.line) > LINE:
+        if len(line) > (LONG if self.desk.lengthy(line) else LINE):
             self._say(b"NAK the call is too long\n")
+        elif mark:
+            self._take(line)
 
     def eof_received(self) -> None:
-        if self.line and not self.transport.is_closing():  # a caller that ends its line by ending its stream
-            self._say(self.desk.answer(self.line))
+        if self.line and self.stay is None and not self.transport.is_closing():
+            self._take(self.line)  # a caller that ends its line by ending its stream; one who stays must not
+
+    def _take(self, line: bytes) -> None:
+        if (open_ := self.desk.stay(line)) is None:
+            self._say(self.desk.answer(line))
+        elif (no := self.desk.open(self, open_, line)) is not None:
+            self._say(no)
+
+    # Of one who stays.
+
+    def write(self, data: bytes) -> None:
+        self.transport.write(data)
+
+    def end(self) -> None:
+        self.transport.close()
+
+    def pause_writing(self) -> None:
+        if self.stay is not None:
+            self.stay.paused(True)
+
+    def resume_writing(self) -> None:
+        if self.stay is not None:
+            self.stay.paused(False)
 
     def _late(self) -> None:
         self._say(b"NAK no call came\n")
@@ -70,7 +114,12 @@
 
     def __init__(self, at: Address | str, does: dict[str, Callable[..., Any]], events: Events) -> None:
         self.at, self.does, self.events = at, does, events
+        self.stays: dict[str, Callable[[str, _Caller], Stay]] = {}  # with the rest of the call's line
+        self.takes: dict[str, str] = {}  # what a call takes, in words: one for each "a", "an" or "one", or "two ..."
+        self.quiet = {"ready"}  # calls that come too often for a line each
+        self.long: set[str] = set()  # calls that may be as long as those of who stays
         self.callers: dict[_Caller, None] = {}  # in the order in which they came
+        self.staying: set[_Caller] = set()
         self._server: asyncio.Server | None = None
 
     async def start(self) -> None:
@@ -88,7 +137,7 @@
     def close(self) -> None:
         if self._server is not None:
             self._server.close()
-        for caller in list(self.callers):
+        for caller in [*self.callers, *self.staying]:
             caller.transport.close()
 
     def joined(self, caller: _Caller) -> None:
@@ -99,16 +148,48 @@
             del self.callers[first]
             first.transport.abort()
 
+    def stay(self, line: bytes) -> Callable[[str, _Caller], Stay] | None:
+        """What a call of those who stay does, if this is one."""
+        return self.stays.get(line[:32].split(b" ", 1)[0].strip().decode("ascii", "replace")) if self.stays else None
+
+    def lengthy(self, line: bytes) -> bool:
+        """Whether a call may be long."""
+        return self.stay(line) is not None or bool(self.long) and line[:32].split(b" ", 1)[0].decode(
+            "ascii", "replace") in self.long
+
+    def open(self, caller: _Caller, open_: Callable[[str, _Caller], Stay], line: bytes) -> bytes | None:
+        """Let a caller stay; if it may not, what it is answered."""
+        self.events.count("operator_calls")
+        name, _, rest = line.decode("utf-8", "replace").strip().partition(" ")
+        try:
+            if len(self.staying) >= STAYING:
+                raise Nak(f"{STAYING} callers stay already")
+            caller.stay = open_(rest.strip(), caller)
+        except Nak as no:
+            self.events.count("operator_naks")
+            return f"NAK {no}\n".encode()
+        except Exception as error:  # noqa: BLE001 - as below
+            self.events.count("faults")
+            self.events.log("fault", error=repr(error), of=f"operator call {name}")
+            return b"NAK a fault, see the log\n"
+        caller.timer.cancel()
+        caller.transport.set_write_buffer_limits(WAITS)
+        self.callers.pop(caller, None)
+        self.staying.add(caller)
+        self.events.log("operator", call=name)
+        return None
+
     def answer(self, line: bytes) -> bytes:
         """What one call is answered; a fault in it is a no."""
-        name, *words = line.decode("utf-8", "replace").split()[:4] or [""]
+        name, *words = line.decode("utf-8", "replace").split()[:5] or [""]
         self.events.count("operator_calls")
         try:
             if name not in self.does:
-                raise Nak(f"no such call; there are {', '.join(sorted(self.does))}")
-            wanted = 1 if name.endswith("-server") else 0
-            if len(words) != wanted:
-                raise Nak(f"{name} takes {'one engine' if wanted else 'nothing more'}")
+                raise Nak(f"no such call; there are {', '.join(sorted((*self.does, *self.stays)))}")
+            takes = ("one engine" if name.endswith("-server") else "one number" if name == "unsubscribe" else
+                     "one task" if name == "release-owner" else self.takes.get(name, ""))
+            if len(words) != _words(takes):
+                raise Nak(f"{name} takes {takes or 'nothing more'}")
             result = self.does[name](*words)
         except Nak as no:
             self.events.count("operator_naks")
@@ -117,6 +198,8 @@
             self.events.count("faults")
             self.events.log("fault", error=repr(error), of=f"operator call {name}")
             return b"NAK a fault, see the log\n"
-        if name != "ready":
-            self.events.log("operator", call=name, of=words)
+        if name not in self.quiet:
+            self.events.log("operator", call=name, of=words if name not in self.long else words[:2])
+        if isinstance(result, bytes):  # it has its own form and end
+            return result
         return b"ACK\n" if result is None else _ENCODE(result) + b"\n--\n"
--- a/frostspindle/net/tds/front.py
+++ b/frostspindle/net/tds/front.py
@@ -198,6 +198,8 @@
     async def _answer(self, answer: Answer) -> None:
         if answer.how == SERVED:
             await self.send(answer.result)
+        elif answer.reason:
+            await self.fail(FAILED, answer.reason)
         elif answer.how == REFUSED_ANSWER:
             await self.fail(REFUSED, _busy(answer.retry_after_ms or ADVISED_MS))
         else:
--- /dev/null
+++ b/frostspindle/order/service.py
@@ -0,0 +1,57 @@
+"""Order among processes, tied to one process's core.
+
+Owns the folder's sheet of this process, the places of its requests, and how often it is looked whether the turn of one
+that waits has come. It must never hold up a request that keeps no order, and never decide about one: the core is told
+that a turn has come, the decision module what it is worth.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from pathlib import Path
+
+from frostspindle.core import Core, clock
+from frostspindle.events import Events
+from frostspindle.order.sheets import Sheets
+from frostspindle.order.turns import Turns
+from frostspindle.pools import FORGOTTEN_MS
+
+LOOK_S = 0.02  # so often it is looked for those that wait
+
+
+class Order:
+    """Stands in the core's `turns`."""
+
+    def __init__(self, folder: Path, core: Core, events: Events) -> None:
+        folder.mkdir(mode=0o700, parents=True, exist_ok=True)
+        self.core, self.events = core, events
+        self.sheets = Sheets(folder, lambda: time.monotonic() * 1000.0, FORGOTTEN_MS)
+        self.turns = Turns(self.sheets.own.owner, self.sheets.own, self.sheets.places)
+        self._timer: asyncio.TimerHandle | None = None
+        core.turns = self
+
+    def enter(self, number: int, key: int) -> bool | None:
+        turn = self.turns.enter(number, key, int(clock() * 1000.0))
+        if turn is False:
+            self.events.count("turns_waited")
+            if self._timer is None:
+                self._timer = asyncio.get_running_loop().call_later(LOOK_S, self._look)
+        elif turn is None:
+            self.events.count("turns_full")
+        return turn
+
+    def over(self, number: int) -> None:
+        self.turns.over(number)
+
+    def _look(self) -> None:
+        self._timer = None
+        for number in self.turns.due():
+            self.core.turn(number)
+        if self.turns.waiting:
+            self._timer = asyncio.get_running_loop().call_later(LOOK_S, self._look)
+
+    def close(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+        self.sheets.close(clean=not self.turns.open)
--- a/frostspindle/pools.py
+++ b/frostspindle/pools.py
@@ -1,7 +1,7 @@
 """Connections to engines: how many, how long they are kept, and what one proves about the process behind it.
 
 Owns the bounds of a pool, which idle connection serves a call, and when a query that was given up can run no more. It
-does no I/O and reads no clock: net/engines.py carries it out. It must never take an answer for that of the process
+does no I/O and reads no clock: net/http/peer.py carries it out. It must never take an answer for that of the process
 that has a query unless the connection is as old as the query.
 """
 
--- a/frostspindle/program.py
+++ b/frostspindle/program.py
@@ -12,41 +12,75 @@
 import os
 import signal
 import sys
-from typing import TYPE_CHECKING, Any
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any, Protocol
 
 from frostspindle import config as configuration
 from frostspindle.config import Config, ConfigError
-from frostspindle.core import Core
+from frostspindle.core import PART, Core
 from frostspindle.events import Events
+from frostspindle.handover import most_open
 from frostspindle.ledger.tenants import Facts
 from frostspindle.net.bus import Bus
 from frostspindle.net.engines import Engines
+from frostspindle.net.http.calls import FRONT
+from frostspindle.net.http.statements import schema, table_group
 from frostspindle.net.operator import Desk, Nak
-from frostspindle.net.platform import FRONT, Platform, schema, table_group
+from frostspindle.net.platform import Platform
 from frostspindle.net.tds.driver import TdsEngines
 from frostspindle.net.tds.front import TdsFront
 from frostspindle.shared import Shared
 from pinstage.interface import ListKind
 
-if TYPE_CHECKING:
-    from frostspindle.cores.link import Link
-
 ACCEPT_S = 0.75  # after SIGTERM new work still comes for up to 0.6 s, and is owed its answer
-OPEN_PART, NEW_PART = 0.29, 0.6  # of all descriptors, open requests; of these, the new process's part
+OPEN_PART = 0.29  # of all descriptors, open requests
 KILL_S, LAST_S = 5.0, 0.5  # an upgrade kills after the longest deadline, KILL_S at most, and 0.7 s
+LOOK_S = 0.02  # so often it is looked whether anything is still open
 FLUSH_S = 0.1  # for the last answers to leave
 MEMORY_EVERY_S = 60.0  # a line of what the process holds: growth shows over a long day, at no cost to requests
 PAGE_MB = os.sysconf("SC_PAGE_SIZE") / 2**20
 
 
+class Ties(Protocol):
+    """What ties this process to other workers of one coordinator; it stands where a single process has `Shared`."""
+
+    crowded: bool
+
+    @property
+    def order(self) -> Path | None:
+        """Where processes keep the order of their keys; None: nowhere."""
+
+    @property
+    def ending(self) -> bool:
+        """Nobody else accepts any more."""
+
+    def bind(self, program: Program) -> None:
+        """Take the program whose part this is, before it starts."""
+
+    def start(self, told: Callable[[frozenset[str]], None], crowd: Callable[[bool], None]) -> None:
+        """Tell the bans now, and again whenever they change; likewise whether another process runs."""
+
+    def serving(self) -> None:
+        """Clients are served from now on."""
+
+    def leaving(self) -> None:
+        """Nothing more is accepted."""
+
+    def close(self) -> None:
+        """The program has ended."""
+
+
 class Program:
     """All parts of one running coordinator."""
 
-    def __init__(self, config: Config, link: Link | None = None) -> None:
+    def __init__(self, config: Config, link: Ties | None = None) -> None:
         self.config, self.link = config, link
         self.sockets = config.limits.sockets
         self.events = Events(config.name, worker=config.worker)
         classes = [(FRONT, name) for name in config.classes] + [("tds", name) for name in config.plan.classes]
+        if config.scatter is not None:  # by class and site, in the order in which the settings have them
+            classes += [(PART, config.classes[cls]) for cls, _ in config.scatter.classes]
         self.core = Core(config.settings, classes, config.seed, self.events, config.limits.sockets // 2)
         self.driver = Engines(config, self.core, self.events)
         self.bus = Bus(config, self.core, self.driver, self.events)
@@ -57,17 +91,19 @@
             self.tds_driver = TdsEngines(tds, config.plan.kinds, self.core, self.events)
             self.tds = TdsFront(tds, configuration.address(tds.listen, "tds.listen"), config.plan.classes,
                                 config.seed, self.core, self.events, table_group)
-        if tenants := configuration.tenant_index(config.operator):
-            index, numbers = tenants
-
-            def tenant(facts: Facts) -> int:
-                rule = index.find(facts)
-                return numbers[rule.tenant] if rule is not None else 0
-            self.platform.tenant = tenant
+        if config.tenants.on:
+            self.platform.tenant = config.tenants.number
             if self.tds:
-                self.tds.tenant = lambda login, at, statement: tenant(Facts(
+                self.tds.tenant = lambda login, at, statement: config.tenants.number(Facts(
                     "tds", at, {}, login.user, login.application, login.database, schema(statement)))
+        self.order: Any = None
         self.fleet = self._fleet() if config.operator.fleet else None
+        self.warming: Any = None
+        if config.operator.fleet and config.operator.fleet.cold:
+            from frostspindle.fleet import warming
+
+            self.warming = warming.attach(self)
+        self.scatter: Any = None
         self.agent: Any = None
         self.desk: Desk | None = None
         if config.desk:
@@ -76,6 +112,46 @@
                                            "enable-server": self.enable}, self.events)
             if self.fleet:
                 self.desk.does["show-fleet"] = self.fleet.figures
+            if config.operator.metrics:
+                from frostspindle.net import metrics  # the library costs memory that only its users pay
+
+                self.desk.does["metrics"] = lambda: metrics.text(self.core.figures())
+            if self.warming:
+                self.desk.does["show-cold"] = self.warming.figures
+        self.replica: Any = None
+        if config.operator.replica:
+            from frostspindle.replica.service import attach as replicate  # loads the Raft library
+
+            self.replica = replicate(self)
+        self.owners: Any = None
+        if config.operator.ownership:
+            from frostspindle.ownership.wiring import attach as own  # only where it is set up
+
+            self.owners = own(self)
+        self.recovery: Any = None
+        if config.operator.recovery:
+            from frostspindle.recovery.service import attach as recover  # only where it is set up
+
+            self.recovery = recover(self)
+        if config.scatter is not None:
+            from frostspindle.scatter.wiring import attach as spread  # loads the SQL parser
+
+            self.scatter = spread(self)
+        self.subscriptions: Any = None
+        if config.operator.subscriptions:
+            from frostspindle.subscriptions.wiring import attach  # lark and others are its users' only
+
+            self.subscriptions = attach(self)
+            if self.scatter:
+                self.scatter.loaded = self.subscriptions.loaded
+            if self.recovery:
+                self.recovery.staged = self.subscriptions.stage
+        self.most_open: int | None = None  # of the agreed settings
+        self.settings: Any = None
+        if config.operator.settings:
+            from frostspindle.settings.wiring import attach as agree  # persistent maps, the log, the store
+
+            self.settings = agree(self)
         self.shared = link or Shared(config.environ, config.name, self.events)
         if link is not None:
             link.bind(self)
@@ -93,10 +169,10 @@
         terms = Terms({seed.name: configuration.address(seed.address, "fleet.seed") for seed in fleet.seed},
                       tuple(Budget(b.name, b.units, b.window_ms) for b in fleet.budget), fleet.lease_ms, fleet.drift,
                       fleet.probe_ms, fleet.timeout_ms, fleet.judges, fleet.verdict_ms)
-        numbers = {tenant.name: number for number, tenant in enumerate(self.config.operator.tenant, 1)}
         service = Service(fleet.name or self.config.name, configuration.address(fleet.listen, "fleet.listen"),
                           configuration.address(fleet.advertise, "fleet.advertise") if fleet.advertise else None,
-                          terms, {numbers[b.tenant]: b.name for b in fleet.budget if b.tenant}, self.core, self.events)
+                          terms, {self.config.tenants.numbers[b.tenant]: b.name for b in fleet.budget if b.tenant},
+                          self.core, self.events)
         if service.tenants:
             self.core.within = service.within
         return service
@@ -109,14 +185,37 @@
                 raise OSError(f"LB_OPERATOR: {error}") from None
         self.bus.start()
         self._bound(False)
-        self.shared.start(self.core.ban, self.crowd)
+        if isinstance(self.shared, Shared):
+            self.shared.follow(lambda: self.core.open, lambda: self._bound(self.shared.crowded))
+        bans = self.recovery.bans if self.recovery else self.core.ban
+        self.shared.start(self.settings.applied.follow(bans) if self.settings else bans, self.crowd)
+        if self.shared.order is not None and any(cls.in_order for cls in self.config.settings.classes):
+            from frostspindle.order.service import Order  # only where a class keeps order
+
+            try:
+                self.order = Order(self.shared.order, self.core, self.events)
+            except OSError as error:  # as with the bans: serving goes before what an upgrade needs
+                self.events.log("order", folder=str(self.shared.order), error=repr(error))
         for work in (self.core.run(), self.bus.run()):
             task = asyncio.create_task(work)
             task.add_done_callback(self._ended)
             self.tasks.append(task)
         self.tasks.append(asyncio.create_task(self._memory()))
+        if self.recovery:
+            self.recovery.start()
+        if self.subscriptions:
+            self.subscriptions.start()
         if self.fleet:
             await self.fleet.start()
+        if self.replica:
+            try:
+                await self.replica.start()
+            except OSError as error:
+                raise OSError(f"replica.listen: {error}") from None
+        if self.owners:
+            self.owners.start()
+        if self.settings:
+            self.settings.start()
         if self.tds and self.tds_driver:
             self.tds_driver.configure(self.tds.tds.engine, ListKind.FULL)
             await self.tds.start(self.config.inherited is not None, self.config.tds_listener)
@@ -146,8 +245,14 @@
 
     def _bound(self, crowded: bool) -> None:
         """Clients have a third of the descriptors, for both processes: past that, nobody finds a connection."""
-        part = OPEN_PART * (1.0 if not crowded else NEW_PART if not self.stopping.is_set() else 1.0 - NEW_PART)
-        self.core.bound(max(16, int(self.sockets * part)))
+        whole = int(self.sockets * OPEN_PART)
+        if crowded:
+            whole = most_open(whole, self.shared.theirs, self.stopping.is_set())
+        self.core.bound(max(16, whole if self.most_open is None else min(whole, self.most_open)))
+
+    def bound(self) -> None:
+        """The agreed bound on open requests has changed."""
+        self._bound(self.shared.crowded)
 
     def resize(self, sockets: int) -> None:
         """So many descriptors are this process's from now on; who is over its part makes room."""
@@ -174,6 +279,8 @@
     def _ban(self, name: str, on: bool) -> None:
         if name not in self.core.names:
             raise Nak(f"{name} was never listed")
+        if self.recovery and not on:
+            self.recovery.allow(name)
         try:
             self.shared.ban(name, on)
         except OSError as error:
@@ -228,10 +335,25 @@
                 raise ConfigError("cores: needs a new start")
             if fresh.operator.fleet != self.config.operator.fleet:
                 raise ConfigError("fleet: needs a new start")
+            if fresh.operator.recovery != self.config.operator.recovery:
+                raise ConfigError("recovery: needs a new start")
+            if fresh.operator.scatter != self.config.operator.scatter:
+                raise ConfigError("scatter: needs a new start")
+            if fresh.operator.subscriptions != self.config.operator.subscriptions:
+                raise ConfigError("subscriptions: needs a new start")
+            if fresh.operator.replica != self.config.operator.replica:
+                raise ConfigError("replica: needs a new start")
+            if fresh.operator.ownership != self.config.operator.ownership:
+                raise ConfigError("ownership: needs a new start")
+            if fresh.operator.settings != self.config.operator.settings:
+                raise ConfigError("settings: needs a new start")
             if fresh.operator.tenant != self.config.operator.tenant:
                 raise ConfigError("tenant: needs a new start")
+            rules = self.settings.file() if self.settings else None
             if self.tds and self.tds_driver:
                 self._reload_tds(fresh.operator.tds)
+            if self.settings:
+                self.settings.reload(fresh.operator.tds, rules)
         except Exception as error:  # noqa: BLE001 - whatever the files hold, the program goes on as it was
             self.events.count("reloads_failed")
             self.events.log("reload", error=str(error) if isinstance(error, ConfigError) else repr(error))
@@ -277,10 +399,16 @@
                 self.agent.close()
             last = clock() + min(longest_s, KILL_S) + LAST_S
         self.events.log("stopping", open=self.core.open, last_s=round(last - clock(), 2))
+        if self.owners:
+            self.tasks.append(asyncio.create_task(self.owners.close()))
         await asyncio.sleep(ACCEPT_S)
-        # Also what is answered but not yet fetched: a long result comes in several calls.
-        while (self.core.open or self.platform.owing) and clock() < last:
-            await asyncio.sleep(0.02)
+        # Also what is answered but not yet fetched, a long result comes in several calls; and what is half read.
+        while (self.core.open or self.platform.owing or self.platform.coming) and clock() < last:
+            await asyncio.sleep(LOOK_S)
+        self.platform.finish()
+        await asyncio.sleep(LOOK_S)  # the core takes what came before
+        if self.scatter:
+            self.scatter.give_up()
         self.core.give_up()
         await asyncio.sleep(FLUSH_S)
         await self.platform.close()
@@ -291,16 +419,30 @@
             self.agent.close()
         if self.desk:
             self.desk.close()
+        if self.warming:
+            self.warming.close()
+        if self.settings:
+            await self.settings.close()
+        if self.replica:
+            await self.replica.close()
+        if self.recovery:
+            await self.recovery.close()
+        if self.scatter:
+            self.scatter.close()
+        if self.subscriptions:
+            self.subscriptions.close()
         if self.fleet:
             self.fleet.close()
-        self.shared.close()
         await self.driver.close()
+        if self.order:
+            self.order.close()
+        self.shared.close()
         for task in self.tasks:
             task.cancel()
         await asyncio.gather(*self.tasks, return_exceptions=True)
 
 
-async def run(config: Config, link: Link | None = None) -> int:
+async def run(config: Config, link: Ties | None = None) -> int:
     program = Program(config, link)
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
--- a/frostspindle/shared.py
+++ b/frostspindle/shared.py
@@ -1,4 +1,4 @@
-"""What the processes of one coordinator share over an upgrade: the bans and their presence, as files in $TMPDIR.
+"""What the processes of one coordinator share over an upgrade: bans, presence and open requests, as files in $TMPDIR.
 
 Owns the folder of this coordinator's name there. A ban is one marker file, so that two processes need no lock to
 change and read them. It must never judge what a ban means, never fail for what a killed process has left behind,
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import fcntl
 import os
 from collections.abc import Callable, Mapping
@@ -19,6 +20,7 @@
 
 REREAD_S = 0.1  # the other process's word must reach engines' gates within 250 ms
 BAN, RUN = "ban-", "run-"
+DIGITS = 8  # of the figure in a process's marker
 
 
 class Shared:
@@ -30,9 +32,17 @@
         self.folder = Path(at, f"frostspindle-{quote(name, safe='')}") if at else None
         self.banned: frozenset[str] = frozenset()
         self.crowded = False  # another process of this coordinator runs too
+        self.theirs: int | None = None  # requests that the others have open, at most REREAD_S ago; None: one tells not
+        self._open: Callable[[], int] | None = None
+        self._shift: Callable[[], None] = lambda: None
         self._timer: asyncio.TimerHandle | None = None
         self._lock: BinaryIO | None = None
 
+    @property
+    def order(self) -> Path | None:
+        """Where processes keep the order of their keys, once started; None: nowhere."""
+        return self.folder
+
     def start(self, told: Callable[[frozenset[str]], None], crowd: Callable[[bool], None]) -> None:
         """Tell the bans now, and again whenever they change; likewise whether another process runs."""
         self._told, self._crowd = told, crowd
@@ -45,9 +55,13 @@
                 self.folder = None  # serving goes before what an upgrade needs
         self._read()
 
+    def follow(self, opened: Callable[[], int], shift: Callable[[], None]) -> None:
+        """Tell the others how many requests are open here, and call `shift` whenever theirs has changed."""
+        self._open, self._shift = opened, shift
+
     @staticmethod
     def _mark(path: Path) -> BinaryIO:
-        """A file under a lock that the system drops with its process, however that ends: the file says nothing."""
+        """A file under a lock that the system drops with its process, however that ends: only the lock is trusted."""
         while True:
             marker = open(path, "wb")
             fcntl.flock(marker, fcntl.LOCK_EX)  # the other process holds it for a moment at most, to look at it
@@ -85,10 +99,27 @@
         except OSError:
             return  # whoever took the folder away, the bans known here still hold
         self._tell(frozenset(unquote(name[len(BAN):]) for name in names if name.startswith(BAN)))
-        crowded = sum(self._runs(self.folder / name) for name in names if name.startswith(RUN)) > 0
-        if crowded != self.crowded:
-            self.crowded = crowded
-            self._crowd(crowded)
+        if self._open is not None and self._lock is not None:
+            with contextlib.suppress(OSError):  # a full disk: the others go on with what they read last
+                os.pwrite(self._lock.fileno(), b"%*d" % (DIGITS, self._open()), 0)
+        others = [marker for name in names if name.startswith(RUN) and self._runs(marker := self.folder / name)]
+        told = [self._told_open(marker) for marker in others]
+        before, self.theirs = self.theirs, None if None in told else sum(filter(None, told))
+        if bool(others) != self.crowded:
+            self.crowded = bool(others)
+            self._crowd(self.crowded)
+        elif self.theirs != before and others:
+            self._shift()
+
+    @staticmethod
+    def _told_open(marker: Path) -> int | None:
+        """What another process says that it has open; anything but a plain figure counts as not told."""
+        try:
+            with open(marker, "rb") as held:
+                told = held.read(DIGITS + 1)
+        except OSError:
+            return None
+        return int(told) if len(told) == DIGITS and told.strip().isdigit() else None
 
     def _runs(self, marker: Path) -> bool:
         """Whether another process holds this marker; one that nobody holds was left behind."""
--- a/pinstage/books.py
+++ b/pinstage/books.py
@@ -57,7 +57,7 @@
 class Job:
     def __init__(self, event: api.Request, cs: api.ClassSettings, now: float) -> None:
         self.request, self.cls, self.cs, self.tenant = event.request, event.cls, cs, event.tenant
-        self.key, self.group = event.key, int(event.group)
+        self.key, self.group, self.turn = event.key, int(event.group), event.turn
         self.hint, self.memory_hint = max(0.0, event.cost_ms), max(0.0, event.memory_mb)
         self.arrived, self.deadline = now, now + max(0.0, event.left_ms)
         self.cost = self.memory = self.done = self.grant = self.aim_at = 0.0
