--- a/pinstage/control.py
+++ b/pinstage/control.py
@@ -11,8 +11,7 @@
 import random
 from bisect import bisect_left, insort
 from collections import deque
-from collections.abc import Callable
-from typing import Any
+from typing import get_args
 
 from pinstage import interface as api
 from pinstage.books import Attempt, Job, Learned, Spares
@@ -36,16 +35,16 @@
 FLAP_MS = 5000.0  # suspected again so soon after a passed test, the next test waits twice as long
 BAD_PLAN = 6.0  # an attempt this far over its expected time is taken for a bad plan
 MEMORY_FULL = 0.95  # part of an engine's memory that grants may fill
-COLD_SAFETY, ESTIMATE_SAFETY = 0.5, 1.3  # part used of our share of a cold engine; estimates are raised so
+COLD_SAFETY, ESTIMATE_SAFETY = (0.75, 0.5), 1.3  # part used of a cold engine's budget by shares, by turns
 STALL_MS = 350.0  # no event for this long, for all the own timer: the dispatcher itself stood still
 WIDE = 3.0  # the bound over all engines starts at this many of our shares
 ROOMY = 0.5  # up to this part of memory in use, as reported, that bound is wider, WIDE when all is free
 REPORT_LASTS_MS = 8000.0  # a report's worth falls to a third in this time
-SAMPLE = 12  # engines looked at for one query, beside those that a connection stands to
+SAMPLE = 12  # engines looked at for one query, beside cold ones and those that a connection stands to
 PRICED = 10.0  # so much is a price in time: a tenth longer costs a query about a hundredth of its worth
 UNSURE = 0.7  # how far off, as a log, a class's memory estimates may lie before any answer
 ABSENT_MS = 30_000.0  # an engine gone for so long, with nothing out, is forgotten: new ids come for ever
-UNHEARD = 2.5  # an attempt without a note for so many of their periods does not run
+UNHEARD, MUTE_MS = 2.5, 375.0  # periods without a note, or past one without any sign: it does not run
 MISSES = 4  # held requests that may find no place before a release round stops
 
 
@@ -55,8 +54,7 @@
     def __init__(self, classes: tuple[api.ClassSettings, ...]) -> None:
         self.costs, self.memories = [Learned() for _ in classes], [Learned() for _ in classes]
         self.mean_cost = [c.aim_ms * c.threads / 2 for c in classes]
-        self.mean_memory = [0.0 for _ in classes]
-        self.counts = [0 for _ in classes]
+        self.mean_memory, self.counts = [0.0] * len(classes), [0] * len(classes)
         self.recent: deque[float] = deque(maxlen=WINDOW)
         self.cutoffs: tuple[float, float, float] | None = None
         self.fresh = 0
@@ -81,8 +79,7 @@
         if memory > 0:
             if job.memory_hint > 0:
                 self.memories[job.cls].add(memory / job.memory_hint)
-            mean = self.mean_memory[job.cls] or memory
-            self.mean_memory[job.cls] = mean + 0.05 * (memory - mean)
+            self.mean_memory[job.cls] = 0.95 * (self.mean_memory[job.cls] or memory) + 0.05 * memory
 
     def seen(self, cost: float) -> None:
         self.recent.append(cost)
@@ -101,16 +98,14 @@
     """What this dispatcher knows and infers of one engine."""
 
     def __init__(self, entry: api.EngineEntry, settings: api.Settings) -> None:
-        self.entry = entry
-        self.id, self.settings = entry.engine, settings
+        self.entry, self.id, self.settings = entry, entry.engine, settings
         kind = entry.kind if entry.kind < len(settings.kind_cores) else 0
         self.cores = settings.kind_cores[kind]
         self.memory = settings.kind_memory_mb[kind] if kind < len(settings.kind_memory_mb) else 0.0
         self.share = THREADS_A_CORE * self.cores / settings.dispatchers
         self.ready, self.told_at = entry.health == Health.READY, -math.inf
         self.attempts: dict[tuple[int, int], Attempt] = {}
-        self.threads, self.granted = 0, 0.0  # of ours
-        self.cold_sends: deque[tuple[float, float]] = deque()
+        self.threads, self.granted, self.cold_sends = 0, 0.0, deque[tuple[float, float]]()  # of ours
         # Of the other workers of this coordinator: what they have out here; our part of the cold budget.
         self.peers, self.peers_memory, self.part, self.hearsay = 0, 0.0, float(settings.workers == 1), False
         self.denied = 0.0  # work that our part of the cold budget had no room for, lately
@@ -120,11 +115,11 @@
         self.bound = self.share
         self.slow, self.fails, self.cut_at = 1.0, 0.0, 0.0
         self.suspect, self.retest_at, self.backoff, self.cleared_at = False, 0.0, RETEST_MS, -math.inf
-        self.sign_at, self.gap, self.probed_at, self.probe_out = -math.inf, 200.0, -math.inf, False
+        self.sign_at, self.gap, self.probed_at = -math.inf, 200.0, -math.inf
         self.warm: deque[int] = deque(maxlen=4)
+        self.keeps = dict[int, float]()  # by class, of which it runs none: until when it gets none
         self.spares = Spares(self.settings)
-        # What others hold here by the last report: queries, and the share of memory granted to them.
-        self.report_at, self.others, self.others_memory = -math.inf, 0.0, 0.0
+        self.report_at, self.others, self.others_memory = -math.inf, 0.0, 0.0  # queries, memory granted
 
     def cold(self, now: float) -> bool:
         return self.entry.since_ms > 0 and now - self.entry.since_ms < self.settings.warm_within_ms
@@ -141,34 +136,27 @@
     def __init__(self, settings: api.Settings, seed: int) -> None:
         if not isinstance(settings, api.Settings):
             raise TypeError("settings must be a pinstage.interface.Settings")
-        self.s = settings
-        self.random = random.Random(seed)
-        self.sizes = Sizes(settings.classes)
+        self.s, self.random, self.sizes = settings, random.Random(seed), Sizes(settings.classes)
         self.engines, self.jobs = dict[int, Engine](), dict[int, Job]()
         self.held, self.lines = list[tuple[int, float, int, Job]](), dict[int, deque[Job]]()  # lines: by key
         self.rest_until: dict[int, float] = {}
         self.deadlines: list[tuple[float, int]] = []
         self.best, self.answers = [1.0] * len(settings.classes), [0] * len(settings.classes)  # by class
-        # Where a share of an engine is less than one query, the sum of the shares is the bound.
-        most = max(c.threads for c in settings.classes)
+        most = max(c.threads for c in settings.classes)  # if no share holds one, their sum is the bound
         self.sparse = THREADS_A_CORE * max(settings.kind_cores) / settings.dispatchers < most
         self.threads, self.shares, self.most_open = 0, 0.0, math.inf  # most_open: as the sockets allow
-        # Where memory runs over, too much let in collapses all; elsewhere an engine's line takes it up.
-        self.pages = settings.when_short == "page"
-        self.widen = 1.0 if self.pages else WIDE
-        self.pooled, self.cut_at = 1.0, -math.inf
+        self.pages = settings.when_short == "page"  # too much let in collapses all; else it waits
+        self.widen, self.pooled, self.cut_at = 1.0 if self.pages else WIDE, 1.0, -math.inf
         # Means of what engines report; the part of a grant that is used; the median engine's recent slowdown.
         self.sees_memory, self.pool, self.used = "x0" in settings.report_columns, [0.0, 0.0], 1.0
         self.usable, self.middle = list[Engine](), 1.0
         self.taken, self.extras = deque[float](), deque[float]()  # times: requests, further attempts
         self.tokens, self.tokens_at = [q / settings.dispatchers for q in settings.tenant_quota_per_s], 0.0
-        self.looked_at, self.surveyed_at, self.ask_at, self.ticking = -math.inf, -math.inf, math.inf, False
+        self.looked_at, self.surveyed_at, self.ask_at = -math.inf, -math.inf, math.inf
         self.seen_at, self.woke_at = math.inf, -math.inf
+        self.worth = min(c.worth for c in settings.classes)
         self.out: list[api.Action] = []
-        self.handlers: dict[type, Callable[[float, Any], None]] = {
-            api.EngineList: self._on_list, api.Request: self._on_request, api.Started: self._on_started,
-            api.Note: self._on_note, api.Ended: self._on_ended, api.Left: self._on_left,
-            api.Due: self._on_due, api.Probed: self._on_probed, api.Peers: self._on_peers}
+        self.handlers = {kind: getattr(self, f"_on_{kind.__name__.lower()}") for kind in get_args(api.Event)}
 
     def handle(self, now_ms: float, event: api.Event) -> list[api.Action]:
         self.out = []
@@ -178,14 +166,13 @@
             for attempt in [a for e in self.engines.values() for a in e.attempts.values()]:
                 attempt.waited += now_ms - self.seen_at
                 attempt.engine.sign_at = now_ms
+        elif math.isinf(self.seen_at):
+            self.out.append(api.Remind(0, now_ms + TICK_MS))  # the first of our own turns
         self.seen_at = now_ms
         self.handlers[type(event)](now_ms, event)
         if now_ms >= self.ask_at:
             self.ask_at = math.inf
             self.out.append(api.Watch(True))
-        if not self.ticking:
-            self.ticking = True
-            self.out.append(api.Remind(0, now_ms + TICK_MS))
         return self.out
 
     def give_up(self, now_ms: float) -> list[api.Action]:
@@ -197,7 +184,7 @@
 
     # Events.
 
-    def _on_list(self, now: float, event: api.EngineList) -> None:
+    def _on_enginelist(self, now: float, event: api.EngineList) -> None:
         if event.how in (ListKind.FULL, ListKind.CACHED):
             for missing in self.engines.keys() - {entry.engine for entry in event.entries}:
                 self.engines[missing].ready = False
@@ -215,9 +202,9 @@
     def _on_request(self, now: float, event: api.Request) -> None:
         if event.request in self.jobs:
             return
-        job = Job(event, self.s.classes[event.cls], now)
-        self.jobs[job.request] = job
+        job = self.jobs[event.request] = Job(event, self.s.classes[event.cls], now)
         self._recent(self.taken, now).append(now)
+        self.worth += 0.02 * (job.cs.worth - self.worth)
         if job.hint > 0:
             self.sizes.usual(job.cls, self.sizes.cost(job.cls, job.hint))
         self._size(job)
@@ -285,9 +272,15 @@
             self._close(job, now)
             self._release(now)
 
+    def _on_turn(self, now: float, event: api.Turn) -> None:
+        if job := self.jobs.get(event.request):
+            job.turn = True
+            self._next_in_line(job.key, now)
+        self._release(now)
+
     def _on_probed(self, now: float, event: api.Probed) -> None:
         if engine := self.engines.get(event.engine):
-            engine.probe_out = False
+            engine.probed_at = now
             if event.verdict == Verdict.OK:
                 engine.sign(now)
             elif self._quiet(engine, now) and not engine.suspect:
@@ -313,7 +306,7 @@
         needs = {}
         for engine in [e for e in self.engines.values() if e.ready and e.cold(now)]:
             engine.denied *= 0.9 if engine.denied > 1.0 else 0.0
-            budget = self._cold_budget(engine, now) * self.s.workers / self.s.dispatchers or 1.0
+            budget = self.cold_budget(engine, now) * self.s.workers / self.s.dispatchers or 1.0
             needs[engine.id] = self._cold_spent(engine, now) / budget, engine.denied / budget
         return needs
 
@@ -338,8 +331,7 @@
     # Requests: sizes, holding, order, ending.
 
     def _size(self, job: Job) -> None:
-        job.cost = self.sizes.cost(job.cls, job.hint)
-        job.memory = self.sizes.memory(job.cls, job.memory_hint)
+        job.cost, job.memory = self.sizes.cost(job.cls, job.hint), self.sizes.memory(job.cls, job.memory_hint)
         aim = job.cs.aim_ms + job.cs.aim_stretch * job.cost / job.cs.threads
         job.aim_at = min(job.deadline, job.arrived + aim)
 
@@ -350,10 +342,9 @@
         span, self.tokens_at = (now - self.tokens_at) / 1000.0 / self.s.dispatchers, now
         for i, quota in enumerate(self.s.tenant_quota_per_s):
             self.tokens[i] = min(max(2.0, quota / self.s.dispatchers), self.tokens[i] + span * quota)
-        if self.tokens[job.tenant] < 1.0:
-            return True
-        self.tokens[job.tenant] -= 1.0
-        return False
+        within = self.tokens[job.tenant] >= 1.0
+        self.tokens[job.tenant] -= within
+        return not within
 
     def _run_ms(self, job: Job) -> float:
         return job.cost / job.cs.threads * max(1.0, self.best[job.cls] * self.middle)
@@ -368,11 +359,10 @@
         line = self.lines.get(key, ())
         while line and line[0].finished and not line[0].out:
             line.popleft()
-        if not line:
+        if not (head := line[0] if line else None):
             self.lines.pop(key, None)
-            return
-        head, rested = line[0], self.rest_until.get(key, 0.0) <= now
-        if rested and not (head.held or head.attempts or head.finished):
+        elif head.turn and self.rest_until.get(key, 0.0) <= now and not (
+                head.held or head.attempts or head.finished):
             self._hold(head, now)
 
     def _close(self, job: Job, now: float) -> None:
@@ -389,8 +379,7 @@
 
     def _exit(self, job: Job, now: float) -> None:
         """The one place that ends a request: a refusal only where a retry can do no harm, else a failure."""
-        ran = job.may_have_run()
-        harmless = (job.cs.effect == Effect.REPEATABLE or not ran
+        harmless = (job.cs.effect == Effect.REPEATABLE or not job.may_have_run()
                     or (job.cs.effect == Effect.BY_KEY and job.cs.dedup_scope == "all"))
         # The client is told to come back when what is held now has been worked off.
         wait = sum(j.cost for _, _, _, j in self.held) / max(1.0, self.shares) if self.s.retry_after else 0.0
@@ -458,8 +447,8 @@
         """Part of our share of a cold engine's budget; under one query: turns of a few, or of one."""
         if not engine.cold(now):
             return True
-        spent, budget = self._cold_spent(engine, now), self._cold_budget(engine, now)
-        usual, n = self._cold_work(job), self.s.dispatchers // self.s.workers  # workers have leases
+        spent, budget = self._cold_spent(engine, now), self.cold_budget(engine, now)
+        usual, n = self.cold_work(job), self.s.dispatchers // self.s.workers  # workers have leases
         turns = min(n, int(budget / min(self.sizes.mean_cost)))
         slot = int(now / self.s.cold_window_ms) + engine.id
         if self.sparse and n > 1:
@@ -476,19 +465,20 @@
             engine.cold_sends.popleft()
         return sum(work for _, work in engine.cold_sends)
 
-    def _cold_budget(self, engine: Engine, now: float) -> float:
+    def cold_budget(self, engine: Engine, now: float) -> float:
         """What all dispatchers together may send to a cold engine in one window."""
         grown = (max(0.0, now - engine.entry.since_ms) / self.s.warm_within_ms) ** 2  # the ramp is not told
         start = (self.s.cold_capacity + (1.0 - self.s.cold_capacity) * grown) * 0.85 * engine.cores
-        return COLD_SAFETY * self.s.cold_multiple * start * self.s.cold_window_ms
+        return COLD_SAFETY[self.sparse] * self.s.cold_multiple * start * self.s.cold_window_ms
 
-    def _cold_work(self, job: Job) -> float:
+    def cold_work(self, job: Job) -> float:
         return ESTIMATE_SAFETY * job.cost if job.hint > 0 else max(job.cost, self.sizes.mean_cost[job.cls])
 
     def _may_send(self, job: Job, engine: Engine, now: float) -> bool:
         """The gate that every send passes; rules first, then room and doubt."""
         cs = job.cs
-        if not engine.ready or job.finished or len(job.attempts) >= self.s.max_attempts:
+        if not engine.ready or job.finished or len(job.attempts) >= self.s.max_attempts or (
+                now < engine.keeps.get(job.cls, 0.0)):
             return False
         if (cs.only_kinds is not None and engine.entry.kind not in cs.only_kinds) or (
                 cs.only_zones is not None and engine.entry.zone not in cs.only_zones):
@@ -540,38 +530,48 @@
             busy /= max(engine.bound * scale, job.cs.threads)
             score = engine.slow * (1.0 + busy) * (0.95 + 0.1 * self.random.random())
             score *= (4.0 if engine.id in job.avoid else 1.0) * (0.5 if engine.cold(now) else 1.0)
-            score *= self._group_factor(job, engine) if job.group else 1.0
-            score *= 1.0 + PRICED * self._price(engine, now)
+            score *= self._group_factor(job, engine) if job.group >= 0 else 1.0
+            score *= 1.0 + PRICED * self._price(engine, now) * self.worth / job.cs.worth
             if score < best_score:
                 best, best_score = engine, score
         return best
 
     def _price(self, engine: Engine, now: float) -> float:
-        """Points for a new connection, and for its zone: preferred every time, one zone's engines pile up."""
-        if self.s.price_handshake <= 0 or engine.spares.any(now, len(engine.attempts)):
-            return 0.0
-        return self.s.price_handshake + (engine.entry.zone != self.s.zone) * self.s.price_cross_zone
+        """Points for a new connection, and for its zone while there is room: one zone's engines pile up."""
+        new = self.s.price_handshake > 0 and not engine.spares.any(now, len(engine.attempts))
+        room = max(0.0, 2.0 - 2.0 * self.threads / max(1.0, self.shares))
+        far = (engine.entry.zone != self.s.zone) * self.s.price_cross_zone
+        return new * self.s.price_handshake + far * (1.0 if new else room)
 
     def _group_factor(self, job: Job, engine: Engine) -> float:
         """Warm groups draw their readers; a load and the readers it would stop are kept apart."""
         factor = 0.8 if job.group in engine.warm else 1.0
-        for other in [a.job for a in engine.attempts.values() if a.job.group == job.group]:
-            if other.cs.is_load and (job.cs.is_load or job.cs.waits_for_loads):
-                factor *= 4.0
-            elif job.cs.is_load and other.cs.waits_for_loads:
-                factor *= 1.3
+        for other in [a.job.cs for a in engine.attempts.values() if a.job.group == job.group]:
+            factor *= 4.0 if other.is_load and (job.cs.is_load or job.cs.waits_for_loads) else 1.0
+            factor *= 1.3 if job.cs.is_load and other.waits_for_loads else 1.0
         return factor
 
+    def _apart(self, job: Job, now: float) -> list[Engine]:
+        """One that stands holds up its key's line: each dispatcher has engines of its own, a load on each."""
+        n = self.s.dispatchers if len(self.usable) >= self.s.dispatchers else 1
+        n = 1 if any(e.cold(now) for e in self.usable) else n  # our own may all be those that take no load
+        return [e for rank, e in enumerate(self.usable, job.group) if rank % n == self.s.number % n and all(
+            not a.job.cs.is_load or a.job.group != job.group for a in e.attempts.values())]
+
     def _release(self, now: float) -> None:
         if not self.held or self._room(2.0) < 1.0 or now == self.woke_at:  # first take in all that came
             return
-        at = misses = 0
+        at, misses, taken = 0, 0, set[int]()  # groups that have no engine for a further load of ours
         while self.usable and at < len(self.held) and misses < MISSES and self._fits(self.held[at][3]):
-            job = self.held[at][3]
-            few = self.usable if len(self.usable) <= SAMPLE else self.random.sample(self.usable, SAMPLE) + [
-                e for e in (self.usable if self.s.price_handshake > 0 else ()) if e.spares.any(now, 0)]
+            job, few = self.held[at][3], self.usable
+            if job.cs.is_load and job.cs.in_order and job.group >= 0:
+                few = [] if job.group in taken else self._apart(job, now)
+                taken |= set() if few else {job.group}
+            if len(few) > SAMPLE:
+                few = self.random.sample(few, SAMPLE) + [  # a turn at a cold engine is rare
+                    e for e in few if e.cold(now) or self.s.price_handshake > 0 and e.spares.any(now, 0)]
             if (engine := self._choose(job, few, now)) is None:
-                at, misses = at + 1, misses + 1
+                at, misses = at + 1, misses + bool(few)
                 continue
             self.held.pop(at)
             job.held = False
@@ -589,8 +589,8 @@
         self._book(attempt, 1)
         engine.spares.take()
         if engine.cold(now):
-            engine.cold_sends.append((now, self._cold_work(job)))
-        if job.group and job.group not in engine.warm:
+            engine.cold_sends.append((now, self.cold_work(job)))
+        if job.group >= 0 and job.group not in engine.warm:
             engine.warm.append(job.group)
         self._set_terms(job, True)
         left = 0.0 if job.cs.stream else max(1.0, job.deadline - now - MARGIN_MS / 2)
@@ -599,8 +599,8 @@
     def _set_terms(self, job: Job, sending: bool = False) -> None:
         """The band of the remaining work, raised as it shrinks."""
         band = self.sizes.band(job.cost * (1.0 - job.done)) if self.s.priorities else 1
-        if job.cs.is_load and any(c.waits_for_loads for c in self.s.classes):
-            band = max(band, 2)  # a load that readers wait for must not crawl in a low band
+        if job.cs.is_load and (job.cs.in_order or any(c.waits_for_loads for c in self.s.classes)):
+            band = max(band, 2)  # what readers or its key's line wait for must not crawl in a low band
         if sending or band > job.band:
             job.band = band
             self.out.append(api.Terms(job.request, band, job.grant))
@@ -623,15 +623,15 @@
                     self.used += 0.05 * (max(0.4, min(1.0, event.true_memory_mb / attempt.grant)) - self.used)
                 self.sizes.learn(job, event.true_cost_ms, event.true_memory_mb)
             if now > self.woke_at:
-                cost = event.true_cost_ms or attempt.cost
-                self._pace_learn(engine, job, cost, event.elapsed_ms, now)
+                self._pace_learn(engine, job, event.true_cost_ms or attempt.cost, event.elapsed_ms, now)
         elif verdict in (Verdict.ERROR, Verdict.CONNECT_FAILED, Verdict.RESET):
             # An error at a second engine speaks against the request, and in favour of the first.
             others = [a for a in job.attempts if a.engine is not engine and a.verdict == Verdict.ERROR]
             if verdict != Verdict.ERROR or not others:
                 self._doubt(engine, attempt, now, "fails")
             elif len(others) == 1:
-                self._clear(others[0])
+                others[0].engine.fails -= min(others[0].charge, others[0].engine.fails)
+                others[0].engine.suspect &= others[0].trial or others[0].engine.fails >= TRIP_AT
         elif verdict == Verdict.FULL:
             self._cut(engine, now)
         elif attempt.trial:
@@ -643,18 +643,13 @@
         if attempt.trial or (engine.fails >= TRIP_AT and not engine.suspect):  # one episode counts once
             self._suspect(engine, now, why)
 
-    def _clear(self, attempt: Attempt) -> None:
-        attempt.engine.fails -= min(attempt.charge, attempt.engine.fails)
-        attempt.engine.suspect &= attempt.trial or attempt.engine.fails >= TRIP_AT
-
     def _hear(self, engine: Engine, report: tuple[float, ...], now: float) -> None:
         values = dict(zip(self.s.report_columns, report, strict=False))
         used = values.get("load_share", 0.0) * engine.cores + 2.0 * values.get("depth", 0.0)
-        others = values.get("concurrent", used * self.sparse) - len(engine.attempts) - engine.peers
-        engine.others = max(0.0, others)
-        if engine.memory > 0:
-            ours = (engine.granted + engine.peers_memory) / engine.memory
-            engine.others_memory = max(0.0, values.get("x0", 0.0) - ours)
+        ours = len(engine.attempts) + engine.peers
+        engine.others = max(0.0, values.get("concurrent", used * self.sparse) - ours)
+        ours = (engine.granted + engine.peers_memory) / max(1.0, engine.memory)
+        engine.others_memory = max(0.0, values.get("x0", 0.0) - ours)
         engine.report_at = now
         self.pool[0] += 0.1 * (engine.others - self.pool[0])
         self.pool[1] += 0.1 * (engine.others_memory - self.pool[1])
@@ -718,16 +713,16 @@
         job.moved = True
 
     def _thin(self, line: deque[Job], now: float) -> None:
-        """A key's line too long makes all in it late: who is late by its turn makes way for one in time."""
-        start, doomed = now, []
-        for job in [j for j in line if not j.finished and not j.attempts]:
-            if start + self._run_ms(job) > job.aim_at:
-                doomed.append(job)
-            else:
-                start += self._run_ms(job)
-                for late in doomed:
-                    self._exit(late, now)
-                doomed = []
+        """A key's line too long makes all in it late: least worth for its work makes way for those behind."""
+        end, kept, waiting = now, list[Job](), [j for j in line if not j.finished]
+        for job in waiting:
+            end = max(now, job.out[0].sent + self._run_ms(job)) if job.out else end + self._run_ms(job)
+            kept += [] if job.out else [job]
+            while job is not waiting[-1] and job in kept and end > job.aim_at:
+                least = min(kept, key=lambda j: j.cs.worth * self.s.over_share_worth ** j.over / j.cost)
+                kept.remove(least)
+                end -= self._run_ms(least)
+                self._exit(least, now)
 
     def _quiet(self, engine: Engine, now: float) -> bool:
         """No answer, note or probe from it for longer than is usual for it."""
@@ -736,7 +731,7 @@
     def _survey(self, now: float) -> None:
         """What may be used, the sum of our shares, and how slow the middle engine is."""
         self.surveyed_at = now
-        self.engines = {i: e for i, e in self.engines.items()
+        self.engines = {i: e for i, e in sorted(self.engines.items())  # at all dispatchers in the same order
                         if e.entry.health != Health.GONE or e.attempts or now - e.told_at < ABSENT_MS}
         self.usable = [e for e in self.engines.values() if e.ready and (not e.suspect or now >= e.retest_at)]
         self.shares = sum(e.bound for e in self.usable)
@@ -751,30 +746,36 @@
         if now - self.surveyed_at >= SURVEY_MS:
             self._survey(now)
         for engine in [e for e in self.engines.values() if e.attempts]:
-            quiet, overdue = self._quiet(engine, now), 0
+            quiet, overdue, due = self._quiet(engine, now), 0, (self.s.note_period_ms or math.inf) + MUTE_MS
             for attempt in list(engine.attempts.values()):
-                job, ran = attempt.job, now - attempt.sent - attempt.waited
-                expected = attempt.cost / job.cs.threads * self._pace(engine, job.cls)
-                overdue += ran > 500.0 + 2.0 * expected
-                unheard = 0 < UNHEARD * self.s.note_period_ms < now - attempt.seen and not attempt.in_line
-                if ran > 500.0 + 2.0 * expected and unheard:
-                    attempt.seen = now  # taken and not run, though the engine may answer others
-                    self._doubt(engine, attempt, now, "keeps what it takes")
+                job, cls, lives = attempt.job, attempt.job.cls, engine.sign_at > max(attempt.sent, now - due)
+                ran, unheard = now - attempt.sent - attempt.waited, not attempt.in_line and now - attempt.seen
+                expected = attempt.cost / job.cs.threads * self._pace(engine, cls)
+                overdue += (late := ran > 500.0 + 2.0 * expected)
+                kept = now < (mark := engine.keeps.get(cls, -math.inf)) and lives
+                if unheard > due and (kept or now - engine.sign_at > due or (
+                        late and unheard > UNHEARD * self.s.note_period_ms)):
+                    if not lives or not kept and (attempt.seen == mark or now - mark > FLAP_MS):  # one
+                        self._doubt(engine, attempt, now, "keeps what it takes")
+                        engine.keeps[cls] = max(mark, now)
+                    elif any(e is not engine and now >= e.keeps.get(cls, 0.0) for e in self.usable):
+                        self.out += [] if kept else [api.Log(f"engine {engine.id:08x} keeps class {cls}")]
+                        engine.keeps[cls] = now + FLAP_MS  # taken and not run, though it may answer others
+                    attempt.seen = now
                     if not engine.suspect:
                         self._move(job, attempt, now)
-                if not self.s.note_period_ms and not quiet and ran > 300.0 + BAD_PLAN * expected:
+                if not (job.done or quiet or attempt.in_line) and ran > 300.0 + BAD_PLAN * expected:
                     self._bad_plan(job, attempt, now)
             if not quiet or not overdue or engine.suspect:
                 continue
             if self.s.may_probe:
-                if not engine.probe_out and now - engine.probed_at > SILENT_MS:
-                    engine.probed_at, engine.probe_out = now, True
+                if now - engine.probed_at > SILENT_MS:
+                    engine.probed_at = math.inf  # until it is back
                     self.out.append(api.Probe(engine.id))
             elif overdue > 1 or now - engine.sign_at > 2.0 * SILENT_MS:
                 self._suspect(engine, now, "is silent")
         for line in list(self.lines.values()):
             self._thin(line, now)
         for *_, job in list(self.held):
-            hopeless = job.aim_at if job.cs.late_share <= 0 else job.deadline - MARGIN_MS
-            if now + self._run_ms(job) > hopeless:
+            if now + self._run_ms(job) > (job.deadline - MARGIN_MS if job.cs.late_share > 0 else job.aim_at):
                 self._exit(job, now)
--- a/pinstage/interface.py
+++ b/pinstage/interface.py
@@ -173,8 +173,9 @@
     left_ms: float
     cost_ms: float
     memory_mb: float
-    group: float
+    group: float  # of tables, by number; -1: none
     over: bool = False  # over the tenant's share, as all dispatchers together count it
+    turn: bool = True  # False: one of its key, taken earlier elsewhere, is not over; Turn tells when it is
 
 
 class Started(NamedTuple):
@@ -207,6 +208,12 @@
     request: int
 
 
+class Turn(NamedTuple):
+    """The turn of a request has come that had to wait for one of its key elsewhere."""
+
+    request: int
+
+
 class Due(NamedTuple):
     token: int
 
@@ -239,7 +246,7 @@
     entries: tuple[Peer, ...]
 
 
-Event = EngineList | Request | Started | Note | Ended | Left | Due | Probed | Peers
+Event = EngineList | Request | Started | Note | Ended | Left | Turn | Due | Probed | Peers
 
 
 # Actions.
--- /dev/null
+++ b/tests/test_fields.py
@@ -0,0 +1,107 @@
+"""What a client's headers may say: key, tenant and retry mark, their bounds, and their way to the module."""
+
+import asyncio
+
+import pytest
+from hypothesis import given, strategies
+from peers import SQL, EdgeCase, page, settings
+
+from frostspindle.config import ConfigError, Operator, Tenant, TenantRule, _named, _tenants
+from frostspindle.ledger.tenants import Facts, Rule, Tenants, Unknown
+from frostspindle.net.fields import TEXT, Refusal, key_number, read
+from pinstage import interface as api
+
+GOOD = {b"x-request-id": b"00000000000000ab", b"x-timeout-ms": b"1500"}
+
+
+def said(in_order=True, **fields):
+    return read(GOOD | {b"x-" + name.encode().replace(b"_", b"-"): value for name, value in fields.items()},
+                2, 10_000.0, 4096.0, in_order)
+
+
+@pytest.mark.parametrize("fields, word", [
+    ({"object": b""}, "X-Object"), ({"object": b"k" * (TEXT + 1)}, "X-Object"), ({"object": b"a b"}, "X-Object"),
+    ({"object": b"\xff\xfe"}, "X-Object"), ({"object": b"a\x00"}, "X-Object"), ({"retry": b"yes"}, "X-Retry"),
+    ({"retry": b""}, "X-Retry"), ({"retry": b"-1"}, "X-Retry"), ({"retry": b"1" * 400}, "X-Retry"),
+    ({"timeout_ms": b"0"}, "X-Timeout-Ms"), ({"timeout_ms": b"1e3"}, "X-Timeout-Ms"), ({"cost_ms": b"nan"}, "X-Cost"),
+    ({"cost_ms": b"3600001"}, "X-Cost"), ({"memory": b"4097"}, "X-Memory"), ({"request_id": b"AB"}, "X-Request-Id")])
+def test_a_field_that_can_t_be_used_is_named_and_not_repeated(fields, word):
+    with pytest.raises(Refusal, match=word) as refusal:
+        said(**fields)
+    assert refusal.value.status == 400 and len(refusal.value.text) < 80
+
+
+def test_fields_are_read_and_a_key_counts_only_where_the_class_keeps_order():
+    request = said(object=b"7f3a9c21e0b4d655", tenant=b"acme", retry=b"1", cost_ms=b"820.0", memory=b"96")
+    assert request == ("00000000000000ab", 1500.0, 820.0, 96.0, key_number(2, b"7f3a9c21e0b4d655"), b"acme", True)
+    assert said(False, object=b"\x00" * 900).key == 0 and said().key == 0 and not said(retry=b"0").retry
+
+
+@given(strategies.binary(min_size=1, max_size=64), strategies.integers(0, 5))
+def test_a_key_s_number_is_the_same_everywhere_and_another_in_another_class(key, cls):
+    number = key_number(cls, key)
+    assert 0 < number < 1 << 63 and number == key_number(cls, key) != key_number(cls + 1, key)
+
+
+def test_the_operator_s_rule_goes_before_the_client_s_word_and_an_unknown_name_is_a_mistake():
+    tenants = Tenants(("east", "west"), [Rule("blue", header="X-Team=blue"), Rule("west", database="w")],
+                      ("blue", "west"), "east")
+    team = Facts("http", headers={b"x-team": b"blue"})
+    assert tenants.numbers == {"east": 1, "west": 2, "blue": 3}
+    assert [tenants.number(team, b"west"), tenants.number(Facts("http", database="w"), b"east")] == [3, 2]
+    assert [tenants.number(Facts("http"), b"west"), tenants.number(Facts("http"))] == [2, 1]
+    for name in (b"blue", b"", b"West", b"x" * 4000, b"\xff"):  # a name of the operator's is not the client's to claim
+        with pytest.raises(Unknown):
+            tenants.number(Facts("http"), name)
+    assert Tenants((), [], ("blue",)).number(Facts("http"), b"who") == 0  # settings without tenants ask for no name
+
+
+class Fields(EdgeCase):
+    async def begin(self, operator="", **changes):
+        classes = settings()["categories"]
+        classes[1] = classes[1] | {"inOrder": True}
+        engines = await self.start(operator=operator, categories=classes, **changes)
+        self.asked, self.ends = [], []
+        for kind, into in ((api.Request, self.asked), (api.Ended, self.ends)):
+            handle = self.program.core.controller.handlers[kind]
+            self.program.core.controller.handlers[kind] = (
+                lambda now, event, into=into, handle=handle: (into.append(event), handle(now, event)))
+        return engines
+
+    async def test_key_tenant_and_what_a_query_needed_reach_the_module(self):
+        parties = [{"name": "east", "allowancePerS": 30.0}, {"name": "west", "allowancePerS": 10.0}]
+        (engine,) = await self.begin('[[tenant]]\nname = "west"\nshare_per_s = 4.0\n', parties=parties)
+        engine.script = lambda request, body: page("a\t1\tx\n", X_Cost_Ms="812.5", X_Needed_Mb="96")
+        status, _, _ = await self.ask("load", 1, **{"X-Object": "k1", "X-Tenant": "west", "X-Retry": "1"})
+        self.assertEqual((status, self.asked[0].tenant, self.asked[0].key), (200, 2, key_number(1, b"k1")))
+        self.assertEqual(self.ends[0][6:8], (812.5, 96.0))
+        self.assertEqual(self.program.core.controller.s.tenant_quota_per_s, (0.0, 30.0, 4.0))
+        self.assertEqual(self.count("client_retries"), 1)
+        engine.script = lambda request, body: page("a\t1\tx\n", X_Cost_Ms="soon", X_Needed_Mb="-1")
+        self.assertEqual((await self.ask("lookup", 2, **{"X-Object": "k1"}))[0], 200)  # the answer is good all the same
+        self.assertEqual((self.asked[1].tenant, self.asked[1].key, self.ends[1][6:8]), (0, 0, (0.0, 0.0)))
+        self.assertEqual(self.count("engine_bad_needs"), 1)
+
+    async def test_bad_fields_end_at_the_edge_with_a_word_and_a_count(self):
+        await self.begin(parties=[{"name": "east", "allowancePerS": 30.0}])
+        cases = [("X-Object", "k" * 4000), ("X-Object", "k" * 4095), ("X-Tenant", "nobody"), ("X-Tenant", "e" * 4000),
+                 ("X-Object", ""), ("X-Retry", "maybe")]
+        for number, (name, value) in enumerate(cases, 1):
+            status, body, _ = await self.ask("load", number, **{name: value})
+            self.assertIn(status, (400, 431), name)
+            self.assertLess(len(body["failure"]), 80)
+        for name in ("X-Object", "X-Tenant", "X-Retry"):
+            reader, writer = await asyncio.open_connection("127.0.0.1", self.program.platform.port)
+            writer.write((f"POST /call/load HTTP/1.1\r\nHost: a\r\nX-Request-Id: {9:016x}\r\nX-Timeout-Ms: 900\r\n"
+                          f"{name}: 1\r\n{name}: 1\r\nContent-Length: {len(SQL)}\r\n\r\n{SQL}").encode())
+            self.assertIn(b" 400 ", await reader.readline(), name)
+            writer.close()
+        self.assertEqual((self.count("bad_calls"), len(self.asked)), (len(cases) + 3, 0))
+
+
+@pytest.mark.parametrize("parties, word", [
+    ([{"name": "a"}, {"name": "a"}], "twice"), ("east", "parties"), ([1], "parties")])
+def test_tenants_of_the_settings_that_can_t_be_used_are_named(parties, word):
+    with pytest.raises(ConfigError, match=word):
+        rule = TenantRule(front="tds")
+        _tenants(_named({"parties": parties}, "parties"), Operator(tenant=[Tenant("b", rule=[rule])]))
--- /dev/null
+++ b/tests/test_order.py
@@ -0,0 +1,505 @@
+"""Order by key: through the module at scale, and among processes - whoever dies, stops or comes back in between."""
+
+import asyncio
+import heapq
+import itertools
+import json
+import os
+import random
+import signal
+import subprocess
+import sys
+import threading
+import time
+import unittest
+import unittest.mock
+from pathlib import Path
+
+import pytest
+from aiohttp import web
+from fleet import Coordinator, FleetCase
+from helpers import LOAD, entry
+from helpers import settings as module_settings
+from peers import LOAD as LOAD_CLASS
+from peers import SQL, EdgeCase, HttpEngine, host, page, settings
+from test_upgrade import UpgradeCase
+
+from frostspindle.lab.engines import document
+from frostspindle.order import sheets
+from frostspindle.order.sheets import Sheets
+from frostspindle.order.turns import Place, Turns
+from frostspindle.pools import FORGOTTEN_MS
+from pinstage import Controller
+from pinstage import interface as api
+from pinstage.interface import ListKind, Verdict
+
+
+class Audit:
+    """Plays requests of many keys against the module and holds every send against the order they were taken in."""
+
+    def __init__(self, seed, engines=8, pause_ms=40.0):
+        self.draw, self.now = random.Random(seed), 1000.0
+        self.c = Controller(module_settings(LOAD, order_pause_ms=pause_ms), seed)
+        self.pause_ms = pause_ms
+        self.due, self.order = [], itertools.count()  # what comes: time, order, event
+        self.lines, self.key, self.over = {}, {}, set()  # by key, those taken and not over, in that order
+        self.attempts, self.out, self.answers, self.rests = {}, {}, {}, {}
+        self.feed(api.EngineList(ListKind.FULL, 1, tuple(entry(e) for e in range(1, engines + 1))))
+
+    def at(self, ms, event):
+        heapq.heappush(self.due, (self.now + ms, next(self.order), event))
+
+    def take(self, request, key, left):
+        self.key[request] = key
+        self.lines.setdefault(key, []).append(request)
+        self.feed(api.Request(request, 0, 0, key, left, self.draw.uniform(5, 60), 8.0, -1.0))
+
+    def feed(self, event):
+        for a in self.c.handle(self.now, event):
+            if isinstance(a, api.Send):
+                key = self.key[a.request]
+                assert self.lines[key][0] == a.request, "an earlier one of its key is not over"
+                assert self.now >= self.rests.get(key, 0.0), "what may run on has its time"
+                assert a.request not in self.out and a.request not in self.answers
+                number = self.attempts[a.request] = self.attempts.get(a.request, -1) + 1
+                self.out[a.request] = number, a.engine, self.now
+                fate = self.draw.random()
+                verdict = (Verdict.OK if fate < 0.9 else Verdict.RESET if fate < 0.94
+                           else Verdict.CONNECT_FAILED if fate < 0.97 else Verdict.ERROR)
+                if fate < 0.995:  # else silent: it ends by the module's own word only
+                    self.at(self.draw.uniform(5, 60), (a.request, number, verdict))
+            elif isinstance(a, (api.Refuse, api.Fail)):
+                assert a.request not in self.over and self.answers.setdefault(a.request, a) is a, "one final answer"
+                self.passed(a.request)
+            elif isinstance(a, api.Cancel) and a.request in self.out:
+                self.at(self.draw.uniform(1, 30), (a.request, a.attempt, Verdict.CANCELLED))
+            elif isinstance(a, api.Remind):
+                heapq.heappush(self.due, (max(self.now, a.due_at_ms), next(self.order), a.token))
+
+    def passed(self, request):
+        """Over: answered or left, and nothing of it out."""
+        if request not in self.out and (request in self.answers or request in self.over):
+            line = self.lines[self.key[request]]
+            if request in line:
+                line.remove(request)
+
+    def end(self, request, number, verdict):
+        if self.out.get(request, (None,))[0] != number:
+            return
+        _, engine, sent = self.out.pop(request)
+        if verdict == Verdict.OK and request not in self.over:
+            self.answers.setdefault(request, Verdict.OK)
+        if verdict in (Verdict.RESET, Verdict.CANCELLED):
+            self.rests[self.key[request]] = self.now + self.pause_ms
+        self.passed(request)
+        last = request in self.answers or request in self.over
+        self.feed(api.Ended(request, number, engine, verdict, self.now - sent, last, 0.0, 0.0, ()))
+
+    def run(self, until):
+        while self.due and self.due[0][0] <= until:
+            self.now, _, what = heapq.heappop(self.due)
+            if isinstance(what, tuple):
+                self.end(*what)
+            elif callable(what):
+                what()
+            else:
+                self.feed(api.Due(what))
+        self.now = until
+
+    def leave(self, request):
+        if request not in self.answers:
+            self.over.add(request)
+            self.passed(request)  # if nothing of it is out, the next of its key may go with the same word
+            self.feed(api.Left(request))
+
+
+def test_ten_thousand_keys_with_ten_requests_each_go_one_at_a_time_in_order():
+    audit = Audit(1, engines=32)
+    number = 0
+    for _ in range(20):  # in waves of keys, so that no more are open than sockets allow; within one all are interleaved
+        keys = range(1 + number // 10, 501 + number // 10)
+        asked = [key for key in keys for _ in range(10)]
+        audit.draw.shuffle(asked)
+        for key in asked:
+            number += 1
+            left = audit.draw.uniform(300, 6000)
+            audit.at(audit.draw.uniform(0, 3500), lambda n=number, k=key, left=left: audit.take(n, k, left))
+            if audit.draw.random() < 0.05:
+                audit.at(audit.draw.uniform(3500, 5000), lambda n=number: audit.leave(n))
+        audit.run(audit.now + 12_000)
+    audit.run(audit.now + 10_000)
+    served = sum(answer == Verdict.OK for answer in audit.answers.values())
+    assert number == 100_000 == len(audit.answers) + len(audit.over) and served > 60_000
+    assert not audit.out and not any(audit.lines.values()) and not (audit.c.lines or audit.c.jobs or audit.c.rest_until)
+
+
+def test_nine_behind_one_that_may_still_run_wait_for_it_and_end_by_their_own_time():
+    audit = Audit(2)
+    audit.draw = unittest.mock.Mock(random=lambda: 1.0, uniform=lambda a, b: b)  # all are silent
+    audit.take(1, 7, 20_000.0)
+    for request in range(2, 11):
+        audit.take(request, 7, 500.0 + 40 * request)
+    audit.run(audit.now + 1_200)
+    assert list(audit.out) == [1]  # nothing of the nine was ever sent, and each has its harmless answer
+    assert all(isinstance(audit.answers[request], api.Refuse) for request in range(2, 11)) and 1 not in audit.answers
+
+
+# Among processes.
+
+
+class Scheduled:
+    """Lets one thread at a time take one step at the sheet, in the order of a schedule."""
+
+    def __init__(self, count, schedule):
+        self.turn, self.left = [threading.Semaphore(0) for _ in range(count)], set(range(count))
+        self.schedule = schedule
+        self.back, self.steps = threading.Semaphore(0), 0
+
+    def step(self, me):
+        self.back.release()
+        self.turn[me].acquire()
+
+    def run(self, workers):
+        threads = [threading.Thread(target=self._work, args=(me, work)) for me, work in enumerate(workers)]
+        for thread in threads:
+            thread.start()
+        for _ in threads:
+            self.back.acquire()
+        while self.left:
+            self.steps += 1
+            me = next(self.schedule)
+            if me in self.left:
+                self.turn[me].release()
+                self.back.acquire()
+        for thread in threads:
+            thread.join()
+
+    def _work(self, me, work):
+        self.step(me)
+        work()
+        self.left.discard(me)
+        self.back.release()
+
+
+def play(schedule, count, draws=True, looks=True):
+    """Processes that each want one turn with one key; who was in, and whether two were in at once."""
+    cells, inside, order, both = [{} for _ in range(count)], [], [], []
+    plan = Scheduled(count, schedule)
+
+    class Sheet:
+        cells = 4
+
+        def __init__(self, me):
+            self.me = me
+
+        def put(self, cell, key, stamp):
+            plan.step(self.me)
+            if stamp == 1 and not draws:
+                return
+            cells[self.me][cell] = key, stamp
+
+    def others(me):
+        def of(key):
+            plan.step(me)
+            return [Place(stamp, n) for n in range(count) if n != me for k, stamp in cells[n].values() if k == key]
+        return of
+
+    def worker(me):
+        def work():
+            turns = Turns(me, Sheet(me), others(me))
+            if not (turns.enter(1, 5, 100) or not looks):
+                while not turns.due():
+                    pass
+            inside.append(me)
+            both.extend([list(inside)] if len(inside) > 1 else [])
+            order.append(me)
+            plan.step(me)
+            inside.remove(me)
+            turns.over(1)
+        return work
+    plan.run([worker(me) for me in range(count)])
+    assert sorted(order) == list(range(count))
+    return both
+
+
+def schedules(count, seed):
+    draw = random.Random(seed)
+    while True:  # runs of one process, long and short: what goes wrong does so between two of its steps
+        yield from [draw.randrange(count)] * draw.choice((1, 1, 1, 2, 3, 5))
+
+
+@pytest.mark.parametrize("count", [2, 3])
+def test_no_interleaving_gives_two_processes_a_turn_at_once(count):
+    for seed in range(150):
+        assert not play(schedules(count, seed), count), seed
+
+
+@pytest.mark.parametrize("broken", [{"draws": False}, {"looks": False}])
+def test_places_without_a_drawing_mark_or_a_second_look_are_caught(broken):
+    assert any(play(schedules(2, seed), 2, **broken) for seed in range(250))
+
+
+HOLDER = """
+import sys, time
+from pathlib import Path
+from frostspindle.order.sheets import Sheets
+from frostspindle.order.turns import Turns
+sheets = Sheets(Path(sys.argv[1]), lambda: 0.0, 1e9)
+turns = Turns(sheets.own.owner, sheets.own, sheets.places)
+for line in sys.stdin:
+    what, request, key = line.split()
+    print(turns.enter(int(request), int(key), int(time.time() * 1e6)) if what == "enter" else turns.over(int(request)),
+          flush=True)
+"""
+
+
+class Holder:
+    """Another process with a sheet in the same folder."""
+
+    def __init__(self, folder):
+        self.process = subprocess.Popen([sys.executable, "-c", HOLDER, folder], stdin=subprocess.PIPE,
+                                        stdout=subprocess.PIPE, text=True, cwd=Path(__file__).parent.parent)
+
+    def say(self, *words):
+        self.process.stdin.write(" ".join(map(str, words)) + "\n")
+        self.process.stdin.flush()
+        return self.process.stdout.readline().strip()
+
+    def end(self, how=signal.SIGKILL):
+        self.process.send_signal(how)
+        self.process.wait()
+        self.process.stdin.close()
+        self.process.stdout.close()
+
+
+@pytest.fixture
+def two(tmp_path):
+    clock = [0.0]
+    mine, holder = Sheets(tmp_path, lambda: clock[0], 2100.0), Holder(str(tmp_path))
+    turns = Turns(mine.own.owner, mine.own, mine.places)
+    yield turns, holder, clock, tmp_path
+    holder.process.send_signal(signal.SIGCONT)
+    if holder.process.poll() is None:
+        holder.end()
+    mine.close(True)
+
+
+def now():
+    return int(time.time() * 1e6)
+
+
+def test_a_place_of_another_process_holds_until_it_is_over(two):
+    turns, holder, _, _ = two
+    assert holder.say("enter", 1, 77) == "True" and turns.enter(1, 77, now()) is False
+    assert turns.enter(2, 78, now()) is True and holder.say("enter", 2, 77) == "False"
+    assert turns.due() == []
+    holder.say("over", 1, 0)
+    assert turns.due() == [1] and turns.waiting == 0  # the later place there waits for this one in its turn
+
+
+def test_a_stopped_process_keeps_its_place_and_a_killed_one_for_as_long_as_its_work_may_run(two):
+    turns, holder, clock, folder = two
+    holder.say("enter", 1, 77)
+    holder.process.send_signal(signal.SIGSTOP)
+    assert turns.enter(1, 77, now()) is False
+    clock[0] += 60_000.0
+    assert turns.due() == []  # it will wake, and what it sent may be out
+    holder.end()
+    assert turns.due() == []
+    clock[0] += 2_099.0
+    assert turns.due() == [] and len(list(folder.iterdir())) == 2
+    clock[0] += 2.0
+    assert turns.due() == [1] and len(list(folder.iterdir())) == 1
+
+
+def test_a_start_after_a_crash_waits_for_what_the_dead_one_left(tmp_path):
+    holder = Holder(str(tmp_path))
+    holder.say("enter", 1, 77)
+    holder.end()
+    clock = [0.0]
+    mine = Sheets(tmp_path, lambda: clock[0], 2100.0)
+    turns = Turns(mine.own.owner, mine.own, mine.places)
+    assert turns.enter(1, 77, now()) is False and turns.enter(2, 78, now()) is True
+    clock[0] = 2_101.0
+    assert turns.due() == [1]
+    mine.close(True)
+    assert list(tmp_path.iterdir()) == []
+
+
+def test_spoilt_and_foreign_files_count_for_nothing_and_a_full_sheet_says_so(tmp_path):
+    (tmp_path / "turns-1-a").write_bytes(b"short")
+    (tmp_path / "turns-2-b").write_bytes(os.urandom(sheets.SIZE))
+    (tmp_path / "turns-3-c").mkdir()
+    with unittest.mock.patch.object(sheets.Own, "cells", 3):
+        mine = Sheets(tmp_path, lambda: 0.0, 2100.0)
+        turns = Turns(mine.own.owner, mine.own, mine.places)
+        assert [turns.enter(n, 77, 5) for n in range(4)] == [True, True, True, None]
+        turns.over(1)
+        assert turns.enter(4, 77, 5) is True and mine.unreadable == 3
+    mine.close(True)
+
+
+async def until(release):
+    """An engine's answer to a query that runs until then: a note each while."""
+    try:
+        async with asyncio.timeout(0.2):
+            await release.wait()
+    except TimeoutError:
+        return web.Response(status=202, headers={"X-Remark": "pct", "X-Value": "0.5"})
+    return page("a\t1\tx\n")
+
+
+class Sides(UpgradeCase):
+    """An upgrade with one key open on both sides."""
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        document = json.loads(self.config.read_text())
+        document["settings"]["categories"][1] |= {"inOrder": True, "promise": 60000.0, "hardLimit": 60000.0}
+        self.config.write_text(json.dumps(document))
+
+    async def keyed(self, session, number, key):
+        headers = {"X-Request-Id": f"{number:016x}", "X-Timeout-Ms": "50000", "X-Cost-Ms": "50", "X-Object": key}
+        async with session.post(f"/call/{LOAD_CLASS}", data=SQL, headers=headers) as response:
+            body = await response.json()
+        while "next" in body:
+            async with session.get(body["next"]) as response:
+                body = await response.json()
+        return body
+
+    async def sides(self):
+        """Both processes, a connection at each, and a request of a key that the first has out."""
+        self.release, self.sent, self.times = asyncio.Event(), [], []
+
+        def script(request, body):
+            if request.method == "POST":
+                self.sent.append(request.headers["X-Ticket"][-1])
+                self.times.append(time.monotonic())
+            if f"{1:016x}" in request.headers.get("X-Ticket", request.path):
+                return until(self.release)
+        self.engine.script = script
+        old, first = self.run_one(), self.session()
+        await old.event("ready")
+        one = asyncio.create_task(self.keyed(first, 1, "k"))
+        await self.engine.seen("POST")
+        new = self.run_one()
+        await new.event("ready")
+        old.process.send_signal(signal.SIGTERM)  # from here on the new one alone accepts
+        await old.event("stopping")
+        return old, new, one, self.session()
+
+    async def test_what_one_side_took_is_over_before_the_other_sends(self):
+        old, _, one, later = await self.sides()
+        two = asyncio.create_task(self.keyed(later, 2, "k"))
+        self.assertIn("rows", await self.keyed(self.session(), 3, "other"))  # a further key waits for nobody
+        for number in range(4, 7):  # and what comes meanwhile is served
+            await self.keyed(self.session(), number, f"k{number}")
+        self.assertEqual(self.sent, ["1", "3", "4", "5", "6"])
+        self.release.set()
+        self.assertIn("rows", await one)
+        self.assertIn("rows", await two)
+        self.assertEqual(self.sent[-1], "2")
+        self.assertEqual(await asyncio.to_thread(old.process.wait, 60), 0)
+
+    async def test_a_side_that_is_killed_holds_its_key_while_its_query_may_run(self):
+        old, _, one, later = await self.sides()
+        killed = time.monotonic()
+        old.process.kill()
+        await asyncio.to_thread(old.process.wait, 60)
+        self.assertIn("rows", await self.keyed(later, 2, "k"))
+        self.assertEqual(self.sent, ["1", "2"])
+        self.assertGreater(self.times[1] - killed, FORGOTTEN_MS / 1000.0)  # so long it may, as nobody asks for it
+        one.cancel()
+
+
+class Workers(FleetCase):
+    async def test_one_key_at_several_workers_goes_one_at_a_time_in_the_order_of_arrival(self):
+        engine = await HttpEngine().start()
+        self.addCleanup(engine.server.close)
+        running, most, sent, release = set(), [0], [], asyncio.Event()
+
+        async def script(request, body):
+            ticket = request.headers.get("X-Ticket") or request.path.split("/")[3]
+            if request.method == "POST":
+                running.add(ticket)
+                most[0] = max(most[0], len(running))
+                sent.append(int(ticket, 16))
+            answer = await until(release)
+            if answer.status == 200:
+                running.discard(ticket)
+            return answer
+        engine.script = script
+        config = document([host("s-00000001", engine.port)])
+        config["settings"]["categories"][2] |= {"inOrder": True, "promise": 60000.0, "hardLimit": 60000.0}
+        self.coordinator = await Coordinator(self, config, "[cores]\nworkers = 3\n").ready()
+
+        def post(client, number):
+            status, body = client.ask("POST", "/call/load", SQL, **{
+                "X-Request-Id": f"{number:016x}", "X-Timeout-Ms": "50000", "X-Cost-Ms": "50", "X-Object": "k"})
+            while "next" in body:
+                status, body = client.ask("GET", body["next"])
+            return status
+        answers = []
+        while len(answers) < 12 or sum(count > 0 for count in self.taken()) < 2:
+            self.assertLess(len(answers), 30, "all came to one worker")  # connections go to who accepts first
+            client, number = self.client(), len(answers) + 1
+            await self.in_thread(client.ask, "GET", "/ping")
+            answers.append(asyncio.create_task(self.in_thread(post, client, number)))
+            await self.until(lambda n=number: sum(self.taken()) == n)  # taken before the next is written
+        release.set()
+        self.assertEqual(set(await asyncio.gather(*answers)), {200})
+        self.assertEqual((most[0], sent), (1, list(range(1, len(answers) + 1))))
+
+    def taken(self):
+        """How many places each worker's sheet has."""
+        for path in Path(self.coordinator.folder).glob("*/turns-*"):
+            words = memoryview(path.read_bytes()).cast("Q")[sheets.HEAD // 8:]
+            yield sum(key > 0 for key in words[::2].tolist())
+
+
+class Edge(EdgeCase):
+    async def test_a_silent_engine_holds_the_key_until_its_query_can_run_no_more(self):
+        classes = settings()["categories"]
+        classes[1] = classes[1] | {"inOrder": True, "hardLimit": 700.0}
+        (engine,) = await self.start(1, categories=classes)
+        hang, clock, asked, sent = asyncio.Event(), asyncio.get_running_loop().time, [], []
+
+        def script(request, body):
+            ticket = request.headers.get("X-Ticket") or request.path.split("/")[3]
+            if request.method == "POST":
+                sent.append(int(ticket, 16))
+            if request.method != "DELETE" and int(ticket, 16) == 1:
+                asked.append(clock())
+            elif request.method == "POST":
+                asked.append(clock())
+            return hang.wait() if not hang.is_set() else None
+        engine.script = script
+        with unittest.mock.patch("frostspindle.pools.FORGOTTEN_MS", 1500.0):
+            first = await self.ask(LOAD_CLASS, 1, 900.0, **{"X-Object": "k"})
+            self.assertEqual(first[0], 502)  # its answer comes in time; its key is not free yet
+            nine = await asyncio.gather(*(self.ask(LOAD_CLASS, 2 + n, 300.0 + 20 * n, **{"X-Object": "k"})
+                                          for n in range(9)))
+            self.assertEqual(({status for status, _, _ in nine}, sent), ({503}, [1]))
+            hang.set()
+            self.assertEqual((await self.ask(LOAD_CLASS, 30, 3000.0, **{"X-Object": "k"}))[0], 200)
+            self.assertEqual(sent, [1, 30])
+            self.assertGreater(asked[-1] - asked[-2], 1.45)  # not before the engine has forgotten what it may run
+
+
+    async def test_a_request_without_a_place_is_refused_and_never_sent(self):
+        classes = settings()["categories"]
+        classes[1] = classes[1] | {"inOrder": True}
+        (engine,) = await self.start(1, categories=classes)
+        self.program.core.turns = unittest.mock.Mock(enter=lambda number, key: None)
+        status, body, _ = await self.ask(LOAD_CLASS, 1, **{"X-Object": "k"})
+        self.assertEqual((status, body["failure"], engine.of("POST"), self.program.core.open), (503, "Busy", [], 0))
+        self.assertEqual((await self.ask(LOAD_CLASS, 2))[0], 200)  # without a key there is no place to draw
+
+
+def test_the_sheets_are_loaded_only_where_a_class_keeps_order():
+    code = ("import sys; from frostspindle import program; "
+            "print(any(m.startswith('frostspindle.order') for m in sys.modules))")
+    said = subprocess.run([sys.executable, "-c", code], cwd=Path(__file__).parent.parent, capture_output=True,
+                          text=True)
+    assert said.stdout.strip() == "False"
+
