--- a/bench/fleet_state.py
+++ b/bench/fleet_state.py
@@ -1,8 +1,12 @@
 """Measures the fleet's shared state: overspending, use, convergence, bytes and detection, emulated and on sockets.
 
-    python bench/fleet_state.py [--runs 500] [--sizes 3,30,300] [--calm 3,30,300,3000] [--processes 9] [--out FILE]
+    python bench/fleet_state.py [--runs 500] [--sizes 3,30,300] [--calm 3,30,300,3000] [--large 1000]
+        [--processes 9] [--out FILE]
+    python bench/fleet_state.py --watch 1000:halves [--limit 900]      (or 3000:calm)
 
-Prints one JSON object. Runs are seeded; those on sockets depend on the machine.
+Prints one JSON object. Runs are seeded; those on sockets depend on the machine. `--watch` plays one fleet that has
+joined before for as long as the limit of CPU seconds lets it, prints a line for each 5 s of simulated time to stderr,
+and tells bytes by kind of message.
 """
 
 from __future__ import annotations
@@ -12,37 +16,26 @@
 import json
 import os
 import random
+import resource
 import sys
 import time
+from collections import Counter
 from concurrent.futures import ProcessPoolExecutor
 from statistics import median
 from typing import Any
 
 sys.path.insert(0, os.path.join(os.path.dirname(__file__), ".."))
 
-from frostspindle.lab.faults.script import parse  # noqa: E402
+from bench.common import tell  # noqa: E402
+from frostspindle.fleet import wire  # noqa: E402
+from frostspindle.lab.faults.script import drawn, parse  # noqa: E402
 from frostspindle.lab.fleet import Emulator, measure, settle  # noqa: E402
 
 
 def mixed(seed: int) -> dict[str, Any]:
     """One run with faults of all kinds, drawn from the seed."""
     draw = random.Random(seed)
-    count = draw.choice((3, 5, 7, 9))
-    some = draw.sample(range(count), count)
-    half = draw.randrange(1, count)
-    parts = [f"0- loss {draw.choice((0, 0.05, 0.3))}", f"0- dup {draw.choice((0, 0.1, 0.5))}",
-             f"0- reorder {draw.choice((0, 0.2, 0.5))}", f"0- delay {draw.choice(('0-1', '1-20', '20-200'))}",
-             f"clock {some[0]} {draw.choice((1.0, 1.05, 0.95))}"]
-    at = draw.uniform(8.0, 25.0)
-    parts.append(f"{at:.2f}-{at + draw.uniform(2.0, 25.0):.2f} cut {','.join(map(str, some[:half]))}|"
-                 f"{','.join(map(str, some[half:]))}")
-    parts.append(f"{at:.2f}-{at + 10:.2f} oneway {some[0]}>{some[1]}")
-    for _ in range(draw.randrange(4)):
-        node, when = draw.randrange(count), draw.uniform(5.0, 40.0)
-        parts += [f"{when:.2f} kill {node}", f"{when + draw.uniform(0.05, 8.0):.2f} start {node}"]
-    for _ in range(draw.randrange(3)):
-        node, when = draw.randrange(count), draw.uniform(5.0, 40.0)
-        parts += [f"{when:.2f} stop {node}", f"{when + draw.uniform(0.2, 20.0):.2f} cont {node}"]
+    count, _, parts = drawn(draw, (8.0, 25.0, 25.0), (5.0, 40.0), (4, 8.0), (3, 20.0))
     hot, over, units = draw.choice((1.0, 10.0)), draw.choice((0.6, 1.5, 3.0)), count * draw.choice((5, 20, 60))
     emulator = Emulator(count, seed, parse("; ".join(parts), count), 55.0, units, demand=lambda n: (
         hot if n == 0 else 1.0) * units * over / (count - 1 + hot))
@@ -73,6 +66,82 @@
                                           "members")}
 
 
+def large(count: int) -> dict[str, Any]:
+    """Thousands that have joined before: one is killed; how fast the emulator is, what each sends, when it is found."""
+    began = time.process_time()
+    emulator = Emulator(count, 1, parse(f"5 kill {count - 1}", count), 60.0, 20 * count, demand=lambda n: 0.2,
+                        homes=64, joined=True)
+    emulator.run()
+    took = time.process_time() - began
+    figures = measure(emulator)
+    return {key: figures[key] for key in ("nodes", "bytes_per_node_s", "detect_s", "events")} | {
+        "found_by": len(emulator.detected.get(count - 1, [])), "cpu_s": round(took, 1),
+        "events_a_cpu_s": round(emulator.events / took)}
+
+
+class _LimitError(Exception):
+    """The run has had its CPU time."""
+
+
+class Watched(Emulator):
+    """Tells what the bytes are, of one datagram in SAMPLE."""
+
+    SAMPLE = 16
+
+    def __init__(self, *args: Any, **kw: Any) -> None:
+        super().__init__(*args, **kw)
+        self.kinds: Counter[str] = Counter()  # bytes by kind of message, and of what goes with them
+
+    def _send(self, number: int, datagrams: list[Any]) -> None:
+        super()._send(number, datagrams)
+        for _, data in datagrams:
+            if self.messages % self.SAMPLE == 0:
+                packet = wire.decode(data)
+                sizes = {"claims passed on": sum(map(wire.size, packet.news)),
+                         "rows passed on": sum(map(wire.size, packet.rows)), "sender": wire.size(packet.me)}
+                name = type(packet.body).__name__
+                self.kinds.update({**sizes, name: len(data) - sum(sizes.values()), f"{name} (messages)": 1})
+
+
+def watch(count: int, shape: str, limit_s: float) -> dict[str, Any]:
+    """A fleet that has joined before: calm; or cut in halves from 20 s to 50 s, with demand until then."""
+    halves = f"20-50 cut 0-{count // 2 - 1}|{count // 2}-{count - 1}" if shape == "halves" else ""
+    began = time.process_time()
+    emulator = Watched(count, 1, parse(halves, count), 240.0 if halves else 120.0, 20 * count,
+                       demand=lambda n: 2.0 if halves else 0.2, homes=64, joined=True)
+    settle(emulator, 1_000.0)
+    settled = emulator.on_step if halves else None
+    spans, seen = [], {"at": 0.0, "bytes": 0, "events": 0, "cpu": began, "kinds": Counter[str]()}
+
+    def step(e: Emulator) -> None:
+        if settled is not None:
+            settled(e)
+        cpu = time.process_time()
+        if e.now - seen["at"] >= 5_000.0:
+            span = (e.now - seen["at"]) / 1e3
+            kinds = emulator.kinds - seen["kinds"]
+            whole = sum(size for name, size in kinds.items() if not name.endswith("(messages)")) or 1
+            spans.append({"s": round(e.now / 1e3, 1),
+                          "bytes_per_node_s": round((e.bytes - seen["bytes"]) / count / span),
+                          "events_a_cpu_s": round((e.events - seen["events"]) / (cpu - seen["cpu"])),
+                          "cpu_s": round(cpu - began), "agreed_s": e.agreed_at,
+                          "suspected": sum(n.members.false_suspicions for n in e.live()),
+                          "parts": {name: round(size if name.endswith(")") else size / whole, 3)
+                                    for name, size in kinds.most_common() if size > whole / 200 or name.endswith(")")}})
+            print(json.dumps(spans[-1]), file=sys.stderr, flush=True)
+            seen.update(at=e.now, bytes=e.bytes, events=e.events, cpu=cpu, kinds=Counter(emulator.kinds))
+        if cpu - began > limit_s or e.agreed_at is not None and e.now > (60.0 + e.agreed_at) * 1e3:
+            raise _LimitError
+    emulator.on_step = step
+    try:
+        emulator.run()
+    except _LimitError:
+        pass
+    return {"nodes": count, "shape": shape, "simulated_s": round(emulator.now / 1e3, 1), "events": emulator.events,
+            "agree_s": emulator.agreed_at, "cpu_s": round(time.process_time() - began), "spans": spans,
+            "rss_mb": resource.getrusage(resource.RUSAGE_SELF).ru_maxrss // 1024}
+
+
 def use(count: int, each: int, over: float) -> dict[str, Any]:
     """A calm fleet, the first coordinator wants ten times the others'."""
     units = count * each
@@ -145,14 +214,22 @@
     options.add_argument("--runs", type=int, default=500)
     options.add_argument("--sizes", default="3,30,300", help="of fleets that are cut in halves")
     options.add_argument("--calm", default="3,30,300", help="of fleets where nothing fails; 3000 takes minutes")
+    options.add_argument("--large", default="", help="of fleets that have joined before, 1000 or 3000; takes minutes")
     options.add_argument("--processes", type=int, default=9)
     options.add_argument("--jobs", type=int, default=os.cpu_count() or 1)
     options.add_argument("--out")
+    options.add_argument("--watch", default="", help="COUNT:halves or COUNT:calm, alone")
+    options.add_argument("--limit", type=float, default=900.0, help="CPU seconds of --watch")
     given = options.parse_args()
+    if given.watch:
+        count, _, shape = given.watch.partition(":")
+        print(json.dumps(watch(int(count), shape, given.limit), indent=1))
+        return
     out: dict[str, Any] = {}
     with ProcessPoolExecutor(given.jobs) as pool:
         sizes = [pool.submit(sized, int(text)) for text in given.sizes.split(",") if text]
         quiet = [pool.submit(calm, int(text)) for text in given.calm.split(",") if text]
+        many = [pool.submit(large, int(text)) for text in given.large.split(",") if text]
         runs = list(pool.map(mixed, range(given.runs), chunksize=4))
         out["mixed"] = {"runs": len(runs), "with_overspend": sum(r["overspend"] > 0 for r in runs),
                         "overspend": sum(r["overspend"] for r in runs), "spent": sum(r["spent"] for r in runs)}
@@ -166,13 +243,10 @@
                             "false_suspicions_a_run": median(one["false_suspicions"] for one in found)}
         out["sizes"] = [future.result() for future in sizes]
         out["calm"] = [future.result() for future in quiet]
+        out["large"] = [future.result() for future in many]
     if given.processes:
         out["sockets"] = asyncio.run(sockets(given.processes))
-    text = json.dumps(out, indent=1)
-    print(text)
-    if given.out:
-        with open(given.out, "w", encoding="utf-8") as file:
-            file.write(text + "\n")
+    tell(out, given.out)
 
 
 if __name__ == "__main__":
--- a/frostspindle/fleet/counts.py
+++ b/frostspindle/fleet/counts.py
@@ -11,9 +11,12 @@
 
 from __future__ import annotations
 
-import heapq
-from collections.abc import Callable, Iterator
+import math
+from bisect import bisect_left, insort
+from collections.abc import Callable, Collection
 from dataclasses import dataclass, field
+from functools import lru_cache
+from hashlib import blake2b
 
 from frostspindle.fleet import wire
 from frostspindle.fleet.rumours import Rumours
@@ -21,10 +24,18 @@
 
 MOST_ORIGINS, MOST_STREAMS, MOST_KEYS = 8_192, 64, 20  # a whole stream fits into one datagram
 KEEP = 3  # windows of each key
+PLACES = 8  # so many places share a range, or up to twice that
+MOST_MARKED = 120  # a range that holds more is asked for whole
+TOO_MANY = b"\xff\0\0"
+YOUNG_MS = 500.0  # times log10 of all names: a row written so lately is on its way to the asker as news
+AHEAD, SURE = 8, 0b1110  # who seems ahead by no more is taken to be, if the salt has any of these bits
+MASK = 2**64 - 1
 EPOCHS = 8  # processes of one name whose counts are kept
-RELAYS = 4  # times that a row is passed on by each
+RELAYS = 2  # times that a row is passed on by each; who misses it that way compares
+BACK_MS = 4_000.0  # a delta spans the versions of so long: who missed some of them can stand on it, and passes it on
 WHOLE_EVERY = 8  # so often an origin sends its whole row instead of a delta
-PUBLISH_MS, STEADY = 1_000.0, 4.0  # an origin writes so often in a fleet of up to STEADY times log2(size)
+PUBLISH_MS = 1_000.0  # how often an origin writes at the most
+ALL, STEADY = 30.0, 4.0  # rows a second of the whole fleet: so many, or STEADY times log2 of its size if that is more
 
 Key = tuple[str, int]  # name, window; window 0: in all
 Place = tuple[str, int, int]  # name, epoch, stream
@@ -37,20 +48,27 @@
     values: dict[Key, tuple[int, int]] = field(default_factory=dict)
     version: int = 0
     made: float = 0.0  # on the own clock
+    position: int = 0  # among all places
+    digest: int | None = None  # of version and counts in all; None: to be made anew
 
 
+@lru_cache(256)
 def interval(size: int) -> float:
     """How often an origin writes: the whole fleet's rows a second grow with log2 of its size only."""
-    return PUBLISH_MS * max(1.0, size / (STEADY * max(1, size.bit_length())))
+    return PUBLISH_MS * max(1.0, size / max(ALL, STEADY * size.bit_length()))
 
 
-def _place(text: str) -> Place:
-    """A place as a page names it; one that can't be read is before all others."""
-    try:
-        name, epoch, stream = text.rsplit("\n", 2)
-        return name, int(epoch), int(stream)
-    except ValueError:
-        return "", 0, 0
+@lru_cache(MOST_ORIGINS)
+def _position(place: Place) -> int:
+    return _hash(wire.encode(place)) >> 64 - wire.SPAN_BITS
+
+
+def _hash(data: bytes) -> int:
+    return int.from_bytes(blake2b(data, digest_size=8).digest())
+
+
+def _byte(check: int, salt: int) -> int:
+    return (check * salt & MASK) >> 56
 
 
 class Counts:
@@ -58,12 +76,19 @@
 
     def __init__(self, name: str, epoch: int, now: float) -> None:
         self.name, self.epoch = name, epoch
-        self.origins: dict[Place, Origin] = {(name, epoch, 0): Origin(made=now)}
+        self.origins: dict[Place, Origin] = {}
+        self._order: list[tuple[int, Place, Origin]] = []  # by position
+        self._epochs: dict[str, dict[int, int]] = {}  # by name: how many streams of each epoch
+        self._told: dict[int, dict[Key, tuple[int, int]]] = {}  # own counts as last written, by stream
+        self._take((name, epoch, 0), now)
         self.count: Callable[[str], None] = lambda what: None
-        self._changed: dict[int, dict[Key, None]] = {0: {}}  # by stream, since its last version
+        self._changed: dict[int, dict[Key, int]] = {0: {}}  # by stream: the version in which a key was last written
         self._news: Rumours[Place, tuple[int, tuple[Key, ...], int]] = Rumours()  # base, keys, version
+        self.pending: Collection[Place] = self._news.keys  # whose rows are to be passed on, as that changes
         self._window = 0
-        self._published = now
+        self._silent = False  # nothing was written when it was last due
+        self._published, self._paced = now, PUBLISH_MS  # when it was last due to write, and how often then
+        self._phase = _position((name, epoch, 0)) / (1 << wire.SPAN_BITS)
 
     # Own counts.
 
@@ -71,50 +96,60 @@
         """Count; negative numbers are refused, as counts only grow."""
         if plus < 0 or minus < 0 or not 0 <= stream < MOST_STREAMS:
             raise ValueError("counts only grow, in streams from 0 to 63")
-        mine = self.origins.setdefault((self.name, self.epoch, stream), Origin(made=self._published)).values
+        place = (self.name, self.epoch, stream)
+        mine = (self.origins.get(place) or self._take(place, self._published)).values
         if (key, window) not in mine and len(mine) >= MOST_KEYS:
             self.count("fleet_keys_full")
             return
         old = mine.get((key, window), (0, 0))
         mine[key, window] = (old[0] + plus, old[1] + minus)
-        self._changed.setdefault(stream, {})[key, window] = None
+        self._changed.setdefault(stream, {})[key, window] = self.origins[place].version + 1
 
     def publish(self, now: float, size: int) -> None:
-        """Write new versions, if it is time; stream 0 also when nothing has changed, so that others see us live."""
+        """Write new versions, if it is time; of stream 0 also when nothing has changed, so that others see us live."""
         if now < self.due(size):
             return
-        self._published = now
-        for stream, changed in self._changed.items():
-            if changed or stream == 0:
-                place = (self.name, self.epoch, stream)
-                mine = self.origins[place]
-                mine.version += 1
-                mine.made = now
-                whole = mine.version % WHOLE_EVERY == 1
-                word = (0, (), mine.version) if whole else (mine.version - 1, tuple(changed), mine.version)
-                self._news.put(place, word)
-                self._changed[stream] = {}
+        self._published, self._paced = now, interval(size)
+        places = {stream: (self.name, self.epoch, stream) for stream in self._changed}
+        written = [stream for stream, changed in self._changed.items()
+                   if self.origins[places[stream]].version + 1 in changed.values()]
+        idle = not written
+        self._silent = idle and not self._silent and interval(size) > PUBLISH_MS
+        if self._silent:  # in a large fleet, who has nothing to tell shows itself at every other time only
+            return
+        back = math.ceil(BACK_MS / interval(size))
+        for stream in written or [0]:
+            place = places[stream]
+            mine = self.origins[place]
+            mine.version += 1
+            mine.made, mine.digest = now, None
+            # What is told of a version is the same whenever and by whom, or those who compare would never agree.
+            self._told[stream] = dict(mine.values)
+            base = 0 if mine.version % WHOLE_EVERY == 1 else max(0, mine.version - back)
+            self._changed[stream] = {key: at for key, at in self._changed[stream].items() if at > base or not base}
+            self._news.put(place, (base, tuple(self._changed[stream]) if base else (), mine.version))
 
     def due(self, size: int) -> float:
-        return self._published + interval(size)
-
-    @property
-    def pending(self) -> bool:
-        return len(self._news) > 0
+        """When to write next. As the fleet grows, each waits for its own part of what the interval has grown by: else
+        all of a fleet that starts together would write at once, and ever after."""
+        paced = interval(size)
+        if paced > self._paced:
+            paced = self._paced + (paced - self._paced) * self._phase
+        return self._published + paced
 
     # Others'.
 
     def merge(self, now: float, row: Row) -> None:
         """Join what another tells; our own rows are nobody else's to tell."""
         place = (row.origin, row.epoch, row.stream)
-        if place[:2] == (self.name, self.epoch):
+        if place[1] == self.epoch and place[0] == self.name:
             return
         known = self.origins.get(place)
         if known is None:
             if not self._room(place):
                 self.count("fleet_rows_full")
                 return
-            known = self.origins[place] = Origin(made=now - row.age_ms)
+            known = self._take(place, now - row.age_ms)
         if row.version < known.version:
             return
         changed = False
@@ -126,66 +161,161 @@
                 self.count("fleet_keys_full")
             elif old is None or plus > old[0] or minus > old[1]:
                 known.values[key, window] = (max(plus, old[0]), max(minus, old[1])) if old else (plus, minus)
+                known.digest = None
                 changed = True
         if row.version == known.version:  # an origin counts on after it wrote: a row sent later may hold more
             known.made = max(known.made, now - row.age_ms)
             if changed:
                 self._news.put(place, (0, (), row.version))
         elif row.base <= known.version:  # a whole row stands on version 0
-            known.version, known.made = row.version, max(known.made, now - row.age_ms)
+            known.version, known.made, known.digest = row.version, max(known.made, now - row.age_ms), None
             keys = tuple((key, window) for key, window, _, _ in row.entries) if row.base else ()
             self._news.put(place, (row.base, keys, row.version))
 
     def _room(self, place: Place) -> bool:
         """Processes of one name come for ever: the oldest make way, and never for one that is older still."""
-        epochs = sorted({epoch for name, epoch, _ in self.origins if name == place[0]}) if len(
-            self.origins) >= EPOCHS else []
-        if place[1] not in epochs and len(epochs) >= EPOCHS:
-            if place[1] < epochs[0] or (place[0], epochs[0]) == (self.name, self.epoch):
+        epochs = self._epochs.get(place[0], {})
+        if len(epochs) >= EPOCHS and place[1] not in epochs:
+            oldest = min(epochs)
+            if place[1] < oldest or (place[0], oldest) == (self.name, self.epoch):
                 return False
-            for old in [old for old in self.origins if old[:2] == (place[0], epochs[0])]:
-                del self.origins[old]
-                self._news.drop(old)
+            for old in [(place[0], oldest, stream) for stream in range(MOST_STREAMS)]:
+                if (known := self.origins.pop(old, None)) is not None:
+                    del self._order[bisect_left(self._order, (known.position, old))]
+                    self._news.drop(old)
+            del epochs[oldest]
             self.count("fleet_origins_dropped")
         return len(self.origins) < MOST_ORIGINS
 
+    def _take(self, place: Place, made: float) -> Origin:
+        """A place that was not known yet."""
+        known = self.origins[place] = Origin(made=made, position=_position(place))
+        insort(self._order, (known.position, place, known))
+        epochs = self._epochs.setdefault(place[0], {})
+        epochs[place[1]] = epochs.get(place[1], 0) + 1
+        return known
+
     def turn(self, window: int) -> None:
         """Windows so much older than this one are let go of, everywhere alike as far as clocks agree."""
         if window <= self._window:
             return
         self._window = window
-        for origin in self.origins.values():
-            for key in [key for key in origin.values if 0 < key[1] <= window - KEEP]:
-                del origin.values[key]
+        for values in (*[origin.values for origin in self.origins.values()], *self._told.values()):
+            for key in [key for key in values if 0 < key[1] <= window - KEEP]:
+                del values[key]
 
     # What is passed on.
 
     def _row(self, now: float, place: Place, base: int, keys: tuple[Key, ...]) -> Row:
         known = self.origins[place]
-        entries = [(*key, *known.values[key]) for key in (keys if base else known.values) if key in known.values]
-        return Row(*place, base, known.version, min(1e9, max(0.0, now - known.made)), entries)
+        own = place[1] == self.epoch and place[0] == self.name
+        values = self._told.get(place[2], {}) if own else known.values
+        entries = [(*key, *values[key]) for key in (keys if base else values) if key in values]
+        age = now - known.made  # whole ms, as they take a third of the bytes
+        return Row(*place, base, known.version, math.ceil(min(1e9, max(0.0, age))), entries)
 
-    def news(self, now: float, room: int) -> Iterator[Row]:
+    def news(self, now: float, room: int) -> list[Row]:
         """Rows to pass on within so many bytes, those sent least often first."""
+        out: list[Row] = []
         for place, (base, keys, version) in self._news.next(32):
             row = self._row(now, place, base if self.origins[place].version == version else 0, keys)
             room -= wire.size(row)
             if room < 0:
-                return
+                break
             self._news.sent(place, RELAYS)
-            yield row
+            out.append(row)
+        return out
 
-    def page(self, now: float, after: str, room: int) -> tuple[list[Row], str]:
-        """Whole rows in the order of their places, and the place to go on after, "" at the end."""
-        begin = _place(after)
+    # What others are asked for: rows that are newer there.
+
+    def compare(self, begin: int, salt: int) -> wire.Compare:
+        """The question to ask, from a position on. `salt` is new each time: what looks alike once by chance does not
+        again."""
+        bits = min(10, (len(self._order) // PLACES).bit_length())
+        shift = wire.SPAN_BITS - bits
+        marks = bytearray()
+        order, at = self._order, bisect_left(self._order, (begin,))
+        for number in range(begin >> shift, 1 << bits):
+            first, at = at, bisect_left(order, (number + 1 << shift,), at)
+            places = held = 0
+            versions = []
+            for position, place, known in order[first:at]:
+                if known.version:
+                    places ^= position
+                    held ^= self._digest(place, known) if known.digest is None else known.digest
+                    versions.append(known.version & 255)
+            mark = bytes((len(versions), (places * salt & MASK) >> 56, (held * salt & MASK) >> 56, *versions)
+                         ) if len(versions) <= MOST_MARKED else TOO_MANY
+            if len(marks) + len(mark) > wire.MOST_MARKS:
+                break
+            marks += mark
+        return wire.Compare(begin, bits, salt, bytes(marks))
+
+    def _range(self, low: int, high: int) -> list[tuple[int, Place, Origin]]:
+        """What is known whole between two positions."""
+        first = bisect_left(self._order, (low,))
+        return [one for one in self._order[first:bisect_left(self._order, (high,), first)] if one[2].version]
+
+    def _checks(self, part: list[tuple[int, Place, Origin]]) -> tuple[int, int]:
+        """One number for which places these are, and one for what they hold."""
+        places = held = 0
+        for position, place, known in part:
+            places ^= position
+            held ^= self._digest(place, known) if known.digest is None else known.digest
+        return places, held
+
+    def _digest(self, place: Place, known: Origin) -> int:
+        own = place[1] == self.epoch and place[0] == self.name
+        values = self._told.get(place[2], {}) if own else known.values
+        # Counts by window are left out: clocks that do not agree on the window would compare unlike for ever.
+        known.digest = _hash(wire.encode((place, known.version, sorted(
+            (key, count) for key, count in values.items() if not key[1]))))
+        return known.digest
+
+    def differing(self, now: float, ask: wire.Compare, room: int) -> wire.Rows:
+        """Whole rows that the asker lacks or has older, within so many bytes. Marks cut short are not answered."""
+        shift = wire.SPAN_BITS - ask.bits
+        first = number = ask.begin >> shift
+        at, marks = 0, ask.marks
+        young = YOUNG_MS * max(1.0, math.log10(len(self._epochs)))
         out: list[Row] = []
-        for place in heapq.nsmallest(33, (place for place in self.origins if place > begin)):
-            row = self._row(now, place, 0, ())
-            room -= wire.size(row)
-            if out and (room < 0 or len(out) == 32):
-                return out, "\n".join(map(str, (out[-1].origin, out[-1].epoch, out[-1].stream)))
-            out.append(row)
-        return out, ""
+        while at + 3 <= len(marks) and number < 1 << ask.bits:
+            count, places, held = marks[at:at + 3]
+            theirs = marks[at + 3:at + 3 + count] if count <= MOST_MARKED else b""
+            if count <= MOST_MARKED and len(theirs) < count:
+                break
+            at += 3 + len(theirs)
+            part = self._range(max(ask.begin, number << shift), number + 1 << shift)
+            number += 1
+            my_places, my_held = self._checks(part)
+            aligned = count == len(part) and places == _byte(my_places, ask.salt)
+            if count == len(part) - 1:  # a new one, likely: without which of ours would it be theirs?
+                for index, (position, _, known) in enumerate(part):
+                    if places == _byte(my_places ^ position, ask.salt):
+                        theirs = b"".join((theirs[:index], bytes((known.version - 1 & 255,)), theirs[index:]))
+                        aligned = True
+                        break
+            elif count == len(part) + 1 and count <= MOST_MARKED and ask.salt & SURE:  # likely the new one is theirs:
+                shorter = [theirs[:index] + theirs[index + 1:] for index in range(count)]  # which, the versions tell
+                theirs = min(shorter, key=lambda marks: sum(
+                    their - known.version & 255 > AHEAD for their, (_, _, known) in zip(marks, part, strict=True)))
+                aligned, my_held, held = True, 0, 0
+            ahead = [their - known.version & 255 for their, (_, _, known) in zip(theirs, part, strict=True)
+                     ] if aligned else [255] * len(part)
+            if aligned and not any(ahead) and held == _byte(my_held, ask.salt):
+                continue
+            # Who is ahead of us is not told; one question in eight is answered as if none were, as a byte comes round.
+            if any(ahead):
+                part = [one for one, by in zip(part, ahead, strict=True) if by > (AHEAD if ask.salt & SURE else 0)]
+            for position, place, _ in part:
+                row = self._row(now, place, 0, ())
+                if row.age_ms < young:
+                    continue
+                room -= wire.size(row)
+                if out and (room < 0 or len(out) == 32):
+                    return wire.Rows(position, out)
+                out.append(row)
+        return wire.Rows(number << shift if first < number < 1 << ask.bits else 0, out)
 
     # Sums.
 
--- a/frostspindle/fleet/escrow.py
+++ b/frostspindle/fleet/escrow.py
@@ -21,6 +21,8 @@
 
 from __future__ import annotations
 
+import math
+from bisect import bisect_left, insort
 from collections import deque
 from dataclasses import dataclass, field
 
@@ -63,8 +65,16 @@
         self.ready -= units
         self.rest(units, until, grain)
 
-    def ready_at(self) -> float | None:
-        return self._rest[0][1] if self._rest else None
+    def take(self) -> list[tuple[int, float]]:
+        """All that is here, and until when it rests."""
+        out = [(self.ready, -math.inf), *((int(units), last) for _, last, units in self._rest)]
+        self.ready = self.resting = 0
+        self._rest.clear()
+        return out
+
+    def ready_at(self) -> float:
+        """When the next units have rested; inf: none rest."""
+        return self._rest[0][1] if self._rest else math.inf
 
 
 @dataclass(slots=True)
@@ -106,7 +116,9 @@
 class Rights:
     """One coordinator's rights in one budget."""
 
-    def __init__(self, own: int, window_ms: float, lease_ms: float, drift: float, born: float) -> None:
+    def __init__(self, own: int, window_ms: float, lease_ms: float, drift: float, born: float, series: int = 0) -> None:
+        """`born`: when this process's own rights came to it; -inf where no predecessor can have lent or used any.
+        `series`: of all loans that this process has made of rights of this name before."""
         self.own, self.lease_ms = own, lease_ms
         self.rest_ms = window_ms * (1.0 + drift)
         self.back_ms = lease_ms * (1.0 + drift) / (1.0 - drift)
@@ -119,67 +131,141 @@
         self.closed: dict[str, tuple[int, int]] = {}  # by lender: its epoch and the highest series that is over
         self.asked: dict[str, dict[int, float]] = {}  # by lender: when each Ask went out
         self.spent = self.denied = self.lapsed = 0
-        self._series = 0
+        self.claims: list[tuple[int, str]] = []  # what each borrower wants, in order
+        self.series = series
+        # Sums of the loans, kept as they change, and times before which nothing rests out or ends: a coordinator asks
+        # for them several times a message, and has a loan with each home.
+        self._out = self._borrowed = self._loans_ready = 0
+        self._settle_at = self._lent_ends = -math.inf
 
     # Use.
 
     @property
     def in_hand(self) -> int:
         """Own rights that are not lent."""
-        return self.own - sum(loan.out for loan in self.lent.values()) - sum(loan.out for loan in self.lapsing)
+        return self.own - self._out
 
     @property
     def held(self) -> int:
         """All rights that may be used here, at once or when they have rested."""
-        return self.in_hand + sum(loan.held for loan in self.borrowed.values())
+        return self.own - self._out + self._borrowed
+
+    @property
+    def idle(self) -> bool:
+        """Nothing is lent, borrowed or resting: what is made anew in its place, after its series, is the same."""
+        return not (self.lent or self.lapsing or self.borrowed or self.pool.resting)
 
     def ready(self, now: float) -> int:
         self._settle(now)
-        return self.pool.ready + sum(loan.pool.ready for loan in self.borrowed.values())
+        return self.pool.ready + self._loans_ready
 
     def spend(self, now: float, units: int) -> bool:
         """Use so many rights, all or none."""
         self._settle(now)
-        if units > self.pool.ready + sum(loan.pool.ready for loan in self.borrowed.values()):
+        if units > self.pool.ready + self._loans_ready:
             self.denied += units
             return False
         left, until = units, now + self.rest_ms
-        for pool in (self.pool, *(loan.pool for loan in self.borrowed.values())):
-            if part := min(left, pool.ready):
-                pool.spend(part, until, self.grain)
-                left -= part
+        self._settle_at = min(self._settle_at, until)
+        if part := min(left, self.pool.ready):
+            self.pool.spend(part, until, self.grain)
+            left -= part
+        if left:
+            self._loans_ready -= left
+            for loan in self.borrowed.values():
+                if part := min(left, loan.pool.ready):
+                    loan.pool.spend(part, until, self.grain)
+                    left -= part
+                    if not left:
+                        break
         self.spent += units
         return True
 
     def _settle(self, now: float) -> None:
         """What has rested is ready; loans whose time is over are closed before anything is used."""
+        if now < self._settle_at:
+            return
         self.pool.settle(now)
-        for lender, loan in list(self.borrowed.items()):
+        at = self.pool.ready_at()
+        ended = []
+        for lender, loan in self.borrowed.items():
             if now >= loan.ends:
-                self._close(lender, loan)
-            else:
-                loan.pool.settle(now)
-                if back := min(loan.owed - loan.aside, loan.pool.ready):
-                    loan.pool.ready -= back  # a coordinator that is short would use them at once, for ever
-                    loan.aside += back
+                ended.append((lender, loan))
+                continue
+            pool = loan.pool
+            if (ready_at := pool.ready_at()) <= now:
+                before = pool.ready
+                pool.settle(now)
+                self._loans_ready += pool.ready - before
+                ready_at = pool.ready_at()
+            if loan.owed > loan.aside and pool.ready:
+                back = min(loan.owed - loan.aside, pool.ready)
+                pool.ready -= back  # a coordinator that is short would use them at once, for ever
+                self._loans_ready -= back
+                loan.aside += back
+            if loan.ends < at:
+                at = loan.ends
+            if ready_at < at:
+                at = ready_at
+        for lender, loan in ended:
+            self._close(lender, loan)
+        self._settle_at = at  # rests and ends only move to later, and what else there is comes with a call of its own
 
     def _close(self, lender: str, loan: Borrowed) -> None:
         self.lapsed += loan.held
+        self._borrowed -= loan.held
+        self._loans_ready -= loan.pool.ready
         self.closed[lender] = (loan.epoch, loan.series)
         del self.borrowed[lender]
 
+    def move(self, now: float, to: Rights) -> None:
+        """Own units that are in hand become another budget's, of the same units: each rests there as long as it must.
+
+        What is lent follows in later calls, once it is back and only then: its borrower may still use it here.
+        """
+        self.tick(now)
+        for units, until in self.pool.take():
+            self.own -= units
+            to.own += units
+            if until > now:
+                to.pool.rest(units, until, to.grain)
+                to._settle_at = min(to._settle_at, until)
+            else:
+                to.pool.ready += units
+
+    def wake(self) -> None:
+        """No predecessor can have lent or used any: what rests since the birth is ready, if nothing has been yet."""
+        if self.pool.resting == self.own:
+            self.pool.take()
+            self.pool.ready = self.own
+
     # The lender's side.
 
     def tick(self, now: float) -> None:
         """Take back what is over."""
         self._settle(now)
+        if now < self._lent_ends:
+            return
         for borrower, loan in list(self.lent.items()):
             if now >= loan.ends:
-                del self.lent[borrower]
-                self.pool.rest(loan.out, max(now, loan.ends) + self.rest_ms, self.grain)
+                self._forget(borrower)
+                self._rest(loan.out, max(now, loan.ends) + self.rest_ms)
         for loan in [loan for loan in self.lapsing if now >= loan.ends]:
             self.lapsing.remove(loan)
-            self.pool.rest(loan.out, now + self.rest_ms, self.grain)
+            self._rest(loan.out, now + self.rest_ms)
+        self._lent_ends = min((loan.ends for loan in (*self.lent.values(), *self.lapsing)), default=math.inf)
+
+    def _rest(self, units: int, until: float) -> None:
+        """Units that were lent are in hand again, and rest."""
+        self._out -= units
+        self.pool.rest(units, until, self.grain)
+        self._settle_at = min(self._settle_at, until)
+
+    def _forget(self, borrower: str) -> Lent:
+        """A loan that is no longer lent; its units are still out."""
+        loan = self.lent.pop(borrower)
+        del self.claims[bisect_left(self.claims, (loan.want, borrower))]
+        return loan
 
     def on_ask(self, now: float, borrower: str, epoch: int, mine: bool, series: int, returned: int, closed: int,
                want: int) -> Lent:
@@ -187,20 +273,27 @@
         self.tick(now)
         loan = self.lent.get(borrower)
         if loan is not None and loan.epoch != epoch:
-            self.lapsing.append(loan)  # its process is gone, or the word is an old one: either way it ends in time
+            # Its process is gone, or the word is an old one: either way it ends in time.
+            self.lapsing.append(self._forget(borrower))
             loan = None
         if loan is not None and mine and closed >= loan.series:
             # Used no more from the moment of the asking on, which is past.
-            self.pool.rest(loan.out, now + self.rest_ms, self.grain)
+            self._forget(borrower)
+            self._rest(loan.out, now + self.rest_ms)
             loan = None
         if loan is None:
-            self._series += 1
-            loan = Lent(epoch, self._series, now)
-        elif mine and series == loan.series:
-            self._returned(loan, returned)
-        loan.want = want
+            self.series += 1
+            loan = self.lent[borrower] = Lent(epoch, self.series, now, want=want)
+            insort(self.claims, (want, borrower))
+        else:
+            if mine and series == loan.series:
+                self._returned(loan, returned)
+            if loan.want != want:
+                del self.claims[bisect_left(self.claims, (loan.want, borrower))]
+                insort(self.claims, (want, borrower))
+                loan.want = want
         loan.ends = max(loan.ends, now + self.back_ms)
-        self.lent[borrower] = loan
+        self._lent_ends = min(self._lent_ends, loan.ends)
         return loan
 
     def lend(self, loan: Lent, units: int) -> None:
@@ -209,6 +302,7 @@
             raise ValueError("only what is ready can be lent")
         self.pool.ready -= units
         loan.given += units
+        self._out += units
 
     def on_back(self, now: float, borrower: str, epoch: int, series: int, returned: int) -> None:
         self.tick(now)
@@ -216,11 +310,12 @@
         if loan is not None and loan.epoch == epoch and loan.series == series:
             self._returned(loan, returned)
             if not loan.out and not loan.want:
-                del self.lent[borrower]
+                self._forget(borrower)
 
     def _returned(self, loan: Lent, returned: int) -> None:
         units = max(0, min(returned, loan.given) - loan.returned)
         loan.returned += units
+        self._out -= units
         self.pool.ready += units  # the borrower gives back only what has rested
 
     # The borrower's side.
@@ -229,7 +324,7 @@
         """Note that an Ask goes out; the lender's epoch, series, returned and closed to be named in it."""
         self._settle(now)
         waits = self.asked.setdefault(lender, {})
-        for old in [s for s, at in waits.items() if now - at > self.lease_ms]:
+        while waits and now - waits[old := next(iter(waits))] > self.lease_ms:  # in the order of asking
             del waits[old]
         waits[seq] = now
         loan = self.borrowed.get(lender)
@@ -262,8 +357,11 @@
             loan = self.borrowed[lender] = Borrowed(epoch, series, asked + self.lease_ms, asked=asked)
         if given > loan.given:
             loan.pool.ready += given - loan.given
+            self._loans_ready += given - loan.given
+            self._borrowed += given - loan.given
             loan.given = given
         loan.ends = max(loan.ends, asked + self.lease_ms)
+        self._settle_at = min(self._settle_at, loan.ends) if loan.owed == loan.aside else -math.inf
         loan.keep = keep
         return True
 
@@ -271,6 +369,8 @@
         """So many units are to go back to a lender, each as soon as it has rested."""
         loan = self.borrowed[lender]
         loan.owed = max(units, loan.aside)
+        if loan.owed > loan.aside:
+            self._settle_at = -math.inf
         self._settle(now)
 
     def give_back(self, now: float, lender: str) -> tuple[int, int, int] | None:
@@ -281,6 +381,7 @@
             return None
         loan.returned += loan.aside
         loan.owed -= loan.aside
+        self._borrowed -= loan.aside
         loan.aside = 0
         word = loan.epoch, loan.series, loan.returned
         if not loan.held:
--- a/frostspindle/fleet/flow.py
+++ b/frostspindle/fleet/flow.py
@@ -6,19 +6,23 @@
 
 from __future__ import annotations
 
+import heapq
 import math
 import random
+from bisect import bisect_left
 from collections import deque
-from collections.abc import Iterable
+from collections.abc import Container
+from hashlib import blake2b
 
-from frostspindle.division import fair
+from frostspindle.division import level
 from frostspindle.fleet.escrow import Lent, Rights
 
 PARTS = 8  # of a window, by which demand is counted
 RECENT = 2.0  # windows looked back on
-ASKED_AT_ONCE = 3  # lenders
+ASKED_AT_ONCE, FEW = 3, 32  # lenders; of more than FEW, one at a time while nobody has any left
 ASK_MS, BACKOFF_MS, BACKOFF_MOST_MS = 100.0, 200.0, 3_200.0
 RENEW = 1 / 3  # of a lease
+FREE = (0.0, 0.0)
 SLACK = 1.1  # held over the need by more than this is given back
 
 
@@ -29,9 +33,11 @@
         self.step = window_ms / PARTS
         self.per_right = rest_ms / window_ms  # a right rests longer than a window
         self.parts: deque[tuple[int, int]] = deque()  # number of the part, units
+        self.units = 0  # of all parts
 
     def add(self, now: float, units: int) -> None:
         part = int(now / self.step)
+        self.units += units
         if self.parts and self.parts[-1][0] == part:
             self.parts[-1] = (part, self.parts[-1][1] + units)
         else:
@@ -40,25 +46,43 @@
 
     def _forget(self, part: int) -> None:
         while self.parts and self.parts[0][0] <= part - RECENT * PARTS:
-            self.parts.popleft()
+            self.units -= self.parts.popleft()[1]
 
     def need(self, now: float, scatter: bool) -> int:
         """Rights that meet the mean of the last windows, and its usual scatter if asked; 0 where nothing was wanted."""
         part = int(now / self.step)
         self._forget(part)
-        units = sum(count for _, count in self.parts)
-        if not units:
+        if not self.units:
             return 0
-        mean = units / RECENT
+        mean = self.units / RECENT
         return math.ceil((mean + scatter * math.sqrt(mean)) * self.per_right) + scatter
 
 
+class Wish:
+    """A need that its owner states, in place of one that is estimated from what was asked.
+
+    A share of less than `least` units of the whole is of no use: then all but the smallest claims are met by turns.
+    """
+
+    def __init__(self) -> None:
+        self.units = self.least = self.turn = 0
+
+    def add(self, now: float, units: int) -> None:
+        """Nothing is estimated."""
+
+    def need(self, now: float, scatter: bool) -> int:
+        return self.units
+
+
 class Lenders:
     """Whom to ask next: who had some left when it last answered, else at random, with longer and longer pauses."""
 
     def __init__(self, seed: int) -> None:
         self.random = random.Random(seed)
         self.again: dict[str, tuple[float, float]] = {}  # not before, pause
+        self._homes: list[str] = []
+        self._free: list[str] = []  # homes that may be asked, in their order
+        self._pauses: list[tuple[float, str]] = []  # a heap of when the others may be
         self.spare: dict[str, int] = {}
         self._dry: deque[bool] = deque([False], maxlen=ASKED_AT_ONCE)  # of the last answers: nothing, and none left
 
@@ -67,23 +91,53 @@
         """Nobody had anything lately: room for scatter would only keep rights idle that others lack."""
         return all(self._dry)
 
-    def choose(self, now: float, homes: Iterable[str]) -> list[str]:
-        free = [name for name in homes if now >= self.again.get(name, (0.0, 0.0))[0]]
-        self.random.shuffle(free)
-        free.sort(key=lambda name: -self.spare.get(name, 0))
-        return free[:ASKED_AT_ONCE]
+    def choose(self, now: float, homes: list[str], here: Container[str], but: Container[str]) -> list[str]:
+        """A few of the homes (in order, the same each time) that are here, without some."""
+        if homes is not self._homes:
+            self._homes, self._free, self._pauses = homes, list(homes), []
+            for name in self.again:
+                self._pause(name)
+        while self._pauses and now >= self._pauses[0][0]:
+            at, name = heapq.heappop(self._pauses)
+            if at == self.again.get(name, FREE)[0]:
+                self._release(name)
+        most = 1 if len(homes) > FEW and self.scarce else ASKED_AT_ONCE
+        some = [name for name, left in self.spare.items() if left and now >= self.again.get(name, FREE)[0]
+                and name in here and name not in but]
+        if len(some) > 1:  # the draw is among those that had as many left
+            first = int(self.random.random() * len(some))
+            some = heapq.nlargest(most, some[first:] + some[:first], key=self.spare.__getitem__)
+        if len(some) < most:
+            free = [name for name in self._free if name in here and name not in but and not self.spare.get(name)]
+            for place in range(min(most - len(some), len(free))):
+                other = place + int(self.random.random() * (len(free) - place))
+                free[place], free[other] = free[other], free[place]
+                some.append(free[place])
+        return some[:most]
 
     def answered(self, now: float, name: str, got: int, spare: int) -> None:
         self.spare[name] = spare
         self._dry.append(not got and not spare)
-        if got:
-            self.again.pop(name, None)
-        else:
+        if not got:
             self.silent(now, name)
+        elif self.again.pop(name, None):
+            self._release(name)
 
     def silent(self, now: float, name: str) -> None:
         pause = min(BACKOFF_MOST_MS, 2.0 * self.again.get(name, (0.0, BACKOFF_MS / 2.0))[1])
         self.again[name] = (now + pause * (0.5 + self.random.random()), pause)
+        self._pause(name)
+
+    def _pause(self, name: str) -> None:
+        heapq.heappush(self._pauses, (self.again[name][0], name))
+        place = bisect_left(self._free, name)
+        if place < len(self._free) and self._free[place] == name:
+            del self._free[place]
+
+    def _release(self, name: str) -> None:
+        place = bisect_left(self._free, name)
+        if self._free[place:place + 1] != [name] and name in self._homes:
+            self._free.insert(place, name)
 
 
 def offer(rights: Rights, need: int, loan: Lent, borrower: str) -> tuple[int, int]:
@@ -92,10 +146,35 @@
     All claimants of the own rights, oneself among them, are served max-min fair. What a borrower holds over its share
     comes back as it rests (`keep`), so that a small claim is met within a window or two, whoever was first.
     """
-    wants = {name: other.want for name, other in rights.lent.items()}
-    shares = fair({"": need, **wants}, rights.own)
-    give = min(shares[borrower] - loan.out, rights.pool.ready, rights.in_hand - shares[""])
-    return max(0, give), shares[borrower]
+    claims = rights.claims
+    place = bisect_left(claims, (loan.want, borrower))
+    mine = bisect_left(claims, (need, ""))  # where the own need comes among them
+    claims.insert(mine, (need, ""))
+    met, base, more = level(claims, rights.own)
+    del claims[mine]
+    place += place >= mine
+    share = loan.want if place < met else base + (place >= more)
+    own = need if mine < met else base + (mine >= more)
+    return max(0, min(share - loan.out, rights.pool.ready, rights.in_hand - own)), share
+
+
+def in_turn(rights: Rights, need: int, loan: Lent, borrower: str, me: str, turn: int, least: int) -> tuple[int, int]:
+    """`offer` where shares may be too small for one use: `least` units of these rights.
+
+    Claims under the even share are met as ever. Of the others whole ones are met, in an order that is the same at all
+    homes, so that rights gather at one coordinator, and another with each turn.
+    """
+    claims = sorted((*rights.claims, (need, me)))
+    met, base, _ = level(claims, rights.own)
+    if base >= least or met == len(claims):
+        return offer(rights, need, loan, borrower)
+    shares = {name: want for want, name in claims[:met]}
+    left = rights.own - sum(shares.values())
+    for want, name in sorted(claims[met:], key=lambda claim: blake2b(f"{turn} {claim[1]}".encode()).digest()):
+        shares[name] = min(want, left)
+        left -= shares[name]
+    share = shares[borrower]
+    return max(0, min(share - loan.out, rights.pool.ready, rights.in_hand - shares[me])), share
 
 
 def spare(rights: Rights, need: int) -> int:
@@ -105,11 +184,20 @@
 
 def excess(rights: Rights, need: int) -> list[tuple[str, int]]:
     """What should go back of each loan: over what its lender would have us hold, and over the need, smallest first."""
+    if not rights.borrowed:
+        return []
     out = []
     over = rights.held - max(math.ceil(need * SLACK), min(need, rights.in_hand) + 1 if need else 0)
-    for lender, loan in sorted(rights.borrowed.items(), key=lambda item: (item[1].held, item[0])):
-        units = max(loan.held - loan.keep, min(loan.held, over), 0)
-        out.append((lender, units))
+    if over <= 0:  # the order is that of all
+        loans = [(loan.given - loan.returned, lender) for lender, loan in rights.borrowed.items()
+                 if loan.given - loan.returned > loan.keep or loan.owed or loan.aside]
+    else:
+        loans = [(loan.given - loan.returned, lender) for lender, loan in rights.borrowed.items()]
+    for held, lender in sorted(loans):
+        loan = rights.borrowed[lender]
+        units = max(held - loan.keep, min(held, over), 0)
+        if units or loan.owed or loan.aside:
+            out.append((lender, units))
         over -= units
     return out
 
--- a/frostspindle/fleet/membership.py
+++ b/frostspindle/fleet/membership.py
@@ -11,9 +11,9 @@
 import heapq
 import math
 import random
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Callable, Collection, Iterable
 from dataclasses import dataclass
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 from frostspindle.fleet import wire
 from frostspindle.fleet.incarnation import Chain, owned
@@ -29,6 +29,7 @@
 LEAST, SPAN = 5.0, 6.0  # least time to refute, in probe intervals times log10 of the fleet; most: SPAN times that
 HEALTH_MOST = 8  # Lifeguard's local health: probes become so much slower at most
 REJOIN_MS, SYNC_MS, FORGET_MS = 5_000.0, 30_000.0, 600_000.0
+REVIVED_MS = 1_000.0  # of many that are back, one is asked for all that it knows in so much time
 
 
 class Out(NamedTuple):
@@ -93,14 +94,17 @@
         self.out: list[Out] = []
         self.changes: list[tuple[str, str, str]] = []  # name, state, why: for the log
         self.count: Callable[[str], None] = lambda what: None
-        self.more: Callable[[], bool] = lambda: False  # whether there is other news to pass on
+        self.more: Collection[Any] = ()  # other news to pass on
         self.false_suspicions = self.deaths = 0
         self.leaving = False
-        self._news: Rumours[str, Claim] = Rumours()
+        self.met = False  # who may know much that we do not has been met
+        self._met_at = -math.inf
+        self._news: Rumours[str, tuple[Claim, int]] = Rumours()  # with its size in bytes
         self._seq = 0
         self._probe: _Probe | None = None
         self._errands: dict[int, _Errand] = {}
         self._round: list[str] = []
+        self._verdict: float | None = math.inf  # see _first_verdict
         self._probe_at = now + self.random.random() * probe_ms
         self._gossip_at = now + self.random.random() * GOSSIP_MS
         self._rejoin_at, self._sync_at = now, now + self.random.random() * SYNC_MS
@@ -119,6 +123,8 @@
             if claim.name != self.me.name and claim.name not in self.members:
                 self.members[claim.name] = self.alive[claim.name] = Member(claim, now)
                 self._names.append(claim.name)
+        # Who knows all needs no early page of it: in a fleet of 3,000 that were four fifths of all bytes for 30 s.
+        self._sync_at = now + SYNC_MS * max(1.0, self.size / 100.0) * self.random.random()
 
     def peers(self, count: int, but: tuple[str, ...] = ()) -> list[str]:
         """So many live members, drawn evenly, without those named."""
@@ -132,29 +138,35 @@
         return member.claim.address if member else None
 
     def send(self, name: str, body: wire.Body) -> None:
-        if (address := self.address(name)) is not None:
-            self.out.append(Out(address, name, body))
+        if (member := self.alive.get(name)) is not None:
+            self.out.append(Out(member.claim.address, name, body))
 
     # Time.
 
     def due(self) -> float:
         """When `tick` must be called next, at the latest."""
         probe = self._probe
-        at = min(self._rejoin_at, self._sync_at,
-                 self._probe_at if probe is None else probe.until if probe.helped else probe.direct_until)
-        if self._news or self.more():
-            at = min(at, self._gossip_at)
-        for errand in self._errands.values():
-            at = min(at, errand.until)
-        for member in self.suspects.values():
-            at = min(at, self._verdict_at(member))
-        return at
+        at = self._probe_at if probe is None else probe.until if probe.helped else probe.direct_until
+        verdict = self._verdict
+        if verdict is None:
+            verdict = self._first_verdict()
+        if verdict < at:
+            at = verdict
+        if self._gossip_at < at and (self._news.keys or self.more):
+            at = self._gossip_at
+        if self._errands:
+            for errand in self._errands.values():
+                if errand.until < at:
+                    at = errand.until
+        if self._rejoin_at < at:
+            at = self._rejoin_at
+        return at if at < self._sync_at else self._sync_at
 
     def tick(self, now: float) -> None:
         if self.leaving:
             return
         self._overdue(now)
-        for name, member in list(self.suspects.items()):
+        for name, member in list(self.suspects.items()) if now >= self._first_verdict() else ():
             if now >= self._verdict_at(member):
                 self._apply(now, _as(member.claim, DEAD), "did not answer its suspicion")
                 if name not in self.suspects:
@@ -166,13 +178,13 @@
         if now >= self._sync_at:
             self._sync_at = now + SYNC_MS * max(1.0, self.size / 100.0) * (0.75 + 0.5 * self.random.random())
             for name in self.peers(1):
-                self.send(name, wire.Pull("", False))
+                self.send(name, wire.Pull(""))
             for name, member in list(self.members.items()):
                 if member.claim.state in (DEAD, LEFT) and now - member.since > FORGET_MS:
                     del self.members[name]
         if now >= self._gossip_at:
             self._gossip_at = now + GOSSIP_MS
-            if self._news or self.more():
+            if self._news.keys or self.more:
                 for name in self.peers(FANOUT):
                     self.send(name, wire.Gossip())
 
@@ -233,6 +245,12 @@
             self._seq += 1
             self.out.append(Out(address, name, wire.Ping(self._seq)))
 
+    def _first_verdict(self) -> float:
+        """When the first suspicion ends; it is looked for again when a claim has changed, and with it who is here."""
+        if self._verdict is None:
+            self._verdict = min((self._verdict_at(member) for member in self.suspects.values()), default=math.inf)
+        return self._verdict
+
     def _verdict_at(self, member: Member) -> float:
         """Lifeguard: long at first, shorter with each member that suspects the same by itself."""
         least = LEAST * max(1.0, math.log10(self.size)) * self.probe_ms
@@ -241,20 +259,25 @@
 
     # News.
 
-    def news(self, to: str, room: int) -> Iterator[Claim]:
-        """Claims to pass on to a member, within so many bytes: first what is wrongly believed of itself."""
+    def news(self, to: str, room: int) -> tuple[list[Claim], int]:
+        """Claims to pass on to a member, within so many bytes: first what is wrongly believed of itself. And the room
+        that is left."""
+        out: list[Claim] = []
         member = self.members.get(to)
         if member is not None and member.claim.state != ALIVE:
             room -= wire.size(member.claim)
-            yield member.claim
-        most = RESEND * math.ceil(math.log10(self.size + 1))
-        for name, claim in self._news.next(32):
-            room -= wire.size(claim)
-            if room < 0:
-                return
-            self._news.sent(name, most)
-            if name != to:
-                yield claim
+            out.append(member.claim)
+        if self._news.keys:
+            most = RESEND * math.ceil(math.log10(self.size + 1))
+            sent = self._news.sent
+            for name, (claim, size) in self._news.next(32):
+                if size > room:
+                    break
+                sent(name, most)
+                if name != to:
+                    room -= size
+                    out.append(claim)
+        return out, room
 
     def page(self, after: str, room: int) -> tuple[list[Claim], str]:
         """Claims in the order of names, and the last name, "" at the end."""
@@ -271,13 +294,16 @@
 
     def heard(self, now: float, me: Claim, source: Address) -> bool:
         """The sender of a message: whether it is who it says it is. A message of a stranger is not read further."""
+        known = self.members.get(me.name)
+        if known is not None and known.claim == me and me.state == ALIVE and source == me.address:  # most messages
+            known.heard = now
+            return True
         if me.name == self.me.name or me.state not in (ALIVE, LEFT):
             self.count("fleet_impostor")
             return False
         if source != me.address:
             self.count("fleet_spoofed")
             return False
-        known = self.members.get(me.name)
         if known is not None and known.claim.state in (ALIVE, SUSPECT) and known.claim.epoch < me.epoch:
             if known.claim.address != source and known.claim.state == ALIVE:
                 self._contest(now, known)
@@ -293,6 +319,9 @@
 
     def told(self, now: float, claim: Claim, by: str) -> None:
         """A claim that another passes on."""
+        known = self.members.get(claim.name)
+        if known is not None and known.claim == claim:  # most are no news
+            return
         if claim.name == self.me.name:
             self._refute(now, claim, by)
         else:
@@ -350,7 +379,7 @@
             self._tell(self.me)
 
     def _tell(self, claim: Claim) -> None:
-        self._news.put(claim.name, claim)
+        self._news.put(claim.name, (claim, wire.size(claim)))
 
     def _contest(self, now: float, known: Member) -> None:
         """A new process in a living member's name: its own address decides, or its suspicion."""
@@ -388,6 +417,7 @@
         if claim.state == SUSPECT and rank(claim) == rank(old) and claim.by not in known.confirmers:
             if claim.by and len(known.confirmers) <= CONFIRMS:
                 known.confirmers |= {claim.by}
+                self._verdict = None
                 self._tell(claim)  # Lifeguard: an independent suspicion is passed on anew
         if rank(claim) <= rank(old):
             return True
@@ -407,6 +437,7 @@
             self.changes.append((name, wire.STATES[claim.state], why))
         revived = claim.state == ALIVE and before.state in (DEAD, LEFT)
         member.claim = claim
+        self._verdict = None
         here = claim.state in (ALIVE, SUSPECT)
         if here != (name in self.alive):
             if here:
@@ -421,9 +452,10 @@
         else:
             self.suspects.pop(name, None)
         self._tell(claim)
-        if len(self.alive) == 1 and here or revived:  # we join, or a partition ends: hear all that it knows
-            self.send(name, wire.Pull("", False))
-            self.send(name, wire.Pull("", True))
+        if len(self.alive) == 1 and here or revived and now - self._met_at > REVIVED_MS:
+            self._met_at = now  # we join, or a partition ends: hear all that it knows
+            self.met = True
+            self.send(name, wire.Pull(""))
 
 
 def _as(claim: Claim, state: int, by: str = "") -> Claim:
--- a/frostspindle/fleet/node.py
+++ b/frostspindle/fleet/node.py
@@ -24,9 +24,17 @@
 from frostspindle.fleet.wire import Claim, Packet
 
 ENVELOPE = 180  # bytes kept free of piggyback for the sender's claim and the frame
+KEPT = 0.5  # of the room for news, for counts that wait: when all are suspected at once, they still travel
 MOST_BUDGETS = 32
 COUNT_WINDOW_MS = 10_000.0
-ROWS = 2.0  # all counts of one other member are asked for once in so many intervals of writing
+ROWS_MS, ROWS = 1_000.0, 0.25  # counts are compared with one other member so often, or in a part of the time of writing
+ALONE = frozenset({wire.Word, wire.Pull, wire.Compare, wire.Rows, wire.Parcel})  # nothing is put into these besides
+MOST_COMPARES = 64  # messages of one comparison: as many as a table that holds nothing needs in a fleet of a thousand
+
+
+def rows_interval(size: int) -> float:
+    """How often one compares its counts with another's: the bytes of it grow with log2 of the fleet only."""
+    return max(ROWS_MS, ROWS * interval(size))
 
 
 @dataclass(slots=True, frozen=True)
@@ -64,7 +72,7 @@
     number: int
     digest: int
     rights: Rights
-    demand: flow.Demand
+    demand: flow.Demand | flow.Wish
     lenders: flow.Lenders
     flow_at: float
     asks: dict[str, tuple[int, float]] = field(default_factory=dict)  # by lender: the last Ask, unanswered yet
@@ -85,19 +93,21 @@
         self.counted: Counter[str] = Counter()
         self.members.count = self.counts.count = self._count
         self.note: Callable[..., None] = lambda event, **fields: None  # a log line
+        self.channels: dict[int, Callable[[float, str, int, bytes], None]] = {}  # now, sender, its epoch, the message
+        self.watchers: list[Callable[[float, str, str], None]] = []  # now, member, its state: one of wire.STATES
         self.homes = sorted(terms.seeds)
         self.budgets: dict[str, _Budget] = {}
         for number, budget in enumerate(terms.budgets, 1):
-            shares = dict(zip(self.homes, even(budget.units, len(self.homes)), strict=True))
-            rights = Rights(shares.get(name, 0), budget.window_ms, terms.lease_ms, terms.drift, now)
-            digest = int.from_bytes(blake2b(repr(
-                (budget, self.homes, terms.lease_ms, terms.drift)).encode(), digest_size=6).digest())
-            self.budgets[budget.name] = _Budget(budget, number, digest, rights,
+            rights = self._rights(budget, terms.lease_ms, now)
+            self.budgets[budget.name] = _Budget(budget, number, self._digest(budget, terms.lease_ms), rights,
                                                 flow.Demand(budget.window_ms, rights.rest_ms), flow.Lenders(seed + 2),
                                                 now + self.random.random() * flow.ASK_MS)
-        self.members.more = lambda: self.counts.pending
+        self.asked_for: Callable[[float, str], bool] = lambda now, name: False  # to open it, or whether it is in use
+        self._closed_series = 0  # the highest of all budgets that were closed
+        self.members.more = self.counts.pending
         self._seq = 0
-        self._rows_at = now + self.random.random() * ROWS * interval(1)
+        self._rows_at = now + self.random.random() * ROWS_MS
+        self._compares = 0  # messages left of this comparison
         self._tell_at = now + self.random.random() * TELL_MS
         self._told: list[str] = []
         self._bytes_out = self._bytes_in = 0
@@ -106,9 +116,11 @@
             wire.Ack: lambda now, me, b: self.members.on_ack(now, me.name, b),
             wire.Relay: lambda now, me, b: self.members.on_relay(now, me.name, b),
             wire.Nack: lambda now, me, b: self.members.on_nack(b),
-            wire.Pull: self._on_pull, wire.Page: self._on_page, wire.Gossip: lambda now, me, b: None,
+            wire.Pull: self._on_pull, wire.Page: self._on_page,
+            wire.Compare: self._on_compare, wire.Rows: self._on_rows, wire.Gossip: lambda now, me, b: None,
             wire.Word: lambda now, me, b: self.verdicts.hear(now, me.name, b.verdicts),
-            wire.Ask: self._on_ask, wire.Grant: self._on_grant, wire.Back: self._on_back}
+            wire.Ask: self._on_ask, wire.Grant: self._on_grant, wire.Back: self._on_back,
+            wire.Parcel: self._on_parcel}
 
     def _count(self, what: str) -> None:
         self.counted[what] += 1
@@ -132,6 +144,8 @@
             for row in packet.rows:
                 self.counts.merge(now, row)
             self._on[type(packet.body)](now, packet.me, packet.body)
+            if self.members.met:
+                self.members.met, self._rows_at = False, now
         return self._flush(now)
 
     def tick(self, now: float, unix_ms: float) -> list[Datagram]:
@@ -143,20 +157,26 @@
             if now >= state.flow_at:
                 state.flow_at = now + flow.ASK_MS
                 self._flow(now, state)
-        if now >= self._rows_at:  # what news missed: all rows of one member
-            self._rows_at = now + ROWS * interval(self.members.size) * (0.75 + 0.5 * self.random.random())
+        if now >= self._rows_at:  # what news missed
+            self._rows_at = now + rows_interval(self.members.size) * (0.75 + 0.5 * self.random.random())
+            self._compares = MOST_COMPARES
             for name in self.members.peers(1):
-                self.members.send(name, wire.Pull("", True))
+                self._compare(name, 0)
         if now >= self._tell_at:
             self._tell_at = now + TELL_MS
             self._tell(now)
         return self._flush(now)
 
     def due(self) -> float:
-        at = min(self.members.due(), self.counts.due(self.members.size), self._tell_at, self._rows_at)
+        at, write = self.members.due(), self.counts.due(self.members.size)
+        if write < at:
+            at = write
+        if self._rows_at < at:
+            at = self._rows_at
         for state in self.budgets.values():
-            at = min(at, state.flow_at)
-        return at
+            if state.flow_at < at:
+                at = state.flow_at
+        return at if at < self._tell_at else self._tell_at
 
     # What the coordinator calls.
 
@@ -176,6 +196,11 @@
         if self.verdicts.judge(now, standing, self.members.alive):
             self._tell_at = now
 
+    def post(self, now: float, name: str, channel: int, data: bytes) -> list[Datagram]:
+        """One message of another part to a member: as sure to come as any datagram. An unknown member gets none."""
+        self.members.send(name, wire.Parcel(channel, data))
+        return self._flush(now)
+
     def leave(self, now: float) -> list[Datagram]:
         """Give back what is borrowed and say good-bye; the node must not be used any more."""
         for state in self.budgets.values():
@@ -187,6 +212,35 @@
 
     # Budgets.
 
+    def _rights(self, budget: Budget, lease_ms: float, born: float, series: int = 0) -> Rights:
+        shares = dict(zip(self.homes, even(budget.units, len(self.homes)), strict=True))
+        return Rights(shares.get(self.name, 0), budget.window_ms, lease_ms, self.terms.drift, born, series)
+
+    def _digest(self, budget: Budget, lease_ms: float) -> int:
+        return int.from_bytes(blake2b(repr((budget, self.homes, lease_ms, self.terms.drift)).encode(),
+                                      digest_size=6).digest())
+
+    def open(self, now: float, budget: Budget, lease_ms: float, born: float) -> tuple[Rights, flow.Wish]:
+        """Divide a budget that is in nobody's settings, as all others do who open it with the same terms.
+
+        `born`: from when the own part rests, as a predecessor may have lent or used it; -inf: none can have.
+        """
+        rights = self._rights(budget, lease_ms, born, self._closed_series)
+        wish = flow.Wish()
+        self.budgets[budget.name] = _Budget(budget, 0, self._digest(budget, lease_ms), rights, wish, flow.Lenders(
+            self.random.getrandbits(32)), now + self.random.random() * flow.ASK_MS)
+        return rights, wish
+
+    def shut(self, now: float, name: str) -> bool:
+        """Forget an opened budget, if it could be opened anew without harm."""
+        rights = self.budgets[name].rights
+        rights.tick(now)
+        if not rights.idle:
+            return False
+        self._closed_series = max(self._closed_series, rights.series)
+        del self.budgets[name]
+        return True
+
     def _flow(self, now: float, state: _Budget) -> None:
         rights, need = state.rights, state.demand.need(now, not state.lenders.scarce)
         rights.tick(now)
@@ -203,8 +257,7 @@
                 self._ask(now, state, lender, max(0, missing))
                 missing = min(missing, 0)
         if missing > 0:
-            homes = [name for name in self.homes if name in self.members.alive and name not in state.asks]
-            chosen = state.lenders.choose(now, homes)
+            chosen = state.lenders.choose(now, self.homes, self.members.alive, state.asks)
             for place, lender in enumerate(chosen):
                 self._ask(now, state, lender, -(-missing // (len(chosen) - place)))
                 missing -= -(-missing // (len(chosen) - place))
@@ -219,19 +272,24 @@
                                            (loan.held if loan else 0) + more))
 
     def _on_ask(self, now: float, me: Claim, ask: wire.Ask) -> None:
-        state = self._same_terms(me, ask)
+        state = self._same_terms(now, me, ask)
         if state is None or not state.rights.own:
             return
         rights, need = state.rights, state.demand.need(now, False)  # others lack what would lie idle
         loan = rights.on_ask(now, me.name, me.epoch, ask.lender == self.epoch, ask.series, ask.returned, ask.closed,
                              ask.want)
-        give, keep = flow.offer(rights, need, loan, me.name)
+        if state.number:
+            give, keep = flow.offer(rights, need, loan, me.name)
+        else:
+            wish = state.demand
+            give, keep = flow.in_turn(rights, need, loan, me.name, self.name, wish.turn,
+                                      wish.least * rights.own // state.budget.units)
         rights.lend(loan, give)
         self.members.send(me.name, wire.Grant(state.budget.name, state.digest, ask.seq, loan.series, loan.given,
                                               keep, flow.spare(rights, need)))
 
     def _on_grant(self, now: float, me: Claim, grant: wire.Grant) -> None:
-        if (state := self._same_terms(me, grant)) is None:
+        if (state := self._same_terms(now, me, grant)) is None:
             return
         before = state.rights.held
         if not state.rights.on_grant(now, me.name, me.epoch, grant.seq, grant.series, grant.given, grant.keep):
@@ -249,9 +307,14 @@
         if (word := state.rights.give_back(now, lender)) is not None:
             self.members.send(lender, wire.Back(state.budget.name, *word))
 
-    def _same_terms(self, me: Claim, body: wire.Ask | wire.Grant) -> _Budget | None:
+    def _same_terms(self, now: float, me: Claim, body: wire.Ask | wire.Grant) -> _Budget | None:
         """Rights move only among coordinators that divide the same budget in the same way."""
         state = self.budgets.get(body.budget)
+        if state is None or not state.number:  # in nobody's settings
+            if not self.asked_for(now, body.budget):
+                self._count("fleet_not_open")
+                return None
+            state = self.budgets.get(body.budget)
         if state is None or state.digest != body.terms:
             self._count("fleet_other_terms")
             self.note("fleet_other_terms", budget=body.budget, peer=me.name)
@@ -262,6 +325,8 @@
 
     def _tell(self, now: float) -> None:
         """The own word goes to some members at a time, from its maker only."""
+        if not self.verdicts.speaks:
+            return
         self._told = [name for name in self._told if name in self.members.alive]
         if not self._told:
             self._told = list(self.members.alive)
@@ -271,26 +336,54 @@
             if self.verdicts.tells(name):
                 self.members.send(name, wire.Word(self.verdicts.word(now, name)))
 
+    # What is carried for other parts.
+
+    def _on_parcel(self, now: float, me: Claim, parcel: wire.Parcel) -> None:
+        if (hear := self.channels.get(parcel.channel)) is None:
+            self._count("fleet_no_such_channel")
+            return
+        hear(now, me.name, me.epoch, parcel.data)
+
     # Pages.
 
     def _on_pull(self, now: float, me: Claim, pull: wire.Pull) -> None:
-        self.members.send(me.name, wire.Page(pull.after, pull.rows))  # what it holds is put in as it leaves
+        self.members.send(me.name, wire.Page(pull.after))  # what it holds is put in as it leaves
 
     def _on_page(self, now: float, me: Claim, page: wire.Page) -> None:
         if page.last:
-            self.members.send(me.name, wire.Pull(page.last, page.rows))
+            self.members.send(me.name, wire.Pull(page.last))
+
+    def _compare(self, name: str, begin: int) -> None:
+        if self._compares:
+            self._compares -= 1
+            self.members.send(name, self.counts.compare(begin, self.random.getrandbits(53) | 1))
+
+    def _on_compare(self, now: float, me: Claim, ask: wire.Compare) -> None:
+        self.members.send(me.name, self.counts.differing(now, ask, wire.MOST_BYTES - ENVELOPE))
+
+    def _on_rows(self, now: float, me: Claim, body: wire.Rows) -> None:
+        for row in body.rows:
+            self.counts.merge(now, row)
+        if body.next:
+            self._compare(me.name, body.next)
 
     # What goes out.
 
     def _flush(self, now: float) -> list[Datagram]:
-        for name, state, why in self.members.changes:
-            if state in ("dead", "left"):
-                self.verdicts.gone(name)
-            self.note("fleet_member", member=name, state=state, why=why)
-        self.members.changes.clear()
-        out = []
-        while self.members.out:
-            address, to, body = self.members.out.pop(0)
+        members = self.members
+        if members.changes:
+            for name, state, why in members.changes:
+                if state in ("dead", "left"):
+                    self.verdicts.gone(name)
+                self.note("fleet_member", member=name, state=state, why=why)
+                for watch in self.watchers:
+                    watch(now, name, state)
+            members.changes.clear()
+        out: list[Datagram] = []
+        if not members.out:
+            return out
+        sending, members.out = members.out, []
+        for address, to, body in sending:
             data = wire.encode(self._packet(now, to, body))
             if len(data) > wire.MOST_BYTES:  # the bounds on all parts leave no room for this
                 self._count("fleet_too_long")
@@ -300,18 +393,15 @@
         return out
 
     def _packet(self, now: float, to: str, body: wire.Body) -> Packet:
-        room = wire.MOST_BYTES - ENVELOPE
-        if isinstance(body, wire.Page):
-            if body.rows:
-                rows, last = self.counts.page(now, body.last, room)
-                return Packet(self.members.me, to, wire.Page(last, True), [], rows)
+        room, kind = wire.MOST_BYTES - ENVELOPE, body.__class__
+        if kind is wire.Page:
             claims, last = self.members.page(body.last, room)
-            return Packet(self.members.me, to, wire.Page(last, False), claims)
-        if isinstance(body, (wire.Word, wire.Pull)):
+            return Packet(self.members.me, to, wire.Page(last), claims)
+        if kind in ALONE:
             return Packet(self.members.me, to, body)
-        claims = list(self.members.news(to, room))
-        room -= sum(map(wire.size, claims))
-        return Packet(self.members.me, to, body, claims, list(self.counts.news(now, room)))
+        kept = int(room * KEPT) if self.counts.pending else 0
+        claims, room = self.members.news(to, room - kept)
+        return Packet(self.members.me, to, body, claims, self.counts.news(now, room + kept))
 
     # What is told.
 
@@ -326,7 +416,7 @@
                 "units": s.budget.units, "window_ms": s.budget.window_ms, "own": s.rights.own, "held": s.rights.held,
                 "ready": s.rights.ready(now), "lent": s.rights.own - s.rights.in_hand,
                 "borrowed": sum(loan.held for loan in s.rights.borrowed.values()), "need": s.demand.need(now, True),
-                "spent": s.rights.spent, "denied": s.rights.denied} for name, s in self.budgets.items()},
+                "spent": s.rights.spent, "denied": s.rights.denied} for name, s in self.budgets.items() if s.number},
             "sums": self.counts.sums(), "last_window": self.counts.sums(window - 1),
             "stale_ms": {name: round(stale[name]) for name in sorted(stale)[:256]},
             "verdicts": self.verdicts.table(now)[:64],
--- a/frostspindle/fleet/rumours.py
+++ b/frostspindle/fleet/rumours.py
@@ -6,7 +6,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Hashable, Iterator
+from collections.abc import Hashable
+from itertools import islice
 from typing import Generic, TypeVar
 
 Key = TypeVar("Key", bound=Hashable)
@@ -19,6 +20,7 @@
     def __init__(self) -> None:
         self._levels: list[dict[Key, Value]] = [{}]
         self._level: dict[Key, int] = {}
+        self.keys = self._level.keys()  # of all pieces, as they come and go
 
     def __len__(self) -> int:
         return len(self._level)
@@ -33,21 +35,25 @@
         if (level := self._level.pop(key, None)) is not None:
             del self._levels[level][key]
 
-    def next(self, most: int) -> Iterator[tuple[Key, Value]]:
-        """Up to so many pieces, those sent least often first; call `sent` for each that goes out."""
-        for level in list(self._levels):
-            for piece in list(level.items())[:most]:
-                yield piece
-                most -= 1
-            if most <= 0:
-                return
+    def next(self, most: int) -> list[tuple[Key, Value]]:
+        """Up to so many pieces, each once, those sent least often first; call `sent` for each that goes out."""
+        out: list[tuple[Key, Value]] = []
+        if self._level:
+            for level in self._levels:
+                if level:
+                    out += islice(level.items(), most - len(out))
+                    if len(out) >= most:
+                        break
+        return out
 
     def sent(self, key: Key, times: int) -> None:
         """It went out once more; after `times` it is forgotten."""
         level = self._level.pop(key)
-        value = self._levels[level].pop(key)
-        if level + 1 < times:
-            if level + 1 == len(self._levels):
-                self._levels.append({})
-            self._levels[level + 1][key] = value
-            self._level[key] = level + 1
+        levels = self._levels
+        value = levels[level].pop(key)
+        level += 1
+        if level < times:
+            if level == len(levels):
+                levels.append({})
+            levels[level][key] = value
+            self._level[key] = level
--- a/frostspindle/fleet/service.py
+++ b/frostspindle/fleet/service.py
@@ -13,7 +13,7 @@
 import socket
 import time
 from collections import Counter
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Any, Protocol
 
 from frostspindle.events import Events
 from frostspindle.fleet import verdicts, wire
@@ -34,6 +34,21 @@
     return time.monotonic() * 1000.0
 
 
+class Part(Protocol):
+    """Another part of the program that talks to its like in other coordinators: over one channel, by datagrams."""
+
+    channel: int  # of wire.CHANNELS, its own
+
+    def begin(self, now: float, node: Node) -> None:
+        """The port is this process's; from now on Service.post reaches members."""
+
+    def hear(self, now: float, name: str, epoch: int, data: bytes) -> None:
+        """A message of a member's process, proven to be its sender; lost, late, doubled as any datagram."""
+
+    def member(self, now: float, name: str, state: str) -> None:
+        """A member is now alive, suspect, dead or left."""
+
+
 class Service:
     """One process's part in the fleet."""
 
@@ -42,6 +57,7 @@
         self.name, self.listen, self.advertise, self.terms = name, listen, advertise, terms
         self.tenants, self.core, self.events = tenants, core, events  # tenants: the module's number, its budget
         self.node: Node | None = None
+        self.parts: list[Part] = []  # set before start
         self.socket: socket.socket | None = None
         self._timer: asyncio.TimerHandle | None = None
         self._task: asyncio.Task[None] | None = None
@@ -74,8 +90,13 @@
         here = self.advertise or self.socket.getsockname()
         self.node = Node(self.name, here, int(time.time() * 1e6), secrets.token_bytes(16), self.terms, monotonic())
         self.node.note = self.events.log
+        for part in self.parts:
+            self.node.channels[part.channel] = part.hear
+            self.node.watchers.append(part.member)
         loop.add_reader(self.socket, self._read)
         self.events.log("fleet", listen=self.socket.getsockname(), advertise=here, epoch=self.node.epoch)
+        for part in self.parts:
+            part.begin(monotonic(), self.node)
         self._tick()
         while True:
             await asyncio.sleep(LOOK_S)
@@ -117,6 +138,11 @@
 
     # What the coordinator uses.
 
+    def post(self, name: str, channel: int, data: bytes) -> None:
+        """Send a part's message of up to wire.MOST_PARCEL bytes to a member; nothing where the node does not serve."""
+        if self.node is not None and self.socket is not None:
+            self._send(self.node.post(monotonic(), name, channel, data))
+
     def within(self, tenant: int) -> bool:
         """Whether one more request of a tenant is within the fleet's budget for it; a request books one unit."""
         budget = self.tenants.get(tenant)
@@ -144,8 +170,9 @@
             changed = [number for number, state in self.core.engines.items() if state.name in agreed ^ self._heard]
             self._heard = agreed
             if changed:
-                self.core.hear(tuple(api.Peer(
-                    number, 0, 0.0, self.core.engines[number].name in agreed, 1.0, (), 0.0) for number in changed))
+                parts = {n: believed.part for n, believed in self.core.controller.engines.items()}
+                self.core.hear(tuple(api.Peer(number, 0, 0.0, self.core.engines[number].name in agreed,
+                                              parts.get(number, 1.0), (), 0.0) for number in changed))
                 self.events.log("fleet_verdict", sick=sorted(agreed)[:16])
 
     def _standing(self, now: float) -> dict[tuple[str, int], tuple[float, ...]]:
--- a/frostspindle/fleet/verdicts.py
+++ b/frostspindle/fleet/verdicts.py
@@ -57,6 +57,11 @@
         return [Verdict(engine, kind, min(1e9, max(0.0, now - since)), list(evidence[:4]))
                 for (engine, kind), (since, evidence) in self.own.items()]
 
+    @property
+    def speaks(self) -> bool:
+        """Whether anybody needs our word."""
+        return bool(self.own or self._untold)
+
     def tells(self, name: str) -> bool:
         """Whether that member needs our word."""
         return bool(self.own) or name in self._untold
--- /dev/null
+++ b/frostspindle/fleet/warming.py
@@ -0,0 +1,129 @@
+"""Cold engines' rights in the running program: between the decision module, the core's fence and the fleet's node.
+
+Owns the timer that tells the module its part of each cold engine's budget, and the last word before a first byte to
+one. It must never decide how much anybody may send (`cold.py` does), nor which engine or query (the module does), and
+where the fleet's port is not ours yet, nothing passes to a cold engine.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, Any
+
+from frostspindle.core import Attempt, EngineState, clock
+from frostspindle.fleet.cold import Cold, exact, wished
+from frostspindle.fleet.node import Node
+from frostspindle.fleet.service import monotonic
+from pinstage import interface as api
+from pinstage.control import COLD_SAFETY
+
+if TYPE_CHECKING:
+    from frostspindle.host import Host
+
+CHANNEL = 4  # kept for it: its rights move by the messages that all budgets' do
+TICK_S, IDLE_S = 0.02, 0.25  # with an engine cold, and without
+WAITING = 64  # of those that are held, the first so many are looked at
+
+
+class Warming:
+    """One process's side; a Part of the fleet's Service."""
+
+    channel = CHANNEL
+
+    def __init__(self, program: Host) -> None:
+        fleet = program.config.operator.fleet
+        assert fleet is not None
+        self.core, self.events, self.lease_ms, self.outside = (
+            program.core, program.events, fleet.cold_lease_ms, fleet.cold_outside)
+        self.cold: Cold | None = None
+        self._timer: asyncio.TimerHandle | None = None
+        self._passed, self.core.fence = self.core.fence, self.fence
+
+    def begin(self, now: float, node: Node) -> None:
+        settings = self.core.settings
+        self.cold = Cold(node, settings.cold_window_ms, settings.dispatchers, self.outside, self.lease_ms, now, clock())
+        self.cold.count = self.events.count
+        self._tick()
+
+    def hear(self, now: float, name: str, epoch: int, data: bytes) -> None:
+        self.events.count("cold_undecodable")
+
+    def member(self, now: float, name: str, state: str) -> None:
+        """Rights end by time, whoever is thought dead."""
+
+    def close(self) -> None:
+        """Before the fleet's port is let go: what is borrowed goes back by then, and nothing may be paid any more."""
+        self.cold = None
+        if self._timer is not None:
+            self._timer.cancel()
+
+    def fence(self, state: EngineState, attempt: Attempt) -> bool:
+        """Asked right before a first byte: an engine that is cold gets it only against rights."""
+        if self._passed is not None and not self._passed(state, attempt):
+            return False
+        now, controller = clock(), self.core.controller
+        believed = controller.engines.get(attempt.engine)
+        if believed is None or attempt.over or not believed.ready or not believed.cold(now):
+            return True
+        job = controller.jobs.get(attempt.ask.number)
+        if job is None or self.cold is None:
+            self.events.count("cold_stopped")
+            return False
+        return self.cold.pay(monotonic(), state.name, born(state), attempt.sent_ms, controller.cold_work(job),
+                             self._times * controller.cold_budget(believed, now))
+
+    @property
+    def _times(self) -> float:
+        controller = self.core.controller
+        return exact(controller.s.dispatchers, self.outside, controller.sparse, COLD_SAFETY)
+
+    def _tick(self) -> None:
+        wait_s = IDLE_S
+        try:
+            if self._step():
+                wait_s = TICK_S
+        except Exception as error:  # noqa: BLE001 - the next tick looks at all again
+            self.events.count("faults")
+            self.events.log("fault", error=repr(error), of="warming")
+        self._timer = asyncio.get_running_loop().call_later(wait_s, self._tick)
+
+    def _step(self) -> bool:
+        """Tell the module its parts that have changed; whether any engine is cold."""
+        if (cold := self.cold) is None:
+            return False
+        now, mono, controller = clock(), monotonic(), self.core.controller
+        cold.tick(mono)
+        words, times = [], self._times
+        needs = controller.cold_need(now)
+        works = [controller.cold_work(job) for *_, job in controller.held[:WAITING]] if needs else []
+        for place, number in enumerate(sorted(needs)):
+            state, believed = self.core.engines.get(number), controller.engines[number]
+            if state is not None:
+                whole = times * controller.cold_budget(believed, now)
+                wish, least = wished(works, len(needs), whole / controller.s.dispatchers)
+                here = place == controller.s.number % len(needs)
+                part = times * cold.look(mono, now, state.name, born(state), whole, needs[number][0] / times,
+                                         here * wish / whole, least / whole, TICK_S * 1e3)
+                if part != believed.part:
+                    words.append(api.Peer(number, believed.peers, believed.peers_memory, believed.hearsay, part, (),
+                                          0.0))
+        if words:
+            self.core.hear(tuple(words))
+        return bool(needs)
+
+    def figures(self) -> dict[str, Any]:
+        """For operators."""
+        return self.cold.figures(monotonic()) if self.cold is not None else {}
+
+
+def born(state: EngineState) -> float:
+    """When the engine's process began, as the list has it: the same at all coordinators, whatever they believe of it
+    since, as after a ban that hid a start."""
+    return (state.listed or state.entry).since_ms
+
+
+def attach(program: Host) -> Warming:
+    """Where the operator has cold engines' budgets shared; before the fleet starts."""
+    warming = Warming(program)
+    program.fleet.parts.append(warming)
+    return warming
--- a/frostspindle/fleet/wire.py
+++ b/frostspindle/fleet/wire.py
@@ -6,7 +6,8 @@
 
 from __future__ import annotations
 
-from typing import Annotated
+from collections.abc import Callable
+from typing import Annotated, Any
 
 import msgspec
 from msgspec import Meta, Struct
@@ -15,12 +16,17 @@
 ALIVE, SUSPECT, DEAD, LEFT = range(4)
 STATES = ("alive", "suspect", "dead", "left")
 PROOF = 16  # bytes of an incarnation's proof
+SPAN_BITS = 48  # of a place's hash
+MOST_MARKS = 1_000  # bytes of a comparison
+MOST_PARCEL = 960  # bytes that another part of the program may send in one message
+CHANNELS = 16
 
 Whole = Annotated[int, Meta(ge=0, le=2**53)]
 Name = Annotated[str, Meta(min_length=1, max_length=64)]  # of a member or an engine
 Key = Annotated[str, Meta(min_length=1, max_length=24)]
 Proof = Annotated[bytes, Meta(min_length=PROOF, max_length=PROOF)]
 Ms = Annotated[float, Meta(ge=0, le=1e9)]
+Position = Annotated[int, Meta(ge=0, lt=2**SPAN_BITS)]
 
 
 class Claim(Struct, array_like=True, frozen=True):
@@ -81,17 +87,15 @@
 
 
 class Pull(Struct, array_like=True, frozen=True, tag=4):
-    """Tell me what you hold of members and counts, from this place on in the order of names."""
+    """Tell me what you hold of members, after this one in the order of names."""
 
-    after: Annotated[str, Meta(max_length=96)]
-    rows: bool  # counts, else members
+    after: Annotated[str, Meta(max_length=64)]
 
 
 class Page(Struct, array_like=True, frozen=True, tag=5):
     """The piggyback holds what was asked for; `last` is the name to go on after, "" at the end."""
 
-    last: Annotated[str, Meta(max_length=96)]
-    rows: bool
+    last: Annotated[str, Meta(max_length=64)]
 
 
 class Gossip(Struct, array_like=True, frozen=True, tag=6):
@@ -138,7 +142,32 @@
     returned: Whole
 
 
-Body = Ping | Ack | Relay | Nack | Pull | Page | Gossip | Word | Ask | Grant | Back
+class Compare(Struct, array_like=True, frozen=True, tag=11):
+    """Tell me the rows that you have newer. All places are laid out by a hash and cut in 2**bits ranges of one width;
+    from the range that `begin` is in, of the places from `begin` on, each has a byte for how many I know (255: too
+    many), one for which these are, one for what they hold, and for each, in order, the low byte of its version."""
+
+    begin: Position
+    bits: Annotated[int, Meta(ge=0, le=10)]
+    salt: Whole
+    marks: Annotated[bytes, Meta(max_length=MOST_MARKS)]
+
+
+class Rows(Struct, array_like=True, frozen=True, tag=12):
+    """The answer, and where to begin the next Compare; 0: that was all."""
+
+    next: Position
+    rows: Annotated[list[Row], Meta(max_length=32)]
+
+
+class Parcel(Struct, array_like=True, frozen=True, tag=13):
+    """Another part's message, which the fleet carries and does not read; the part bounds and checks what is in it."""
+
+    channel: Annotated[int, Meta(ge=0, lt=CHANNELS)]
+    data: Annotated[bytes, Meta(max_length=MOST_PARCEL)]
+
+
+Body = Ping | Ack | Relay | Nack | Pull | Page | Gossip | Word | Ask | Grant | Back | Compare | Rows | Parcel
 
 
 class Packet(Struct, array_like=True, frozen=True):
@@ -151,23 +180,28 @@
     rows: Annotated[list[Row], Meta(max_length=32)] = []
 
 
-_encoder = msgspec.msgpack.Encoder()
-_decoder = msgspec.msgpack.Decoder(Packet)
-encode = _encoder.encode
+encode = msgspec.msgpack.Encoder().encode
+
+
+class BadPacket(ValueError):
+    """Bytes that are no message of ours."""
+
 
+def reader(form: Any, most: int = MOST_PARCEL) -> Callable[[bytes], Any]:
+    """What reads messages of a form: BadPacket for whatever is too long, malformed or out of range."""
+    decoder = msgspec.msgpack.Decoder(form)
 
-class BadPacket(Exception):
-    """A datagram that is no message of ours."""
+    def decode(data: bytes) -> Any:
+        if len(data) > most:
+            raise BadPacket("too long")
+        try:
+            return decoder.decode(data)
+        except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+            raise BadPacket(str(error)[:120]) from None
+    return decode
 
 
-def decode(data: bytes) -> Packet:
-    """BadPacket for whatever is too long, malformed or out of range."""
-    if len(data) > MOST_BYTES:
-        raise BadPacket("too long")
-    try:
-        return _decoder.decode(data)
-    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
-        raise BadPacket(str(error)[:120]) from None
+decode: Callable[[bytes], Packet] = reader(Packet, MOST_BYTES)
 
 
 def size(part: Struct) -> int:
--- a/frostspindle/lab/fleet.py
+++ b/frostspindle/lab/fleet.py
@@ -1,13 +1,14 @@
 """The fleet's emulator: the same nodes without I/O, on a simulated network and simulated clocks.
 
-Owns simulated time, the processes' lives (killed, started anew without memory, stopped, continued), their clocks, their
-demand, and what is measured of a run. The same arguments give the same run. It must never look into a node to make a
-figure that a fleet could not show, except where a figure says so (`overspend` counts each unit at its true time).
+Owns the processes' lives (killed, started anew without memory, stopped, continued), their clocks, their demand, and
+what is measured of a run; what is under way and when it comes is the `network`'s. The same arguments give the same run.
+It must never look into a node to make a figure that a fleet could not show, except where a figure says so (`overspend`
+counts each unit at its true time).
 """
 
 from __future__ import annotations
 
-import heapq
+import gc
 import random
 from bisect import bisect_left
 from collections.abc import Callable
@@ -15,7 +16,8 @@
 from typing import Any
 
 from frostspindle.fleet.node import Budget, Node, Terms
-from frostspindle.lab.faults.script import Script, Weather
+from frostspindle.lab.faults.script import Script
+from frostspindle.lab.network import Network
 
 CHAIN = 512  # incarnations of one process here
 BUDGET = "shared"
@@ -35,8 +37,6 @@
     demand: float  # units a second
     node: Node | None = None
     lives: int = 0
-    stopped: bool = False
-    waiting: list[tuple[tuple[str, int], bytes]] = field(default_factory=list)  # came while it was stopped
     due: float = 0.0  # true ms of its next tick; an older entry in the queue is void
     arrives: float = 0.0
     was: dict[str, int] = field(default_factory=dict)  # what its earlier lives counted
@@ -53,7 +53,7 @@
         self.count, self.seed, self.script, self.seconds = count, seed, script, seconds
         self.units = units or 20 * count
         self.window_ms = window_ms
-        self.weather = Weather(script, seed + 1, base_ms)
+        self.network = Network(count, script, seed + 1, base_ms, up=False)
         homes = min(count, homes or 64)
         # Addresses are names only here: a process keeps its own over all its lives.
         self.addresses = [(f"127.{n >> 16}.{n >> 8 & 255}.{n & 255}", 4_000) for n in range(count)]
@@ -68,10 +68,8 @@
         self.processes = [Process(names[n], clocks.get(n, 1.0), self.random.uniform(0.0, 1e7), demand(n))
                           for n in range(count)]
         self.now = 0.0
-        self.queue: list[tuple[float, int, int, Any]] = []  # when, order, node, what
-        self.order = 0
         self.spends: list[tuple[float, int]] = []  # true time, node; one unit each
-        self.bytes = self.messages = self.events = 0
+        self.bytes = self.messages = 0
         self.joining_bytes = 0  # of these, in the first JOINING_S
         self.false_suspicions = 0
         self.detected: dict[int, list[float]] = {}  # of a killed node: when others held it for dead
@@ -82,21 +80,19 @@
             if joined:  # all have started before, and know each other
                 self._begin(n, self.processes[n])
             else:
-                self._push(self.random.uniform(0.0, join_s * 1_000.0), n, "start")
+                self.network.at(self.random.uniform(0.0, join_s * 1_000.0), n, "start")
         if joined:
             claims = [node.members.me for node in self.live()]
             for process in self.processes:
                 assert process.node is not None
                 process.node.members.know(self.clock(process), claims)
-        for act in script.acts:
-            self._push(act.at * 1_000.0, act.node, act.kind)
-
-    def _push(self, at: float, node: int, what: Any) -> None:
-        self.order += 1
-        heapq.heappush(self.queue, (at, self.order, node, what))
 
     # Time.
 
+    @property
+    def events(self) -> int:
+        return self.network.events
+
     def clock(self, process: Process, at: float | None = None) -> float:
         """The process's own monotonic ms."""
         return process.offset + (self.now if at is None else at) * process.rate
@@ -106,48 +102,53 @@
         return 1.7e12 + self.now
 
     def run(self) -> None:
-        until, step = self.seconds * 1_000.0, 0.0
-        while self.queue and self.queue[0][0] <= until:
-            at, _, number, what = heapq.heappop(self.queue)
+        collects = gc.isenabled()
+        gc.disable()  # what is made here and let go of again is in no cycle
+        try:
+            self._run(self.seconds * 1_000.0)
+        finally:
+            if collects:
+                gc.enable()
+
+    def _run(self, until: float) -> None:
+        step = 0.0
+        processes, paused, addresses = self.processes, self.network.paused, self.addresses
+        for at, number, what in self.network.deliver(until):
             while step <= at:
                 self.now = max(self.now, step)
                 step += 100.0
                 if self.on_step is not None:
                     self.on_step(self)
             self.now = at
-            self.events += 1
-            self._handle(number, self.processes[number], what)
+            process = processes[number]
+            node = process.node
+            if what.__class__ is tuple:  # a datagram: who sent it, the bytes
+                if out := node.receive(process.offset + at * process.rate, addresses[what[0]], what[1]):
+                    self._send(number, out)
+                self._plan(number, process)
+            elif what == "want":
+                self._want(number, process)
+            elif what == "tick":
+                if node is not None and not paused[number] and at >= process.due:
+                    if out := node.tick(process.offset + at * process.rate, self.unix()):
+                        self._send(number, out)
+                    self._plan(number, process, True)
+            else:
+                self._act(number, process, what)
         self.now = until
 
-    def _handle(self, number: int, process: Process, what: Any) -> None:
-        if isinstance(what, tuple):  # a datagram: who sent it, the bytes
-            if process.stopped:
-                if len(process.waiting) < 200:  # as much as a socket holds
-                    process.waiting.append(what)
-            elif process.node is not None:
-                self._send(number, process.node.receive(self.clock(process), *what))
-                self._plan(number, process)
-        elif what == "tick":
-            if process.node is not None and not process.stopped and self.now >= process.due:
-                self._send(number, process.node.tick(self.clock(process), self.unix()))
-                self._plan(number, process, True)
-        elif what == "want":
-            self._want(number, process)
-        elif what == "kill":
-            self._end(number, process)
+    def _act(self, number: int, process: Process, what: str) -> None:
+        if what == "kill":
+            if process.node is not None:
+                self.false_suspicions += process.node.members.false_suspicions
+                process.node = None
+                self.killed_at[number] = self.now
         elif what == "start":
             if process.node is None:
                 self._begin(number, process)
-        elif what == "stop":
-            process.stopped = True
-        elif what == "cont":
-            process.stopped = False
-            if process.node is not None:  # a process that wakes up: its timers are due, then its socket is read
-                process.due = self.now
-                self._push(self.now, number, "tick")
-                for datagram in process.waiting:
-                    self._push(self.now, number, datagram)
-                process.waiting = []
+        elif what == "cont" and process.node is not None:  # a process that wakes up: its timers are due
+            process.due = self.now
+            self.network.at(self.now, number, "tick")
 
     def _begin(self, number: int, process: Process) -> None:
         process.lives += 1
@@ -155,7 +156,7 @@
         epoch = int(self.unix() * 1_000) + process.lives
         process.node = node = Node(process.name, self.addresses[number], epoch, secret, self.terms,
                                    self.clock(process))
-        process.stopped, process.waiting = False, []
+        self.network.up[number] = True
 
         def note(event: str, **fields: Any) -> None:
             if event == "fleet_member":
@@ -164,13 +165,7 @@
         self._plan(number, process, True)
         if process.lives == 1 and process.demand > 0:
             process.arrives = self.now
-            self._push(self.now + self._gap(process), number, "want")
-
-    def _end(self, number: int, process: Process) -> None:
-        if process.node is not None:
-            self.false_suspicions += process.node.members.false_suspicions
-            process.node, process.stopped = None, False
-            self.killed_at[number] = self.now
+            self.network.at(self.now + self._gap(process), number, "want")
 
     def _noted(self, member: str, state: str) -> None:
         number = self.named.get(member, -1)  # -1: a name that nobody has
@@ -179,32 +174,33 @@
 
     def _plan(self, number: int, process: Process, anew: bool = False) -> None:
         assert process.node is not None
-        due = max(self.now, (process.node.due() - process.offset) / process.rate + ROUNDING_MS)
+        due = (process.node.due() - process.offset) / process.rate + ROUNDING_MS
         if anew or due < process.due:
-            process.due = due
-            self._push(due, number, "tick")
+            process.due = max(due, self.now)
+            self.network.at(due, number, "tick")
 
     def _gap(self, process: Process) -> float:
         return self.random.expovariate(process.demand / 1_000.0)
 
     def _want(self, number: int, process: Process) -> None:
         if process.demand > 0:
-            self._push(self.now + self._gap(process), number, "want")
-        if process.node is not None and not process.stopped and process.node.spend(
+            self.network.at(self.now + self._gap(process), number, "want")
+        if process.node is not None and not self.network.paused[number] and process.node.spend(
                 self.clock(process), self.unix(), BUDGET):
             self.spends.append((self.now, number))
 
     def _send(self, number: int, datagrams: list[Any]) -> None:
+        size = carried = 0
+        send, numbers = self.network.send, self.numbers
         for address, data in datagrams:
-            self.messages += 1
-            self.bytes += len(data)
-            if self.now < JOINING_S * 1_000.0:
-                self.joining_bytes += len(data)
-            target = self.numbers.get(address)
-            if target is None:
-                continue
-            for delay in self.weather.fate(self.now / 1_000.0, number, target):
-                self._push(self.now + delay, target, (self.addresses[number], data))
+            target = numbers.get(address)
+            if target is None or send(number, target, data):  # nobody's address: a socket takes that too
+                carried += 1
+                size += len(data)
+        self.messages += carried
+        self.bytes += size
+        if self.now < JOINING_S * 1_000.0:
+            self.joining_bytes += size
 
     # Figures.
 
--- a/frostspindle/lab/fleet_report.py
+++ b/frostspindle/lab/fleet_report.py
@@ -1,17 +1,15 @@
-"""A page that shows one run of the fleet's emulator: spending against the budget over time, by group.
+"""What is plotted of one run of the fleet's emulator: spending against the budget over time, by group.
 
-Owns the plots and the page's form. It must never compute a figure that the run did not give. Needs the extra `plot`.
+Owns the plot; the page is `page`'s. It must never compute a figure that the run did not give. Needs the extra `plot`.
 """
 
 from __future__ import annotations
 
-import base64
-import html
-import io
 from collections import Counter
 from pathlib import Path
 from typing import Any
 
+from frostspindle.lab import page
 from frostspindle.lab.fleet import Emulator
 
 
@@ -26,43 +24,26 @@
 
 def write(emulator: Emulator, figures: dict[str, Any], folder: str) -> Path:
     """`index.html` in the folder."""
-    import matplotlib
-
-    matplotlib.use("Agg")
-    from matplotlib import pyplot
-
-    window = emulator.window_ms
-    spans = int(emulator.seconds * 1_000.0 / window)
-    figure, axes = pyplot.subplots(figsize=(10, 4.5))
-    base = [0] * spans
-    for label, members in groups(emulator).items():
-        inside = set(members)
-        by = Counter(int(at / window) for at, n in emulator.spends if n in inside)
-        values = [by.get(n, 0) for n in range(spans)]
-        tops = [low + value for low, value in zip(base, values, strict=True)]
-        axes.fill_between([n * window / 1_000.0 for n in range(spans)], base, tops, step="post", alpha=0.7, label=label)
-        base = tops
-    axes.axhline(emulator.units, color="black", linewidth=1.2, label="budget")
-    for rule in emulator.script.rules:
-        if rule.kind in ("cut", "oneway"):
-            axes.axvspan(rule.begins, min(rule.ends, emulator.seconds), color="grey", alpha=0.15)
-    for act in emulator.script.acts:
-        axes.axvline(act.at, color="red", linewidth=0.8, linestyle=":")
-        axes.text(act.at, emulator.units * 1.02, f"{act.kind} {act.node}", fontsize=7, rotation=60)
-    axes.set(xlabel="seconds", ylabel=f"units spent in each {window:g} ms", ylim=(0, emulator.units * 1.25))
-    axes.legend(loc="lower right", fontsize=8)
-    picture = io.BytesIO()
-    figure.tight_layout()
-    figure.savefig(picture, format="png", dpi=110)
-    pyplot.close(figure)
-    rows = "".join(f"<tr><td>{html.escape(key)}</td><td>{html.escape(str(value))}</td></tr>"
-                   for key, value in figures.items())
-    page = Path(folder, "index.html")
-    page.parent.mkdir(parents=True, exist_ok=True)
-    page.write_text(
-        "<!doctype html><meta charset=utf-8><title>Fleet run</title><style>body{font:14px sans-serif;margin:2em}"
-        "td{padding:2px 12px;border-bottom:1px solid #ddd}</style><h1>A run of the fleet's emulator</h1>"
-        f'<img alt="spending against the budget" src="data:image/png;base64,'
-        f'{base64.b64encode(picture.getvalue()).decode()}"><p>Grey: a partition. Dotted: a process killed, started, '
-        f"stopped or continued.</p><table>{rows}</table>")
-    return page
+    def draw(axes: Any) -> None:
+        window = emulator.window_ms
+        spans = int(emulator.seconds * 1_000.0 / window)
+        base = [0] * spans
+        for label, members in groups(emulator).items():
+            inside = set(members)
+            by = Counter(int(at / window) for at, n in emulator.spends if n in inside)
+            values = [by.get(n, 0) for n in range(spans)]
+            tops = [low + value for low, value in zip(base, values, strict=True)]
+            axes.fill_between([n * window / 1_000.0 for n in range(spans)], base, tops, step="post", alpha=0.7,
+                              label=label)
+            base = tops
+        axes.axhline(emulator.units, color="black", linewidth=1.2, label="budget")
+        for rule in emulator.script.rules:
+            if rule.kind in ("cut", "oneway"):
+                axes.axvspan(rule.begins, min(rule.ends, emulator.seconds), color="grey", alpha=0.15)
+        for act in emulator.script.acts:
+            axes.axvline(act.at, color="red", linewidth=0.8, linestyle=":")
+            axes.text(act.at, emulator.units * 1.02, f"{act.kind} {act.node}", fontsize=7, rotation=60)
+        axes.set(xlabel="seconds", ylabel=f"units spent in each {window:g} ms", ylim=(0, emulator.units * 1.25))
+
+    return page.write(folder, "Fleet run", "A run of the fleet's emulator", "spending against the budget",
+                      "Grey: a partition. Dotted: a process killed, started, stopped or continued.", figures, draw)
--- /dev/null
+++ b/frostspindle/lab/warming.py
@@ -0,0 +1,82 @@
+"""Cold engines' rights in the emulator of power losses: one coordinator's fleet node, as the program ties it.
+
+Owns the node's life and timer, what its module is told of its parts, and the payment at the first byte. It must never
+move a right by itself, nor choose what is sent: `fleet/cold.py` and the module do.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from frostspindle.fleet.cold import Cold, exact, wished
+from frostspindle.fleet.node import Datagram, Node, Terms
+from pinstage import interface as api
+from pinstage.control import COLD_SAFETY, Controller
+
+PORT, LEASE_MS, TICK_MS, IDLE_MS = 4_000, 1_500.0, 20.0, 250.0  # the last three as in fleet/warming.py, config.py
+CHAIN, WAITING = 512, 64
+
+
+def address(number: int) -> tuple[str, int]:
+    return f"127.{number >> 16}.{number >> 8 & 255}.{number & 255}", PORT
+
+
+def numbered(place: tuple[str, int]) -> int:
+    """The coordinator that has this address."""
+    _, high, middle, low = map(int, place[0].split("."))
+    return high << 16 | middle << 8 | low
+
+
+class Warming:
+    """From a coordinator's start to its loss. Times: ms of the emulator; Unix ms where named so."""
+
+    def __init__(self, number: int, seeds: tuple[str, ...], settings: api.Settings, secret: bytes, now: float,
+                 unix: float, send: Callable[[int, bytes], None]) -> None:
+        self.send = send
+        self.node = Node(f"c{number:03d}", address(number), int(unix * 1_000.0), secret, Terms(
+            {name: address(place) for place, name in enumerate(seeds)}, chain=CHAIN), now)
+        self.cold = Cold(self.node, settings.cold_window_ms, settings.dispatchers, 0, LEASE_MS, now, unix)
+        self.look_at = -1e18
+
+    def hear(self, now: float, source: int, data: bytes) -> None:
+        self._post(self.node.receive(now, address(source), data))
+
+    def _post(self, out: list[Datagram]) -> None:
+        for place, data in out:
+            self.send(numbered(place), data)
+
+    def tick(self, now: float, unix: float, controller: Controller, born: dict[int, float]) -> api.Peers | None:
+        """The node's timer and the module's parts; `born`: when each engine began, as the bus has told. Unix ms."""
+        if now >= self.node.due():
+            self._post(self.node.tick(now, unix))
+        if now < self.look_at:
+            return None
+        cold = any(e.ready and e.cold(unix) for e in controller.engines.values())
+        self.look_at = now + (TICK_MS if cold else IDLE_MS)
+        self.cold.tick(now)
+        times, words = exact(controller.s.dispatchers, 0, controller.sparse, COLD_SAFETY), []
+        needs = controller.cold_need(unix)
+        works = [controller.cold_work(job) for *_, job in controller.held[:WAITING]] if needs else []
+        for place, number in enumerate(sorted(needs)):
+            engine = controller.engines[number]
+            whole = times * controller.cold_budget(engine, unix)
+            wish, least = wished(works, len(needs), whole / controller.s.dispatchers)
+            here = place == controller.s.number % len(needs)
+            part = times * self.cold.look(now, unix, f"e{number}", born[number], whole, needs[number][0] / times,
+                                          here * wish / whole, least / whole, TICK_MS)
+            if part != engine.part:
+                words.append(api.Peer(number, engine.peers, engine.peers_memory, engine.hearsay, part, (), 0.0))
+        return api.Peers(tuple(words)) if words else None
+
+    def due(self, now: float) -> float:
+        """When to tick next."""
+        return max(now + 1.0, min(self.node.due() + 0.01, self.look_at))
+
+    def pays(self, now: float, unix: float, controller: Controller, request: int, engine: int, born: float) -> bool:
+        """Right before a first byte: whether it may go out."""
+        believed, job = controller.engines.get(engine), controller.jobs.get(request)
+        if believed is None or not believed.ready or not believed.cold(unix):
+            return True
+        times = exact(controller.s.dispatchers, 0, controller.sparse, COLD_SAFETY)
+        return job is not None and self.cold.pay(now, f"e{engine}", born, unix, controller.cold_work(job),
+                                                 times * controller.cold_budget(believed, unix))
--- a/tests/test_fleet_processes.py
+++ b/tests/test_fleet_processes.py
@@ -4,7 +4,7 @@
 
 from faults import UNITS, FaultsCase, spans
 
-from frostspindle.cli import operate
+from frostspindle.caller import operate
 from frostspindle.lab.faults.runner import demand, overspent
 
 
--- a/tests/test_fleet_program.py
+++ b/tests/test_fleet_program.py
@@ -28,10 +28,10 @@
 
 
 class ConfigCase(unittest.TestCase):
-    def read(self, text: str, **environ: str) -> configuration.Config:
+    def read(self, text: str, balancers: int = 1, **environ: str) -> configuration.Config:
         with tempfile.TemporaryDirectory() as folder:
             config, operator = Path(folder, "config.json"), Path(folder, "operator.toml")
-            config.write_text(json.dumps(document([])))
+            config.write_text(json.dumps(document([], balancers=balancers)))
             operator.write_text(text)
             return configuration.read({"LB_CONFIG": str(config), "FROSTSPINDLE_OPERATOR": str(operator),
                                        "LB_LISTEN": "127.0.0.1:0", **environ})
@@ -55,6 +55,11 @@
                 self.read(good.replace(old, new, 1))
         with self.assertRaisesRegex(ConfigError, "fleet: needs cores.workers"):
             self.read(good + "\n[cores]\nworkers = 2\n")
+        with self.assertRaisesRegex(ConfigError, "fleet.cold: 1 balancers"):
+            self.read(good.replace("[fleet]\n", "[fleet]\ncold = true\n", 1))
+        # Each is to the module one of several workers, so that it counts on nothing until it is told its part.
+        shared = self.read(good.replace("[fleet]\n", "[fleet]\ncold = true\n", 1), balancers=3).settings
+        self.assertEqual((shared.dispatchers, shared.workers), (3, 3))
 
 
 class OffCase(unittest.TestCase):
--- a/tests/test_fleet_state.py
+++ b/tests/test_fleet_state.py
@@ -1,17 +1,21 @@
 """The fleet's shared state without I/O: each hard case is caused in the emulator, each law drawn by hypothesis."""
 
+import hashlib
 import random
 import unittest
+from collections import Counter
 
 from hypothesis import given, strategies
 from hypothesis import settings as hypothesis_settings
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
+from frostspindle.division import fair, level
 from frostspindle.fleet import flow, verdicts, wire
-from frostspindle.fleet.counts import Counts
+from frostspindle.fleet.counts import PUBLISH_MS, Counts, interval
 from frostspindle.fleet.escrow import Rights
 from frostspindle.fleet.incarnation import Chain, owned
 from frostspindle.fleet.node import Node, Terms
+from frostspindle.fleet.rumours import Rumours
 from frostspindle.lab.faults.script import BadScript, Weather, parse
 from frostspindle.lab.fleet import Emulator, excess, measure, settle
 
@@ -147,6 +151,13 @@
         first, second = (self.play(5, "0- loss 0.2; 10 kill 1; 15 start 1", 30.0, seed=9)[1] for _ in range(2))
         self.assertEqual(first, second)
 
+    def test_a_run_is_what_it_was_before(self):
+        """Whatever only makes it faster changes no spend, byte or figure; a changed protocol, or draw, says so here."""
+        emulator, figures = self.play(9, "0- loss 0.2; 0- dup 0.1; 0- reorder 0.2; 5-12 cut 0-3|4-8; 8 kill 2; "
+                                      "9 start 2; 10 stop 4; 15 cont 4; clock 1 1.05", 25.0)
+        told = repr((emulator.spends, emulator.bytes, sorted(figures.items())))
+        self.assertEqual(hashlib.sha256(told.encode()).hexdigest()[:16], "f551339ef841712f")
+
 
 class IncarnationCase(unittest.TestCase):
     def nodes(self) -> tuple[Node, Node, Node]:
@@ -184,6 +195,23 @@
         b.receive(1_000.0, c.members.me.address, word)
         self.assertEqual(b.verdicts.judges_of(1_000.0, "e", verdicts.SICK), ["c"])
 
+    def test_another_parts_message_comes_whole_from_its_proven_sender_or_is_counted(self):
+        a, b, c = self.nodes()
+        heard, seen = [], []
+        b.channels[3] = lambda now, name, epoch, data: heard.append((name, epoch, data))
+        b.watchers.append(lambda now, name, state: seen.append((name, state)))
+        most = bytes(range(256)) * 3 + bytes(wire.MOST_PARCEL - 768)
+        self.carry([a, b, c], a.post(1_000.0, "b", 3, most) + a.post(1_000.0, "b", 4, b"x"))
+        self.assertEqual((heard, b.counted["fleet_no_such_channel"]), ([("a", 10, most)], 1))
+        self.assertEqual(a.post(1_000.0, "nobody", 3, b"x"), [])
+        word = wire.encode(wire.Packet(c.members.me, "b", wire.Parcel(3, b"x")))
+        b.receive(1_000.0, a.members.me.address, word)  # in another's name
+        long = wire.encode(wire.Packet(c.members.me, "b", wire.Parcel(3, bytes(wire.MOST_PARCEL + 1))))
+        b.receive(1_000.0, c.members.me.address, long)
+        self.assertEqual((len(heard), b.counted["fleet_spoofed"], b.counted["fleet_undecodable"]), (1, 1, 1))
+        self.carry([a, b, c], c.leave(1_000.0))
+        self.assertEqual(seen, [("c", "left")])
+
     def test_a_new_process_in_a_living_members_name_is_asked_for_at_its_address_first(self):
         a, b, c = self.nodes()
         known = b.members.members["c"].claim
@@ -266,6 +294,8 @@
             place = ("o", 1, 0)
             if sent:
                 whole.origins[place].version = 10**6
+                whole._changed[0] = dict.fromkeys(whole.origins[place].values, 10**6 + 1)
+                whole.publish(10**6, 1)
                 view.merge(0.0, whole._row(0.0, place, 0, ()))
                 view.merge(0.0, whole._row(0.0, place, 0, ()))
                 self.assertEqual(view.origins[place].values, whole.origins[place].values)
@@ -275,15 +305,12 @@
 
     def test_a_row_sent_again_with_more_in_it_under_the_same_version_is_still_joined(self):
         """An origin that dies after that must not leave two views that never agree."""
-        origin, early, late = Counts("o", 1, 0.0), Counts("a", 1, 0.0), Counts("b", 1, 0.0)
-        origin.add("k", 1)
-        origin.publish(10**6, 1)
-        early.merge(0.0, next(origin.news(0.0, 2_000)))
-        origin.add("k", 5)
-        late.merge(0.0, next(origin.news(0.0, 2_000)))
+        early, late = Counts("a", 1, 0.0), Counts("b", 1, 0.0)
+        early.merge(0.0, wire.Row("o", 1, 0, 0, 1, 0, [("k", 0, 1, 0)]))
+        late.merge(0.0, wire.Row("o", 1, 0, 0, 1, 0, [("k", 0, 6, 0)]))
         self.assertEqual((early.sums(), late.sums()), ({"k": 1}, {"k": 6}))
-        for row in late.page(0.0, "", 2_000)[0]:
-            early.merge(0.0, row)
+        for row in late.differing(5_000.0, early.compare(0, 1), 1_000).rows:
+            early.merge(5_000.0, row)
         self.assertEqual(early.sums(), {"k": 6})
         self.assertTrue(early.pending)
 
@@ -292,7 +319,7 @@
         for epoch in range(1, 12):
             other = Counts("o", epoch, 0.0)
             other.add("spent", 5)
-            other.origins["o", epoch, 0].version = 1
+            other.publish(10**6, 1)
             view.merge(0.0, other._row(0.0, ("o", epoch, 0), 0, ()))
         self.assertEqual(view.sums(), {"spent": 40})
         self.assertEqual(len([place for place in view.origins if place[0] == "o"]), 8)
@@ -310,6 +337,192 @@
             view.add("x", -1)
 
 
+class CompareCase(unittest.TestCase):
+    """What news missed: two compare what they hold, and the asker takes what is newer."""
+
+    def fill(self, held: dict[int, int]) -> Counts:
+        """Counts of so many versions of each origin."""
+        view = Counts("v", 1, 0.0)
+        for number, version in held.items():
+            view.merge(0.0, wire.Row(f"o{number}", 1, number % 3, 0, version, 0, [("k", 0, version, 0)]))
+        return view
+
+    def ask(self, asker: Counts, other: Counts, salt: int, now: float = 10_000.0, room: int = 500) -> int:
+        begin = told = 0
+        for _ in range(1_000):
+            answer = other.differing(now, asker.compare(begin, salt), room)
+            self.assertLessEqual(sum(map(wire.size, answer.rows[1:])), room)
+            told += len(answer.rows)
+            for row in answer.rows:
+                asker.merge(now, row)
+            if not answer.next:
+                return told
+            self.assertGreater(answer.next, begin)  # else it would go on for ever
+            begin = answer.next
+        raise AssertionError("never at the end")
+
+    @given(strategies.dictionaries(strategies.integers(0, 300), strategies.tuples(
+        strategies.integers(0, 600), strategies.integers(0, 600)), max_size=60), strategies.integers(0, 2**53))
+    @hypothesis_settings(max_examples=40, deadline=None)
+    def test_whoever_asks_holds_the_newest_after_a_few_questions(self, pairs, seed):
+        draw = random.Random(seed)
+        first, second = (self.fill({n: pair[side] for n, pair in pairs.items() if pair[side]}) for side in (0, 1))
+        for turn in range(40):
+            salt = draw.getrandbits(53) | 1
+            self.ask(*((first, second) if turn % 2 else (second, first)), salt if turn < 36 else salt & ~14)
+        for number, pair in pairs.items():
+            place = (f"o{number}", 1, number % 3)
+            if max(pair):
+                self.assertEqual([view.origins[place].version for view in (first, second)], [max(pair)] * 2)
+        self.assertEqual(first.sums(), second.sums())
+
+    def test_only_what_is_newer_is_told_and_what_is_on_its_way_is_not(self):
+        held = dict.fromkeys(range(300), 5)
+        newer, older = self.fill(held | {7: 6, 8: 7}), self.fill(held | {9: 6})
+        self.assertEqual(older.differing(10_000.0, newer.compare(0, 15), 1_000).rows[0].origin, "o9")
+        self.assertEqual(self.ask(older, newer, 15, now=1_000.0), 0)  # it was written a second ago
+        self.assertEqual(self.ask(older, newer, 15), 2)
+        self.assertEqual(self.ask(older, newer, 15), 0)
+        self.assertEqual(self.ask(newer, newer, 15), 0)
+        newer.merge(0.0, wire.Row("new", 1, 0, 0, 1, 0, []))
+        self.assertEqual((self.ask(newer, older, 15), self.ask(older, newer, 15)), (1, 1))  # of o9 and new only
+
+    def test_a_different_count_under_one_version_is_found(self):
+        first, second = self.fill(dict.fromkeys(range(50), 5)), self.fill(dict.fromkeys(range(50), 5))
+        second.merge(0.0, wire.Row("o7", 1, 1, 0, 5, 0, [("k", 0, 9, 0)]))
+        self.ask(first, second, 2**52 + 15)
+        self.assertEqual(first.sums(), second.sums())
+
+    @given(strategies.integers(0, 2**48 - 1), strategies.integers(0, 10), strategies.integers(0, 2**53),
+           strategies.binary(max_size=wire.MOST_MARKS))
+    def test_marks_of_any_kind_are_answered_within_bounds(self, begin, bits, salt, marks):
+        view = self.fill(dict.fromkeys(range(40), 3))
+        answer = view.differing(10_000.0, wire.Compare(begin, bits, salt, marks), 500)
+        self.assertLessEqual(sum(map(wire.size, answer.rows[1:])), 500)
+        self.assertTrue(0 <= answer.next < 2**48)
+
+    def test_marks_cut_short_are_answered_as_far_as_they_go(self):
+        view = self.fill(dict.fromkeys(range(40), 3))
+        ask = view.compare(0, 15)
+        for length in range(len(ask.marks)):
+            self.assertEqual(view.differing(10_000.0, wire.Compare(0, ask.bits, 15, ask.marks[:length]), 500).rows, [])
+
+    def test_who_answers_for_ever_is_asked_a_bounded_number_of_times(self):
+        seeds = {name: ("127.0.0.1", port) for name, port in (("a", 1), ("b", 2))}
+        node, liar = (Node(name, seeds[name], 10, name.encode() * 16, Terms(seeds, chain=64), 0.0) for name in seeds)
+        word = wire.encode(wire.Packet(liar.members.me, "a", wire.Rows(5, [])))
+        asked = sum(isinstance(wire.decode(out.data).body, wire.Compare) for _ in range(500)
+                    for out in node.receive(1.0, seeds["b"], word))
+        self.assertLessEqual(asked, 64)
+
+    def test_claims_that_crowd_a_message_leave_room_for_rows_and_of_many_that_are_back_one_is_pulled_from(self):
+        seeds = {"a": ("127.0.0.1", 1)}
+        node = Node("a", seeds["a"], 10, b"a" * 16, Terms(seeds, chain=64), 0.0)
+        claims = [wire.Claim(f"m{n}", "127.0.0.1", 100 + n, wire.ALIVE, 1, 0, bytes(16)) for n in range(60)]
+        node.members.know(0.0, claims)
+        for claim in claims:
+            node.members.told(1.0, wire.Claim(claim.name, claim.host, claim.port, wire.DEAD, 1, 0, bytes(16)), "m0")
+        node.counts.add("k", 1)
+        node.counts.publish(10**6, 60)
+        packet = node._packet(1.0, "m0", wire.Gossip())
+        self.assertGreater(len(packet.news), 5)
+        self.assertEqual(len(packet.rows), 1)
+        node.members.out.clear()
+        for number, claim in enumerate(claims):  # a later process of each speaks
+            node.members.heard(10_000.0 + number, wire.Claim(
+                claim.name, claim.host, claim.port, wire.ALIVE, 2, 0, bytes(16)), claim.address)
+        self.assertEqual([type(out.body) for out in node.members.out], [wire.Pull])
+
+    def test_what_is_told_of_a_version_stays_the_same(self):
+        origin = Counts("o", 1, 0.0)
+        origin.add("k", 1)
+        origin.publish(10**6, 1)
+        first = origin.news(0.0, 2_000)[0]
+        origin.add("k", 5)
+        self.assertEqual(origin.news(0.0, 2_000)[0].entries, first.entries)
+        origin.publish(2 * 10**6, 1)
+        self.assertEqual(origin.news(0.0, 2_000)[0].entries, [("k", 0, 6, 0)])
+
+    def test_a_delta_reaches_who_missed_the_last_three(self):
+        origin, view = Counts("o", 1, 0.0), Counts("v", 1, 0.0)
+        for number in range(1, 7):
+            origin.add(f"k{number}", 1)
+            origin.publish(number * 1e6, 1)
+            row = origin.news(0.0, 2_000)[0]
+            if number in (2, 6):
+                view.merge(0.0, row)
+        self.assertEqual((row.base, view.origins["o", 1, 0].version, len(view.sums())), (2, 6, 6))
+
+    def test_who_has_nothing_to_tell_writes_half_as_often_in_a_large_fleet(self):
+        for size, most in ((30, 20), (300, 10)):
+            idle, busy = Counts("o", 1, 0.0), Counts("o", 1, 0.0)
+            for number in range(1, 21):
+                busy.add("k", 1)
+                for counts in (idle, busy):
+                    counts.publish(number * 1e6, size)
+            self.assertEqual((idle.origins["o", 1, 0].version, busy.origins["o", 1, 0].version), (most, 20))
+
+    def test_a_large_fleet_that_starts_together_writes_spread_over_an_interval(self):
+        many = [Counts(f"c{n}", 1, 0.0) for n in range(1_000)]
+        for size, least in ((3, 0.0), (1_000, 1.0)):
+            spans = Counter(int(10.0 * (one.due(size) - PUBLISH_MS) / (interval(size) - PUBLISH_MS or 1e9))
+                            for one in many)
+            self.assertTrue(least * 50 <= min(spans.values()) and len(spans) == (10 if least else 1), spans)
+        for one in many:
+            one.publish(one.due(1_000), 1_000)
+        self.assertEqual({round(one.due(1_000) - one._published) for one in many}, {round(interval(1_000))})
+
+    def test_forty_agree_soon_after_a_cut(self):
+        emulator = Emulator(40, 1, parse("3-12 cut 0-19|20-39", 40), 40.0, 800, demand=lambda n: 2.0)
+        settle(emulator)
+        emulator.run()
+        self.assertLess(emulator.agreed_at or 99.0, 12.0)
+
+
+class RumoursCase(unittest.TestCase):
+    def test_a_piece_goes_out_once_in_a_message_and_as_often_as_it_may_in_all(self):
+        news = Rumours()
+        for key in range(50):
+            news.put(key, str(key))
+        sent = Counter()
+        while news.keys:
+            pieces = news.next(32)
+            self.assertEqual(len({key for key, _ in pieces}), len(pieces))
+            for key, _ in pieces:
+                news.sent(key, 3)
+                sent[key] += 1
+        self.assertEqual(set(sent.values()), {3})
+        counts = Counts("o", 1, 0.0)
+        counts.add("k", 1)
+        counts.publish(1e6, 1)
+        self.assertEqual(len(counts.news(0.0, 2_000)), 1)  # there is room for more copies
+
+
+class LendersCase(unittest.TestCase):
+    def test_one_of_many_homes_is_asked_at_a_time_while_nobody_has_any_left(self):
+        for count, most in ((flow.FEW, 3), (flow.FEW + 1, 1)):
+            homes, lenders = [f"c{n:02d}" for n in range(count)], flow.Lenders(1)
+            first = lenders.choose(0.0, homes, homes, ())
+            self.assertEqual(len(first), 3)
+            for name in first:
+                lenders.answered(0.0, name, 0, 0)
+            self.assertEqual(len(lenders.choose(0.0, homes, homes, ())), most)
+            self.assertFalse(set(first) & set(lenders.choose(0.0, homes, homes, ())))  # they rest
+            lenders.answered(1.0, homes[-1], 1, 5)
+            self.assertEqual((len(chosen := lenders.choose(1.0, homes, homes, ())), chosen[0]), (3, homes[-1]))
+            self.assertLessEqual(set(first), {lenders.choose(5_000.0, [*homes], first, ())[0] for _ in range(99)})
+
+
+class DivisionCase(unittest.TestCase):
+    @given(strategies.dictionaries(strategies.text(max_size=3), strategies.integers(0, 30), min_size=1, max_size=12),
+           strategies.integers(0, 150))
+    def test_shares_found_by_level_are_the_fair_ones(self, wants, whole):
+        order = sorted((want, name) for name, want in wants.items())
+        met, base, more = level(order, whole)
+        self.assertEqual({name: want if place < met else base + (place >= more)
+                          for place, (want, name) in enumerate(order)}, fair(wants, whole))
+
+
 class VerdictCase(unittest.TestCase):
     def test_fewer_than_enough_or_older_than_they_last_never_count(self):
         words = verdicts.Verdicts(3, 1_000.0)
@@ -345,6 +558,34 @@
         self.assertEqual(excess([0.0, 500.0, 999.0, 999.5], 3, 1_000.0), (1, 4))
 
 
+class LeaseCase(unittest.TestCase):
+    def test_a_loan_ends_though_nothing_else_is_due_and_what_is_owed_is_set_aside_as_it_comes(self):
+        rights = Rights(0, 1_000.0, 3_000.0, DRIFT, 0.0)
+        self.assertEqual(rights.ready(0.0), 0)
+        for seq, units in ((1, 5), (2, 8)):
+            rights.asking(0.0, "a", 1, seq)
+            self.assertTrue(rights.on_grant(10.0, "a", 1, seq, 1, units, units))
+            if seq == 1:
+                rights.owe(20.0, "a", 7)
+                self.assertEqual(rights.ready(20.0), 0)
+        self.assertEqual((rights.ready(2_999.0), rights.borrowed["a"].aside), (1, 7))
+        self.assertEqual((rights.ready(3_000.0), rights.held), (0, 0))
+
+    def test_what_comes_back_is_in_hand_again_by_word_or_by_time(self):
+        rights = Rights(10, 1_000.0, 3_000.0, DRIFT, 0.0)
+        now = rights.back_ms + rights.rest_ms
+        for name, want in (("b", 6), ("c", 4), ("b", 3)):
+            loan = rights.on_ask(now, name, 1, name in rights.lent, 1, 2 if name in rights.lent else 0, 0, want)
+            rights.lend(loan, 0 if loan.given else want)
+        self.assertEqual((rights.in_hand, rights.claims), (2, [(3, "b"), (4, "c")]))
+        rights.on_back(now, "c", 1, 2, 4)
+        self.assertEqual((rights.in_hand, rights.pool.ready), (6, 6))
+        rights.on_ask(now, "b", 2, False, 0, 0, 0, 1)  # its next process: the last one's loan ends in time
+        self.assertEqual((rights.in_hand, rights.claims), (6, [(1, "b"), (4, "c")]))
+        rights.tick(now + rights.back_ms)
+        self.assertEqual((rights.in_hand, rights.claims, rights.pool.resting), (10, [], 4))
+
+
 class LoanMachine(RuleBasedStateMachine):
     """Lender a, borrowers b and c; messages are lost, doubled and late, processes die, clocks drift. Each unit's true
     time is kept: no window of any start may hold more than the budget."""
@@ -428,6 +669,18 @@
         lender = self.rights["a"]
         assert lender.in_hand == lender.pool.total >= 0
 
+    @invariant()
+    def sums_kept_are_those_of_the_loans(self):
+        for name, rights in self.rights.items():
+            loans = rights.borrowed.values()
+            assert rights.in_hand == rights.own - sum(loan.out for loan in [*rights.lent.values(), *rights.lapsing])
+            assert rights.held == rights.in_hand + sum(loan.held for loan in loans)
+            assert rights.ready(self.clock(name)) == rights.pool.ready + sum(loan.pool.ready for loan in loans)
+            assert rights.claims == sorted((loan.want, borrower) for borrower, loan in rights.lent.items())
+            assert not any(loan.aside < loan.owed and loan.pool.ready for loan in loans)
+            assert not any(loan.ends <= self.clock(name) for loan in loans)
+            assert not any(pool.ready_at() <= self.clock(name) for pool in (rights.pool, *[o.pool for o in loans]))
+
 
 LoanCase = LoanMachine.TestCase
 LoanCase.settings = hypothesis_settings(max_examples=150, stateful_step_count=60, deadline=None)
