Replicate a log among voting coordinators on pysyncobj, guarded where it falls short

Need: owners and settings need one order of entries that survives a minority's loss; no consensus of our own.

--- /dev/null
+++ b/frostspindle/lab/replica_runs.py
@@ -0,0 +1,120 @@
+"""Runs of the replicated log in simulated time under drawn faults, and a judge of what must hold of each.
+
+Owns the faults' drawing, a machine whose state tells all that it was given, and the judgement: no entry differs between
+members or lives, none that was answered is lost, none that was refused is there, none is there twice, all come back. It
+must never look into a member: it goes by what machines applied and proposers were answered.
+"""
+
+from __future__ import annotations
+
+import collections
+import hashlib
+import random
+from typing import Any
+
+from frostspindle.lab.replica import EmulatedLog, EmulatedReplicas
+from frostspindle.replica.base import Applied, Unavailable
+from frostspindle.replica.member import Outcome
+
+
+class Sum:
+    """A machine whose state tells all that it was given, and that tells the run of each entry."""
+
+    def __init__(self, run: Any) -> None:
+        self.run, self.sum, self.last = run, b"", 0
+
+    def apply(self, index: int, command: bytes) -> bytes:
+        self.last, self.sum = index, hashlib.sha256(self.sum + b"%d:" % index + command).digest()
+        if self.run.entries.setdefault(index, command) != command or \
+                self.run.sums.setdefault(index, self.sum) != self.sum:
+            self.run.bad.append(f"entry {index} differs")
+        return command
+
+    def state(self) -> bytes:
+        return self.sum + b"%d" % self.last
+
+    def restore(self, index: int, state: bytes) -> None:
+        self.sum, self.last = state[:32], int(state[32:])
+
+
+class Run:
+    """Members in simulated time under drawn faults; `bad` tells what did not hold."""
+
+    def __init__(self, seed: int, seconds: int = 14, nodes: int = 5, voters: int = 3, keep: int = 40) -> None:
+        self.entries: dict[int, bytes] = {}  # by index, as the first member that applied it has it
+        self.sums: dict[int, bytes] = {}
+        self.bad: list[str] = []
+        self.lost = 0  # journals
+        self.machines: dict[int, Sum] = {}
+        self.answers: dict[bytes, list[Outcome]] = {}
+        rng = random.Random(seed * 7_919)
+        self.script = self.draw(rng, seconds, nodes, voters)
+        self.lab = EmulatedReplicas(nodes, voters, seed, self.script, self.attach, keep=keep)
+        for _ in range(seconds * 20):
+            self.lab.advance(50.0)
+            self.lose(rng, voters)
+            for _ in range(rng.choice((0, 1, 1, 4))):
+                self.propose(rng.randrange(nodes))
+        for number in range(nodes):
+            if self.lab.nodes[number].member is None:
+                self.lab.start(number)
+        self.lab.advance(8_000.0)
+        self.judge(nodes)
+
+    def lose(self, rng: random.Random, voters: int) -> None:
+        """Now and then a voter that is down loses its journal, where all others have theirs."""
+        nodes = self.lab.nodes[:voters]
+        down = [number for number, node in enumerate(nodes) if node.member is None]
+        back = all(node.member is None or node.member.voter for node in nodes)
+        if len(down) == 1 and back and nodes[down[0]].records and rng.random() < 0.03:
+            self.lab.lose(down[0])
+            self.lost += 1
+
+    @staticmethod
+    def draw(rng: random.Random, seconds: int, nodes: int, voters: int) -> str:
+        parts: list[str] = []
+        at = 2.0
+        while at < seconds - 3:
+            until, one = at + rng.uniform(0.5, 3.0), rng.randrange(voters)
+            side = rng.sample(range(nodes), rng.randrange(1, nodes))
+            rest = [number for number in range(nodes) if number not in side]
+            parts.append(rng.choice((
+                f"{at:.2f}-{until:.2f} cut {','.join(map(str, side))}|{','.join(map(str, rest))}",
+                f"{at:.2f}-{until:.2f} oneway {one}>{(one + 1) % nodes}",
+                f"{at:.2f} kill {one}; {until:.2f} start {one}", f"{at:.2f} kill {one}; {until:.2f} start {one}",
+                f"{at:.2f} stop {one}; {until:.2f} cont {one}",
+                f"{at:.2f}-{until:.2f} loss {rng.uniform(0.05, 0.4):.2f}",
+                f"{at:.2f}-{until:.2f} delay 0-{rng.choice((20, 100, 400))}")))
+            at += rng.uniform(0.2, 1.5)
+        return "; ".join(parts)
+
+    def attach(self, number: int, log: EmulatedLog) -> None:
+        self.machines[number] = Sum(self)
+        log.attach("t", self.machines[number])
+
+    def propose(self, number: int) -> None:
+        if self.lab.nodes[number].member is None or self.lab.network.paused[number]:
+            return
+        told: list[Outcome] = []
+        self.answers[b"%d" % len(self.answers)] = told
+        self.lab.member(number).submit("t", b"%d" % (len(self.answers) - 1), 1.5, told.append)
+
+    def judge(self, nodes: int) -> None:
+        last: list[Outcome] = []
+        for number in range(nodes):
+            if not self.lab.faults:
+                self.lab.member(number).submit("", b"", 5.0, last.append)
+        self.lab.advance(6_000.0)
+        self.bad += self.lab.faults
+        if [type(one) for one in last] != [Applied] * nodes:
+            self.bad.append(f"not all are back: {last}")
+        if len({machine.sum for machine in self.machines.values()}) > 1:
+            self.bad.append("the states differ")
+        times = collections.Counter(self.entries.values())
+        for command_, told in self.answers.items():
+            if len(told) != 1:
+                self.bad.append(f"{len(told)} answers to {command_!r}")
+            elif isinstance(told[0], Applied) and self.entries.get(told[0].index) != command_:
+                self.bad.append(f"{command_!r} was answered and is lost")
+            elif isinstance(told[0], Unavailable) and times[command_] or times[command_] > 1:
+                self.bad.append(f"{command_!r} is there {times[command_]} times after {told[0]!r}")
--- /dev/null
+++ b/frostspindle/replica/base.py
@@ -0,0 +1,160 @@
+"""What every replicated log is: its interface, bounds and errors, for those who stand on it.
+
+Owns the rules that hold alike for all logs: what a command may be, what an answer promises and what an error does.
+It must never do I/O or read a clock.
+
+All members apply the same entries in the same order, and `index` strictly grows. A proposal that was answered is
+applied at all members in the end; one that ended in Unavailable at none, ever; one that ended in Uncertain at all or
+none, and at most once. A machine restored from a snapshot is in the state that all entries up to it would have given.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Protocol
+
+MAX_COMMAND = 64 << 10  # bytes of one command; what is larger goes in pieces
+MAX_TOPIC = 32  # bytes of a topic's name
+MAX_STATE = 4 << 20  # bytes of one machine's state
+MOST_OPEN = 256  # proposals of one member that wait for their answer
+
+
+class Machine(Protocol):
+    """A deterministic state machine without I/O or clock: the same entries give the same state everywhere."""
+
+    def apply(self, index: int, command: bytes) -> bytes:
+        """Take one entry, and never raise, whatever the bytes. `index` strictly grows, not by 1: topics share it."""
+
+    def state(self) -> bytes:
+        """All of it, for a snapshot; MAX_STATE bytes at most."""
+
+    def restore(self, index: int, state: bytes) -> None:
+        """Be as after the entry `index`; ValueError where the state can't be read."""
+
+
+@dataclass(slots=True, frozen=True)
+class Applied:
+    """A proposal that is an entry now."""
+
+    index: int  # the log's index of the entry: the fencing token of a grant
+    result: bytes  # what the machine here returned for it
+
+
+class Unavailable(Exception):
+    """Nothing was appended: no leader is heard of, too many proposals are open, or the log has stopped."""
+
+
+class Uncertain(Exception):
+    """The time was over first: the entry may come later or never."""
+
+
+Told = Callable[[int, bytes, bytes], None]  # index, command, result; after a snapshot: index, b"", b""
+
+
+class Log(Protocol):
+    """One member's view of the replicated log."""
+
+    @property
+    def index(self) -> int:
+        """Of the last entry applied here."""
+
+    @property
+    def leader(self) -> str | None:
+        """As heard here."""
+
+    def attach(self, topic: str, machine: Machine) -> None:
+        """Have a topic's entries applied by a machine; before the start, and one for each topic. All members attach the
+        same topics: one that meets an entry of another topic stops, as its snapshots would lack that topic's state."""
+
+    def watch(self, topic: str, told: Told) -> None:
+        """Tell of each entry of a topic, in order, after it was applied, in the event loop."""
+
+    async def propose(self, topic: str, command: bytes, within_s: float) -> Applied:
+        """Append a command of MAX_COMMAND bytes at most and return once it is applied here; ValueError where it is
+        none that can be appended (its topic, its length), else Unavailable or Uncertain."""
+
+    async def barrier(self, within_s: float) -> int:
+        """Return once all that was committed before the call is applied here; the index of a committed no-op.
+        Unavailable or Uncertain, as `propose`."""
+
+
+class Unheld(Exception):
+    """An entry of a topic that has no machine here."""
+
+
+class Desk:
+    """The machines and watchers of one member, by topic: how a committed entry is applied and told, for all logs."""
+
+    def __init__(self) -> None:
+        self.machines: dict[str, Machine] = {}
+        self.watchers: dict[str, list[Told]] = {}
+        self.index = 0
+        self.faults = 0  # machines and watchers that raised
+
+    def attach(self, topic: str, machine: Machine) -> None:
+        if topic in self.machines:
+            raise ValueError(f"the topic {topic!r} has a machine already")
+        if not 0 < len(topic.encode()) <= MAX_TOPIC:
+            raise ValueError(f"a topic of 1 to {MAX_TOPIC} bytes: {topic!r:.80}")
+        self.machines[topic] = machine
+
+    def watch(self, topic: str, told: Told) -> None:
+        self.watchers.setdefault(topic, []).append(told)
+
+    def check(self, topic: str, command: bytes) -> None:
+        """ValueError: no such entry is ever appended."""
+        if not 0 < len(topic.encode()) <= MAX_TOPIC:
+            raise ValueError(f"a topic of 1 to {MAX_TOPIC} bytes: {topic!r:.80}")
+        if topic not in self.machines:
+            raise ValueError(f"the topic {topic!r} has no machine here")
+        if len(command) > MAX_COMMAND:
+            raise ValueError(f"a command of {len(command)} bytes, at most {MAX_COMMAND}")
+
+    def apply(self, index: int, topic: str, command: bytes) -> bytes:
+        """Apply one entry and tell of it; Unheld."""
+        assert index > self.index, "the index strictly grows"
+        machine = self.machines.get(topic)
+        if machine is None:
+            raise Unheld(f"entry {index} is of the topic {topic!r}, which has no machine here: turn the same parts on "
+                         "at all coordinators")
+        self.index = index
+        result = b""
+        try:
+            result = machine.apply(index, command)
+        except Exception:  # noqa: BLE001 - one topic's fault must not hold the others' entries up
+            self.faults += 1
+        self._tell(topic, index, command, result)
+        return result
+
+    def pass_to(self, index: int) -> None:
+        """An entry of no topic: a no-op."""
+        assert index > self.index, "the index strictly grows"
+        self.index = index
+
+    def states(self) -> dict[str, bytes]:
+        """Of all machines, for a snapshot; ValueError where one is too long."""
+        out = {topic: machine.state() for topic, machine in self.machines.items()}
+        for topic, state in out.items():
+            if len(state) > MAX_STATE:
+                raise ValueError(f"the state of {topic!r} has {len(state)} bytes, at most {MAX_STATE}")
+        return out
+
+    def restore(self, index: int, states: dict[str, bytes]) -> None:
+        """Put all machines where a snapshot was; ValueError where one can't be read, Unheld. A topic that is not in it
+        had no entry before: who makes a snapshot holds all topics."""
+        if unheld := states.keys() - self.machines.keys():
+            raise Unheld(f"a snapshot has the topics {sorted(unheld)}, which have no machine here")
+        for topic, machine in self.machines.items():
+            if topic in states:
+                machine.restore(index, states[topic])
+        self.index = index
+        for topic in self.machines.keys() | self.watchers.keys():
+            self._tell(topic, index, b"", b"")
+
+    def _tell(self, topic: str, index: int, command: bytes, result: bytes) -> None:
+        for told in self.watchers.get(topic, ()):
+            try:
+                told(index, command, result)
+            except Exception:  # noqa: BLE001 - as above
+                self.faults += 1
--- /dev/null
+++ b/frostspindle/replica/local.py
@@ -0,0 +1,131 @@
+"""A log in memory: one or more members in one process, for tests and for a coordinator that is alone.
+
+Owns an order of entries and who has applied how many of them. Members apply at once, unless they are held (`hold`), or
+the log has no leader (`lead(False)`): so users are tested against late members and Unavailable. It must never do I/O,
+and nothing of it outlives its process.
+"""
+
+from __future__ import annotations
+
+import asyncio
+
+from frostspindle.replica.base import MOST_OPEN, Applied, Desk, Machine, Told, Unavailable, Uncertain
+
+KEEP = 1_024  # entries; who is further behind is given a snapshot
+
+
+class LocalLog:
+    """One member. The first is made by itself, more by `join`."""
+
+    def __init__(self, name: str = "local", shared: _Shared | None = None) -> None:
+        self.name, self._shared, self._desk = name, shared or _Shared(), Desk()
+        self._held = self._stopped = False
+        self._open = 0
+        self._arrived = asyncio.Event()
+        self._shared.members.append(self)
+
+    def join(self, name: str) -> LocalLog:
+        """One more member of the same log."""
+        return LocalLog(name, self._shared)
+
+    @property
+    def index(self) -> int:
+        return self._desk.index
+
+    @property
+    def leader(self) -> str | None:
+        return self._shared.members[0].name if self._shared.led and not self._stopped else None
+
+    def attach(self, topic: str, machine: Machine) -> None:
+        if self._desk.index:
+            raise RuntimeError("the log has started")
+        self._desk.attach(topic, machine)
+
+    def watch(self, topic: str, told: Told) -> None:
+        self._desk.watch(topic, told)
+
+    async def propose(self, topic: str, command: bytes, within_s: float) -> Applied:
+        self._desk.check(topic, command)
+        return await self._append(topic, command, within_s)
+
+    async def barrier(self, within_s: float) -> int:
+        return (await self._append("", b"", within_s)).index
+
+    def hold(self, held: bool = True) -> None:
+        """Apply nothing for now; what comes meanwhile is applied at the end of it, in order."""
+        self._held = held
+        if not held:
+            self.catch_up()
+
+    def lead(self, led: bool) -> None:
+        """Whether there is a leader."""
+        self._shared.led = led
+
+    def stop(self) -> None:
+        self._stopped = True
+        self._arrived.set()
+
+    def catch_up(self) -> None:
+        """Apply all entries that have come since, or a snapshot where they are gone."""
+        if self._held or self._stopped:
+            return
+        shared = self._shared
+        if self.index < shared.first - 1:
+            donor = max((m for m in shared.members if m is not self), key=lambda member: member.index)
+            self._desk.restore(donor.index, donor._desk.states())
+        for topic, command in shared.entries[max(0, self.index + 1 - shared.first):]:
+            index = self.index + 1
+            if topic:
+                result = self._desk.apply(index, topic, command)
+            else:
+                self._desk.pass_to(index)
+                result = b""
+            shared.results[self, index] = result
+        self._arrived.set()
+        self._arrived = asyncio.Event()
+
+    async def _append(self, topic: str, command: bytes, within_s: float) -> Applied:
+        if self._stopped:
+            raise Unavailable("the log has stopped")
+        if not self._shared.led:
+            raise Unavailable("no leader is heard of")
+        if self._open >= MOST_OPEN:
+            raise Unavailable(f"{MOST_OPEN} proposals are open")
+        self._open += 1
+        try:
+            index = self._shared.append(topic, command)
+            async with asyncio.timeout(within_s):
+                while self.index < index and not self._stopped:
+                    await self._arrived.wait()
+                await asyncio.sleep(0)
+        except TimeoutError:
+            raise Uncertain(f"not applied here within {within_s:g} s") from None
+        finally:
+            self._open -= 1
+        if self.index < index:
+            raise Uncertain("the log has stopped")
+        return Applied(index, self._shared.results.pop((self, index), b""))
+
+
+class _Shared:
+    """The order of one log and its members."""
+
+    def __init__(self) -> None:
+        self.entries: list[tuple[str, bytes]] = []
+        self.first = 1  # the index of entries[0]
+        self.members: list[LocalLog] = []
+        self.results: dict[tuple[LocalLog, int], bytes] = {}
+        self.led = True
+
+    def append(self, topic: str, command: bytes) -> int:
+        self.entries.append((topic, bytes(command)))
+        index = self.first + len(self.entries) - 1
+        for member in self.members:
+            member.catch_up()
+        over = len(self.entries) - KEEP
+        if over > 0 and any(member.index == index for member in self.members):
+            del self.entries[:over]
+            self.first += over
+        if len(self.results) > KEEP * len(self.members):
+            self.results = {key: value for key, value in self.results.items() if key[1] > index - KEEP}
+        return index
--- /dev/null
+++ b/tests/test_replica_program.py
@@ -0,0 +1,84 @@
+"""The replicated log in the program: off, its configuration, its port, its end."""
+
+import json
+import signal
+import socket
+import tempfile
+import unittest
+from pathlib import Path
+
+from fleet import Coordinator, FleetCase
+
+from frostspindle import config as configuration
+from frostspindle.config import ConfigError
+from frostspindle.lab.engines import document
+from frostspindle.lab.faults.runner import free_port
+
+GOOD = (Path(__file__).parent.parent / "deploy" / "ownership.toml").read_text().partition("\n[ownership]")[0]
+
+
+class ConfigCase(unittest.TestCase):
+    def setUp(self):
+        scratch = tempfile.TemporaryDirectory()
+        self.addCleanup(scratch.cleanup)
+        self.folder = Path(scratch.name)
+        (self.folder / "key").write_text("0123456789abcdef\n")
+        self.good = GOOD.replace("/etc/frostspindle/replica.key", str(self.folder / "key"))
+
+    def read(self, text, name="c1"):
+        config, operator = self.folder / "config.json", self.folder / "operator.toml"
+        config.write_text(json.dumps(document([])))
+        operator.write_text(text)
+        return configuration.read({"LB_CONFIG": str(config), "FROSTSPINDLE_OPERATOR": str(operator),
+                                   "LB_LISTEN": "127.0.0.1:0", "LB_NAME": name})
+
+    def test_the_example_is_good_and_each_fault_is_named_by_its_key(self):
+        self.assertEqual(self.read(self.good).operator.replica.me, "c1")
+        self.assertIsNone(self.read("").operator.replica)
+        (self.folder / "short").write_text("0123456789")
+        for old, new, key in (
+                ('"c2=10', '"c1=10', r"replica.voters\[1\]"), ('"c2=10', '"~c2=10', r"replica.voters\[1\]"),
+                ("10.0.0.2:7100", "host:1", r"replica.voters\[1\]"), ("10.0.0.2:7100", "10.0.0.2:0", r"voters\[1\]"),
+                (', "c3=10.0.0.3:7100"', "", "replica.voters: 2"), ('folder = "/', 'folder = "', "replica.folder"),
+                (str(self.folder / "key"), "/nowhere", "replica.secret"), ("most_open = 256", "most_open = 0", "most"),
+                (str(self.folder / "key"), str(self.folder / "short"), "replica.secret"),
+                ("election_ms = 500", "election_ms = 300", "replica.election_ms"), ("# listen = \"0.0.0.0:7100\"",
+                 'listen = "here"', "replica.listen"), ("heartbeat_ms", "hartbeat_ms", "hartbeat_ms")):
+            self.assertIn(old, self.good)
+            with self.assertRaisesRegex(ConfigError, key) as caught:
+                self.read(self.good.replace(old, new, 1))
+            self.assertNotIn("0123456789", str(caught.exception))
+        with self.assertRaisesRegex(ConfigError, "replica: needs cores.workers"):
+            self.read(self.good + "\n[cores]\nworkers = 2\n")
+        with self.assertRaisesRegex(ConfigError, "replica.me"):
+            self.read(self.good, "a name")
+
+
+class ProgramCase(FleetCase):
+    async def test_three_coordinators_agree_and_end_in_order(self):
+        from frostspindle.caller import operate
+
+        await self.stand_ins(1)
+        config = document(self.bus.events[0]["topology"]["hosts"], self.bus.port)
+        ports = [free_port(socket.SOCK_STREAM) for _ in range(3)]
+        key = Path(tempfile.mkdtemp(dir=self.scratch), "key")
+        key.write_text("only known to the three of them")
+        all_ = []
+        for name in ("c0", "c1", "c2"):
+            folder = tempfile.mkdtemp(dir=self.scratch)
+            voters = ", ".join(f'"c{n}=127.0.0.1:{port}"' for n, port in enumerate(ports))
+            desk = free_port(socket.SOCK_STREAM)
+            one = Coordinator(self, config, f'[replica]\nvoters = [{voters}]\nfolder = "{folder}/log"\n'
+                              f'secret = "{key}"\nfirst_start = true\n', LB_NAME=name,
+                              LB_OPERATOR=f"127.0.0.1:{desk}", LB_LISTEN="127.0.0.1:0")
+            all_.append((one, desk))
+        leaders = {(await one.until(lambda one=one: [e for e in one.events if e["event"] == "replica_leader"]))[0][
+            "leader"] for one, _ in all_}
+        self.assertEqual(len(leaders), 1)
+        for one, desk in all_:
+            figures = json.loads((await self.in_thread(operate, ("127.0.0.1", desk), "show-replica")).splitlines()[0])
+            self.assertEqual((figures["votes"], figures["stopped"], len(figures["voters"])), (True, "", 3))
+            one.process.send_signal(signal.SIGTERM)
+        for one, _ in all_:
+            self.assertEqual(await one.exit(), 0)
+            self.assertNotIn("only known", str(one.events))
