Let one coordinator at a time own a task, by leases with fencing tokens

Need: some work must be done by one coordinator for the fleet, and an owner that wakes late must do no harm. Change: a table of leases on the replicated log, a decision module of who asks for what and when, receivers that refuse lower tokens, jobs (export, warming up), commands, and a checker of histories.

--- /dev/null
+++ b/bench/ownership.py
@@ -0,0 +1,160 @@
+"""Measures owners: seeded runs in simulated time, processes over sockets, take-over times, and what renewals cost.
+
+    nice python bench/ownership.py [--runs 500] [--jobs 3] [--first 0] [--kills 200] [--sockets 30] [--out FILE]
+
+Prints one JSON object. `runs`: under drawn faults, stale actions accepted and histories with any fault, with the fence
+and without. `takeover`: from a holder's kill -9 to the first accepted action of another, by lease, in simulated time
+(`emulated`) and with processes of the program (`sockets`). `renewals`: what holding so many tasks costs the log.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import json
+import os
+import random
+import signal
+import sys
+import time
+from concurrent.futures import ProcessPoolExecutor
+from typing import Any
+
+sys.path.insert(0, os.path.join(os.path.dirname(__file__), ".."))
+
+from frostspindle.lab.faults.owners import Owned  # noqa: E402
+from frostspindle.lab.ownership import Lab, measure, play  # noqa: E402
+from frostspindle.ownership.service import clock  # noqa: E402
+
+
+def quantiles(values: list[float]) -> dict[str, float]:
+    values = sorted(values)
+    if not values:
+        return {"of": 0}
+    return {"p50": round(values[len(values) // 2]), "p99": round(values[int(len(values) * 0.99)]),
+            "least": round(values[0]), "most": round(values[-1]), "of": len(values)}
+
+
+def seeded(what: tuple[int, bool]) -> dict[str, Any]:
+    seed, fenced = what
+    lease_ms = (1_000, 3_000)[seed % 2]
+    lab = play(5, seed, "drawn", 20.0 + 10.0 * (seed % 2), lease_ms=lease_ms, voters=(3, 5)[seed // 2 % 2],
+               fenced=fenced, late=(0.1, 0.4)[seed // 4 % 2])
+    return {"seed": seed, **measure(lab)}
+
+
+def taken_over(what: tuple[int, int]) -> float:
+    """From the kill of a holder, at any time within its lease, to the first accepted action of another, true ms."""
+    seed, lease_ms = what
+    lab = Lab(5, seed, "", tasks=1, lease_ms=lease_ms, late=0.0)
+    lab.run(3.0 + random.Random(seed).uniform(0.0, lease_ms / 1_000.0))
+    holder = lab.sink.lines[-1]["holder"]
+    died = lab.now
+    lab.replicas.kill(int(holder[1:]))
+    lab.run((died + 2.0 * lease_ms) / 1_000.0 + 3.0)
+    assert lab.checked().good
+    return next(line["at"] for line in lab.sink.lines if line["at"] > died + 25.0 and line["holder"] != holder) - died
+
+
+def renewals(tasks: int) -> dict[str, Any]:
+    """Of five coordinators that stand for so many tasks, at the default lease, over 30 s after the first 20."""
+    lab = Lab(5, 1, "", tasks=tasks, late=0.0)
+    lab.act = lambda who, task, token: None  # type: ignore[method-assign]
+    began = time.perf_counter()
+    heard = [0] * 5
+    put = lab.replicas.network.at
+
+    def at(when: float, node: int, what: Any) -> None:
+        heard[node] += len(getattr(what, "data", b""))
+        put(when, node, what)
+    lab.replicas.network.at = at  # type: ignore[method-assign]
+    lab.run(20.0)
+    heard[:] = [0] * 5
+    held: dict[str, int] = {}
+    for row in lab.coordinators[0].table.rows.values():
+        held[row.holder] = held.get(row.holder, 0) + 1
+    commands, sent = lab.commands, lab.bytes
+    renewed = sum(who.holder.counts["renewals"] for who in lab.coordinators.values())
+    lab.run(50.0)
+    more = sum(who.holder.counts["renewals"] for who in lab.coordinators.values()) - renewed
+    return {"held": held, "entries_a_second": round((lab.commands - commands) / 30.0, 2),
+            "renewals_a_second": round(more / 30.0, 1),
+            "command_bytes_a_second": round((lab.bytes - sent) / 30.0),
+            "bytes_in_a_second_a_voter": [round(count / 30.0) for count in heard[:3]],
+            "state_bytes": len(lab.coordinators[0].table.state()),
+            "cpu_s_a_simulated_s_all_five": round((time.perf_counter() - began) / 50.0, 3)}
+
+
+async def sockets(runs: int, lease_ms: int, faults: bool, first: int = 0) -> dict[str, Any]:
+    """Processes: a holder killed, or (`faults`) stopped for twice its lease, cut off, or killed and started, in
+    turn."""
+    took: list[float] = []
+    bad: list[str] = []
+    accepted = refused = stale = 0
+    for seed in range(first, first + runs):
+        fleet = Owned(lease_ms=lease_ms, voters=(3, 5)[seed % 2], seed=seed)
+        try:
+            await fleet.start()
+            kind = ("stop", "cut", "kill")[seed % 3] if faults else "kill"
+            await asyncio.sleep(random.Random(seed).uniform(0.0, 0.5))
+            holder = fleet.process((await fleet.acts())["holder"])
+            mark, died = len(fleet.sink.lines), clock()
+            if kind == "stop":
+                holder.send_signal(signal.SIGSTOP)
+            elif kind == "cut":
+                fleet.streams.cut = {holder.number}
+            else:
+                await fleet.kill(holder)
+            other = await fleet.acts(mark, holder.name)
+            took.append(other["at"] - died)
+            if kind == "stop":
+                await asyncio.sleep(max(0.0, 2.0 * lease_ms - took[-1]) / 1_000.0)
+                holder.send_signal(signal.SIGCONT)
+            elif kind == "cut":
+                fleet.streams.cut = set()
+            elif faults:
+                await holder.start()
+            if faults:
+                await asyncio.sleep(0.5)
+            found = fleet.checked()
+            bad += found.faults
+            accepted, refused, stale = accepted + found.accepted, refused + found.refused, stale + found.stale_accepted
+        finally:
+            await fleet.close()
+    return {"lease_ms": lease_ms, "took_ms": quantiles(took), "accepted": accepted, "refused": refused,
+            "stale_accepted": stale, "faults": bad[:5]}
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser()
+    for name, default in (("runs", 500), ("jobs", 3), ("first", 0), ("kills", 200), ("sockets", 30)):
+        parser.add_argument(f"--{name}", type=int, default=default)
+    parser.add_argument("--out")
+    said = parser.parse_args()
+    out: dict[str, Any] = {}
+    with ProcessPoolExecutor(said.jobs) as pool:
+        for fenced in (True, False):
+            runs = said.runs if fenced else said.runs // 5
+            told = list(pool.map(seeded, [(seed, fenced) for seed in range(said.first, said.first + runs)]))
+            out["runs" if fenced else "runs without the fence"] = {
+                "of": len(told), "bad": [one for one in told if not one["good"]][:3 if fenced else 0],
+                "runs_with_a_fault": sum(not one["good"] for one in told),
+                **{key: sum(one[key] for one in told) for key in ("stale_accepted", "accepted", "refused", "grants")}}
+            print(json.dumps(out), file=sys.stderr, flush=True)
+        out["takeover, emulated"] = {lease: quantiles(list(pool.map(
+            taken_over, [(seed, lease) for seed in range(said.kills)]))) for lease in (1_000, 3_000, 10_000)}
+        out["renewals"] = dict(zip(("1", "10", "100", "1000"), pool.map(renewals, (1, 10, 100, 1_000)), strict=True))
+    print(json.dumps(out), file=sys.stderr, flush=True)
+    if said.sockets:
+        out["sockets, mixed faults"] = asyncio.run(sockets(said.sockets, 1_000, True))
+        print(json.dumps(out), file=sys.stderr, flush=True)
+        out["takeover, sockets"] = [asyncio.run(sockets(kills, lease, False)) for kills, lease in (
+            (10, 1_000), (6, 3_000), (3, 10_000))]
+    print(json.dumps(out, indent=1))
+    if said.out:
+        with open(said.out, "w", encoding="utf-8") as file:
+            json.dump(out, file, indent=1)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/frostspindle/ownership/fence.py
@@ -0,0 +1,71 @@
+"""A receiver's fence: the highest token that it has seen for each task, and the refusal of lower ones.
+
+Owns the highest tokens of one receiver, in memory or in a durable store (frostspindle/store). It must never forget a
+token while its store has it, and never let an action pass under a token that was not kept first: a receiver that is
+killed after the check knows the token at its next start. Fencing tokens: Kleppmann, "How to do distributed locking"
+(2016); Chubby's sequencers: Burrows, OSDI 2006.
+"""
+
+from __future__ import annotations
+
+from typing import Protocol
+
+MOST_TASKS = 4_096
+TOKEN_BYTES = 8
+
+
+class Stale(Exception):
+    """An action under a token that is lower than one seen before: its sender's lease has passed to another."""
+
+    def __init__(self, task: str, token: int, highest: int) -> None:
+        super().__init__(f"{task}: token {token} is stale, {highest} was seen")
+        self.task, self.token, self.highest = task, token, highest
+
+
+class FenceFull(Exception):
+    """A further task has no room; the action is refused."""
+
+
+class Kept(Protocol):
+    """What a durable fence needs of a store; see frostspindle/store/base.py."""
+
+    def get(self, key: bytes) -> bytes | None: ...
+
+    def apply(self, changes: dict[bytes, bytes | None]) -> int: ...
+
+
+class Fence:
+    """The highest token by task. With a store each rise is durable when `check` returns; the store's errors pass."""
+
+    def __init__(self, store: Kept | None = None, most: int = MOST_TASKS, prefix: bytes = b"fence/") -> None:
+        self._store, self._most, self._prefix = store, most, prefix
+        self._highest: dict[str, int] = {}
+        self.stale = 0  # so many were refused
+
+    def highest(self, task: str) -> int:
+        """0: none was seen."""
+        known = self._highest.get(task)
+        if known is None and self._store is not None:
+            known = int.from_bytes(self._store.get(self._prefix + task.encode()) or b"", "big")
+            if known and len(self._highest) < self._most:
+                self._highest[task] = known
+        return known or 0
+
+    def check(self, task: str, token: int) -> None:
+        """Raises Stale, FenceFull, or ValueError for what is no token. The same token passes any number of times."""
+        if not 0 < token < 1 << 63:
+            raise ValueError(f"{task}: not a token: {token}")
+        highest = self.highest(task)
+        if token < highest:
+            self.stale += 1
+            raise Stale(task, token, highest)
+        if token > highest:
+            if task not in self._highest and len(self._highest) >= self._most:
+                raise FenceFull(f"{self._most} tasks are fenced already")
+            if self._store is not None:
+                self._store.apply({self._prefix + task.encode(): token.to_bytes(TOKEN_BYTES, "big")})
+            self._highest[task] = token
+
+    def highest_of_all(self) -> dict[str, int]:
+        """For operators."""
+        return dict(sorted(self._highest.items()))
--- /dev/null
+++ b/frostspindle/ownership/jobs.py
@@ -0,0 +1,113 @@
+"""Work under a lease: begun when the lease is got, ended when it is lost, checked at each step and before each send.
+
+Owns the tasks of the event loop that do such work, one a task of the fleet at most. It must never let a send begin
+without a look at the lease, and never begin a job anew before its last run here has ended.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from typing import Any, Protocol, TypeVar
+
+from frostspindle.events import Events
+from frostspindle.ownership.fence import Stale
+from frostspindle.ownership.lease import Lease, Lost, OwnersLike
+
+Got = TypeVar("Got")
+AGAIN_S, AGAIN_MOST_S = 0.2, 5.0  # after a run that ended or failed
+
+
+class Told(OwnersLike, Protocol):
+    """What jobs need of the service."""
+
+    def did(self, task: str, token: int, action: str, receiver: str) -> None: ...
+
+
+class Hand:
+    """What a job holds while it works: its lease, and the only way by which it may send."""
+
+    def __init__(self, lease: Lease, owners: Told) -> None:
+        self.lease, self._owners = lease, owners
+
+    async def step(self, work: Awaitable[Got]) -> Got:
+        """Do a step that sends nothing, then look at the lease. Raises Lost."""
+        got = await work
+        self.lease.check()
+        return got
+
+    async def send(self, action: str, receiver: str, call: Callable[[int], Awaitable[Got]]) -> Got:
+        """Look at the lease, send under its token, look again. Raises Lost, also where the receiver says Stale. The
+        action counts as accepted when `call` returns."""
+        self.lease.check()
+        try:
+            got = await call(self.lease.token)
+        except Stale as error:
+            self._owners.refused(self.lease.task, self.lease.token, action, error.highest)
+            raise Lost(str(error)) from None
+        self._owners.did(self.lease.task, self.lease.token, action, receiver)
+        self.lease.check()
+        return got
+
+
+class Job(Protocol):
+    """Work for the whole fleet, under the lease of its task."""
+
+    task: str
+    every_s: float  # from the end of a run to the next, while the lease is held
+
+    async def run(self, hand: Hand) -> None:
+        """Once; what it must remember from run to run is told by its receivers, not by this process."""
+
+
+class Runner:
+    """All jobs of one coordinator."""
+
+    def __init__(self, owners: Told, events: Events, jobs: list[Job], weights: dict[str, float] | None = None) -> None:
+        self.owners, self.events = owners, events
+        self.jobs = {job.task: job for job in jobs}
+        self.running: dict[str, set[asyncio.Task[None]]] = {}  # the last one works, others are still ending
+        self.runs: dict[str, int] = dict.fromkeys(self.jobs, 0)
+        owners.on_change.append(self._changed)
+        for job in jobs:
+            owners.want(job.task, (weights or {}).get(job.task, 1.0))
+
+    def _changed(self, task: str, lease: Lease | None) -> None:
+        if (job := self.jobs.get(task)) is None:
+            return
+        before = frozenset(work for work in self.running.pop(task, ()) if not work.done())
+        for work in before:
+            if not work.cancelling():  # once: a second time would break into its way out
+                work.cancel()
+        if lease is not None:
+            self.running[task] = {*before, asyncio.create_task(self._work(job, lease, before))}
+        elif before:
+            self.running[task] = set(before)
+
+    async def _work(self, job: Job, lease: Lease, before: frozenset[asyncio.Task[None]]) -> None:
+        if before:
+            await asyncio.wait(before)
+        failed = 0
+        while lease.holds():
+            try:
+                await job.run(Hand(lease, self.owners))
+                failed = 0
+                self.runs[job.task] += 1
+            except Lost:
+                return
+            except Exception as error:  # noqa: BLE001 - a job's fault is its own: the next run tries again
+                failed += 1
+                self.events.count("owner_job_faults")
+                self.events.log("owner_job", task=job.task, token=lease.token, error=repr(error))
+            await asyncio.sleep(max(job.every_s, min(AGAIN_MOST_S, AGAIN_S * 2.0 ** (failed - 1)) if failed else 0.0))
+
+    def figures(self) -> dict[str, Any]:
+        """Runs that came to their end here, by task."""
+        return dict(self.runs)
+
+    async def close(self) -> None:
+        works = [work for works in self.running.values() for work in works]
+        for work in works:
+            if not work.cancelling():
+                work.cancel()
+        await asyncio.gather(*works, return_exceptions=True)
--- /dev/null
+++ b/frostspindle/ownership/lease.py
@@ -0,0 +1,57 @@
+"""What a lease is to those who work under one, and whom they ask for it: the interface of this package to others.
+
+Owns the names that other packages may use. It must never decide or keep anything: `service.Owners` does.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Protocol
+
+
+class Lost(Exception):
+    """The lease that work was done under is over; whatever is not yet sent must not be."""
+
+
+class Lease:
+    """A grant to this process, handed to who does the work. It stays the same object over renewals."""
+
+    __slots__ = ("task", "token", "_holds")
+
+    def __init__(self, task: str, token: int, holds: Callable[[], bool]) -> None:
+        self.task, self.token, self._holds = task, token, holds
+
+    def holds(self) -> bool:
+        """Looked at after each step and before each send. True is no promise for the time after: a process may be
+        stopped between the look and the send, so receivers check the token besides."""
+        return self._holds()
+
+    def check(self) -> None:
+        """Raises Lost."""
+        if not self._holds():
+            raise Lost(f"{self.task}: the lease of token {self.token} is over")
+
+    def __repr__(self) -> str:
+        return f"Lease({self.task!r}, {self.token})"
+
+
+Changed = Callable[[str, Lease | None], None]  # the task, and the lease from now on; None: it is lost or released
+
+
+class OwnersLike(Protocol):
+    """The service as other parts see it. `on_change` is called in the event loop, and must not block or raise."""
+
+    on_change: list[Changed]
+
+    def want(self, task: str, weight: float = 1.0) -> None:
+        """This coordinator stands for the task; a greater weight makes it likelier to get it. ValueError: a name that
+        can't be used, or more tasks than there may be."""
+
+    def unwant(self, task: str) -> None:
+        """It no longer does, and releases it."""
+
+    def lease(self, task: str) -> Lease | None:
+        """Held now."""
+
+    def refused(self, task: str, token: int, action: str, highest: int) -> None:
+        """A receiver has refused an action under this token: logged, counted and told to operators."""
--- /dev/null
+++ b/frostspindle/ownership/wiring.py
@@ -0,0 +1,106 @@
+"""Owners in the running program: what the operator's file asks for, hung into the program's parts.
+
+Owns which jobs there are and where their figures come from. It must never start anything by itself: the program does.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+from frostspindle import config as configuration
+from frostspindle.core import clock
+from frostspindle.fleet.service import monotonic
+from frostspindle.fleet.warming import born
+from frostspindle.net.operator import Nak
+from frostspindle.ownership.export import Export
+from frostspindle.ownership.holder import Terms
+from frostspindle.ownership.jobs import Job, Runner
+from frostspindle.ownership.service import Owners
+from frostspindle.ownership.warm import Cold, Warm
+
+if TYPE_CHECKING:
+    from frostspindle.host import Host
+
+SUMS = 32  # figures of one export
+
+
+class Part:
+    """Owners and their jobs as the program starts and ends them."""
+
+    def __init__(self, program: Host) -> None:
+        config = program.config.operator.ownership
+        assert config is not None and program.config.operator.replica is not None
+        self.program = program
+        self.owners = Owners(program.replica, program.config.operator.replica.me, Terms(config.lease_ms, config.drift),
+                             program.events, self.busy)
+        jobs: list[Job] = [Export(task.name, configuration.address(task.at, "ownership.task.at"), task.every_ms,
+                                  self.owners.name, self._sums) for task in config.task]
+        weights = {task.name: task.weight for task in config.task}
+        if config.warm is not None:
+            warm = config.warm
+            jobs.append(Warm("warm", warm.every_ms, warm.statement, self._cold, self._pay,
+                             lambda number, ticket, statement: program.driver.warm(number, ticket, statement, warm.cls,
+                                                                                   warm.most_ms)))
+            weights["warm"] = warm.weight
+        self.cost_ms = config.warm.cost_ms if config.warm is not None else 0.0
+        self.runner = Runner(self.owners, program.events, jobs, weights)
+        if program.desk:
+            program.desk.does["show-owners"] = self.figures
+            program.desk.does["release-owner"] = self.release
+
+    def busy(self) -> str:
+        """Why this coordinator may take nothing new."""
+        recovery = getattr(self.program, "recovery", None)
+        if self.program.platform.draining:
+            return "draining"
+        if recovery is not None and not recovery.intake.open:
+            return "recovering"
+        return ""
+
+    def _cold(self) -> list[Cold]:
+        """HTTP engines that the module believes cold and ready now."""
+        core = self.program.core
+        now = clock()
+        return [Cold(number, core.engines[number].name, born(core.engines[number]))
+                for number, believed in core.controller.engines.items() if believed.ready and believed.cold(now)
+                and number in core.engines and number in self.program.driver.peers]
+
+    def _pay(self, engine: Cold) -> bool:
+        """The fleet's rights for one statement."""
+        now, core, warming = clock(), self.program.core, getattr(self.program, "warming", None)
+        believed = core.controller.engines.get(engine.number)
+        if believed is None or warming is None or warming.cold is None or engine.name in core.banned:
+            return False
+        return bool(warming.cold.pay(monotonic(), engine.name, engine.born_ms, now, self.cost_ms,
+                                     core.controller.cold_budget(believed, now)))
+
+    def _sums(self) -> dict[str, int]:
+        sums = self.program.fleet.figures().get("sums", {}) if self.program.fleet else {}
+        if not sums:
+            calls: dict[str, Any] = self.program.core.figures()["calls"]
+            sums = {f"{cls} {how}": count for cls, row in calls.items() for how, count in row.items()}
+        return {str(key): int(count) for key, count in sorted(sums.items())[:SUMS]}
+
+    def figures(self) -> dict[str, Any]:
+        """For operators."""
+        return {**self.owners.figures(), "runs": self.runner.figures()}
+
+    def release(self, task: str) -> dict[str, Any]:
+        """For operators: what is asked for; `show-owners` shows when it has come to be."""
+        found = self.owners.force(task)
+        if found is None:
+            raise Nak(f"nobody holds {task:.64}")
+        return found
+
+    def start(self) -> None:
+        self.owners.start()
+
+    async def close(self) -> None:
+        """Early in the program's end: others may take over while the last answers go out."""
+        await self.runner.close()
+        await self.owners.close()
+
+
+def attach(program: Host) -> Part:
+    """Where the operator has [ownership]; before the log starts."""
+    return Part(program)
--- /dev/null
+++ b/tests/test_ownership.py
@@ -0,0 +1,565 @@
+"""Ownership without sockets: the table, the decisions, fences, jobs and the service on a log in memory."""
+
+import asyncio
+import io
+import json
+import unittest
+from types import SimpleNamespace
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from frostspindle.events import Events
+from frostspindle.ownership import table
+from frostspindle.ownership.fence import Fence, FenceFull, Stale
+from frostspindle.ownership.holder import PATIENCE_MS, Holder, Terms, end_of, turn, wait_of
+from frostspindle.ownership.jobs import Hand, Runner
+from frostspindle.ownership.lease import Lease, Lost
+from frostspindle.ownership.service import Owners
+from frostspindle.ownership.table import Ask, Force, Leave, Table
+from frostspindle.ownership.warm import Cold, Warm
+from frostspindle.replica.local import LocalLog
+from frostspindle.store.memory import Memory
+
+encode = table.encode
+
+
+def put(machine, index, command):
+    return table.said(machine.apply(index, encode(command)))
+
+
+class TestTable:
+    def test_takes_compare_and_set_and_tokens_are_the_index(self):
+        t = Table()
+        assert put(t, 3, Ask("a", 1, 1, 1_000, [("x", 0, 0)])).takes == [True]
+        assert t.rows["x"].token == 3 and t.version("x") == (3, 0)
+        assert put(t, 4, Ask("b", 1, 1, 1_000, [("x", 0, 0), ("y", 0, 0)])).takes == [False, True]
+        assert put(t, 5, Ask("a", 1, 2, 2_000, renews=[("x", 3), ("y", 4)])).renews == [True, False]
+        assert t.version("x") == (3, 1) and t.rows["x"].duration_ms == 2_000
+        assert put(t, 6, Ask("b", 1, 2, 1_000, [("x", 3, 0)])).takes == [False], "it had not seen the renewal"
+        assert put(t, 7, Ask("b", 1, 3, 1_000, [("x", 3, 1)])).takes == [True]
+        assert put(t, 8, Ask("a", 1, 3, 1_000, renews=[("x", 3)], drops=[("x", 3)])).drops == [False]
+        assert t.rows["x"].holder == "b" and t.rows["x"].token == 7
+
+    def test_doubled_and_overtaken_commands_are_dropped_by_process(self):
+        t = Table()
+        first = Ask("a", 1, 5, 1_000, [("x", 0, 0)])
+        assert put(t, 1, first).takes == [True]
+        assert put(t, 2, Ask("a", 1, 6, 1_000, drops=[("x", 1)])).drops == [True]
+        assert put(t, 3, first).reason == "doubled" and not t.rows
+        assert put(t, 4, Ask("a", 2, 1, 1_000, [("x", 0, 0)])).takes == [True], "a new process counts anew"
+        assert put(t, 5, Leave("a", 2, 2)).reason == "" and not t.rows
+        assert put(t, 6, Ask("a", 2, 3, 1_000, [("x", 0, 0)])).reason == "doubled", "what comes after its end"
+
+    def test_a_forced_release_ends_renewals_and_leaves_the_row_to_be_waited_out(self):
+        t = Table()
+        put(t, 1, Ask("a", 1, 1, 1_000, [("x", 0, 0)]))
+        assert put(t, 2, Force("b", 1, 1, "x", 9)).reason == "no such grant"
+        assert put(t, 3, Force("b", 1, 2, "x", 1)).reason == ""
+        assert put(t, 4, Ask("a", 1, 2, 1_000, renews=[("x", 1)])).renews == [False]
+        assert t.rows["x"].forced and t.version("x") == (1, 0)
+        assert put(t, 5, Ask("c", 1, 1, 1_000, [("x", 0, 0)])).takes == [False]
+
+    def test_bounds(self):
+        t = Table()
+        names = [f"t{n}" for n in range(table.MOST_TASKS + 1)]
+        for at in range(0, len(names), table.MOST_ITEMS):
+            done = put(t, at + 1, Ask("a", 1, at, 1_000, [(n, 0, 0) for n in names[at:at + table.MOST_ITEMS]]))
+        assert len(t.rows) == table.MOST_TASKS and done.takes == [False]
+        many = [("x", 1)] * 300
+        assert put(t, 10_000, Ask("a", 1, 10_000, 1_000, renews=many, drops=many)).reason == "too many items"
+        for n in range(2 * table.MOST_PROPOSERS):
+            put(t, 10_001 + n, Ask(f"h{n}", 1, 1, 1_000))
+        assert len(t._seen) == table.MOST_PROPOSERS
+        longest = [("x" * 64, 2**53, 2**53)] * table.MOST_ITEMS
+        assert len(encode(Ask("h" * 64, 2**53, 2**53, 1_000, longest))) < 64 << 10
+        assert len(t.state()) < 4 << 20
+
+    @given(st.binary(max_size=80) | st.builds(
+        lambda at, byte: (lambda data: data[:at] + bytes([byte]) + data[at + 1:])(
+            encode(Ask("a", 1, 2, 1_000, [("x", 1, 0)], [("y", 7)], [("z", 1)]))),
+        st.integers(0, 40), st.integers(0, 255)))
+    @settings(deadline=None)
+    def test_whatever_the_bytes_it_answers_and_refuses_what_it_cant_read(self, data):
+        t = Table()
+        put(t, 1, Ask("a", 1, 1, 1_000, [("x", 0, 0)]))
+        before = t.state()
+        answer = table.said(t.apply(2, data))
+        if table.read(data) is None:
+            assert answer.reason == "unreadable" and t.state() == before and t.refused == 1
+        copy = Table()
+        copy.restore(2, t.state())
+        assert copy.state() == t.state() and copy.rows == t.rows
+
+    @pytest.mark.parametrize("state", (b"", b"\x90", b"spoilt", encode([{"x": ["a", 1, 9, 0, 1_000, False]}, []]),
+                                       encode([{"x y": ["a", 1, 1, 0, 1_000, False]}, []])))
+    def test_a_state_that_cant_be_is_refused_and_changes_nothing(self, state):
+        t = Table()
+        put(t, 1, Ask("a", 1, 1, 1_000, [("x", 0, 0)]))
+        with pytest.raises(ValueError):
+            t.restore(2, state)
+        assert t.rows["x"].token == 1
+
+
+class TestFence:
+    def test_a_lower_token_is_refused_and_what_was_seen_outlives_the_process(self):
+        store = Memory()
+        fence = Fence(store)
+        for token in (3, 3, 7):
+            fence.check("x", token)
+        again = Fence(store)
+        with pytest.raises(Stale) as caught:
+            again.check("x", 6)
+        assert (caught.value.task, caught.value.token, caught.value.highest) == ("x", 6, 7) and again.stale == 1
+        again.check("y", 1)
+        assert Fence(store).highest("y") == 1 and Fence().highest("x") == 0
+
+    def test_what_could_not_be_kept_does_not_pass(self):
+        class Dead(Memory):
+            def apply(self, changes):
+                raise OSError("no room")
+        fence = Fence(Dead())
+        with pytest.raises(OSError):
+            fence.check("x", 5)
+        assert fence.highest("x") == 0, "it was never durable"
+        full = Fence(most=1)
+        full.check("x", 1)
+        with pytest.raises(FenceFull):
+            full.check("y", 1)
+        for token in (0, -1, 1 << 63):
+            with pytest.raises(ValueError):
+                full.check("x", token)
+
+
+class World:
+    """Holders on one table each, a log without delay but what a test holds back, and one true time in ms."""
+
+    def __init__(self, *names, terms=None, wants=("x",)):
+        self.now, self.index, self.terms = 0.0, 0, terms or Terms(1_000)
+        self.rates, self.offsets = dict.fromkeys(names, 1.0), dict.fromkeys(names, 0.0)
+        self.tables = {name: Table() for name in names}
+        self.holders = {name: Holder(name, 1, self.terms, self.tables[name], n, 0.0) for n, name in enumerate(names)}
+        self.log, self.deaf, self.down = [], set(), set()
+        self.applied = dict.fromkeys(names, 0)
+        for holder in self.holders.values():
+            for task in wants:
+                holder.want(task, 1.0)
+
+    def clock(self, name):
+        return self.now * self.rates[name] + self.offsets[name]
+
+    def append(self, command):
+        self.log.append(command)
+        for name in self.holders:
+            self.hear(name)
+
+    def hear(self, name):
+        while name not in self.deaf and name not in self.down and self.applied[name] < len(self.log):
+            command = self.log[self.applied[name]]
+            self.applied[name] += 1
+            result = self.tables[name].apply(self.applied[name], command)
+            self.holders[name].told(self.clock(name), command, result)
+
+    def run(self, ms, step=20.0, stands=True):
+        until = self.now + ms
+        while self.now < until:
+            self.now += step
+            for name, holder in self.holders.items():
+                if name not in self.down:
+                    self.hear(name)
+                    command = holder.ask(self.clock(name), stands)
+                    if command is not None:
+                        self.append(command)
+                        holder.outcome(self.clock(name), holder.number, True)
+            assert len(self.owners("x")) < 2, "two hold one task"
+
+    def asks(self, name="a"):
+        """The first command of one that begins to stand; nobody appends it."""
+        while (command := self.holders[name].ask(self.clock(name), True)) is None:
+            self.now += 20.0
+        return command
+
+    def owners(self, task):
+        return [name for name, holder in self.holders.items()
+                if (own := holder.own.get(task)) is not None and self.clock(name) < own.end]
+
+    def owner(self, task="x"):
+        (name,) = self.owners(task)
+        return name
+
+
+class TestHolder:
+    def test_one_gets_it_renews_it_and_another_takes_over_only_when_it_is_over_for_certain(self):
+        w = World("a", "b", "c")
+        w.run(400)
+        first = w.owner()
+        token = w.holders[first].own["x"].token
+        w.run(5_000)
+        assert w.owner() == first and w.holders[first].own["x"].token == token, "renewed, not granted anew"
+        assert w.holders[first].counts["renewals"] in range(14, 22)
+        w.down.add(first)
+        died, end = w.now, w.holders[first].own["x"].end
+        while not (others := [name for name in w.owners("x") if name != first]):
+            w.run(20)
+        assert w.now >= end and others, "never before the dead one's own end"
+        assert w.now - died <= wait_of(1_000, 0.01) + w.terms.spread + 3 * 20 + PATIENCE_MS
+        assert w.holders[others[0]].own["x"].token > token
+
+    @given(st.lists(st.floats(0.99, 1.01), min_size=3, max_size=3), st.lists(st.floats(-1e6, 1e6), min_size=3,
+                                                                            max_size=3), st.integers(0, 9))
+    @settings(max_examples=25, deadline=None)
+    def test_no_two_hold_at_once_whatever_clocks_within_the_drift_say(self, rates, offsets, seed):
+        w = World("a", "b", "c")
+        w.rates, w.offsets = dict(zip("abc", rates, strict=True)), dict(zip("abc", offsets, strict=True))
+        for name in w.holders:
+            w.holders[name] = Holder(name, 1, w.terms, w.tables[name], seed, w.clock(name))
+            w.holders[name].want("x", 1.0)
+        w.run(500)
+        first = w.owner()
+        w.deaf.add(first)  # its renewals are appended, but it does not hear of them, nor of who takes over
+        asked = w.holders[first].own["x"].asked
+        w.run(900)
+        w.down.add(first)
+        w.run(3_000)  # run() asserts that there are never two
+        assert w.holders[first].own["x"].asked == asked
+
+    def test_a_candidate_counts_nothing_that_it_did_not_watch(self):
+        w = World("a", "b")
+        w.run(400)
+        first = w.owner()
+        other = "b" if first == "a" else "a"
+        w.down.add(first)
+        w.run(100)
+        w.offsets[other] += 60_000.0  # its clock jumps: the wait is as long as ever, but for the patience
+        w.run(700)
+        assert w.owners("x") in ([first], [])
+        assert w.holders[other].ask(w.clock(other), True) is None and w.holders[other].counts["clock_steps"] == 1
+        w.run(1_000)
+        assert w.owner() == other
+
+    @pytest.mark.parametrize("jump", (30_000.0, -400.0))
+    def test_a_holder_whose_clock_jumps_holds_nothing_until_it_has_renewed(self, jump):
+        w = World("a", "b")
+        w.run(500)
+        first = w.owner()
+        holder, token = w.holders[first], w.holders[first].own["x"].token
+        w.offsets[first] += jump
+        assert not holder.holds("x", token, w.clock(first))
+        assert [turned.held for turned in holder.turned] == [True, False]
+        w.run(200)
+        assert w.owner() == first and holder.own["x"].token == token
+        assert holder.holds("x", token, w.clock(first)) and [t.held for t in holder.turned] == [True, False, True]
+
+    def test_an_uncertain_take_that_comes_late_is_counted_from_when_it_was_asked(self):
+        w = World("a")
+        holder = w.holders["a"]
+        command = w.asks()
+        asked = w.clock("a")
+        holder.outcome(w.clock("a"), holder.number, False, None)
+        for _ in range(30):
+            w.now += 20.0
+            holder.look(w.clock("a"))
+        w.append(command)
+        assert holder.own["x"].end == end_of(asked, 1_000, 0.01) and holder.holds("x", 1, w.clock("a"))
+        # One that comes after its end is nothing that is held; it is renewed, as the row is ours.
+        w = World("a")
+        holder = w.holders["a"]
+        command = w.asks()
+        holder.outcome(w.clock("a"), holder.number, False, None)
+        w.now += 1_200.0
+        w.append(command)
+        assert not holder.holds("x", 1, w.clock("a"))
+        assert table.read(holder.ask(w.clock("a"), True)).renews == [("x", 1)]
+
+    def test_who_does_not_stand_takes_nothing_but_keeps_what_it_has(self):
+        w = World("a")
+        w.run(1_000, stands=False)
+        assert not w.owners("x")
+        w.run(300)
+        w.run(2_000, stands=False)
+        assert w.owner() == "a"
+
+    def test_released_by_an_operator_it_goes_to_another_and_rests_here(self):
+        w = World("a", "b")
+        w.run(400)
+        first = w.owner()
+        other = "b" if first == "a" else "a"
+        w.append(w.holders[other].force("x"))
+        assert not w.owners("x") and w.holders[first].turned[-1].why == "released by an operator"
+        w.run(300)
+        assert w.owner() == other, "the holder said that it has stopped: nobody need wait it out"
+        assert w.holders[other].force("y") is None
+
+    def test_one_that_leaves_frees_all_at_once(self):
+        w = World("a", "b")
+        w.run(400)
+        first = w.owner()
+        w.append(w.holders[first].leave())
+        assert not w.owners("x")
+        w.run(300)
+        assert w.owner() != first
+
+    def test_what_is_no_longer_wanted_is_given_back_even_where_it_is_granted_late(self):
+        w = World("a")
+        command = w.asks()
+        w.holders["a"].outcome(w.clock("a"), 1, False, None)
+        w.holders["a"].unwant("x")
+        w.append(command)
+        assert not w.owners("x") and w.tables["a"].rows
+        w.run(200)
+        assert not w.tables["a"].rows
+
+    def test_a_grant_that_came_with_a_snapshot_is_given_back_as_nobody_knows_since_when(self):
+        w, elsewhere = World("a"), Table()
+        assert table.said(elsewhere.apply(7, w.asks())).takes == [True]
+        holder = w.holders["a"]
+        holder.outcome(w.clock("a"), holder.number, False, None)
+        w.tables["a"].restore(9, elsewhere.state())
+        holder.told(w.clock("a"), b"", b"")
+        assert not w.owners("x")
+        w.now += 60.0
+        assert table.read(holder.ask(w.clock("a"), True)).drops == [("x", 7)]
+
+    def test_a_renewal_that_comes_late_brings_nothing_back_that_was_given_up(self):
+        w = World("a", "b")
+        w.run(700)
+        first = w.owner()
+        holder = w.holders[first]
+        while (command := holder.ask(w.clock(first), True)) is None:
+            w.now += 20.0
+        assert table.read(command).renews
+        holder.outcome(w.clock(first), holder.number, False, None)
+        holder.unwant("x")
+        w.append(command)
+        assert not w.owners("x") and not holder.own
+        w.run(400)
+        assert w.owner() != first
+
+    def test_a_thousand_tasks_are_spread_and_renewed_in_few_entries(self):
+        tasks = [f"t{n}" for n in range(1_000)]
+        w = World(*"abcde", wants=tasks, terms=Terms(3_000))
+        w.run(3_000, 50.0)
+        held = [len(h.held(w.clock(n))) for n, h in w.holders.items()]
+        assert sum(held) == 1_000 and min(held) > 100, held
+        before = len(w.log)
+        w.run(6_000, 50.0)
+        assert len(w.log) - before < 5 * 6 * 3, "renewals go many in one entry"
+        assert [len(h.held(w.clock(n))) for n, h in w.holders.items()] == held, "all kept"
+        w.down.add("a")
+        w.run(5_000, 50.0)
+        assert sum(len(h.held(w.clock(n))) for n, h in w.holders.items() if n != "a") == 1_000
+
+    def test_a_greater_weight_gets_more_and_the_same_draw_everywhere(self):
+        tasks = [f"t{n}" for n in range(2_000)]
+        first = [min("abc", key=lambda n: turn(t, n, 3.0 if n == "a" else 1.0)) for t in tasks]  # noqa: B023
+        assert abs(first.count("a") / 2_000 - 0.6) < 0.05 and abs(first.count("b") / 2_000 - 0.2) < 0.04
+
+    def test_failures_are_backed_off_but_never_past_a_renewal(self):
+        w = World("a")
+        w.run(300)
+        holder, asks = w.holders["a"], 0
+        w.down.add("a")
+        for _ in range(90):
+            w.now += 10.0
+            if holder.ask(w.clock("a"), True) is not None:
+                asks += 1
+                holder.outcome(w.clock("a"), holder.number, False, False)
+        assert 7 <= asks <= 16
+        with pytest.raises(ValueError):
+            holder.want("y", 0.0)
+
+
+def events():
+    sink = io.BytesIO()
+    return Events("a", sink=sink), lambda: [json.loads(line) for line in sink.getvalue().splitlines()]
+
+
+async def until(true, within_s=10.0):
+    async with asyncio.timeout(within_s):
+        while not (got := true()):
+            await asyncio.sleep(0.005)
+    return got
+
+
+class Job:
+    """Sends to a fenced receiver as often as it can."""
+
+    every_s = 0.0
+
+    def __init__(self, task, fence):
+        self.task, self.fence, self.sent, self.active, self.most = task, fence, [], 0, 0
+
+    async def run(self, hand):
+        self.active += 1
+        self.most = max(self.most, self.active)
+        try:
+            await hand.step(asyncio.sleep(0.005))
+
+            async def call(token):
+                self.fence.check(self.task, token)
+                self.sent.append(token)
+            await hand.send("mark", "sink", call)
+        finally:
+            await asyncio.sleep(0)
+            self.active -= 1
+
+
+class TestJobs(unittest.IsolatedAsyncioTestCase):
+    async def test_nothing_is_sent_once_the_lease_is_over(self):
+        holds, sent = [True], []
+
+        async def call(token):
+            sent.append(token)
+        told, _ = events()
+        hand = Hand(Lease("x", 3, lambda: holds[0]), SimpleNamespace(did=lambda *a: None))
+        await hand.send("mark", "sink", call)
+        holds[0] = False
+        for work in (hand.send("mark", "sink", call), hand.step(asyncio.sleep(0))):
+            with self.assertRaises(Lost):
+                await work
+        self.assertEqual(sent, [3])
+
+    async def test_a_run_begins_only_after_the_last_one_has_ended(self):
+        told, _ = events()
+        owners = SimpleNamespace(on_change=[], want=lambda task, weight: None, did=lambda *a: None)
+        active, most, ending = 0, 0, asyncio.Event()
+
+        class Slow:
+            task, every_s = "x", 0.0
+
+            async def run(self, hand):
+                nonlocal active, most
+                active += 1
+                most = max(most, active)
+                try:
+                    await asyncio.sleep(60.0)
+                finally:
+                    await ending.wait()
+                    active -= 1
+        runner = Runner(owners, told, [Slow()])
+        (changed,) = owners.on_change
+        for token in (1, 2, 3):
+            changed("x", Lease("x", token, lambda: True))
+            await asyncio.sleep(0.01)
+            changed("x", None)
+        changed("x", Lease("x", 4, lambda: True))
+        await asyncio.sleep(0.02)
+        ending.set()
+        await until(lambda: active == 1)
+        self.assertEqual(most, 1)
+        await runner.close()
+        self.assertEqual(active, 0)
+
+
+class TestService(unittest.IsolatedAsyncioTestCase):
+    def make(self, *names, lease_ms=300, **more):
+        log = LocalLog()
+        logs = [log, *(log.join(name) for name in names[1:])]
+        told, lines = events()
+        return logs, [Owners(log, name, Terms(lease_ms), told, seed=n, **more)
+                      for n, (name, log) in enumerate(zip(names, logs, strict=True))], lines, told
+
+    async def test_work_goes_on_at_another_and_the_late_ones_are_refused(self):
+        logs, owners, lines, told = self.make("a", "b", "c")
+        fence, jobs = Fence(), []
+        for each in owners:
+            jobs.append(Job("x", fence))
+            Runner(each, told, [jobs[-1]])
+            each.start()
+        (first,) = await until(lambda: [n for n, job in enumerate(jobs) if len(job.sent) > 3])
+        lease = owners[first].lease("x")
+        logs[first].hold()  # it hears nothing more, but what it asks reaches the others: its lease runs out
+        (second,) = await until(lambda: [n for n, job in enumerate(jobs) if n != first and job.sent])
+        assert not lease.holds() and owners[first].lease("x") is None
+        with pytest.raises(Lost):
+            lease.check()
+        with pytest.raises(Stale):
+            fence.check("x", lease.token)
+        sent = [token for job in (jobs[first], jobs[second]) for token in job.sent]
+        assert sent == sorted(sent) and all(job.most <= 1 for job in jobs)
+        await owners[second].close()
+        assert owners[second].lease("x") is None
+        await until(lambda: any(job.sent and job.sent[-1] > max(jobs[second].sent) for job in jobs))
+        names = [line["event"] for line in lines()]
+        assert {"owner_took", "owner_lost", "owner_released", "owner_acted"} <= set(names)
+        for each in owners:
+            await each.close()
+
+    async def test_without_a_leader_nobody_holds_and_it_says_so_and_goes_on_after(self):
+        logs, owners, lines, told = self.make("a", "b")
+        for each in owners:
+            each.want("x")
+            each.start()
+        await until(lambda: any(each.lease("x") for each in owners))
+        logs[0].lead(False)
+        await until(lambda: not any(each.lease("x") for each in owners))
+        await until(lambda: all(each.figures()["waits"] for each in owners))
+        assert [line["why"] for line in lines() if line["event"] == "owner_waits"] == ["no leader is heard of"] * 2
+        logs[0].lead(True)
+        await until(lambda: any(each.lease("x") for each in owners))
+        for each in owners:
+            await each.close()
+
+    async def test_who_drains_stands_for_nothing_and_operators_move_a_task(self):
+        why = {"a": "draining", "b": ""}
+        logs, (a, b), lines, told = self.make("a", "b")
+        a.busy, b.busy = (lambda: why["a"]), (lambda: why["b"])
+        for each in (a, b):
+            each.want("x")
+            each.start()
+        await until(lambda: b.lease("x"))
+        await asyncio.sleep(0)
+        why["a"] = ""
+        token = b.lease("x").token
+        assert a.force("nothing") is None and a.force("x") == {"task": "x", "holder": "b", "token": token}
+        await until(lambda: a.lease("x"))
+        row = a.figures()["owners"][0]
+        assert (row["holder"], row["here"]) == ("a", True) and 0 < row["left_ms"] <= 300
+        assert b.figures()["owners"][0]["left_ms"] > 0
+        a.refused("x", 1, "mark", 9)
+        assert a.figures()["refusals"][0]["highest"] == 9 and a.figures()["refused"] == 1
+        with pytest.raises(ValueError):
+            a.want("a name")
+        for each in (a, b):
+            await each.close()
+
+    async def test_cold_engines_are_warmed_up_in_steps_within_rights_and_only_while_it_holds(self):
+        logs, (a,), lines, told = self.make("a")
+        asked, rights, cold = [], [3], [Cold(1, "e1", 5.0), Cold(2, "e2", 6.0)]
+
+        def pay(engine):
+            rights[0] -= 1
+            return rights[0] >= 0
+
+        async def query(number, ticket, statement):
+            asked.append((number, statement))
+            return len(asked) != 2  # the second fails, and is tried again
+        job = Warm("warm", 20.0, ["s1", "s2"], lambda: cold, pay, query)
+        Runner(a, told, [job])
+        a.start()
+        await until(lambda: rights[0] < 0)
+        self.assertEqual(asked, [(1, "s1"), (2, "s1"), (1, "s2")])
+        rights[0] = 100
+        await until(lambda: len(asked) == 5)
+        self.assertEqual(asked[3:], [(2, "s1"), (2, "s2")])
+        cold[0] = Cold(1, "e1", 9.0)  # a new start
+        await until(lambda: len(asked) == 7)
+        self.assertEqual(asked[5:], [(1, "s1"), (1, "s2")])
+        logs[0].lead(False)
+        await until(lambda: a.lease("warm") is None)
+        cold[0] = Cold(1, "e1", 11.0)
+        await asyncio.sleep(0.1)
+        self.assertEqual(len(asked), 7)
+        await a.close()
+
+    async def test_a_stale_answer_ends_the_work_and_is_told(self):
+        logs, (a,), lines, told = self.make("a")
+        fence = Fence()
+        fence.check("x", 1 << 40)
+        Runner(a, told, [Job("x", fence)])
+        a.start()
+        await until(lambda: a.stale)
+        (line,) = [line for line in lines() if line["event"] == "owner_refused"]
+        assert line["accepted"] is False and line["highest"] == 1 << 40 and a.acted == 0
+        await a.close()
--- /dev/null
+++ b/tests/test_ownership_lab.py
@@ -0,0 +1,149 @@
+"""The history checker on planted faults, and owners in simulated time: each hard case, and runs under drawn faults."""
+
+import json
+
+import pytest
+from click.testing import CliRunner
+
+from frostspindle.cli import cli
+from frostspindle.lab.fenced import Sink
+from frostspindle.lab.history import check
+from frostspindle.lab.ownership import Coordinator, Lab, measure, play
+from frostspindle.ownership import holder as deciding
+
+
+def took(at, token, holder, task="x"):
+    return {"event": "owner_took", "task": task, "token": token, "holder": holder, "at": at}
+
+
+def lost(at, token, holder, task="x"):
+    return {"event": "owner_lost", "task": task, "token": token, "holder": holder, "at": at}
+
+
+def acted(seq, at, token, holder, accepted=True, receiver="s"):
+    return {"event": "sink_acted", "receiver": receiver, "seq": seq, "task": "x", "token": token, "holder": holder,
+            "action": "mark", "accepted": accepted, "at": at}
+
+
+GOOD = [took(0, 3, "a"), acted(0, 1, 3, "a"), lost(10, 3, "a"), took(12, 7, "b"), acted(1, 13, 7, "b"),
+        acted(2, 14, 3, "a", False), lost(20, 7, "b")]
+
+
+def test_a_good_history_is_good():
+    found = check(GOOD, expect=2)
+    assert found.good and (found.accepted, found.refused, found.grants, found.tasks) == (2, 1, 2, 1)
+    # A killed holder's lease ends with it; one line may tell many; a renewed one goes on under its token.
+    assert check([took(0, 3, "a"), took(12, 7, "b")], {"a": [5.0]}).good
+    assert check([took(5.001, 3, "a"), took(12, 7, "b")], {"a": [1.0, 5.0006]}).good
+    many = {"event": "owner_took", "holder": "a", "many": [["x", 3, 0.0], ["y", 3, 0.0]]}
+    assert check([many, lost(10, 3, "a"), took(11, 3, "a"), lost(15, 3, "a"), took(16, 9, "b")]).good
+
+
+@pytest.mark.parametrize("lines, words", (
+    ([*GOOD, acted(3, 15, 3, "a")], "was accepted after 7"),
+    ([*GOOD, acted(0, 15, 3, "a", receiver="other")], "were accepted after the first of b"),
+    ([*GOOD[:2], lost(13, 3, "a"), *GOOD[3:]], "overlap from 12.0 to 13.0"),
+    ([*GOOD[:2], *GOOD[3:]], "overlap"),  # the first never said that it was over
+    ([*GOOD, took(30, 7, "c"), lost(31, 7, "c")], "two holders"),
+    ([*GOOD, acted(3, 15, 8, "b")], "granted to nobody"),
+    ([*GOOD, acted(3, 15, 7, "a")], "used by a"),
+    ([*GOOD, {"event": "counters", "dropped": 4}], "lines are missing"),
+    (GOOD[:1], "nothing is shown"),
+))
+def test_a_planted_fault_is_found(lines, words):
+    found = check(lines, expect=1)
+    assert not found.good and any(words in fault for fault in found.faults), found.faults
+
+
+def test_a_sink_answers_whatever_it_is_sent():
+    sink = Sink("s", lambda: 1.0)
+    good = {"task": "x", "token": 5, "holder": "a", "action": "mark", "key": "k", "value": 1}
+    assert sink.take(good) == {"ok": True} and sink.entries == {"k": 1}
+    assert sink.take({**good, "token": 4, "value": 2}) == {"stale": 5} and sink.entries == {"k": 1}
+    for said in ({}, {**good, "token": "5"}, {**good, "task": 1}, {**good, "token": -1}):
+        assert "bad" in sink.take(said)
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_under_drawn_faults_nothing_stale_is_accepted(seed):
+    found = measure(play(5, seed, "drawn", 12.0, lease_ms=1_000, late=0.3, voters=(3, 5)[seed % 2]))
+    assert found["good"] and found["accepted"] > 200 and not found["log_faults"], found
+
+
+def stopped(fenced=True, make=Coordinator):
+    """A holder that is stopped for twice its lease, some of whose sends leave as late, with a second one acting."""
+    return play(5, 2, "3 stop 0-1; 5 cont 0-1", 9.0, lease_ms=1_000, late=0.4, voters=5, tasks=8, fenced=fenced,
+                make=make)
+
+
+def test_a_holder_stopped_for_twice_its_lease_does_no_harm_and_without_the_fence_it_does():
+    good, bad = measure(stopped()), measure(stopped(fenced=False))
+    assert good["good"] and good["refused"] > 0, good
+    assert bad["stale_accepted"] > 0 and not bad["good"]
+
+
+def test_candidates_that_wait_less_than_a_lease_are_found_out(monkeypatch):
+    monkeypatch.setattr(deciding, "wait_of", lambda duration_ms, drift: duration_ms / 2.0)
+    lab = play(5, 2, "3 oneway 0>1,2,3,4; 6 oneway 1>0,2,3,4", 9.0, lease_ms=2_000, voters=3, tasks=8)
+    assert any("overlap" in fault for fault in lab.checked().faults)
+
+
+def test_the_logs_leader_cut_off_with_a_holder():
+    lab = Lab(5, 4, "", tasks=10, lease_ms=1_000, voters=5).run(3.0)
+    (leader,) = lab.replicas.leaders()
+    held = {row.holder for row in lab.coordinators[leader].table.rows.values()}
+    other = next(n for n in range(5) if n != leader and f"c{n}" in held)
+    side, rest = f"{leader},{other}", ",".join(str(n) for n in range(5) if n not in (leader, other))
+    lab = play(5, 4, f"3-6 cut {side}|{rest}", 9.0, tasks=10, lease_ms=1_000, voters=5)
+    assert lab.checked(100).good
+    cut = [line for line in lab.sink.lines if 5_500.0 < line["at"] < 6_000.0 and line["accepted"]]
+    assert cut and {line["holder"] for line in cut} <= {f"c{n}" for n in range(5) if n not in (leader, other)}
+
+
+def test_a_holder_whose_clock_jumps_forward_and_back():
+    lab = Lab(3, 5, "", tasks=3, lease_ms=1_000).run(3.0)
+    for n, jump in ((0, 20_000.0), (1, -3_000.0), (2, 400.0)):
+        lab.jumps[n] = jump
+    lab.run(5.0)
+    lab.jumps = {0: 0.0, 1: 7.0, 2: -5_000.0}
+    lab.run(9.0)
+    assert lab.checked(100).good and all(who.holder.counts["clock_steps"] for who in lab.coordinators.values())
+
+
+def test_a_majority_lost_holds_all_up_and_a_voter_whose_journal_is_lost_comes_back():
+    lab = Lab(5, 6, "", tasks=3, lease_ms=1_000).run(3.0)
+    for n in (0, 1):
+        lab.replicas.kill(n)
+    lab.run(5.0)
+    before = len(lab.sink.lines)
+    assert not any(who.holder.held(who.now) for n, who in lab.coordinators.items() if n not in (0, 1))
+    lab.run(6.0)
+    assert not [line for line in lab.sink.lines[before:] if line["accepted"] and line["action"] != "late"]
+    lab.replicas.start(0)
+    lab.run(8.0)
+    lab.replicas.lose(1)
+    lab.replicas.start(1)
+    lab.run(11.0)
+    assert lab.checked(50).good and lab.sink.lines[-1]["at"] > 10_000.0
+
+
+def test_a_thousand_tasks_at_once():
+    lab = Lab(5, 7, "3 kill 0", tasks=1_000, lease_ms=1_000, late=0.0)
+    act, sent = lab.act, set()
+
+    def once(who, task, token):  # an action a grant is enough here
+        if (task, token) not in sent:
+            sent.add((task, token))
+            act(who, task, token)
+    lab.act = once
+    lab.run(6.0)
+    assert lab.checked(1_000).good
+    assert len(lab.coordinators[1].table.rows) == 1_000
+    assert "c0" not in {row.holder for row in lab.coordinators[1].table.rows.values()}
+
+
+def test_lab_ownership_prints_one_object_the_same_for_the_same_seed():
+    call = ["lab", "ownership", "--seed", "5", "--seconds", "8", "--json", "--faults", "4-6 cut 0|1-4"]
+    first, second = (CliRunner().invoke(cli, call) for _ in range(2))
+    assert first.output == second.output and json.loads(first.output)["good"] is True
+    assert CliRunner().invoke(cli, [*call[:-1], "4 burn 1"]).exit_code == 2
