Ask only the sites whose summaries may hold rows of a scattered statement

Need: a statement on tables that are spread over sites went to all of them. Change: a catalogue, summaries with homes and leases, a load that widens one waits for every holder; parts are requests like any other; merging is exact or turned down.

--- /dev/null
+++ b/bench/scatter.py
@@ -0,0 +1,115 @@
+"""Scatter in figures: queries that missed a row, sites left out, what a cut costs, and what a decision takes.
+
+    python bench/scatter.py [--runs 500] [--nodes 5] [--cores 4]
+
+Seeded; runs are of the emulator (`lab scatter`), spread over processes. Costs are CPU time, best of five rounds.
+"""
+
+from __future__ import annotations
+
+import argparse
+import json
+import statistics
+import time
+from collections.abc import Callable
+from multiprocessing import Pool
+from types import SimpleNamespace
+from typing import Any
+
+from frostspindle.catalogue import Catalogue, read
+from frostspindle.core import Ask
+from frostspindle.events import Events
+from frostspindle.lab.scatter import Emulator, measure, play
+from frostspindle.predicates import may_match
+from frostspindle.predicates.summaries import Summary
+from frostspindle.scatter.leases import Told, widen
+from frostspindle.scatter.merge import merge
+from frostspindle.scatter.plan import Planner, in_steps
+from frostspindle.scatter.service import Scatter
+
+SECONDS = 16.0
+RAW = {"binary": True, "site": [{"name": f"s{n}"} for n in range(4)], "group": [{
+    "schema": "calls_17", "tables": ["notes"], "column": [{"name": "n", "type": "integer", "step": 5},
+                                                          {"name": "s", "type": "text"}]}]}
+SQL = "SELECT s, COUNT(*), MAX(n) FROM calls_17.notes WHERE n BETWEEN {} AND {} AND s <> 'x' GROUP BY s ORDER BY 2 DESC"
+
+
+def one(job: tuple[int, int, str]) -> dict[str, Any]:
+    nodes, seed, faults = job
+    return measure(play(nodes, seed, faults, SECONDS))
+
+
+def while_cut(nodes: int, seed: int) -> dict[str, Any]:
+    """Left out before, during and after a cut of the first two from the others, for 10 s; homes are c0 to c2."""
+    emulator: Emulator = play(nodes, seed, f"10-20 cut 0-1|2-{nodes - 1}", 30.0)
+    out: dict[str, Any] = {}
+    for name, begin, end in (("before", 5.0, 10.0), ("cut", 13.5, 20.0), ("after", 21.0, 30.0)):
+        seen = [(left, could) for at, left, could in emulator.seen if begin <= at / 1_000.0 < end]
+        out[name] = sum(left for left, _ in seen) / sum(could for _, could in seen)
+    return {**out, **{key: emulator.counted[key] for key in ("loads", "refused", "failed", "false_skips")}}
+
+
+def best_us(call: Callable[[], Any], times: int) -> float:
+    rounds = []
+    for _ in range(5):
+        began = time.process_time()
+        for _ in range(times):
+            call()
+        rounds.append((time.process_time() - began) / times * 1e6)
+    return round(min(rounds), 2)
+
+
+def costs() -> dict[str, float]:
+    made = read(RAW)
+    catalogue = Catalogue(made, {group.number: group for group in made.group}, {s.name: s for s in made.site}, {},
+                          frozenset(), -1)
+    planner, numbers = Planner(catalogue), iter(range(10**9))
+    known = SQL.format(5, 9)
+    planner.plan(17, known)
+    summary = Summary(catalogue.summed(17), 4_096)
+    cells = [(1, str(n)) for n in range(100, 600, 3)]
+    widen(summary, Told(200, {"n": cells, "n\0": in_steps(cells, 5), "s": [(2, f"agent-{n}") for n in range(50)]}))
+    plan = planner.plan(17, known)
+    core = SimpleNamespace(classes=[("http", "lookup")], open=0, most_open=99)
+    scatter = Scatter(catalogue, core, Events(), None, 1)  # type: ignore[arg-type]
+    other = Ask("http", 0, "0" * 16, "SELECT 1 FROM calls_18.notes", 0.0, 1_000.0, lambda answer: None, group=18)
+    parts = [[[f"agent-{n}", "3", "7"] for n in range(100)] for _ in range(4)]
+    insert = "INSERT INTO calls_17.notes (n, s) VALUES ({}, 'agent-7'), (8, 'agent-8')"
+    return {"a request of nothing spread, us": best_us(lambda: scatter.takes(other), 20_000),
+            "a statement, read": best_us(lambda: planner.plan(17, SQL.format(next(numbers), 10**9)), 50),
+            "a statement, known": best_us(lambda: planner.plan(17, known), 20_000),
+            "a summary, asked": best_us(lambda: may_match(plan.predicate, summary), 2_000),
+            "a load's statement of two rows, read": best_us(lambda: planner.load(17, insert.format(next(numbers))), 50),
+            "four parts of 100 groups, merged": best_us(lambda: merge(plan.merge, parts, "\\N"), 50)}
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--runs", type=int, default=500)
+    parser.add_argument("--nodes", type=int, default=5)
+    parser.add_argument("--cores", type=int, default=4)
+    args = parser.parse_args()
+    with Pool(args.cores) as pool:
+        drawn = []
+        for run in pool.imap_unordered(one, [(args.nodes, seed, "drawn") for seed in range(args.runs)]):
+            drawn.append(run)
+            if run["false_skips"] or not len(drawn) % 50:
+                missed = sum(each["false_skips"] for each in drawn)
+                print(json.dumps({"runs": len(drawn), "seed": run["seed"], "false_skips": missed}), flush=True)
+        calm = pool.map(one, [(nodes, seed, "") for nodes in (3, 9, 30) for seed in range(3)])
+        cut = pool.starmap(while_cut, [(args.nodes, seed) for seed in range(8)])
+    total = {key: sum(run[key] for run in drawn) for key in ("false_skips", "queries", "loads", "answered", "refused",
+                                                             "failed", "learnt", "asked_without_lease")}
+    waits = sorted(run["load_wait_ms_p99"] for run in drawn if run["load_wait_ms_p99"] is not None)
+    print(json.dumps({"drawn faults": {
+        "runs": len(drawn), **total, "pruned, median": statistics.median(run["pruned"] for run in drawn),
+        "load_wait_ms_p99, median and worst": [statistics.median(waits), waits[-1]]}}))
+    print(json.dumps({"calm": [{key: run[key] for key in ("nodes", "seed", "pruned", "load_wait_ms_p50",
+                                                          "load_wait_ms_p99", "false_skips")} for run in calm]}))
+    print(json.dumps({"cut of two for 10 s, mean of 8": {key: round(statistics.mean(run[key] for run in cut), 3)
+                                                         for key in cut[0]}}))
+    print(json.dumps({"costs, us": costs()}))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/frostspindle/scatter/gather.py
@@ -0,0 +1,101 @@
+"""One scattered request: its parts, and the one answer that they become.
+
+Owns what each part's end means for the whole, without I/O and without a clock. It must never answer twice, never make
+an answer of less than all parts unless the request allows it, and then says which sites are missing. Parts are retried,
+refused and cancelled by the module, each as a request of its own; here nothing is sent again.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+from typing import NamedTuple
+
+from frostspindle.scatter.merge import Merge, Mismatch, Row, merge
+
+SERVED, REFUSED, FAILED = "served", "refused", "failed"  # as the core has them
+
+
+class Whole(NamedTuple):
+    """The one answer. `missing`: the sites that did not answer, where the request allows it."""
+
+    how: str
+    rows: list[Row] = []
+    reason: str = ""
+    retry_after_ms: float = 0.0
+    missing: tuple[str, ...] = ()
+
+
+@dataclass(slots=True)
+class Gather:
+    """Sites that were asked, and what has come of it."""
+
+    how: Merge
+    sites: Sequence[str]
+    null: str
+    partial: bool
+    most_rows: int
+    parts: dict[str, list[Row]] = field(default_factory=dict)
+    lost: dict[str, tuple[str, float]] = field(default_factory=dict)  # how, the wait that was advised
+    rows: int = 0
+    over: bool = False
+
+    @property
+    def open(self) -> list[str]:
+        """Sites that have yet to answer."""
+        return [site for site in self.sites if site not in self.parts and site not in self.lost]
+
+    def begin(self) -> Whole | None:
+        """The answer, where no site needs to be asked."""
+        return self._whole() if not self.sites else None
+
+    def served(self, site: str, rows: list[Row]) -> Whole | None:
+        """A part's rows; the answer, if that was the last."""
+        if self.over or site not in self.open:
+            return None
+        self.parts[site] = rows
+        self.rows += len(rows)
+        if self.rows > self.most_rows:
+            return self._end(Whole(FAILED, reason=f"more than {self.most_rows} rows to merge"))
+        return None if self.open else self._whole()
+
+    def ended(self, site: str, how: str, retry_after_ms: float = 0.0) -> Whole | None:
+        """A part ended without rows."""
+        if self.over or site not in self.open:
+            return None
+        self.lost[site] = how, retry_after_ms
+        if self.partial:
+            return None if self.open else self._whole()
+        return self._end(Whole(how, retry_after_ms=retry_after_ms))
+
+    def left(self) -> None:
+        """The client has gone: no answer is owed."""
+        self.over = True
+
+    def _whole(self) -> Whole:
+        if self.lost and not self.parts:
+            worst = FAILED if any(how == FAILED for how, _ in self.lost.values()) else REFUSED
+            return self._end(Whole(worst, retry_after_ms=max(wait for _, wait in self.lost.values())))
+        try:
+            rows = merge(self.how, [self.parts[site] for site in self.sites if site in self.parts], self.null)
+        except Mismatch as error:
+            return self._end(Whole(FAILED, reason=str(error)))
+        return self._end(Whole(SERVED, rows, missing=tuple(sorted(self.lost))))
+
+    def _end(self, whole: Whole) -> Whole:
+        self.over = True
+        return whole
+
+
+def estimates(cost: float, rows: Sequence[int | None]) -> tuple[list[float], float]:
+    """Of a whole request's cost: each part's share by its site's rows, and the largest of them, which ranks them all.
+
+    A request has its answer when its largest part has: a small part that overtook others' requests would gain nothing.
+    """
+    if not rows:
+        return [], 0.0
+    known = [count for count in rows if count]
+    usual = sum(known) / len(known) if known else 1.0
+    weights = [count if count else usual for count in rows]
+    shares = [cost * weight / sum(weights) for weight in weights]
+    return shares, max(shares)
--- /dev/null
+++ b/frostspindle/scatter/service.py
@@ -0,0 +1,524 @@
+"""Scatter in the program: requests on spread tables, their parts through the core, and the summaries' messages.
+
+Owns which requests are taken from the fronts before the core's ledger, the timers of the lease cores, and the queries
+that learn a site anew. It must never send anything to an engine: parts, loads and these queries are requests of the
+core like any other, with numbers of their own. Nor does it decide: what is left out is `leases` and `predicates`, what
+a statement becomes `plan`, what parts become `gather`.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections import deque
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+from functools import partial
+from hashlib import blake2b
+from typing import TYPE_CHECKING, Any
+
+from frostspindle.catalogue import CELLS, FLOAT, TEXT, Catalogue, Column, home_of, key_of, site_of
+from frostspindle.core import FAILED, PART, REFUSED, SERVED, Answer, Ask, Core, clock
+from frostspindle.events import Events
+from frostspindle.predicates import may_match
+from frostspindle.predicates.values import KINDS, canonical
+from frostspindle.scatter import wire
+from frostspindle.scatter.gather import Gather, Whole, estimates
+from frostspindle.scatter.leases import UNKNOWN, Holder, Home, Load, Terms, Told
+from frostspindle.scatter.merge import Mismatch, value
+from frostspindle.scatter.plan import Planner, Rows, in_steps
+
+if TYPE_CHECKING:
+    from frostspindle.fleet.node import Node
+    from frostspindle.fleet.service import Service as Fleet
+
+CHANNEL = 2
+MERGE_MS = 10.0  # of a request's time that parts leave for the merge
+CONFIRM = 0.1  # part of a load's time that is left for its confirmation
+WIDEN = 0.6  # part of it after which a load that could not be announced is refused
+AGAIN_S = 0.05  # a load waits so for a fleet that is not there yet
+LOOK_S = 0.25  # how often it is looked for summaries to learn
+LEARNING = 2  # summaries that are learnt at a time
+MOST_DISTINCT = 50_000  # values of a column that are learnt; with more nothing is known of it
+LEARN_MS = 20_000.0  # of one query
+
+
+def monotonic() -> float:
+    """Milliseconds that go on while the process is stopped."""
+    return time.monotonic() * 1000.0
+
+
+def ticket(whole: str, site: str) -> str:
+    """A part's id, the same form as a client's."""
+    return blake2b(f"{whole}:{site}".encode(), digest_size=8).hexdigest()
+
+
+@dataclass(slots=True, eq=False)
+class _Query:
+    ask: Ask
+    gather: Gather
+    parts: dict[str, Ask]
+
+
+@dataclass(slots=True, eq=False)
+class _Turn:
+    """One load: announced, sent, confirmed."""
+
+    ask: Ask
+    site: str
+    load: Load | None = None
+    part: Ask | None = None
+    result: Any = None
+    timer: asyncio.TimerHandle | None = None
+    began: float = 0.0
+    columns: tuple[str, ...] = ()  # that it wrote, of those with a summary; all of these where nobody can tell
+
+
+class Scatter:
+    """One process's part in it; a frostspindle.fleet.service.Part."""
+
+    channel = CHANNEL
+
+    def __init__(self, catalogue: Catalogue, core: Core, events: Events, fleet: Fleet, classes: int) -> None:
+        self.catalogue, self.core, self.events, self.fleet = catalogue, core, events, fleet
+        self.classes = classes  # of the front that is scattered; others' requests have higher numbers
+        terms = catalogue.terms
+        self.planner = Planner(catalogue)
+        self.terms = Terms(terms.lease_ms, terms.drift, catalogue.digest, terms.keep_ms, terms.bits)
+        self.home: Home | None = None
+        self.holder: Holder | None = None
+        self.queries: dict[Ask, _Query] = {}
+        self.turns: dict[Ask, _Turn] = {}
+        self.lines: dict[int, deque[_Turn]] = {}  # loads of one key, in the order taken
+        # Told of each load that is answered as served: its site, group and columns.
+        self.loaded: Callable[[str, int, tuple[str, ...]], None] = lambda site, group, columns: None
+        self.waits: deque[float] = deque(maxlen=1_000)  # ms that the last loads waited to be announced
+        self._timer: asyncio.TimerHandle | None = None
+        self._look: asyncio.TimerHandle | None = None
+        self._learning: dict[str, asyncio.Task[None]] = {}
+
+    # What the fleet calls.
+
+    def begin(self, now: float, node: Node) -> None:
+        homes = {key: home_of(key, node.homes) for key in self.catalogue.all_keys()}
+        own = {key: self.catalogue.summed(site_of(key)[1]) for key, home in homes.items() if home == node.name}
+        self.home, self.holder = Home(node.epoch, self.terms, own, now), Holder(self.terms, homes)
+        self.events.log("scatter", sites=len(self.catalogue.sites), groups=len(self.catalogue.groups), keeps=len(own))
+        self._search()
+
+    def hear(self, now: float, name: str, epoch: int, data: bytes) -> None:
+        self._hear(now, name, epoch, data)
+        self._flush(now)
+
+    def member(self, now: float, name: str, state: str) -> None:
+        """Leases end by time alone: who is called dead may only be cut off."""
+
+    def _hear(self, now: float, name: str, epoch: int, data: bytes) -> None:
+        if self.home is None or self.holder is None:
+            return
+        try:
+            word = wire.decode(data)
+        except wire.BadPacket:
+            self.events.count("scatter_undecodable")
+            return
+        kind = type(word)
+        if kind is wire.Hold:
+            self.home.on_hold(now, name, epoch, word)
+        elif kind is wire.Have:
+            self.home.on_have(now, name, epoch, word)
+        elif kind is wire.Widen:
+            self.home.on_widen(now, name, epoch, word)
+        elif kind is wire.Done:
+            self.home.on_done(now, name, epoch, word)
+        elif kind is wire.Bye:
+            self.home.on_bye(now, name, epoch, word)
+        elif kind is wire.Still:
+            self.holder.on_still(now, name, epoch, word)
+        elif kind is wire.Piece:
+            self.holder.on_piece(now, name, epoch, word)
+        elif kind is wire.Wider:
+            self.holder.on_wider(now, name, epoch, word)
+        elif kind is wire.Widened:
+            self.holder.on_widened(now, name, epoch, word)
+        else:
+            self.holder.on_known(now, name, epoch, word)
+
+    def _flush(self, now: float) -> None:
+        """Carry what both cores say, to ourselves too, go on with loads, and plan the next turn."""
+        home, holder = self.home, self.holder
+        if home is None or holder is None or self.fleet.node is None:
+            return
+        own, epoch = self.fleet.name, self.fleet.node.epoch
+        while home.out or holder.out or holder.changed:
+            sending = home.out + holder.out
+            home.out, holder.out = [], []
+            changed, holder.changed = holder.changed, []
+            for load in changed:
+                self._moved(load)
+            for name, data in sending:
+                if name == own:
+                    self._hear(now, own, epoch, data)
+                elif len(data) <= wire.MOST:
+                    self.fleet.post(name, CHANNEL, data)
+                else:
+                    self.events.count("scatter_too_long")
+        if self._timer is not None:
+            self._timer.cancel()
+        due = min(home.due(now), holder.due())
+        if due < float("inf"):
+            self._timer = asyncio.get_running_loop().call_later(max(0.001, (due - monotonic()) / 1000.0), self._tick)
+
+    def _tick(self) -> None:
+        if self.home is not None and self.holder is not None:
+            now = monotonic()
+            self.home.tick(now)
+            self.holder.tick(now)
+            self._flush(now)
+
+    # What the core calls.
+
+    @property
+    def open(self) -> int:
+        return len(self.queries) + len(self.turns)
+
+    def takes(self, ask: Ask) -> bool | None:
+        """Whether a request is settled here: None: it is not, it reads nothing that is spread; False: full."""
+        if ask.group not in self.catalogue.groups or ask.front == PART:
+            return None
+        name = self.core.classes[ask.cls][1]
+        if self.core.open >= self.core.most_open:
+            self.events.count("full", ask.front, name)
+            return False
+        self.events.count("taken", ask.front, name)
+        if ask.cls >= self.classes:
+            self._soon(ask, Answer(REFUSED, reason="not scatterable: not by this front"))
+        elif ask.cls in self.catalogue.loads:
+            self._load(ask)
+        else:
+            self._query(ask)
+        return True
+
+    def left(self, ask: Ask) -> bool:
+        """The client has gone; False: not one of ours."""
+        if (query := self.queries.pop(ask, None)) is not None:
+            query.gather.left()
+            for site in query.gather.open:
+                if site in query.parts:
+                    self.core.left(query.parts[site])
+        elif (turn := self.turns.pop(ask, None)) is not None:
+            self._close(turn, turn.part is None)
+            if turn.part is not None:
+                self.core.left(turn.part)
+        else:
+            return ask.group in self.catalogue.groups and ask.front != PART
+        self.events.count("left", ask.front, self.core.classes[ask.cls][1])
+        return True
+
+    def _soon(self, ask: Ask, answer: Answer) -> None:
+        """Not before the front has noted that the request is taken."""
+        asyncio.get_running_loop().call_soon(self._settle, ask, answer)
+
+    def _settle(self, ask: Ask, answer: Answer) -> None:
+        self.events.count(answer.how, ask.front, self.core.classes[ask.cls][1])
+        if answer.reason:
+            self.events.count("scatter_turned_down" if answer.how == REFUSED else "scatter_unmerged")
+        ask.settle(answer)
+        ask.statement = ""
+
+    @staticmethod
+    def _left_ms(ask: Ask) -> float:
+        return ask.left_ms - (clock() - ask.taken_ms)
+
+    # Queries.
+
+    def _query(self, ask: Ask) -> None:
+        plan = self.planner.plan(ask.group, ask.statement)
+        if plan.refused:
+            self._soon(ask, Answer(REFUSED, reason=plan.refused))
+            return
+        sites = self.catalogue.sites_of(ask.group)
+        skipped, rows = self._skips(ask.group, sites, plan.predicate)
+        asked = [site for site in sites if site not in skipped]
+        self.events.count("scatter_requests")
+        self.events.count("scatter_parts", by=len(asked))
+        self.events.count("scatter_left_out", by=len(skipped))
+        query = _Query(ask, Gather(plan.merge, asked, self.catalogue.terms.null, ask.partial,
+                                   self.catalogue.terms.most_rows), {})
+        if (whole := query.gather.begin()) is not None:
+            self._soon(ask, self._answer(whole))
+            return
+        self.queries[ask] = query
+        _, rank = estimates(ask.cost_ms, [rows.get(site) for site in asked])
+        for site in asked:
+            query.parts[site] = Ask(PART, self.catalogue.classes[ask.cls, site], ticket(ask.ticket, site),
+                                    plan.statement or ask.statement, clock(), max(1.0, self._left_ms(ask) - MERGE_MS),
+                                    partial(self._part, query, site), rank, ask.memory_mb, ask.group, ask.place,
+                                    ask.tenant)
+        for site, part in query.parts.items():
+            if not self.core.submit(part):
+                asyncio.get_running_loop().call_soon(self._part, query, site, Answer(REFUSED))
+
+    def _skips(self, group: int, sites: Sequence[str], predicate: Any) -> tuple[set[str], dict[str, int]]:
+        """The sites that nobody need ask, and how many rows the summaries of the others speak of."""
+        skipped: set[str] = set()
+        rows: dict[str, int] = {}
+        if self.holder is None:
+            return skipped, rows
+        if self.holder.want(monotonic(), self.catalogue.keys(group)):
+            asyncio.get_running_loop().call_soon(self._tick)
+        for site in sites:
+            if self.catalogue.sites[site].foreign_loads:
+                continue
+            summary = self.holder.summary(monotonic(), key_of(site, group))
+            if summary is None:
+                self.events.count("scatter_without_lease")
+                continue
+            rows[site] = summary.rows
+            if not may_match(predicate, summary):
+                skipped.add(site)
+        # The process may have been stopped meanwhile: only leases that still hold say anything.
+        now = monotonic()
+        skipped = {site for site in skipped if self.holder.summary(now, key_of(site, group)) is not None}
+        return skipped, rows
+
+    def _part(self, query: _Query, site: str, answer: Answer) -> None:
+        if answer.how == SERVED:
+            whole = query.gather.served(site, answer.result[0])
+        else:
+            whole = query.gather.ended(site, answer.how, answer.retry_after_ms)
+        if whole is None or self.queries.pop(query.ask, None) is None:
+            return
+        for other in query.gather.open:
+            self.core.left(query.parts[other])
+        self._settle(query.ask, self._answer(whole))
+
+    def _answer(self, whole: Whole) -> Answer:
+        if whole.how != SERVED:
+            return Answer(whole.how, None, whole.retry_after_ms, whole.reason)
+        size = sum(len(text) + 1 for row in whole.rows for text in row) + len(whole.rows)
+        if whole.missing:
+            self.events.count("scatter_partial")
+        return Answer(SERVED, (whole.rows, size), mark=",".join(whole.missing))
+
+    # Loads.
+
+    def _load(self, ask: Ask) -> None:
+        told = self.planner.load(ask.group, ask.statement)
+        sites = self.catalogue.sites_of(ask.group)
+        site = ask.site or (home_of(told.places[0], sites) if len(told.places) == 1 else "")
+        if site not in sites:
+            self._soon(ask, Answer(REFUSED, reason="not scatterable: a load of one site's rows names it in X-Site"))
+            return
+        columns = self.catalogue.summed(ask.group) if told.cells is None else [
+            name for name, cells in told.cells.items() if cells]
+        turn = self.turns[ask] = _Turn(ask, site, began=monotonic(), columns=tuple(dict.fromkeys(
+            name.removesuffix(CELLS) for name in columns)))
+        if ask.key:
+            self.lines.setdefault(ask.key, deque()).append(turn)
+        if self.catalogue.sites[site].foreign_loads:
+            self._send(turn)
+            return
+        turn.timer = asyncio.get_running_loop().call_later(
+            max(0.0, WIDEN * self._left_ms(ask)) / 1000.0, self._late, turn)
+        asyncio.get_running_loop().call_soon(self._announce, turn, told)
+
+    def _announce(self, turn: _Turn, told: Rows) -> None:
+        if turn.ask not in self.turns:
+            return
+        now = monotonic()
+        if self.holder is None:  # in an upgrade the other process has the fleet's port for a while
+            asyncio.get_running_loop().call_later(AGAIN_S, self._announce, turn, told)
+            return
+        turn.load = self.holder.load(now, key_of(turn.site, turn.ask.group), told.count, told.cells)
+        if turn.load is None:
+            self._end(turn, Answer(REFUSED), True)
+        self._flush(now)
+
+    def _moved(self, load: Load) -> None:
+        turn = next((turn for turn in self.turns.values() if turn.load is load), None)
+        if turn is None:
+            return
+        if load.state == "ready":
+            self.waits.append(monotonic() - turn.began)
+            self._send(turn)
+        elif load.state == "kept":
+            turn.load = None
+            self._end(turn, Answer(SERVED, turn.result), False)
+
+    def _send(self, turn: _Turn) -> None:
+        """The load itself, once it may go; loads of one key in the order taken."""
+        line = self.lines.get(turn.ask.key) if turn.ask.key else None
+        if turn.part is None and (line is None or line[0] is turn):
+            ask = turn.ask
+            if turn.timer is not None:
+                turn.timer.cancel()
+            left_ms = self._left_ms(ask)
+            turn.part = Ask(PART, self.catalogue.classes[ask.cls, turn.site], ticket(ask.ticket, turn.site),
+                            ask.statement, clock(), max(1.0, left_ms * (1.0 - CONFIRM)), partial(self._ran, turn),
+                            ask.cost_ms, ask.memory_mb, ask.group, ask.place, ask.tenant, ask.key)
+            turn.timer = asyncio.get_running_loop().call_later(max(0.0, left_ms) / 1000.0, self._late, turn)
+            if not self.core.submit(turn.part):
+                asyncio.get_running_loop().call_soon(self._ran, turn, Answer(REFUSED))
+            self._next(turn)
+
+    def _next(self, turn: _Turn) -> None:
+        """The line of a key goes on without this load."""
+        line = self.lines.get(turn.ask.key) if turn.ask.key else None
+        if line is None or turn not in line:
+            return
+        line.remove(turn)
+        if not line:
+            del self.lines[turn.ask.key]
+        elif line[0].load is None and self.catalogue.sites[line[0].site].foreign_loads or (
+                line[0].load is not None and line[0].load.state == "ready"):
+            self._send(line[0])
+
+    def _ran(self, turn: _Turn, answer: Answer) -> None:
+        if turn.ask not in self.turns:
+            return
+        if answer.how != SERVED:
+            self._end(turn, answer, answer.how == REFUSED)
+            return
+        turn.result = answer.result
+        if turn.load is None:  # its site is never left out
+            self._end(turn, answer, False)
+            return
+        assert self.holder is not None
+        now = monotonic()
+        self.holder.ran(now, turn.load.number)
+        self._flush(now)
+
+    def _late(self, turn: _Turn) -> None:
+        """Not announced in time: nothing was sent. Or not confirmed in time: it ran, and nobody may say served."""
+        self.events.count("scatter_loads_unannounced" if turn.part is None else "scatter_loads_unconfirmed")
+        part = turn.part
+        self._end(turn, Answer(REFUSED if part is None else FAILED), part is None)
+        if part is not None:
+            self.core.left(part)
+
+    def _end(self, turn: _Turn, answer: Answer, never_ran: bool) -> None:
+        if self.turns.pop(turn.ask, None) is None:
+            return
+        self._close(turn, never_ran)
+        if answer.how == SERVED:
+            self.loaded(turn.site, turn.ask.group, turn.columns)
+        self._settle(turn.ask, answer)
+
+    def _close(self, turn: _Turn, never_ran: bool) -> None:
+        if turn.timer is not None:
+            turn.timer.cancel()
+        if turn.load is not None and self.holder is not None:
+            self.holder.over(monotonic(), turn.load.number, never_ran)
+            asyncio.get_running_loop().call_soon(self._flush, monotonic())
+        self._next(turn)
+
+    # Learning a site anew.
+
+    def _search(self) -> None:
+        self._look = asyncio.get_running_loop().call_later(LOOK_S, self._search)
+        if self.home is None or self.catalogue.learn_class < 0:
+            return
+        now = monotonic()
+        for key in self.home.unlearnt(now)[:max(0, LEARNING - len(self._learning))]:
+            self.home.begin(key)
+            task = asyncio.get_running_loop().create_task(self._learn(key))
+            self._learning[key] = task
+            task.add_done_callback(lambda _, key=key: self._learning.pop(key, None))
+
+    async def _learn(self, key: str) -> None:
+        told: list[Told] | None = []
+        try:
+            site, group = site_of(key)
+            spread = self.catalogue.groups[group]
+            for table in spread.tables:
+                name = f"{spread.schema}.{table}"
+                count = await self._read(site, group, f"SELECT COUNT(*) FROM {name}")
+                cells = {}
+                for column in (one for one in spread.column if one.type != FLOAT):
+                    read = await self._read(site, group, f"SELECT DISTINCT {column.name} FROM {name}")
+                    cells[column.name] = held = self._cells(column, read)
+                    if column.step:
+                        cells[column.name + CELLS] = in_steps(held, column.step)
+                told.append(Told(int(count[0][0]), cells))
+        except (_Unread, Mismatch, ValueError, IndexError) as error:
+            told = None
+            why = str(error) if isinstance(error, _Unread) else type(error).__name__  # others' texts may hold values
+            self.events.log("scatter_unlearnt", key=key, why=why)
+        if self.home is not None:
+            now = monotonic()
+            if self.home.learnt(now, key, told, self.catalogue.terms.learn_ms):
+                self.events.log("scatter_learnt", key=key, rows=sum(part.rows for part in told or ()))
+            self._flush(now)
+
+    async def _read(self, site: str, group: int, sql: str) -> list[list[str]]:
+        answered: asyncio.Future[Answer] = asyncio.get_running_loop().create_future()
+        cls = self.catalogue.classes[self.catalogue.learn_class, site]
+        left_ms = min(LEARN_MS, self.core.settings.classes[cls].deadline_ms)
+        ask = Ask(PART, cls, ticket(f"{time.time_ns()}:{self.fleet.name}", sql), sql, clock(), left_ms,
+                  lambda answer: answered.done() or answered.set_result(answer), group=group)
+        if not self.core.submit(ask):
+            raise _Unread("full")
+        answer = await answered
+        if answer.how != SERVED:
+            raise _Unread(answer.how)
+        rows: list[list[str]] = answer.result[0]
+        return rows
+
+    def _cells(self, column: Column, rows: list[list[str]]) -> list[tuple[int, str]]:
+        """A column's distinct values; a text that looks like null may be either."""
+        null = self.catalogue.terms.null
+        if len(rows) > MOST_DISTINCT:
+            return [(UNKNOWN, "")]
+        out: list[tuple[int, str]] = []
+        for (text,) in rows:
+            if text == null:
+                out.append((0, ""))
+                if column.type == TEXT:
+                    out.append((KINDS[str], text))
+            else:
+                found = value(text, column.type, null)
+                out.append((KINDS[type(found)], canonical(found)))
+        return out
+
+    # What is told, and the end.
+
+    def figures(self) -> dict[str, Any]:
+        """For operators."""
+        now, counts = monotonic(), self.events.counts
+        waits = sorted(self.waits)
+        return {
+            "open": self.open, "requests": counts["scatter_requests", "", ""], "parts": counts["scatter_parts", "", ""],
+            "left_out": counts["scatter_left_out", "", ""],
+            "without_lease": counts["scatter_without_lease", "", ""],
+            "turned_down": counts["scatter_turned_down", "", ""],
+            "loads_unannounced": counts["scatter_loads_unannounced", "", ""],
+            "loads_unconfirmed": counts["scatter_loads_unconfirmed", "", ""],
+            "load_wait_ms_p99": round(waits[int(0.99 * (len(waits) - 1))], 1) if waits else None,
+            "leases": sorted(key for key in self.holder.held if self.holder.summary(now, key) is not None)
+            if self.holder else [],
+            "keeps": {key: {"known": shelf.summary is not None, "version": shelf.version, "holders": len(shelf.holders),
+                            "standing": len(shelf.standing)} for key, shelf in self.home.shelves.items()}
+            if self.home else {}}
+
+    def give_up(self) -> None:
+        """The program ends: what has no part out is answered here, the core answers for the parts."""
+        for turn in list(self.turns.values()):
+            if turn.part is None or turn.result is not None:
+                self._end(turn, Answer(REFUSED if turn.part is None else FAILED), turn.part is None)
+
+    def close(self) -> None:
+        for timer in (self._timer, self._look):
+            if timer is not None:
+                timer.cancel()
+        for task in list(self._learning.values()):
+            task.cancel()
+        if self.holder is not None:
+            self.holder.bye()
+            self._flush(monotonic())
+            if self._timer is not None:
+                self._timer.cancel()
+        self.home = self.holder = None
+
+
+class _Unread(Exception):
+    """A query that learns was not served."""
--- /dev/null
+++ b/frostspindle/scatter/wire.py
@@ -0,0 +1,145 @@
+"""What coordinators tell each other of summaries: msgspec structs in msgpack, each in one message of the fleet's.
+
+Owns the form of every message and the bounds on its parts, and how a load's rows are cut into messages. It must never
+hold state; what can't be decoded or is out of its range is a BadPacket here, before anything is made of it.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterator
+from typing import Annotated
+
+from msgspec import Meta, Struct
+
+from frostspindle.fleet.wire import MOST_PARCEL as MOST  # noqa: F401 - part of this form
+from frostspindle.fleet.wire import BadPacket as BadPacket
+from frostspindle.fleet.wire import encode as encode
+from frostspindle.fleet.wire import reader
+
+PIECE = 800  # bytes of a summary in one message
+MOST_PIECES = 1_024
+MOST_CHUNKS = 64  # messages that one load's rows may take; beyond, nobody knows what it brings
+ROOM = 700  # bytes of values in one of them
+
+Whole = Annotated[int, Meta(ge=0, le=2**53)]
+Key = Annotated[str, Meta(min_length=3, max_length=40)]
+Cell = tuple[Annotated[int, Meta(ge=0, le=4)], Annotated[str, Meta(max_length=1_000)]]
+Cells = Annotated[dict[Annotated[str, Meta(min_length=1, max_length=64)], Annotated[list[Cell], Meta(max_length=512)]],
+                  Meta(max_length=64)]
+Chunk = Annotated[int, Meta(ge=0, lt=MOST_CHUNKS)]
+
+
+class Hold(Struct, array_like=True, frozen=True, tag=0):
+    """Let me leave this site out for a lease; I was told of all up to `floor`, and have the summary of `have`."""
+
+    key: Key
+    terms: Whole  # a digest of the catalogue
+    seq: Whole
+    epoch: Whole  # of the home's process that `floor` and `have` are of
+    floor: Whole
+    have: Whole
+
+
+class Still(Struct, array_like=True, frozen=True, tag=1):
+    """The summary that you have is the newest: a lease from the moment you asked."""
+
+    key: Key
+    seq: Whole
+    version: Whole
+
+
+class Piece(Struct, array_like=True, frozen=True, tag=2):
+    """A part of the newest summary; all of them together are a lease from the moment you asked."""
+
+    key: Key
+    seq: Whole
+    version: Whole
+    at: Annotated[int, Meta(ge=0, lt=MOST_PIECES)]
+    of: Annotated[int, Meta(ge=1, le=MOST_PIECES)]
+    data: Annotated[bytes, Meta(max_length=PIECE)]
+
+
+class Wider(Struct, array_like=True, frozen=True, tag=3):
+    """The summary has become `version`. Who has the one before it may add `cells`; whoever else, or without cells, has
+    none from now on."""
+
+    key: Key
+    version: Whole
+    rows: Whole
+    cells: Cells | None
+
+
+class Have(Struct, array_like=True, frozen=True, tag=4):
+    """I leave nothing out by what is older than `version` of your process any more."""
+
+    key: Key
+    epoch: Whole
+    version: Whole
+
+
+class Widen(Struct, array_like=True, frozen=True, tag=5):
+    """A load is about to bring these rows; `cells` None: any."""
+
+    key: Key
+    terms: Whole
+    load: Whole  # the sender's number of it
+    chunk: Chunk
+    rows: Whole
+    cells: Cells | None
+
+
+class Widened(Struct, array_like=True, frozen=True, tag=6):
+    """Nobody leaves the site out by a summary without that."""
+
+    key: Key
+    load: Whole
+    chunk: Chunk
+
+
+class Done(Struct, array_like=True, frozen=True, tag=7):
+    """The load has ended, `chunks` messages told of it. Unless it never ran, is all of that still known?"""
+
+    key: Key
+    load: Whole
+    chunks: Annotated[int, Meta(ge=1, le=MOST_CHUNKS)]
+    ran: bool
+
+
+class Known(Struct, array_like=True, frozen=True, tag=8):
+    """It is (`kept`), or I am another process than it was told, and it is to be told anew."""
+
+    key: Key
+    load: Whole
+    kept: bool
+
+
+class Bye(Struct, array_like=True, frozen=True, tag=9):
+    """I leave nothing out by your summary any more."""
+
+    key: Key
+    epoch: Whole
+
+
+Message = Hold | Still | Piece | Wider | Have | Widen | Widened | Done | Known | Bye
+decode: Callable[[bytes], Message] = reader(Message)
+
+
+def chunks(cells: dict[str, list[tuple[int, str]]]) -> list[Cells] | None:
+    """A load's values in as many messages as they need; None: in too many."""
+    out: list[Cells] = []
+    room = 0
+    for name, cell, size in _sized(cells):
+        if not out or size > room or len(out[-1].get(name, ())) >= 512:
+            if len(out) == MOST_CHUNKS:
+                return None
+            out.append({})
+            room = ROOM
+        out[-1].setdefault(name, []).append(cell)
+        room -= size
+    return out or [{}]
+
+
+def _sized(cells: dict[str, list[tuple[int, str]]]) -> Iterator[tuple[str, tuple[int, str], int]]:
+    for name, held in cells.items():
+        for cell in held:
+            yield name, cell, len(cell[1].encode()) + len(name) + 8
--- /dev/null
+++ b/frostspindle/scatter/wiring.py
@@ -0,0 +1,44 @@
+"""How scatter hangs in a program: imported only where the operator's file has a `[scatter]`.
+
+Owns the headers by which a client's request says more than its statement, and what is called when. It must never hold
+state.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from typing import TYPE_CHECKING, Any
+
+from frostspindle.core import Ask
+from frostspindle.net.fields import Refusal
+from frostspindle.scatter.service import Scatter
+
+if TYPE_CHECKING:
+    from frostspindle.host import Host
+
+
+def attach(program: Host) -> Any:
+    """Scatter for this program, heard by its fleet, core and front."""
+    catalogue = program.config.scatter
+    assert catalogue is not None and program.fleet is not None
+    scatter = Scatter(catalogue, program.core, program.events, program.fleet, len(program.config.classes))
+    program.fleet.parts.append(scatter)
+    program.core.ahead = scatter
+
+    def marks(ask: Ask, fields: Mapping[bytes, bytes]) -> None:
+        """`X-Partial: yes`: an answer without some sites will do; `X-Site`: where a load's rows go."""
+        if ask.group not in catalogue.groups:
+            return
+        if (partial := fields.get(b"x-partial")) is not None:
+            if partial not in (b"yes", b"no"):
+                raise Refusal(400, "X-Partial: neither yes nor no")
+            ask.partial = partial == b"yes"
+        if (site := fields.get(b"x-site")) is not None:
+            ask.site = site.decode("latin-1")
+            if ask.site not in catalogue.sites_of(ask.group):
+                raise Refusal(400, "X-Site: not a site of these tables")
+
+    program.platform.marks = marks
+    if program.desk:
+        program.desk.does["show-scatter"] = scatter.figures
+    return scatter
