Say in one place how a command ends that got no figures from a coordinator

Need: cli.py and settings/commands.py held the same fifteen lines that turn a bad address, nobody there or a NAK into a line and an exit code. Change: caller.figures raises NoFigures, a ClickException with the program's line and exit codes 2 and 5; both use it.

--- a/frostspindle/caller.py
+++ b/frostspindle/caller.py
@@ -1,7 +1,7 @@
 """How a running coordinator is called: one request as a client makes it, one call as operators do.
 
-Owns these two calls for the command line, the demo and the benches. It must never decide what an answer means beyond
-its form, never wait without a bound, and is not part of what serves.
+Owns these two calls for the command line, the demo and the benches, and how a command ends that got no figures. It
+must never decide what an answer means beyond its form, never wait without a bound, and is not part of what serves.
 """
 
 from __future__ import annotations
@@ -11,7 +11,23 @@
 import socket
 from typing import Any
 
+import click
+
 from frostspindle import config as configuration
+from frostspindle.config import ConfigError
+
+BAD, AWAY = 2, 5  # exit codes: a call or an address that is no good; nobody there
+
+
+class NoFigures(click.ClickException):
+    """A command's end without figures: one line that says why, and its exit code."""
+
+    def __init__(self, message: str, code: int) -> None:
+        super().__init__(message)
+        self.exit_code = code
+
+    def show(self, file: Any = None) -> None:
+        click.echo(f"frostspindle: {self.message}", err=True)
 
 
 def ask(at: str, cls: str, sql: str, ticket: str, timeout_ms: float, cost_ms: float,
@@ -51,3 +67,16 @@
         while part := line.recv(65536):
             parts.append(part)
     return b"".join(parts).decode()
+
+
+def figures(at: str, text: str, what: str = "") -> Any:
+    """The figures that one call to the operators' address `at` answers; `what` says what it means if there are none."""
+    try:
+        answer = operate(at if at.startswith("/") else configuration.address(at, "--at"), text)
+    except ConfigError as error:
+        raise NoFigures(str(error), BAD) from None
+    except OSError as error:
+        raise NoFigures(f"{at}: {error}", AWAY) from None
+    if answer.startswith("NAK"):
+        raise NoFigures(": ".join(part for part in (at, what, answer.removeprefix("NAK").strip()) if part), BAD)
+    return json.loads(answer.splitlines()[0])
--- a/frostspindle/cli.py
+++ b/frostspindle/cli.py
@@ -22,10 +22,11 @@
 
 from frostspindle import __version__
 from frostspindle import config as configuration
-from frostspindle.caller import ask, operate
+from frostspindle.caller import AWAY, BAD, ask, operate
+from frostspindle.caller import figures as figures_of
 from frostspindle.config import ConfigError
 
-SERVED, BAD, REFUSED, FAILED, AWAY = 0, 2, 3, 4, 5
+SERVED, REFUSED, FAILED = 0, 3, 4
 _files = [click.option("--config", "config_file", type=click.Path(),
                        help="The JSON file; else LB_CONFIG names it."),
           click.option("--operator", "operator_file", type=click.Path(),
@@ -231,7 +232,7 @@
 @click.option("--json", "as_json", is_flag=True, help="Print JSON.")
 def fleet(at: str, as_json: bool) -> None:
     """Ask a running coordinator how it sees its fleet: members, budgets, sums, judgements."""
-    figures = _asked(at, "show-fleet", "no fleet there")
+    figures = figures_of(at, "show-fleet", "no fleet there")
     if as_json or "members" not in figures:
         click.echo(json.dumps(figures, indent=2))
         return
@@ -252,22 +253,6 @@
                    f"{'; counts' if row['counts'] else ''}")
 
 
-def _asked(at: str, text: str, what: str) -> dict[str, Any]:
-    """A call's figures; ends the program where there are none."""
-    try:
-        answer = operate(at if at.startswith("/") else configuration.address(at, "--at"), text)
-    except ConfigError as error:
-        click.echo(f"frostspindle: {error}", err=True)
-        sys.exit(BAD)
-    except OSError as error:
-        click.echo(f"frostspindle: {at}: {error}", err=True)
-        sys.exit(AWAY)
-    if answer.startswith("NAK"):
-        click.echo(f"frostspindle: {at}: {what}: {answer.strip()}", err=True)
-        sys.exit(BAD)
-    return dict(json.loads(answer.splitlines()[0]))
-
-
 _AT = click.option("--at", default="127.0.0.1:6566", show_default=True, help="The operators' address.")
 
 
@@ -280,7 +265,7 @@
     ctx.obj = at
     if ctx.invoked_subcommand is not None:
         return
-    figures = _asked(at, "show-owners", "no owners there")
+    figures = figures_of(at, "show-owners", "no owners there")
     if as_json:
         click.echo(json.dumps(figures, indent=2))
         return
@@ -305,10 +290,10 @@
 def release_owner(at: str, task: str, wait_s: float) -> None:
     """Take a task from its holder; another gets it, at the latest when the lease is over. Exit 3: not within the
     time."""
-    asked = _asked(at, f"release-owner {task}", "not released")
+    asked = figures_of(at, f"release-owner {task}", "not released")
     until = time.monotonic() + wait_s
     while time.monotonic() < until:
-        rows = {row["task"]: row for row in _asked(at, "show-owners", "no owners there")["owners"]}
+        rows = {row["task"]: row for row in figures_of(at, "show-owners", "no owners there")["owners"]}
         row = rows.get(task)
         if row is None or row["token"] != asked["token"] or row["forced"]:
             now = "nobody" if row is None else f"{row['holder']} ({row['token']})"
--- a/frostspindle/settings/commands.py
+++ b/frostspindle/settings/commands.py
@@ -17,36 +17,17 @@
 
 import click
 
-from frostspindle import config as configuration
-from frostspindle.caller import operate
-from frostspindle.config import ConfigError
+from frostspindle.caller import AWAY, BAD, figures
 from frostspindle.settings import schema
 from frostspindle.settings.schema import BadSettings
 from frostspindle.settings.versions import cut, pack
 
-BAD, TURNED_DOWN, AWAY = 2, 3, 5
+TURNED_DOWN = 3
 PIECE = 32_768  # bytes in one call, whose line has 64 KiB
 EVERY_S = 0.1
 COMMANDS: dict[str, click.Command] = {}
 
 
-def _call(at: str, text: str) -> Any:
-    """One call; what was answered, or the end of the command."""
-    try:
-        place = at if at.startswith("/") else configuration.address(at, "--at")
-        answer = operate(place, text)
-    except ConfigError as error:
-        click.echo(f"frostspindle: {error}", err=True)
-        sys.exit(BAD)
-    except OSError as error:
-        click.echo(f"frostspindle: {at}: {error}", err=True)
-        sys.exit(AWAY)
-    if answer.startswith("NAK"):
-        click.echo(f"frostspindle: {at}: {answer[4:].strip()}", err=True)
-        sys.exit(BAD)
-    return json.loads(answer.splitlines()[0])
-
-
 def _command(name: str) -> Any:
     def made(function: Any) -> click.Command:
         function = click.option("--json", "as_json", is_flag=True, help="Print JSON.")(function)
@@ -61,7 +42,7 @@
     """Ask what became of a push until it is over."""
     until, told = time.monotonic() + wait_s, {"state": "drafted", "version": 0, "why": ""}
     while told["state"] in ("coming", "drafted", "published") and time.monotonic() < until:
-        told = _call(at, f"settings-outcome {name}")
+        told = figures(at, f"settings-outcome {name}")
         time.sleep(EVERY_S)
     if as_json:
         click.echo(json.dumps(told))
@@ -88,7 +69,7 @@
         return
     name, pieces = secrets.token_hex(8), cut(pack(rules), PIECE)
     for number, piece in enumerate(pieces):
-        _call(at, f"settings-push {name} {number}/{len(pieces)} {base64.b64encode(piece).decode()}")
+        figures(at, f"settings-push {name} {number}/{len(pieces)} {base64.b64encode(piece).decode()}")
     _follow(at, name, wait_s, as_json)
 
 
@@ -98,14 +79,14 @@
 def rollback(version: int | None, wait_s: float, at: str, as_json: bool) -> None:
     """Make the rules of an earlier version live again, under a new number; without one, of the version before."""
     name = secrets.token_hex(8)
-    _call(at, f"settings-rollback {name} {version or 0}")
+    figures(at, f"settings-rollback {name} {version or 0}")
     _follow(at, name, wait_s, as_json)
 
 
 @_command("status")
 def status(at: str, as_json: bool) -> None:
     """Who runs which version, who turned one down and why, who is on the meet."""
-    told = _call(at, "show-settings")
+    told = figures(at, "show-settings")
     if as_json:
         click.echo(json.dumps(told, indent=2))
         return
@@ -123,7 +104,7 @@
 @_command("history")
 def history(at: str, as_json: bool) -> None:
     """The versions that are kept, and what happened to them."""
-    told = _call(at, "settings-history")
+    told = figures(at, "settings-history")
     if as_json:
         click.echo(json.dumps(told, indent=2))
         return
@@ -140,7 +121,7 @@
 @click.argument("two", type=click.IntRange(0))
 def difference(one: int, two: int, at: str, as_json: bool) -> None:
     """What leads from one kept version to another."""
-    told = _call(at, f"settings-diff {one} {two}")
+    told = figures(at, f"settings-diff {one} {two}")
     if as_json:
         click.echo(json.dumps(told, indent=2))
         return
