Let a key rest at every process after an attempt that may still run

Seen by reading for the promise of docs/design/order.md ("then `rules.orderPause` passes"): only the module of the process that had the attempt kept that time. Its place on the sheet went with the last end (`Core._passed`), so the other side of an upgrade or another worker could send the next of the key within 20 ms, and what a killed process left stood 2.1 s without it.

Now a place stands until its key has rested, and a dead process's for the same time longer. `core.turns` ends with the sheet: an end that came after `close` wrote to a released map.

New tests: the pause across processes (fails with the place freed at once, and with the dead one's time as before); a place stands while its request may run and no longer, for who leaves and for faults of the module before, during and at the end.

--- a/frostspindle/order/service.py
+++ b/frostspindle/order/service.py
@@ -26,9 +26,11 @@
     def __init__(self, folder: Path, core: Core, events: Events) -> None:
         folder.mkdir(mode=0o700, parents=True, exist_ok=True)
         self.core, self.events = core, events
-        self.sheets = Sheets(folder, lambda: time.monotonic() * 1000.0, FORGOTTEN_MS)
+        self.sheets = Sheets(folder, lambda: time.monotonic() * 1000.0,
+                             FORGOTTEN_MS + core.settings.order_pause_ms)
         self.turns = Turns(self.sheets.own.owner, self.sheets.own, self.sheets.places)
         self._timer: asyncio.TimerHandle | None = None
+        self._resting: dict[int, asyncio.TimerHandle] = {}  # requests that are over, of keys that rest; as many as cells
         core.turns = self
 
     def enter(self, number: int, key: int) -> bool | None:
@@ -42,6 +44,17 @@
         return turn
 
     def over(self, number: int) -> None:
+        """Free the place, but not while its key rests here: the other processes do not hear of that otherwise."""
+        if number in self._resting:
+            return
+        until = self.core.controller.rest_until.get(self.turns.key(number), 0.0)
+        if (left_ms := until - clock()) > 0.0:
+            self._resting[number] = asyncio.get_running_loop().call_later(left_ms / 1000.0, self._rested, number)
+        else:
+            self.turns.over(number)
+
+    def _rested(self, number: int) -> None:
+        del self._resting[number]
         self.turns.over(number)
 
     def _look(self) -> None:
@@ -52,6 +65,8 @@
             self._timer = asyncio.get_running_loop().call_later(LOOK_S, self._look)
 
     def close(self) -> None:
-        if self._timer is not None:
-            self._timer.cancel()
+        self.core.turns = None  # what ends from now on has no sheet any more
+        for timer in (self._timer, *self._resting.values()):
+            if timer is not None:
+                timer.cancel()
         self.sheets.close(clean=not self.turns.open)
--- a/frostspindle/order/turns.py
+++ b/frostspindle/order/turns.py
@@ -52,6 +52,10 @@
     def waiting(self) -> int:
         return len(self._waiting)
 
+    def key(self, request: int) -> int:
+        """Of which key a request holds a place; 0: of none."""
+        return self._cells.get(request, (0, 0))[1]
+
     def enter(self, request: int, key: int, now: int) -> bool | None:
         """Draw a place: True if its turn has come, False if it has to wait, None if there is no cell for it.
 
--- a/tests/test_order.py
+++ b/tests/test_order.py
@@ -21,10 +21,11 @@
 from helpers import LOAD, entry
 from helpers import settings as module_settings
 from peers import LOAD as LOAD_CLASS
-from peers import SQL, EdgeCase, HttpEngine, host, page, settings
+from peers import SQL, EdgeCase, HttpEngine, at_work, host, page, settings
 from test_upgrade import UpgradeCase
 
 from frostspindle.lab.engines import document
+from frostspindle.net.fields import key_number
 from frostspindle.order import sheets
 from frostspindle.order.sheets import Sheets
 from frostspindle.order.turns import Place, Turns
@@ -485,6 +486,57 @@
             self.assertEqual(sent, [1, 30])
             self.assertGreater(asked[-1] - asked[-2], 1.45)  # not before the engine has forgotten what it may run
 
+    async def test_a_place_stands_while_its_request_may_run_and_no_longer(self):
+        classes = settings()["categories"]
+        classes[1] = classes[1] | {"inOrder": True}
+        (engine,) = await self.start(1, categories=classes)
+        core, places, answered = self.program.core, set(), asyncio.Event()
+        core.turns = unittest.mock.Mock(enter=lambda number, key: places.add(number) or True, over=places.discard)
+        handlers = core.controller.handlers
+
+        async def freed():
+            await answered.wait()
+        engine.script = lambda request, body: (
+            freed() if request.method == "DELETE" else at_work(asyncio.Event())(request, body))
+
+        def broken(now, event):
+            raise RuntimeError("a fault of the module's")
+        for number, (case, kind) in enumerate((
+                ("a fault before it is sent", api.Request), ("left", None), ("a fault while it runs", api.Note),
+                ("left, and a fault at the end", api.Ended))):
+            with self.subTest(case), unittest.mock.patch.dict(handlers, {kind: broken} if kind else {}):
+                asked = asyncio.create_task(self.ask(LOAD_CLASS, number, **{"X-Object": "k"}))
+                if number:
+                    await engine.seen("POST", number)
+                if kind in (api.Request, api.Note):
+                    self.assertEqual((await asked)[0], 502)
+                asked.cancel()
+                if number:
+                    await engine.seen("DELETE", number)  # not answered yet
+                    self.assertEqual((len(places), core.open), (1, 0))
+                answered.set()
+                await self.until(lambda: not places, 5.0)
+                answered.clear()
+        self.assertEqual(len(engine.of("POST")), 3)
+
+    @unittest.mock.patch("frostspindle.pools.FORGOTTEN_MS", 100.0)
+    async def test_other_processes_wait_while_a_key_rests_after_what_may_still_run(self):
+        classes = settings()["categories"]
+        classes[1] = classes[1] | {"inOrder": True}
+        for pause_ms, stands in ((60_000.0, True), (50.0, False)):
+            (engine,) = await self.start(1, categories=classes, rules=settings()["rules"] | {"orderPause": pause_ms})
+            engine.script = lambda request, body: "kill" if request.method == "POST" else web.Response(status=500)
+            other = Sheets(self.program.shared.order, lambda: 0.0, 2100.0)
+            self.addCleanup(other.close, True)
+
+            def places(other=other):
+                return other.places(key_number(1, b"k"))
+            self.assertEqual((await self.ask(LOAD_CLASS, 1, **{"X-Object": "k"}))[0], 502)
+            await self.until(lambda: not self.program.core._records)  # answered, and no attempt is out
+            self.assertTrue(places() or not stands)
+            await self.until(lambda stands=stands, places=places: stands or not places())
+            self.assertEqual(self.program.order.sheets.keep_ms, FORGOTTEN_MS + pause_ms)  # of one that was killed, too
+            self.assertEqual((len(places()), self.program.order.turns.open), (int(stands), int(stands)))
 
     async def test_a_request_without_a_place_is_refused_and_never_sent(self):
         classes = settings()["categories"]
