Name a field given twice, and read report columns under either name

The audit of the fields found two departures. A field that comes twice was refused with "a header is given twice", though docs/sites.md promises its name. And `report.columns` were taken under the module's names only: settings that have `inflight` as on the wire lost every report (`engine_bad_reports`), as each figure had been renamed before the look-up.

Tests on the wire: keys and tenants of odd bytes, blanks, 4 KB, empty, twice; batches over TDS in a class that keeps order; reports of other columns, and answers without any; 504 with `X-Shed: 1` never ran and goes elsewhere, without it it may have.

--- a/frostspindle/config.py
+++ b/frostspindle/config.py
@@ -27,6 +27,9 @@
 Address = tuple[str, int]
 WORKER_SOCKETS, WORKER_MB = 128, 40.0  # the least that one of several workers can serve with
 STATES = {"active": 1, "leaving": 2, "left": 0}
+# Figures of a load report have one name on the wire and another in the module.
+REPORTED = {"util": "load_share", "queue": "depth", "inflight": "concurrent", "latency_ms": "mean_ms", "qps": "tps",
+            "eps": "err_ps"}
 
 
 class ConfigError(Exception):
@@ -580,6 +583,8 @@
     pairs = flatten(document.settings)
     try:
         settings = read_settings(pairs)
+        settings = dataclasses.replace(settings, report_columns=tuple(  # settings may have either name
+            REPORTED.get(name, name) for name in settings.report_columns))
         idle_ms = float(pairs.get("limits.connIdle", 15000.0))
     except ValueError as error:
         raise ConfigError(f"settings: {_one_line(error)}") from None
--- a/frostspindle/net/http/clients.py
+++ b/frostspindle/net/http/clients.py
@@ -183,7 +183,7 @@
             self._stop(431, "too many headers, or too long ones")
         name = name.lower()
         if name in self.fields and name in _SINGLE:
-            self._stop(400, "a header is given twice")
+            self._stop(400, f"{name.decode().title()}: given twice")  # ours: one of _SINGLE
         self.fields[name] = value
 
     def on_headers_complete(self) -> None:
--- a/frostspindle/net/http/readings.py
+++ b/frostspindle/net/http/readings.py
@@ -8,6 +8,7 @@
 
 import math
 
+from frostspindle.config import REPORTED
 from frostspindle.core import UNTOLD, Needed
 from frostspindle.events import Events
 from frostspindle.net.http.replies import Reply
@@ -15,8 +16,6 @@
 
 MOST_COST_MS, MOST_MEMORY_MB = 3_600_000.0, 1e8  # of what an answer may say that its query needed
 NOTES = {b"pct": NoteKind.PROGRESS, b"overflow": NoteKind.SPILLS, b"queued": NoteKind.WAITS}
-NAMES = {"util": "load_share", "queue": "depth", "inflight": "concurrent", "latency_ms": "mean_ms", "qps": "tps",
-         "eps": "err_ps"}
 
 
 class Readings:
@@ -35,7 +34,7 @@
             for part in text.split(";"):
                 name, _, value = part.partition(":")
                 number = float(value)
-                values[NAMES.get(name.strip(), name.strip())] = number if math.isfinite(number) else 0.0
+                values[REPORTED.get(name.strip(), name.strip())] = number if math.isfinite(number) else 0.0
             return tuple(values[column] for column in self.columns)
         except (ValueError, KeyError):
             self._unreadable("engine_bad_reports", text)
--- a/tests/test_edge.py
+++ b/tests/test_edge.py
@@ -9,6 +9,7 @@
 
 from frostspindle.core import clock
 from frostspindle.net.http import places
+from pinstage import interface as api
 
 HEAD = ("POST /call/lookup HTTP/1.1\r\nHost: t\r\nX-Request-Id: %016x\r\nX-Timeout-Ms: 2000\r\nX-Cost-Ms: 50\r\n"
         "X-Memory: 64\r\n")
@@ -317,3 +318,33 @@
         with contextlib.suppress(TimeoutError):
             await self.until(lambda: not self.program.core._records)
         self.assertEqual((self.program.core._records, self.program.platform.paths.ids), ({}, set()))
+
+
+class OtherDeployments(EdgeCase):
+    """What one site's engines say and another's do not."""
+
+    async def test_a_report_of_other_columns_is_read_and_one_that_answers_do_not_carry_is_missed_by_nobody(self):
+        for how, columns, meter, report in (("piggyback", ["inflight", "x1", "util"], "util:0.61;x1:0.3;inflight:7",
+                                             (7.0, 0.3, 0.61)), ("pull", ["inflight", "x1"], "", ())):
+            (engine,) = await self.start(report={"how": how, "columns": columns}, rules={}, deductions={})
+            engine.script = lambda request, body, meter=meter: web.Response(
+                text="a\t1\tx\n", headers={"X-Pages": "1", **({"X-Meter": meter} if meter else {})})
+            heard, controller = [], self.program.core.controller
+            handle = controller.handlers[api.Ended]
+            controller.handlers[api.Ended] = lambda now, event, heard=heard, handle=handle: (
+                heard.append(event.report), handle(now, event))
+            self.assertEqual([(await self.ask(number=n))[0] for n in range(1, 4)], [200] * 3)
+            self.assertEqual((heard, self.count("engine_bad_reports")), ([report] * 3, 0))
+
+    async def test_what_an_engine_drops_as_over_never_ran_and_goes_elsewhere_though_it_may_run_once_only(self):
+        for status, shed, answer, posts in ((504, "1", 200, 2), (503, "1", 200, 2), (504, "", 502, 1)):
+            engines, first = await self.start(2), []
+
+            def script(request, body, first=first, status=status, shed=shed):
+                if request.method == "POST" and not first:
+                    first.append(request)
+                    return web.Response(status=status, headers={"X-Shed": shed} if shed else {})
+            for engine in engines:
+                engine.script = script
+            self.assertEqual((await self.ask(LOAD))[0], answer)
+            self.assertEqual(sum(len(engine.of("POST")) for engine in engines), posts)
--- a/tests/test_fields.py
+++ b/tests/test_fields.py
@@ -90,13 +90,18 @@
             status, body, _ = await self.ask("load", number, **{name: value})
             self.assertIn(status, (400, 431), name)
             self.assertLess(len(body["failure"]), 80)
-        for name in ("X-Object", "X-Tenant", "X-Retry"):
+        twice = [(name, b"1", b"1") for name in ("X-Object", "X-Tenant", "X-Retry")]
+        odd = [("X-Object", b"\xff\xfe"), ("X-Object", b"k k"), ("X-Object", b"k\tk"), ("X-Object", b"\xc3\xa9"),
+               ("X-Tenant", b""), ("X-Tenant", b"\xc3\xa9ast"), ("X-Tenant", b"ea st"), ("X-Tenant", b"\xff" * 4000)]
+        for name, *values in twice + odd:
             reader, writer = await asyncio.open_connection("127.0.0.1", self.program.platform.port)
-            writer.write((f"POST /call/load HTTP/1.1\r\nHost: a\r\nX-Request-Id: {9:016x}\r\nX-Timeout-Ms: 900\r\n"
-                          f"{name}: 1\r\n{name}: 1\r\nContent-Length: {len(SQL)}\r\n\r\n{SQL}").encode())
-            self.assertIn(b" 400 ", await reader.readline(), name)
+            given = b"".join(b"%b: %b\r\n" % (name.encode(), value) for value in values)
+            writer.write(f"POST /call/load HTTP/1.1\r\nHost: a\r\nX-Request-Id: {9:016x}\r\nX-Timeout-Ms: 900\r\n"
+                         .encode() + given + f"Content-Length: {len(SQL)}\r\n\r\n{SQL}".encode())
+            head, _, body = (await reader.read()).partition(b"\r\n\r\n")  # a word, and the connection ends
+            self.assertEqual((head.split(b" ")[1], name.encode() in body, len(body) < 100), (b"400", True, True), values)
             writer.close()
-        self.assertEqual((self.count("bad_calls"), len(self.asked)), (len(cases) + 3, 0))
+        self.assertEqual((self.count("bad_calls"), len(self.asked)), (len(cases) + len(twice + odd), 0))
 
 
 @pytest.mark.parametrize("parties, word", [
--- a/tests/test_tds.py
+++ b/tests/test_tds.py
@@ -6,7 +6,7 @@
 import unittest.mock
 
 import pytds
-from peers import LOAD, EdgeCase, TdsClient, TdsEngine
+from peers import LOAD, EdgeCase, TdsClient, TdsEngine, settings
 
 from frostspindle.net.tds import codec, driver, front
 from pinstage.interface import Health
@@ -243,6 +243,17 @@
         engine.script = lambda statement: codec.text_result(("a",), [("x" * 100,)] * 30)
         self.assertEqual(self.faults(await client.query("INSERT")), [50003])
 
+    async def test_where_a_class_keeps_order_batches_have_no_key_and_wait_for_nobody(self):
+        classes = settings()["categories"]
+        classes[1] = classes[1] | {"inOrder": True}
+        (engine,) = await self.start(categories=classes)
+        engine.script = lambda statement: "hang"
+        for number in range(3):
+            (await self.client("loads")).ask(f"SELECT {number}")
+        await engine.until(lambda: len(engine.statements) == 3)  # none is answered
+        self.assertEqual(({job.key for job in self.program.core.controller.jobs.values()},
+                          self.program.order.turns.open), ({0}, 0))
+
     async def test_tds_requests_stay_at_tds_engines(self):
         await self.start()
         self.assertEqual((await self.ask(LOAD, timeout=400.0))[0], 503, "no HTTP engine is there")
