End without a search for circles in all that is left

Need: what the end of a process costs, as it shares its processors with its successor. Measured on processes of the program, SIGTERM to end with 250 connections, medians of two in turn: after 20,000 requests 41 ms of processor time, of which 29 ms were the interpreter's end (three walks over all objects); 59 of 119 ms after 40,000.

Test: the processor time after the exit handlers (rusage of the ended process) is less than one walk over the books, measured in the same process; without the change it is two and more.

--- a/frostspindle/cores/worker.py
+++ b/frostspindle/cores/worker.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import dataclasses
+import gc
 import os
 import sys
 
@@ -73,6 +74,8 @@
     except OSError as error:
         print(f"frostspindle: worker {passport.slot}: {error}", file=sys.stderr)
         return 1
+    finally:  # as in serving.py
+        gc.freeze()
 
 
 if __name__ == "__main__":
--- a/frostspindle/order/service.py
+++ b/frostspindle/order/service.py
@@ -30,7 +30,7 @@
                              FORGOTTEN_MS + core.settings.order_pause_ms)
         self.turns = Turns(self.sheets.own.owner, self.sheets.own, self.sheets.places)
         self._timer: asyncio.TimerHandle | None = None
-        self._resting: dict[int, asyncio.TimerHandle] = {}  # requests that are over, of keys that rest; as many as cells
+        self._resting: dict[int, asyncio.TimerHandle] = {}  # requests that are over, of keys that rest
         core.turns = self
 
     def enter(self, number: int, key: int) -> bool | None:
--- a/frostspindle/serving.py
+++ b/frostspindle/serving.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import gc
 import os
 import sys
 from collections.abc import Mapping
@@ -45,3 +46,5 @@
     except OSError as error:
         print(f"frostspindle: {error}", file=sys.stderr)
         return 1
+    finally:  # all is closed and told: the interpreter's end must not search what is left for circles, several times
+        gc.freeze()
--- a/tests/test_fields.py
+++ b/tests/test_fields.py
@@ -99,7 +99,8 @@
             writer.write(f"POST /call/load HTTP/1.1\r\nHost: a\r\nX-Request-Id: {9:016x}\r\nX-Timeout-Ms: 900\r\n"
                          .encode() + given + f"Content-Length: {len(SQL)}\r\n\r\n{SQL}".encode())
             head, _, body = (await reader.read()).partition(b"\r\n\r\n")  # a word, and the connection ends
-            self.assertEqual((head.split(b" ")[1], name.encode() in body, len(body) < 100), (b"400", True, True), values)
+            self.assertEqual((head.split(b" ")[1], name.encode() in body), (b"400", True), values)
+            self.assertLess(len(body), 100)
             writer.close()
         self.assertEqual((self.count("bad_calls"), len(self.asked)), (len(cases) + len(twice + odd), 0))
 
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -12,6 +12,7 @@
 import tempfile
 import unittest
 from pathlib import Path
+from typing import Any
 
 import aiohttp
 from aiohttp import web
@@ -28,9 +29,10 @@
 class Running:
     """One process of the program, and the events that it logs."""
 
-    def __init__(self, config: Path, listening: socket.socket, folder: str, **environ: str) -> None:
+    def __init__(self, config: Path, listening: socket.socket, folder: str,
+                 arguments: tuple[str, ...] = ("-m", "frostspindle"), **environ: str) -> None:
         self.process = subprocess.Popen(
-            [sys.executable, "-m", "frostspindle"], cwd=ROOT, stderr=subprocess.PIPE, text=True,
+            [sys.executable, *arguments], cwd=ROOT, stderr=subprocess.PIPE, text=True,
             pass_fds=(listening.fileno(),), env={**os.environ, "LB_CONFIG": str(config), "TMPDIR": folder,
                                                  "LB_INHERITED_FD": str(listening.fileno()), **environ})
         self.lines = iter(self.process.stderr.readline, "")
@@ -60,7 +62,7 @@
             "name": "t0", "listen": f"127.0.0.1:{self.port}", "settings": settings(), "known": {
                 "offset": 1, "batch": [change(1, host("s-00000001", self.engine.port), whole=True)]}}))
 
-    def run_one(self, **environ: str) -> Running:
+    def run_one(self, **environ: Any) -> Running:
         running = Running(self.config, self.listening, self.folder, **environ)
         self.addCleanup(running.end)
         return running
@@ -186,6 +188,39 @@
         self.assertIn("LB_INHERITED_FD", said)
 
 
+FULL = """
+import asyncio, atexit, ctypes, gc, json, sys, time
+from frostspindle import __main__, program
+books, stop = [], program.Program.stop
+
+async def fill(self):
+    books.extend([[]] for _ in range(300_000))
+    ctypes.pythonapi.Py_IncRef(ctypes.py_object(books))  # never freed, so that nothing but a walk over them is measured
+    began = time.process_time()
+    gc.collect()
+    books.append(time.process_time() - began)
+    await stop(self)
+
+program.Program.stop = fill
+atexit.register(lambda: print(json.dumps({"event": "over", "walk": books[-1], "cpu": time.process_time()}),
+                              file=sys.stderr, flush=True))
+sys.exit(__main__.main())
+"""
+
+
+class End(UpgradeCase):
+    async def test_the_end_of_a_process_does_not_walk_its_books_again(self):
+        """A process that ends shares its processors with the one that goes on, which has all the work by then."""
+        running = self.run_one(arguments=("-c", FULL))
+        await running.event("ready")
+        running.process.send_signal(signal.SIGTERM)
+        over = await running.event("over")
+        _, status, used = await asyncio.to_thread(os.wait4, running.process.pid, 0)
+        running.process.returncode = os.waitstatus_to_exitcode(status)
+        self.assertEqual(running.process.returncode, 0)
+        self.assertLess(used.ru_utime + used.ru_stime - over["cpu"], over["walk"])
+
+
 class Ending(EdgeCase):
     async def test_held_requests_are_given_up_without_a_further_send(self):
         (engine,) = await self.engines()
