Test what a SIGTERM owes when nothing is open, half fetched, or asked in the last moment

Three small tests of `Program.stop`; each fails with its guard (`ACCEPT_S`, `platform.owing`, `platform.finish`) taken out.

--- a/tests/test_restarts.py
+++ b/tests/test_restarts.py
@@ -11,7 +11,7 @@
 
 from aiohttp import web
 from fleet import Coordinator, FleetCase
-from peers import LOAD, LOOKUP, SQL, Bus, EdgeCase, HttpEngine, Lag, change, host, settings
+from peers import LOAD, LOOKUP, SQL, Bus, EdgeCase, HttpEngine, Lag, change, host, page, settings
 
 from frostspindle.lab.engines import Engine
 
@@ -158,6 +158,50 @@
         self.assertEqual((engine.calls, self.program.core.open), ([], 0))
 
 
+class Stopping(EdgeCase):
+    """SIGTERM without a successor: `Program.stop` in the test's own loop."""
+
+    async def stop(self) -> asyncio.Task:
+        stopping = asyncio.create_task(self.program.stop())
+        await self.until(lambda: any(event["event"] == "stopping" for event in self.log))
+        return stopping
+
+    async def test_new_work_is_taken_for_a_while_though_nothing_is_open(self):
+        await self.start()
+        stopping = await self.stop()
+        self.assertEqual((await self.ask())[0], 200)
+        await stopping
+
+    @unittest.mock.patch("frostspindle.program.ACCEPT_S", 0.0)
+    async def test_a_long_answer_that_is_half_fetched_is_waited_for(self):
+        (engine,) = await self.start()
+        engine.script = lambda request, body: page(f"a\t1\t{20_000 * 'x'}\n" * 3)  # more than one answer holds
+        status, body, _ = await self.ask()
+        self.assertEqual((status, len(body["rows"]), "next" in body), (200, 2, True))
+        stopping = await self.stop()
+        self.assertFalse((await asyncio.wait({stopping}, timeout=0.6))[0])  # else it takes 0.12 s
+        status, body, _ = await self.call("GET", body["next"])
+        self.assertEqual((status, len(body["rows"]), "next" in body), (200, 1, False))
+        await stopping
+
+    @unittest.mock.patch.multiple("frostspindle.program", ACCEPT_S=0.0, FLUSH_S=1.0)
+    async def test_who_asks_while_the_last_answers_leave_is_told_so(self):
+        await self.start()
+        port, last = self.program.platform.port, asyncio.Event()
+        line = await Raw().open(port)
+        self.addCleanup(line.writer.close)
+        line.writer.write(b"GET /ping HTTP/1.1\r\nHost: t\r\n\r\n")
+        self.assertEqual(await line.answer(), (200, "ok"))
+        self.program.core.give_up = last.set
+        stopping = await self.stop()
+        await last.wait()
+        line.writer.write(call(1, timeout=3000))
+        self.assertEqual([await line.answer(), await line.answer()], [(503, {"failure": "Busy"}), None])
+        with self.assertRaises(ConnectionRefusedError):
+            await Raw().open(port)
+        await stopping
+
+
 class Replaced(EdgeCase):
     """Ten engines, of which six are replaced within 2 s under load; the protocol's hard day takes 7 s for it."""
 
