Let the decision module use indexes, so that its cost stays flat as engines and requests grow

At 1,000 engines most of a decision went into asking every engine whether it is cold or a connection stands to it, into a copy of all for a load, and at 10,000 requests into looking over all of them every 100 ms.

Structures without I/O hold what was scanned: an ordered queue with lanes, times out by a drifting pace, ranks, tallies by group, standing connections, windows. The module asks them. Learned ratios and idle connections, which decide nothing, moved there with their figures left in control.py.

--- a/bench/choices.py
+++ b/bench/choices.py
@@ -194,7 +194,8 @@
 
 
 def told(action: Any) -> tuple[Any, ...]:
-    return (type(action).__name__, *action)
+    """An action to compare; when a refused client may come back is a sum, which may be rounded another way."""
+    return (type(action).__name__, *(round(field, 1) if isinstance(field, float) else field for field in action))
 
 
 def compare(base: ModuleType, new: ModuleType, site: str, engines: int, target: int, seed: int, requests: int,
@@ -222,9 +223,10 @@
                 spent[name] += time.thread_time_ns() - began
             profiler.disable()
         measured += sum(type(e).__name__ == "Request" for _, e in met[at:at + width]) if at >= filled else 0
-        both = [[told(a) for acts in side for a in acts] for side in (actions["base_pinstage"], actions["new_pinstage"])]
+        both = [[told(a) for acts in actions[name] for a in acts] for name in sides]
         if differs < 0 and both[0] != both[1]:
             differs = at
+            print(*[pair for pair in zip(*both, strict=False) if pair[0] != pair[1]][:3], sep="\n", file=sys.stderr)
         same += len(both[0]) * (differs < 0)
     gc.enable()
     if profile:
--- a/pinstage/books.py
+++ b/pinstage/books.py
@@ -1,12 +1,11 @@
 """What the module keeps of requests: the books that control.py reads and writes.
 
-Owns the shape of a request, of its attempts and of a learned ratio. It decides nothing: every choice, bound and
-threshold stands in control.py.
+Owns the shape of a request and of its attempts. It decides nothing: every choice, bound and threshold stands in
+control.py.
 """
 
 from __future__ import annotations
 
-import math
 from typing import Any
 
 from pinstage import interface as api
@@ -15,36 +14,6 @@
 NEVER_RAN = (Verdict.CONNECT_FAILED, Verdict.FULL, Verdict.MOOT)
 
 
-class Learned:
-    """A robust running mean of the log of a ratio, leaning to 0 while samples are few, and its spread."""
-
-    def __init__(self) -> None:
-        self.mid, self.spread, self.count = 0.0, 0.2, 0
-
-    def add(self, ratio: float) -> None:
-        x = math.log(max(1e-3, min(1e3, ratio)))
-        self.count += 1
-        self.spread += 0.05 * (abs(x - self.mid) - self.spread)
-        self.mid += max(-0.8, min(0.8, x - self.mid)) / min(2 + self.count, 40)
-
-
-class Spares:
-    """When each of our idle connections to an engine was last in use, as far as the attempts there tell."""
-
-    def __init__(self, settings: api.Settings) -> None:
-        self.lasts_ms, self.many = 0.85 * settings.conn_idle_ms, settings.streams_per_conn > 1
-        self.idle = list[float]()
-
-    def take(self) -> None:
-        del self.idle[-1:]
-
-    def free(self, now: float) -> None:
-        self.idle = [*(at for at in self.idle if now - at < self.lasts_ms), now]
-
-    def any(self, now: float, out: int) -> bool:
-        return (self.many and out > 0) or (len(self.idle) > 0 and now - self.idle[-1] < self.lasts_ms)
-
-
 class Attempt:
     def __init__(self, job: Job, number: int, engine: Any, now: float, grant: float, trial: bool) -> None:
         self.job, self.number, self.engine, self.sent = job, number, engine, now
@@ -63,6 +32,7 @@
         self.cost = self.memory = self.done = self.grant = self.aim_at = 0.0
         self.over = self.moved = self.finished = self.held = self.streaming = False
         self.band, self.slot = -1, (0, 0.0, 0)
+        self.lane = self.group if cs.is_load and cs.in_order and self.group >= 0 else -1
         self.attempts, self.avoid = list[Attempt](), set[int]()
 
     @property
--- a/pinstage/control.py
+++ b/pinstage/control.py
@@ -6,21 +6,24 @@
 
 from __future__ import annotations
 
-import heapq
 import math
 import random
-from bisect import bisect_left, insort
 from collections import deque
 from typing import get_args
 
 from pinstage import interface as api
-from pinstage.books import Attempt, Job, Learned, Spares
+from pinstage.books import Attempt, Job
+from pinstage.held import Held, Least
+from pinstage.index import Ranks, Standing, Tally, thinned
 from pinstage.interface import Effect, Health, ListKind, NoteKind, Verdict
+from pinstage.lapses import Agenda, Lapses, Rests
+from pinstage.window import Buckets, Learned, Span, Times, Window
 
 TICK_MS = 20.0  # own timer: deadlines and resting keys
 LOOK_MS, SURVEY_MS = 100.0, 500.0  # how often requests and engines are looked over, and the fleet
 MARGIN_MS = 40.0  # a request is ended at least this long before its client gives up
 WINDOW, ENOUGH = 400, 12  # recent estimates behind the cutoffs; before ENOUGH are seen: priority 1
+LEARN = 0.05, 0.8, 40  # of estimates' ratios: how fast the spread moves, longest step, answers that count
 SMALL, LARGE = 0.5, 0.9925  # quantiles of the outer cutoffs (the paper's half, and 0.5 to 1 percent)
 THREADS_A_CORE = 2.0  # the bound starts here, times our share of the dispatchers
 MOST_THREADS_A_CORE = 3.0
@@ -40,7 +43,7 @@
 WIDE = 3.0  # the bound over all engines starts at this many of our shares
 ROOMY = 0.5  # up to this part of memory in use, as reported, that bound is wider, WIDE when all is free
 REPORT_LASTS_MS = 8000.0  # a report's worth falls to a third in this time
-SAMPLE = 12  # engines looked at for one query, beside cold ones and those that a connection stands to
+SAMPLE, MANY = 12, 48  # engines looked at for one query; so many cold ones, and standing connections, beside
 PRICED = 10.0  # so much is a price in time: a tenth longer costs a query about a hundredth of its worth
 UNSURE = 0.7  # how far off, as a log, a class's memory estimates may lie before any answer
 ABSENT_MS = 30_000.0  # an engine gone for so long, with nothing out, is forgotten: new ids come for ever
@@ -52,10 +55,10 @@
     """Estimated cost and memory of requests, and the cutoffs between bands."""
 
     def __init__(self, classes: tuple[api.ClassSettings, ...]) -> None:
-        self.costs, self.memories = [Learned() for _ in classes], [Learned() for _ in classes]
+        self.costs, self.memories = [[Learned(*LEARN) for _ in classes] for _ in range(2)]
         self.mean_cost = [c.aim_ms * c.threads / 2 for c in classes]
         self.mean_memory, self.counts = [0.0] * len(classes), [0] * len(classes)
-        self.recent: deque[float] = deque(maxlen=WINDOW)
+        self.recent = Window(WINDOW)
         self.cutoffs: tuple[float, float, float] | None = None
         self.fresh = 0
 
@@ -82,11 +85,11 @@
             self.mean_memory[job.cls] = 0.95 * (self.mean_memory[job.cls] or memory) + 0.05 * memory
 
     def seen(self, cost: float) -> None:
-        self.recent.append(cost)
+        self.recent.add(cost)
         self.fresh += 1
         if len(self.recent) >= ENOUGH and (self.fresh >= 25 or self.cutoffs is None):
             self.fresh = 0
-            ranked = sorted(self.recent)
+            ranked = self.recent.ranked
             low, high = ranked[int(SMALL * len(ranked))], ranked[int(LARGE * (len(ranked) - 1))]
             self.cutoffs = (low, math.sqrt(low * max(low, high)), max(low, high))
 
@@ -97,28 +100,27 @@
 class Engine:
     """What this dispatcher knows and infers of one engine."""
 
-    def __init__(self, entry: api.EngineEntry, settings: api.Settings) -> None:
-        self.entry, self.id, self.settings = entry, entry.engine, settings
+    def __init__(self, entry: api.EngineEntry, settings: api.Settings, standing: Standing) -> None:
+        self.entry, self.id, self.settings, self.standing = entry, entry.engine, settings, standing
         kind = entry.kind if entry.kind < len(settings.kind_cores) else 0
         self.cores = settings.kind_cores[kind]
         self.memory = settings.kind_memory_mb[kind] if kind < len(settings.kind_memory_mb) else 0.0
         self.share = THREADS_A_CORE * self.cores / settings.dispatchers
-        self.ready, self.told_at = entry.health == Health.READY, -math.inf
-        self.attempts: dict[tuple[int, int], Attempt] = {}
-        self.threads, self.granted, self.cold_sends = 0, 0.0, deque[tuple[float, float]]()  # of ours
+        self.ready, self.told_at, self.cold_sends = entry.health == Health.READY, -math.inf, Span()
+        self.attempts, self.threads, self.granted = dict[tuple[int, int], Attempt](), 0, 0.0  # of ours
         # Of the other workers of this coordinator: what they have out here; our part of the cold budget.
         self.peers, self.peers_memory, self.part, self.hearsay = 0, 0.0, float(settings.workers == 1), False
         self.denied = 0.0  # work that our part of the cold budget had no room for, lately
-        self.reset()
+        self.reset(settings)
 
-    def reset(self) -> None:
+    def reset(self, settings: api.Settings) -> None:
         self.bound = self.share
         self.slow, self.fails, self.cut_at = 1.0, 0.0, 0.0
         self.suspect, self.retest_at, self.backoff, self.cleared_at = False, 0.0, RETEST_MS, -math.inf
         self.sign_at, self.gap, self.probed_at = -math.inf, 200.0, -math.inf
-        self.warm: deque[int] = deque(maxlen=4)
+        self.warm, self.look_at = deque[int](maxlen=4), -math.inf  # before that there is nothing to find here
         self.keeps = dict[int, float]()  # by class, of which it runs none: until when it gets none
-        self.spares = Spares(self.settings)
+        self.spares = self.standing.idle(self, 0.85 * settings.conn_idle_ms, settings.streams_per_conn)
         self.report_at, self.others, self.others_memory = -math.inf, 0.0, 0.0  # queries, memory granted
 
     def cold(self, now: float) -> bool:
@@ -138,9 +140,10 @@
             raise TypeError("settings must be a pinstage.interface.Settings")
         self.s, self.random, self.sizes = settings, random.Random(seed), Sizes(settings.classes)
         self.engines, self.jobs = dict[int, Engine](), dict[int, Job]()
-        self.held, self.lines = list[tuple[int, float, int, Job]](), dict[int, deque[Job]]()  # lines: by key
-        self.rest_until: dict[int, float] = {}
-        self.deadlines: list[tuple[float, int]] = []
+        self.held, self.lines = Held(), dict[int, deque[Job]]()  # lines: by key
+        self.lapses, self.least = Lapses(len(settings.classes)), Least()  # held: past hope, of least worth
+        self.rest_until, self.deadlines = Rests(), Agenda()  # by key, by request
+        self.tokens = Buckets(q / settings.dispatchers for q in settings.tenant_quota_per_s)
         self.best, self.answers = [1.0] * len(settings.classes), [0] * len(settings.classes)  # by class
         most = max(c.threads for c in settings.classes)  # if no share holds one, their sum is the bound
         self.sparse = THREADS_A_CORE * max(settings.kind_cores) / settings.dispatchers < most
@@ -148,14 +151,13 @@
         self.pages = settings.when_short == "page"  # too much let in collapses all; else it waits
         self.widen, self.pooled, self.cut_at = 1.0 if self.pages else WIDE, 1.0, -math.inf
         # Means of what engines report; the part of a grant that is used; the median engine's recent slowdown.
-        self.sees_memory, self.pool, self.used = "x0" in settings.report_columns, [0.0, 0.0], 1.0
-        self.usable, self.middle = list[Engine](), 1.0
-        self.taken, self.extras = deque[float](), deque[float]()  # times: requests, further attempts
-        self.tokens, self.tokens_at = [q / settings.dispatchers for q in settings.tenant_quota_per_s], 0.0
+        self.pool, self.used, self.middle = [0.0, 0.0], 1.0, 1.0
+        self.usable, self.colds, self.turns = [list[Engine]() for _ in range(3)]  # turns: cold and ours now
+        self.ranks, self.standing, self.loads, self.waiters = Ranks(), Standing(), Tally(), Tally()
+        self.taken, self.extras, self.out = Times(), Times(), list[api.Action]()  # requests, further attempts
         self.looked_at, self.surveyed_at, self.ask_at = -math.inf, -math.inf, math.inf
         self.seen_at, self.woke_at = math.inf, -math.inf
-        self.worth = min(c.worth for c in settings.classes)
-        self.out: list[api.Action] = []
+        self.sees_memory, self.worth = "x0" in settings.report_columns, min(c.worth for c in settings.classes)
         self.handlers = {kind: getattr(self, f"_on_{kind.__name__.lower()}") for kind in get_args(api.Event)}
 
     def handle(self, now_ms: float, event: api.Event) -> list[api.Action]:
@@ -190,9 +192,9 @@
                 self.engines[missing].ready = False
         for entry in event.entries:
             if (engine := self.engines.get(entry.engine)) is None:
-                engine = self.engines[entry.engine] = Engine(entry, self.s)
+                engine = self.engines[entry.engine] = Engine(entry, self.s, self.standing)
             elif entry.since_ms > engine.entry.since_ms:
-                engine.reset()
+                engine.reset(engine.settings)
             engine.entry, engine.ready, engine.told_at = entry, entry.health == Health.READY, now
         self._survey(now)
         if self.s.subscribe and event.how in (ListKind.CACHED, ListKind.FAILED):
@@ -203,14 +205,14 @@
         if event.request in self.jobs:
             return
         job = self.jobs[event.request] = Job(event, self.s.classes[event.cls], now)
-        self._recent(self.taken, now).append(now)
+        self.taken.since(now - self.s.retry_span_ms).append(now)
         self.worth += 0.02 * (job.cs.worth - self.worth)
         if job.hint > 0:
             self.sizes.usual(job.cls, self.sizes.cost(job.cls, job.hint))
         self._size(job)
         self.sizes.seen(job.cost)
         job.over = event.over or self._over_share(job, now)
-        heapq.heappush(self.deadlines, (job.deadline, job.request))
+        self.deadlines.add(job.deadline - MARGIN_MS, job.request, self.jobs)
         if job.deadline - MARGIN_MS < now + LOOK_MS:
             self.out.append(api.Remind(1, max(now, job.deadline - MARGIN_MS)))  # before the next own turn
         if job.cs.in_order and job.key:
@@ -258,7 +260,7 @@
         if event.verdict not in (Verdict.CONNECT_FAILED, Verdict.RESET, Verdict.MOOT):
             engine.spares.free(now)
         if job.key and job.cs.in_order and event.verdict in MAY_STILL_RUN:  # it may run on: the key rests
-            self.rest_until[job.key] = max(self.rest_until.get(job.key, 0.0), now + self.s.order_pause_ms)
+            self.rest_until.rest(job.key, now + self.s.order_pause_ms)
         self._judge(engine, attempt, event, now)
         if event.last or event.verdict == Verdict.OK:
             self._close(job, now)
@@ -304,19 +306,17 @@
     def cold_need(self, now: float) -> dict[int, tuple[float, float]]:
         """Of each cold engine: the part of the budget spent in the window, and what was lately wished for."""
         needs = {}
-        for engine in [e for e in self.engines.values() if e.ready and e.cold(now)]:
-            engine.denied *= 0.9 if engine.denied > 1.0 else 0.0
-            budget = self.cold_budget(engine, now) * self.s.workers / self.s.dispatchers or 1.0
-            needs[engine.id] = self._cold_spent(engine, now) / budget, engine.denied / budget
+        for e in [e for e in self.engines.values() if e.ready and e.cold(now)]:
+            e.denied *= 0.9 if e.denied > 1.0 else 0.0
+            budget = self.cold_budget(e, now) * self.s.workers / self.s.dispatchers or 1.0
+            needs[e.id] = e.cold_sends.total(now - self.s.cold_window_ms) / budget, e.denied / budget
         return needs
 
     def _on_due(self, now: float, event: api.Due) -> None:
-        while self.deadlines and self.deadlines[0][0] - MARGIN_MS <= now:
-            _, request = heapq.heappop(self.deadlines)
+        for request in self.deadlines.due(now):
             if (job := self.jobs.get(request)) and not job.streaming:
                 self._exit(job, now)
-        for key in (rested := [k for k, until in self.rest_until.items() if until <= now]):
-            del self.rest_until[key]
+        for key in (rested := self.rest_until.due(now)):
             self._next_in_line(key, now)
         if look := now - self.looked_at >= LOOK_MS and now > self.woke_at:
             self._look_over(now)
@@ -324,8 +324,7 @@
         if look or rested:
             self._release(now)
         if event.token == 0:
-            first = self.deadlines[0][0] - MARGIN_MS if self.deadlines else math.inf
-            wake = min([now + LOOK_MS, first, *self.rest_until.values()])
+            wake = min(now + LOOK_MS, self.deadlines.first, self.rest_until.first)
             self.out.append(api.Remind(0, max(now + TICK_MS, wake)))
 
     # Requests: sizes, holding, order, ending.
@@ -337,14 +336,9 @@
 
     def _over_share(self, job: Job, now: float) -> bool:
         """Token bucket of our part of each tenant's share; traffic beyond it goes last."""
-        if job.tenant >= len(self.tokens) or self.s.tenant_quota_per_s[job.tenant] <= 0:
-            return False
-        span, self.tokens_at = (now - self.tokens_at) / 1000.0 / self.s.dispatchers, now
-        for i, quota in enumerate(self.s.tenant_quota_per_s):
-            self.tokens[i] = min(max(2.0, quota / self.s.dispatchers), self.tokens[i] + span * quota)
-        within = self.tokens[job.tenant] >= 1.0
-        self.tokens[job.tenant] -= within
-        return not within
+        quotas = self.s.tenant_quota_per_s
+        return job.tenant < len(quotas) and quotas[job.tenant] > 0 and not self.tokens.take(
+            job.tenant, now, quotas, self.s.dispatchers)
 
     def _run_ms(self, job: Job) -> float:
         return job.cost / job.cs.threads * max(1.0, self.best[job.cls] * self.middle)
@@ -352,7 +346,16 @@
     def _hold(self, job: Job, now: float) -> None:
         """Held requests leave smallest remaining work first; those over a tenant's share after the others."""
         job.held, job.slot = True, (int(job.over), job.cost * (1.0 - job.done), job.request)
-        insort(self.held, (*job.slot, job))
+        self.held.add((*job.slot, job), job.lane, job.cost)
+        limit = job.deadline - MARGIN_MS if job.cs.late_share > 0 else job.aim_at
+        self.lapses.add(job.request, job.cls, job.cost / job.cs.threads, limit)
+        if self.least:
+            self.least.add(self._worth(job, now), job.slot, job)
+
+    def _unhold(self, job: Job) -> None:
+        job.held = False
+        self.held.drop(job.slot, job.lane, job.cost)
+        self.lapses.discard(job.request)
 
     def _next_in_line(self, key: int, now: float) -> None:
         """Order: only the head of a key's line may be held or out, and not while the key rests."""
@@ -370,8 +373,7 @@
             return
         job.finished = True
         if job.held:
-            job.held = False
-            self.held.pop(bisect_left(self.held, job.slot))
+            self._unhold(job)
         del self.jobs[job.request]
         if self.s.may_cancel:
             self.out.extend(api.Cancel(job.request, a.number) for a in job.out)
@@ -382,16 +384,21 @@
         harmless = (job.cs.effect == Effect.REPEATABLE or not job.may_have_run()
                     or (job.cs.effect == Effect.BY_KEY and job.cs.dedup_scope == "all"))
         # The client is told to come back when what is held now has been worked off.
-        wait = sum(j.cost for _, _, _, j in self.held) / max(1.0, self.shares) if self.s.retry_after else 0.0
-        wait = min(self.s.max_retry_after_ms, wait)
+        wait = min(self.s.max_retry_after_ms, self.held.total / max(1.0, self.shares)) * self.s.retry_after
         self.out.append(api.Refuse(job.request, wait) if harmless else api.Fail(job.request))
         self._close(job, now)
 
     def _shed(self, now: float) -> None:
         """Too many open: of those held, what has the least worth still to be had for its work is refused."""
         while self.held and len(self.jobs) > self.most_open:
-            self._exit(min((j for _, _, _, j in self.held), key=lambda j: j.cs.worth / j.cost * (
-                j.cs.late_share if now + self._run_ms(j) > j.aim_at else 1.0)), now)
+            if not self.least:  # ranked anew at each survey: what is late by then is worth less
+                self.least = Least((self._worth(j, now), j.slot, j) for *_, j in self.held)
+            slot, job = self.least.pop()
+            if job.held and job.slot is slot:
+                self._exit(job, now)
+
+    def _worth(self, job: Job, now: float) -> float:
+        return job.cs.worth / job.cost * (job.cs.late_share if now + self._run_ms(job) > job.aim_at else 1.0)
 
     def _again(self, job: Job, engine: Engine, verdict: int, now: float) -> None:
         if job.out or job.held:
@@ -412,6 +419,8 @@
         attempt.engine.threads += sign * attempt.job.cs.threads
         attempt.engine.granted += sign * attempt.grant
         self.threads += sign * attempt.job.cs.threads
+        self.loads.add(attempt.job.group, attempt.engine.id, sign * attempt.job.cs.is_load)
+        self.waiters.add(attempt.job.group, attempt.engine.id, sign * attempt.job.cs.waits_for_loads)
 
     def _room(self, limits: float = 1.0) -> float:
         """Threads left of the widened sum of our shares of all engines; one query may always be out."""
@@ -434,36 +443,27 @@
         return engine is None or not group or all(a.engine.entry[group] == engine.entry[group] for a in ran)
 
     def _retry_allowed(self, now: float) -> bool:
-        return self.s.retry_span_ms <= 0 or len(self._recent(self.extras, now)) + 1 <= (
-            self.s.retry_floor + self.s.retry_ratio * len(self._recent(self.taken, now)))
-
-    def _recent(self, times: deque[float], now: float) -> deque[float]:
-        """Times within the retry span, pruned at every use: a day without retries must not keep them all."""
-        while times and (self.s.retry_span_ms <= 0 or times[0] <= now - self.s.retry_span_ms):
-            times.popleft()
-        return times
+        since = now - self.s.retry_span_ms
+        return self.s.retry_span_ms <= 0 or len(self.extras.since(since)) + 1 <= (
+            self.s.retry_floor + self.s.retry_ratio * len(self.taken.since(since)))
 
     def _cold_allowed(self, job: Job, engine: Engine, now: float) -> bool:
-        """Part of our share of a cold engine's budget; under one query: turns of a few, or of one."""
-        if not engine.cold(now):
-            return True
-        spent, budget = self._cold_spent(engine, now), self.cold_budget(engine, now)
-        usual, n = self.cold_work(job), self.s.dispatchers // self.s.workers  # workers have leases
-        turns = min(n, int(budget / min(self.sizes.mean_cost)))
-        slot = int(now / self.s.cold_window_ms) + engine.id
+        usual, left = self.cold_work(job), self._cold_left(engine, now)
+        if left == -math.inf or (job.attempts and self.sparse and self.s.dispatchers // self.s.workers > 1):
+            return False
+        engine.denied += usual if usual > left else 0.0
+        return usual <= left
+
+    def _cold_left(self, engine: Engine, now: float) -> float:
+        """Of our part of a cold engine's budget; under one query: turns of few, or of one; -inf: not ours."""
+        budget, n = self.cold_budget(engine, now), self.s.dispatchers // self.s.workers  # workers have leases
         if self.sparse and n > 1:
-            turns = 1 if slot % 2 else min(turns, n // 2)  # or all heavy ones wait until it is warm
-            if turns < 1 or (slot // 2 * turns + self.s.number) % n >= turns or job.attempts:
-                return False
+            slot = int(now / self.s.cold_window_ms) + engine.id
+            turns = 1 if slot % 2 else min(n // 2, int(budget / min(self.sizes.mean_cost)))
+            if turns < 1 or (slot // 2 * turns + self.s.number) % n >= turns:
+                return -math.inf  # or all heavy ones wait until it is warm
             n = max(1.0, turns / 2.0)  # a turn is for two small queries, and most pass unused
-        fits = spent + usual <= budget / n * engine.part
-        engine.denied += 0.0 if fits else usual
-        return fits
-
-    def _cold_spent(self, engine: Engine, now: float) -> float:
-        while engine.cold_sends and engine.cold_sends[0][0] < now - self.s.cold_window_ms:
-            engine.cold_sends.popleft()
-        return sum(work for _, work in engine.cold_sends)
+        return budget / n * engine.part - engine.cold_sends.total(now - self.s.cold_window_ms)
 
     def cold_budget(self, engine: Engine, now: float) -> float:
         """What all dispatchers together may send to a cold engine in one window."""
@@ -475,30 +475,27 @@
         return ESTIMATE_SAFETY * job.cost if job.hint > 0 else max(job.cost, self.sizes.mean_cost[job.cls])
 
     def _may_send(self, job: Job, engine: Engine, now: float) -> bool:
-        """The gate that every send passes; rules first, then room and doubt."""
-        cs = job.cs
-        if not engine.ready or job.finished or len(job.attempts) >= self.s.max_attempts or (
-                now < engine.keeps.get(job.cls, 0.0)):
-            return False
-        if (cs.only_kinds is not None and engine.entry.kind not in cs.only_kinds) or (
-                cs.only_zones is not None and engine.entry.zone not in cs.only_zones):
-            return False
-        if job.attempts and (
-                job.out or not self._may_repeat(job, engine, now) or not self._retry_allowed(now)) or (
-                not self._cold_allowed(job, engine, now)):
+        """The gate that every send passes, with _has_memory; rules first, then doubt and room."""
+        cs, entry = job.cs, engine.entry
+        if not engine.ready or (engine.keeps and now < engine.keeps.get(job.cls, 0.0)) or (
+                cs.only_kinds is not None and entry.kind not in cs.only_kinds) or (
+                cs.only_zones is not None and entry.zone not in cs.only_zones) or (
+                job.attempts and not self._may_repeat(job, engine, now)) or (
+                engine.cold(now) and not self._cold_allowed(job, engine, now)):
             return False
         if engine.suspect:
             small = self.sizes.band(job.cost) == 3 and cs.effect != Effect.ONCE
             return small and now >= engine.retest_at and not engine.attempts and not job.attempts
-        if engine.attempts and engine.bound - engine.threads < cs.threads:
-            return False
-        if engine.memory <= 0 or not self.threads:
+        return not engine.attempts or engine.bound - engine.threads >= cs.threads
+
+    def _has_memory(self, engine: Engine, grant: float, others: float) -> bool:
+        if engine.memory <= 0 or not self.threads or engine.suspect:
             return True
-        free = MEMORY_FULL / self.used - self._others(engine, now)[1]
+        free = MEMORY_FULL / self.used - others
         if not self.sees_memory:  # in step with the bound
             free = max(1.0 / self.s.dispatchers, min(MEMORY_FULL, 0.6 * engine.bound / engine.cores))
             free = free if engine.attempts else math.inf
-        return engine.granted + engine.peers_memory + self._grant(job, engine) <= engine.memory * free
+        return engine.granted + engine.peers_memory + grant <= engine.memory * free
 
     def _others(self, engine: Engine, now: float) -> tuple[float, float]:
         """What others hold on an engine: its last report, trusted less with its age, else the pool of all."""
@@ -508,30 +505,38 @@
 
     # Choice and release.
 
-    def _grant(self, job: Job, engine: Engine) -> float:
+    def _want(self, job: Job) -> float:
+        """The memory to ask for wherever it goes; an engine grants a part of its own at most."""
         if not self.s.grants or job.memory <= 0:
             return 0.0
         learned, margin = self.sizes.memories[job.cls], 0.2
         if self.s.says_cost:  # few samples: unsure; where engines page only use counts
             margin = (1 + self.pages) * learned.spread + UNSURE / math.sqrt(1 + learned.count)
-        return min(job.memory * math.exp(margin), self.s.most_grant * engine.memory)
+        return job.memory * math.exp(margin)
 
     def _pace(self, engine: Engine, cls: int) -> float:
         return max(1.0, self.best[cls] * engine.slow)
 
     def _choose(self, job: Job, engines: list[Engine], now: float) -> Engine | None:
         """Least expected completion among the engines that may have it; near-ties are spread by the seed."""
-        best, best_score = None, math.inf
+        best, best_score, threads, want = None, math.inf, job.cs.threads, self._want(job)
         scale = self.s.dispatchers if self.sparse and self.s.report_columns else 1
+        priced = self.s.price_handshake > 0 or self.s.price_cross_zone > 0
+        if job.finished or len(job.attempts) >= self.s.max_attempts or (
+                job.attempts and (job.out or not self._retry_allowed(now))):
+            return None
         for engine in engines:
-            if not self._may_send(job, engine, now):
+            if engine.attempts and engine.bound - engine.threads < threads and not (
+                    engine.suspect or engine.cold(now)) or not self._may_send(job, engine, now):
+                continue  # while requests are held most are full: the gate would say the same, later
+            others, others_memory = self._others(engine, now)
+            if not self._has_memory(engine, min(want, self.s.most_grant * engine.memory), others_memory):
                 continue
-            busy = engine.threads + engine.peers + job.cs.threads + self._others(engine, now)[0]
-            busy /= max(engine.bound * scale, job.cs.threads)
+            busy = (engine.threads + engine.peers + threads + others) / max(engine.bound * scale, threads)
             score = engine.slow * (1.0 + busy) * (0.95 + 0.1 * self.random.random())
             score *= (4.0 if engine.id in job.avoid else 1.0) * (0.5 if engine.cold(now) else 1.0)
             score *= self._group_factor(job, engine) if job.group >= 0 else 1.0
-            score *= 1.0 + PRICED * self._price(engine, now) * self.worth / job.cs.worth
+            score *= 1.0 + PRICED * self._price(engine, now) * self.worth / job.cs.worth if priced else 1.0
             if score < best_score:
                 best, best_score = engine, score
         return best
@@ -545,42 +550,45 @@
 
     def _group_factor(self, job: Job, engine: Engine) -> float:
         """Warm groups draw their readers; a load and the readers it would stop are kept apart."""
-        factor = 0.8 if job.group in engine.warm else 1.0
-        for other in [a.job.cs for a in engine.attempts.values() if a.job.group == job.group]:
-            factor *= 4.0 if other.is_load and (job.cs.is_load or job.cs.waits_for_loads) else 1.0
-            factor *= 1.3 if job.cs.is_load and other.waits_for_loads else 1.0
-        return factor
-
-    def _apart(self, job: Job, now: float) -> list[Engine]:
-        """One that stands holds up its key's line: each dispatcher has engines of its own, a load on each."""
-        n = self.s.dispatchers if len(self.usable) >= self.s.dispatchers else 1
-        n = 1 if any(e.cold(now) for e in self.usable) else n  # our own may all be those that take no load
-        return [e for rank, e in enumerate(self.usable, job.group) if rank % n == self.s.number % n and all(
-            not a.job.cs.is_load or a.job.group != job.group for a in e.attempts.values())]
+        stops = (job.cs.is_load or job.cs.waits_for_loads) * self.loads.of(job.group).get(engine.id, 0)
+        factor = (0.8 if job.group in engine.warm else 1.0) * 4.0 ** stops
+        return math.prod([factor, *[1.3] * (self.waiters.of(job.group).get(engine.id, 0) * job.cs.is_load)])
+
+    def _looked_at(self, job: Job, now: float) -> list[Engine]:
+        """All of a few; else a sample, the cold, as turns are rare, and some that a connection stands to."""
+        # A load that stands holds up its key's line: each has engines of its own, but all while any is cold.
+        n = self.s.dispatchers if job.lane >= 0 and len(self.usable) >= self.s.dispatchers else 1
+        n = 1 if n > 1 and any(e.cold(now) for e in self.colds) else n
+        cut = n, (self.s.number - job.lane) % n, self.loads.of(job.lane)
+        if len(few := self.ranks.every(*cut)) <= SAMPLE:
+            return few
+        picked = self.random.sample(few, SAMPLE)
+        stand = list(self.standing.values()) if self.s.price_handshake > 0 else []
+        beside = [e for e in thinned(self.turns, MANY, SAMPLE, self.random) if e.cold(now)]
+        beside += [e for e in thinned(stand, MANY, SAMPLE, self.random) if e.spares.any(now, 0)]
+        return picked + self.ranks.order(beside, *cut) if beside else picked
 
     def _release(self, now: float) -> None:
         if not self.held or self._room(2.0) < 1.0 or now == self.woke_at:  # first take in all that came
             return
-        at, misses, taken = 0, 0, set[int]()  # groups that have no engine for a further load of ours
-        while self.usable and at < len(self.held) and misses < MISSES and self._fits(self.held[at][3]):
-            job, few = self.held[at][3], self.usable
-            if job.cs.is_load and job.cs.in_order and job.group >= 0:
-                few = [] if job.group in taken else self._apart(job, now)
-                taken |= set() if few else {job.group}
-            if len(few) > SAMPLE:
-                few = self.random.sample(few, SAMPLE) + [  # a turn at a cold engine is rare
-                    e for e in few if e.cold(now) or self.s.price_handshake > 0 and e.spares.any(now, 0)]
-            if (engine := self._choose(job, few, now)) is None:
-                at, misses = at + 1, misses + bool(few)
-                continue
-            self.held.pop(at)
-            job.held = False
-            self._send(job, engine, now)
+        sent, misses, taken = list[Job](), 0, set[int]()  # taken: groups without an engine for a load of ours
+        for job in self.held.walk(taken) if self.usable else ():
+            if misses >= MISSES or not self._fits(job):
+                break
+            if not (few := self._looked_at(job, now)):
+                taken.add(job.lane)
+            elif (engine := self._choose(job, few, now)) is None:
+                misses += 1
+            else:
+                sent.append(job)
+                self._send(job, engine, now)
+        for job in sent:
+            self._unhold(job)
 
     def _send(self, job: Job, engine: Engine, now: float) -> None:
         if job.attempts:
-            self._recent(self.extras, now).append(now)
-        job.grant = self._grant(job, engine)
+            self.extras.since(now - self.s.retry_span_ms).append(now)
+        job.grant = min(self._want(job), self.s.most_grant * engine.memory)
         attempt = Attempt(job, len(job.attempts), engine, now, job.grant, engine.suspect)
         if not engine.attempts:
             engine.sign_at = max(engine.sign_at, now)  # silence counts from the first send to an idle engine
@@ -588,8 +596,9 @@
         engine.attempts[(job.request, attempt.number)] = attempt
         self._book(attempt, 1)
         engine.spares.take()
+        engine.look_at = min(engine.look_at, self._look_at(attempt))
         if engine.cold(now):
-            engine.cold_sends.append((now, self.cold_work(job)))
+            engine.cold_sends.add(now, self.cold_work(job))
         if job.group >= 0 and job.group not in engine.warm:
             engine.warm.append(job.group)
         self._set_terms(job, True)
@@ -718,7 +727,7 @@
         for job in waiting:
             end = max(now, job.out[0].sent + self._run_ms(job)) if job.out else end + self._run_ms(job)
             kept += [] if job.out else [job]
-            while job is not waiting[-1] and job in kept and end > job.aim_at:
+            while job is not waiting[-1] and kept and kept[-1] is job and end > job.aim_at:
                 least = min(kept, key=lambda j: j.cs.worth * self.s.over_share_worth ** j.over / j.cost)
                 kept.remove(least)
                 end -= self._run_ms(least)
@@ -730,10 +739,13 @@
 
     def _survey(self, now: float) -> None:
         """What may be used, the sum of our shares, and how slow the middle engine is."""
-        self.surveyed_at = now
+        self.surveyed_at, self.least = now, Least()
         self.engines = {i: e for i, e in sorted(self.engines.items())  # at all dispatchers in the same order
                         if e.entry.health != Health.GONE or e.attempts or now - e.told_at < ABSENT_MS}
         self.usable = [e for e in self.engines.values() if e.ready and (not e.suspect or now >= e.retest_at)]
+        self.ranks = Ranks(self.usable)
+        self.colds = self.turns = [e for e in self.usable if e.cold(now)]
+        self.standing.prune(now)
         self.shares = sum(e.bound for e in self.usable)
         slows = sorted(e.slow for e in self.engines.values() if e.ready)
         self.middle = slows[len(slows) // 2] if slows else 1.0
@@ -745,7 +757,9 @@
         self.looked_at = now
         if now - self.surveyed_at >= SURVEY_MS:
             self._survey(now)
-        for engine in [e for e in self.engines.values() if e.attempts]:
+        if len(self.colds) > MANY:
+            self.turns = [e for e in self.colds if e.cold(now) and self._cold_left(e, now) > 0]
+        for engine in [e for e in self.engines.values() if e.attempts and now >= e.look_at]:
             quiet, overdue, due = self._quiet(engine, now), 0, (self.s.note_period_ms or math.inf) + MUTE_MS
             for attempt in list(engine.attempts.values()):
                 job, cls, lives = attempt.job, attempt.job.cls, engine.sign_at > max(attempt.sent, now - due)
@@ -766,6 +780,7 @@
                         self._move(job, attempt, now)
                 if not (job.done or quiet or attempt.in_line) and ran > 300.0 + BAD_PLAN * expected:
                     self._bad_plan(job, attempt, now)
+            engine.look_at = min(map(self._look_at, engine.attempts.values()))
             if not quiet or not overdue or engine.suspect:
                 continue
             if self.s.may_probe:
@@ -774,8 +789,16 @@
                     self.out.append(api.Probe(engine.id))
             elif overdue > 1 or now - engine.sign_at > 2.0 * SILENT_MS:
                 self._suspect(engine, now, "is silent")
-        for line in list(self.lines.values()):
+        for line in [line for line in self.lines.values() if len(line) > 1]:
             self._thin(line, now)
-        for *_, job in list(self.held):
-            if now + self._run_ms(job) > (job.deadline - MARGIN_MS if job.cs.late_share > 0 else job.aim_at):
-                self._exit(job, now)
+        lapsed = self.lapses.due(now, [max(1.0, best * self.middle) for best in self.best])
+        for job in sorted((self.jobs[request] for request in lapsed), key=lambda j: j.slot):
+            self._exit(job, now)
+
+    def _look_at(self, attempt: Attempt) -> float:
+        """The earliest time at which it could be found kept or badly planned, or its engine silent."""
+        job, period = attempt.job, self.s.note_period_ms
+        expected = math.inf if job.done or job.moved else attempt.cost / job.cs.threads
+        silent = attempt.engine.sign_at + max(SILENT_MS, 2.2 * period)
+        bad = attempt.sent + attempt.waited + 300.0 + BAD_PLAN * expected
+        return min(attempt.seen + (period or math.inf) + MUTE_MS, silent, bad) - 1.0  # sums are rounded
