--- a/bench/choices.py
+++ b/bench/choices.py
@@ -28,7 +28,7 @@
 from common import tell
 
 ROOT = Path(__file__).parent.parent
-SITES = ("plain", "many", "priced")
+SITES = ("plain", "many", "priced", "stuck", "shed")
 
 
 def load(ref: str, name: str) -> ModuleType:
@@ -49,7 +49,10 @@
 
 
 def settings(api: Any, site: str) -> Any:
-    """Three installations: few coordinators, many that each see little, and prices for connections and zones."""
+    """Few coordinators, many that each see little, prices for connections and zones.
+
+    Beside these, few coordinators with a queue of ordered loads of one group, or with too many open at every arrival.
+    """
     few = site != "many"
     cls, effect = api.ClassSettings, api.Effect
     classes = (
@@ -69,19 +72,28 @@
         price_handshake=0.08 if site == "priced" else 0.0, price_cross_zone=0.02 if site == "priced" else 0.0)
 
 
+def controller(package: ModuleType, site: str, seed: int, target: int) -> Any:
+    out = package.Controller(settings(importlib.import_module(f"{package.__name__}.interface"), site), seed)
+    out.most_open = int(0.9 * target) if site == "shed" else out.most_open
+    return out
+
+
 class World:
     """Clients, engines and timers around one controller, in simulated time; keeps the events that it met."""
 
     def __init__(self, package: ModuleType, site: str, engines: int, target: int, seed: int, calm: bool) -> None:
         self.api = importlib.import_module(f"{package.__name__}.interface")
-        self.c, self.draw = package.Controller(settings(self.api, site), seed), random.Random(seed)
+        self.c, self.draw = controller(package, site, seed, target), random.Random(seed)
         self.site, self.count, self.target, self.calm = site, engines, target, calm
         self.now, self.met, self.clock, self.serial = 1_000_000.0, list[tuple[float, Any]](), list[Any](), 0
         self.open, self.answered = dict[int, Any](), 0  # requests; what came to a good end
         self.out = dict[tuple[int, int], int]()
-        self.tries, self.ran = dict[int, int](), dict[int, float]()
+        self.tries = dict[int, int]()
         self.entries = {n: self.api.EngineEntry(n, n % 3, n % 2, n % 7, 1, 1.0, 0.0) for n in range(1, engines + 1)}
         self.hung = set[int]()
+        # What became of it: good answers' times, sends, sends to another zone, those that opened a connection.
+        self.began, self.took, self.sends, self.far, self.opened = dict[int, float](), 0.0, 0, 0, 0
+        self.idle = dict[int, list[float]]()
         self.at(0.0, "list", self.api.ListKind.FULL, tuple(self.entries.values()))
 
     def at(self, after: float, *what: Any) -> None:
@@ -106,6 +118,9 @@
         number = self.tries.get(action.request, 0)
         self.tries[action.request] = number + 1
         self.out[(action.request, number)] = action.engine
+        idle = [at for at in self.idle.get(action.engine, ()) if self.now - at < 15_000.0]
+        self.sends, self.opened, self.idle[action.engine] = self.sends + 1, self.opened + (not idle), idle[:-1]
+        self.far += self.entries[action.engine].zone != 0
         luck = self.draw.random()
         verdict = api.Verdict.OK
         if not self.calm:
@@ -139,8 +154,10 @@
         if (engine := self.out.pop((request, number), None)) is None:
             return
         good = verdict == self.api.Verdict.OK
+        self.idle.setdefault(engine, []).append(self.now)
         known = self.open.pop(request, None) if good else self.open.get(request)
-        self.answered += known is not None and good
+        if known is not None and good:
+            self.answered, self.took = self.answered + 1, self.took + self.now - self.began[request]
         cost = (known.cost_ms or 150.0) * self.draw.uniform(0.7, 1.4) if known and good else 0.0
         report = (self.draw.uniform(0.0, 20.0), self.draw.uniform(0.0, 0.6)) if good else ()
         self.feed(self.api.Ended(request, number, engine, verdict, cost / 2 or 5.0, known is None or good, cost,
@@ -151,10 +168,13 @@
         cls = 0 if luck < 0.7 else 1 if luck < 0.85 else 2 if luck < 0.93 else 3
         cost = min(60_000.0, (60.0, 400.0, 300.0, 200.0)[cls] * self.draw.paretovariate(1.2))
         key = self.draw.randrange(1, 50 + self.target // 8) if cls == 2 else 0
+        group = self.draw.randrange(-1, 40)
+        if self.site == "stuck" and luck < 0.8:
+            cls, key, group = 2, number, 5
         left = (5000.0, 20_000.0, 25_000.0, 25_000.0)[cls] * (20.0 if self.target >= 10_000 else 1.0)
         request = self.api.Request(number, cls, 0, key, left, cost if luck * 1000 % 1 < 0.9 else 0.0, cost * 0.3,
-                                   float(self.draw.randrange(-1, 40)))
-        self.open[number] = request
+                                   float(group))
+        self.open[number], self.began[number] = request, self.now
         self.feed(request)
 
     def trouble(self) -> None:
@@ -178,6 +198,11 @@
             self.open.pop(request)
             self.feed(api.Left(request))
 
+    def outcome(self) -> dict[str, float]:
+        return {"answered": self.answered, "mean_ms": round(self.took / max(1, self.answered), 1),
+                "sends": self.sends, "far": round(self.far / max(1, self.sends), 3),
+                "opened": round(self.opened / max(1, self.sends), 3)}
+
     def play(self, requests: int) -> list[tuple[float, Any]]:
         """So many requests, as many open at a time as was asked for, once it is filled."""
         number = 0
@@ -198,44 +223,59 @@
     return (type(action).__name__, *(round(field, 1) if isinstance(field, float) else field for field in action))
 
 
-def compare(base: ModuleType, new: ModuleType, site: str, engines: int, target: int, seed: int, requests: int,
-            calm: bool, profile: bool) -> dict[str, Any]:
-    met = World(base, site, engines, target, seed, calm).play(requests)
+def replay(worlds: dict[str, list[tuple[float, Any]]], packages: dict[str, ModuleType], site: str, seed: int,
+           target: int, profile: bool) -> tuple[dict[str, float], int, int | None]:
+    """Microseconds a request of each module, the actions that were equal, and where they differed first."""
     sides = {}
-    for package in (base, new):
-        api = importlib.import_module(f"{package.__name__}.interface")
-        sides[package.__name__] = (package.Controller(settings(api, site), seed), [
+    for name, met in worlds.items():
+        api = importlib.import_module(f"{name}.interface")
+        sides[name] = (controller(packages[name], site, seed, target), [
             (now, getattr(api, type(event).__name__)(*event)) for now, event in met])
-    spent, actions, width = dict.fromkeys(sides, 0), dict[str, list[Any]](), 200
-    filled = next(i for i, (_, e) in enumerate(met) if type(e).__name__ == "Request" and e.request >= target)
-    same, differs, measured, profiler = 0, -1, 0, cProfile.Profile()
+    spent, counts, actions, width = dict.fromkeys(sides, 0), dict.fromkeys(sides, 0), dict[str, list[Any]](), 200
+    same, differs, profiler = 0, None, cProfile.Profile()
+    filled = {name: next(i for i, (_, e) in enumerate(met) if type(e).__name__ == "Request" and e.request >= target)
+              for name, met in worlds.items()}
     gc.collect()
     gc.disable()  # what the world keeps is of no interest
-    for at in range(0, len(met), width):
+    for at in range(0, max(map(len, worlds.values())), width):
         for name in list(sides) if at // width % 2 else list(sides)[::-1]:
-            controller, events = sides[name]
-            slice_, handle = events[at:at + width], controller.handle
-            if profile and name == "new_pinstage" and at >= filled:
+            module, events = sides[name]
+            slice_, handle = events[at:at + width], module.handle
+            if profile and name == "new_pinstage" and at >= filled[name]:
                 profiler.enable()
             began = time.thread_time_ns()
             actions[name] = [handle(now, event) for now, event in slice_]
-            if at >= filled:
-                spent[name] += time.thread_time_ns() - began
+            took = time.thread_time_ns() - began
             profiler.disable()
-        measured += sum(type(e).__name__ == "Request" for _, e in met[at:at + width]) if at >= filled else 0
+            if at >= filled[name]:
+                spent[name] += took
+                counts[name] += sum(type(e).__name__ == "Request" for _, e in slice_)
         both = [[told(a) for acts in actions[name] for a in acts] for name in sides]
-        if differs < 0 and both[0] != both[1]:
+        if differs is None and both[0] != both[1]:
             differs = at
-            print(*[pair for pair in zip(*both, strict=False) if pair[0] != pair[1]][:3], sep="\n", file=sys.stderr)
-        same += len(both[0]) * (differs < 0)
+        same += len(both[0]) * (differs is None)
     gc.enable()
     if profile:
         pstats.Stats(profiler, stream=sys.stderr).sort_stats("tottime").print_stats(22)
-    us = {name: value / 1000.0 / max(1, measured) for name, value in spent.items()}
-    return {"site": site, "engines": engines, "open": target, "calm": calm, "seed": seed, "events": len(met),
-            "actions_equal": same, "differs_at_event": differs if differs >= 0 else None,
-            "us_a_request_base": round(us["base_pinstage"], 1), "us_a_request_new": round(us["new_pinstage"], 1),
-            "new_over_base": round(us["new_pinstage"] / us["base_pinstage"], 3)}
+    return {name: value / 1000.0 / max(1, counts[name]) for name, value in spent.items()}, same, differs
+
+
+def compare(packages: dict[str, ModuleType], site: str, engines: int, target: int, seed: int, requests: int,
+            calm: bool, profile: bool) -> dict[str, Any]:
+    """Both modules in the world of the first; where choices differ, each is timed in a world of its own."""
+    base, new = packages
+    world = World(packages[base], site, engines, target, seed, calm)
+    met = world.play(requests)
+    us, same, differs = replay({base: met, new: met}, packages, site, seed, target, profile)
+    out = {"site": site, "engines": engines, "open": target, "calm": calm, "seed": seed, "events": len(met),
+           "actions_equal": same, "differs_at_event": differs}
+    if differs is not None:
+        own = World(packages[new], site, engines, target, seed, calm)
+        us, *_ = replay({base: met, new: own.play(requests)}, packages, site, seed, target, False)
+        out |= {f"{key}_{name[:4].strip('_')}": value for name, side in ((base, world), (new, own))
+                for key, value in side.outcome().items()}
+    return out | {"us_a_request_base": round(us[base], 1), "us_a_request_new": round(us[new], 1),
+                  "new_over_base": round(us[new] / us[base], 3)}
 
 
 def main() -> None:
@@ -250,14 +290,13 @@
     parser.add_argument("--profile", action="store_true")
     parser.add_argument("--json")
     args = parser.parse_args()
-    base, new = load(args.base, "base_pinstage"), load("", "new_pinstage")
+    packages = {"base_pinstage": load(args.base, "base_pinstage"), "new_pinstage": load("", "new_pinstage")}
     rows = []
     for site in args.site.split(","):
         for target in map(int, args.open.split(",")):
             for engines in map(int, args.engines.split(",")):
                 for seed in range(1, args.seeds + 1):
-                    rows.append(compare(base, new, site, engines, target, seed, args.requests, args.calm,
-                                        args.profile))
+                    rows.append(compare(packages, site, engines, target, seed, args.requests, args.calm, args.profile))
                     print(rows[-1], file=sys.stderr, flush=True)
     tell({"base": args.base, "rows": rows}, args.json)
 
--- a/pinstage/control.py
+++ b/pinstage/control.py
@@ -139,7 +139,7 @@
         if not isinstance(settings, api.Settings):
             raise TypeError("settings must be a pinstage.interface.Settings")
         self.s, self.random, self.sizes = settings, random.Random(seed), Sizes(settings.classes)
-        self.engines, self.jobs = dict[int, Engine](), dict[int, Job]()
+        self.engines, self.jobs, self.out = dict[int, Engine](), dict[int, Job](), list[api.Action]()
         self.held, self.lines = Held(), dict[int, deque[Job]]()  # lines: by key
         self.lapses, self.least = Lapses(len(settings.classes)), Least()  # held: past hope, of least worth
         self.rest_until, self.deadlines = Rests(), Agenda()  # by key, by request
@@ -153,10 +153,10 @@
         # Means of what engines report; the part of a grant that is used; the median engine's recent slowdown.
         self.pool, self.used, self.middle = [0.0, 0.0], 1.0, 1.0
         self.usable, self.colds, self.turns = [list[Engine]() for _ in range(3)]  # turns: cold and ours now
-        self.ranks, self.standing, self.loads, self.waiters = Ranks(), Standing(), Tally(), Tally()
-        self.taken, self.extras, self.out = Times(), Times(), list[api.Action]()  # requests, further attempts
-        self.looked_at, self.surveyed_at, self.ask_at = -math.inf, -math.inf, math.inf
-        self.seen_at, self.woke_at = math.inf, -math.inf
+        self.ranks, self.standing = Ranks(), Standing(settings.price_handshake > 0)
+        self.taken, self.extras, self.loads, self.waiters = Times(), Times(), Tally(), Tally()  # by group
+        self.looked_at = self.surveyed_at = self.woke_at = -math.inf
+        self.ask_at = self.seen_at = math.inf
         self.sees_memory, self.worth = "x0" in settings.report_columns, min(c.worth for c in settings.classes)
         self.handlers = {kind: getattr(self, f"_on_{kind.__name__.lower()}") for kind in get_args(api.Event)}
 
@@ -430,7 +430,8 @@
 
     def _fits(self, job: Job) -> bool:
         """What is small passes the bound over all engines by up to as much again."""
-        return self._room(2.0 if self.sizes.band(job.cost * (1.0 - job.done)) >= 2 else 1.0) >= job.cs.threads
+        small = self.sparse and self.sizes.band(job.cost * (1.0 - job.done)) >= 2
+        return self._room(2.0 if small else 1.0) >= job.cs.threads
 
     def _may_repeat(self, job: Job, engine: Engine | None, now: float) -> bool:
         """Effects: what may have run is sent again only as its class allows."""
@@ -550,9 +551,9 @@
 
     def _group_factor(self, job: Job, engine: Engine) -> float:
         """Warm groups draw their readers; a load and the readers it would stop are kept apart."""
-        stops = (job.cs.is_load or job.cs.waits_for_loads) * self.loads.of(job.group).get(engine.id, 0)
-        factor = (0.8 if job.group in engine.warm else 1.0) * 4.0 ** stops
-        return math.prod([factor, *[1.3] * (self.waiters.of(job.group).get(engine.id, 0) * job.cs.is_load)])
+        times = 0.8 if job.group in engine.warm else 1.0
+        times *= 4.0 ** (self.loads.at(job.group, engine.id) * (job.cs.is_load or job.cs.waits_for_loads))
+        return math.prod([times, *[1.3] * self.waiters.at(job.group, engine.id)]) if job.cs.is_load else times
 
     def _looked_at(self, job: Job, now: float) -> list[Engine]:
         """All of a few; else a sample, the cold, as turns are rare, and some that a connection stands to."""
@@ -563,9 +564,8 @@
         if len(few := self.ranks.every(*cut)) <= SAMPLE:
             return few
         picked = self.random.sample(few, SAMPLE)
-        stand = list(self.standing.values()) if self.s.price_handshake > 0 else []
         beside = [e for e in thinned(self.turns, MANY, SAMPLE, self.random) if e.cold(now)]
-        beside += [e for e in thinned(stand, MANY, SAMPLE, self.random) if e.spares.any(now, 0)]
+        beside += [e for e in self.standing.last(MANY, 2 * SAMPLE) if e.spares.any(now, 0)]
         return picked + self.ranks.order(beside, *cut) if beside else picked
 
     def _release(self, now: float) -> None:
@@ -743,8 +743,8 @@
         self.engines = {i: e for i, e in sorted(self.engines.items())  # at all dispatchers in the same order
                         if e.entry.health != Health.GONE or e.attempts or now - e.told_at < ABSENT_MS}
         self.usable = [e for e in self.engines.values() if e.ready and (not e.suspect or now >= e.retest_at)]
-        self.ranks = Ranks(self.usable)
-        self.colds = self.turns = [e for e in self.usable if e.cold(now)]
+        self.ranks.set(self.usable)
+        self.colds = self.turns = [e for e in self.usable if e.entry.since_ms > 0 and e.cold(now)]
         self.standing.prune(now)
         self.shares = sum(e.bound for e in self.usable)
         slows = sorted(e.slow for e in self.engines.values() if e.ready)
--- a/pinstage/index.py
+++ b/pinstage/index.py
@@ -8,6 +8,7 @@
 
 from collections import deque
 from collections.abc import Mapping, Sequence
+from itertools import islice
 from random import Random
 from types import MappingProxyType
 from typing import Any
@@ -40,13 +41,20 @@
     def of(self, group: int) -> Mapping[int, int]:
         return self.groups.get(group, NONE)
 
+    def at(self, group: int, member: int) -> int:
+        return self.groups.get(group, NONE).get(member, 0)
+
 
 class Ranks:
     """Members in their order, and cuts of it that cost little beside a copy of references."""
 
-    def __init__(self, members: Sequence[Any] = ()) -> None:
-        self.members = list(members)
-        self.rank = {member.id: rank for rank, member in enumerate(self.members)}
+    def __init__(self) -> None:
+        self.members, self.rank = list[Any](), dict[int, int]()
+
+    def set(self, members: Sequence[Any]) -> None:
+        if members != self.members:
+            self.members = list(members)
+            self.rank = {member.id: rank for rank, member in enumerate(self.members)}
 
     def every(self, step: int, first: int, without: Mapping[int, int]) -> list[Any]:
         """Each step-th member from the first on, but for those whose ids are left out; not to be changed."""
@@ -66,14 +74,30 @@
 
 
 class Standing(dict[int, Any]):
-    """Members that a connection of ours stands to; who lost its last, or let it grow old, stays until asked."""
+    """Members that a connection of ours stands to, the one freed last at the end.
+
+    Who lost its last, or let it grow old, stays until it is the first; so asking one costs no look at all.
+    """
+
+    def __init__(self, kept: bool) -> None:
+        super().__init__()
+        self.kept = kept  # else it stays empty: nobody will ask
 
     def idle(self, member: Any, lasts_ms: float, streams: int) -> Idle:
         return Idle(self, member, lasts_ms, streams > 1)
 
+    def free(self, member: Any) -> None:
+        if self.kept:
+            self.pop(member.id, None)
+            self[member.id] = member
+
+    def last(self, most: int, take: int) -> list[Any]:
+        """All, or where there are too many those freed last."""
+        return list(islice(reversed(self.values()), len(self) if len(self) <= most else take))
+
     def prune(self, now: float) -> None:
-        for number in [number for number, member in self.items() if not member.spares.any(now, 0)]:
-            del self[number]
+        while self and not (first := next(iter(self.values()))).spares.any(now, 0):
+            del self[first.id]
 
 
 class Idle:
@@ -91,7 +115,7 @@
         while self.since and now - self.since[0] >= self.lasts_ms:
             self.since.popleft()
         self.since.append(now)
-        self.standing[self.member.id] = self.member
+        self.standing.free(self.member)
 
     def any(self, now: float, out: int) -> bool:
         return (self.many and out > 0) or (len(self.since) > 0 and now - self.since[-1] < self.lasts_ms)
--- /dev/null
+++ b/tests/test_module_indexes.py
@@ -0,0 +1,277 @@
+"""The structures of the decision module against plain scans, step by step, and the hard cases they are for."""
+
+import math
+from collections import Counter
+from dataclasses import replace
+from random import Random
+
+import pytest
+from helpers import HEAVY, KEYED, LOAD, READ, Keeper, entry, settings
+from hypothesis import given, strategies
+from hypothesis import settings as hypothesis_settings
+from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule, run_state_machine_as_test
+
+from pinstage import interface as api
+from pinstage.control import MANY, SAMPLE
+from pinstage.held import Held
+from pinstage.index import Ranks, Tally
+from pinstage.interface import Health, ListKind, Verdict
+from pinstage.lapses import DEAD, Agenda, Lapses, Rests
+from pinstage.window import Span, Window
+
+SMALL = strategies.integers(0, 6)
+
+
+class Queues(RuleBasedStateMachine):
+    """The queue and the times out, each beside the plain list or dictionary that it stands for."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.held, self.rows, self.number = Held(), {}, 0
+        self.lapses, self.items, self.paces, self.now = Lapses(2), {}, [1.0, 1.0], 0.0
+        self.rests, self.until = Rests(), {}
+
+    @rule(over=strategies.booleans(), size=SMALL, lane=strategies.integers(-1, 2), cost=strategies.floats(1, 1e6))
+    def hold(self, over, size, lane, cost):
+        self.number += 1
+        slot = (int(over), float(size), self.number)
+        self.rows[slot] = (lane, cost)
+        self.held.add((*slot, f"item {self.number}"), lane, cost)
+
+    @precondition(lambda self: self.rows)
+    @rule(pick=strategies.integers(0, 1000))
+    def drop(self, pick):
+        slot = list(self.rows)[pick % len(self.rows)]
+        self.held.drop(slot, *self.rows.pop(slot))
+
+    @rule(skip=strategies.sets(strategies.integers(-1, 2)), tire=SMALL)
+    def walk(self, skip, tire):
+        """Lanes are passed from the start, or from the first item of theirs that came out on."""
+        passed, out = set(skip), []
+        for item in self.held.walk(passed):
+            out.append(item)
+            if len(out) % 3 == tire:
+                passed.add(self.rows[next(s for s in self.rows if f"item {s[2]}" == item)][0])
+        shut, expected = set(skip), []
+        for slot in sorted(self.rows):
+            if self.rows[slot][0] not in shut:
+                expected.append(f"item {slot[2]}")
+                shut |= {self.rows[slot][0]} if len(expected) % 3 == tire else set()
+        assert out == expected
+
+    @rule(key=SMALL, kind=strategies.integers(0, 1), work=strategies.floats(1, 500), left=strategies.floats(-10, 900))
+    def limit(self, key, kind, work, left):
+        self.items[key] = (kind, work, self.now + left)
+        self.lapses.add(key, *self.items[key])
+
+    @rule(key=SMALL)
+    def spare(self, key):
+        self.items.pop(key, None)
+        self.lapses.discard(key)
+
+    @rule(key=SMALL, more=strategies.floats(1, 300))
+    def rest(self, key, more):
+        self.until[key] = max(self.until.get(key, 0.0), self.now + more)
+        self.rests.rest(key, self.now + more)
+
+    @rule(ms=strategies.floats(0, 200), paces=strategies.lists(strategies.floats(1, 9), min_size=2, max_size=2))
+    def go_on(self, ms, paces):
+        self.now, self.paces = self.now + ms, paces
+        gone = {k for k, (kind, work, limit) in self.items.items() if self.now + work * paces[kind] > limit}
+        assert sorted(self.lapses.due(self.now, paces)) == sorted(gone)
+        self.items = {k: v for k, v in self.items.items() if k not in gone}
+        rested = {key for key, until in self.until.items() if until <= self.now}
+        assert set(self.rests.due(self.now)) == rested
+        self.until = {key: until for key, until in self.until.items() if key not in rested}
+
+    @invariant()
+    def agrees(self):
+        assert [row[:3] for row in self.held] == sorted(self.rows) and len(self.held) == len(self.rows)
+        assert [row[:3] for row in self.held[:2]] == sorted(self.rows)[:2]
+        assert self.held.total == pytest.approx(sum(cost for _, cost in self.rows.values()))
+        assert len(self.lapses) == len(self.items) and self.rests == self.until
+        assert self.rests.first == min(self.until.values(), default=math.inf)
+
+
+def test_queue_and_times_out_are_what_a_scan_says():
+    run_state_machine_as_test(Queues, settings=hypothesis_settings(
+        derandomize=True, max_examples=60, stateful_step_count=40, deadline=None))
+
+
+@hypothesis_settings(derandomize=True, max_examples=80, deadline=None)
+@given(strategies.lists(strategies.tuples(strategies.floats(0, 50), strategies.floats(1, 1e4)), max_size=80))
+def test_windows_are_what_a_scan_of_all_says(steps):
+    window, span, now, seen = Window(12), Span(), 0.0, []
+    for wait, value in steps:
+        now += wait
+        window.add(value)
+        span.add(now, value)
+        seen.append((now, value))
+        assert window.ranked == sorted(v for _, v in seen[-12:])
+        assert span.total(now - 100.0) == sum(v for at, v in seen if at >= now - 100.0)
+
+
+def test_a_day_of_answered_requests_leaves_no_heap_of_dead_times():
+    agenda, there = Agenda(), set()
+    for number in range(3 * DEAD):
+        there = {number, -1}
+        agenda.add(1e6 + number, number, there)
+    assert len(agenda.heap) <= DEAD + 8
+    assert agenda.due(2e6)[-1] == 3 * DEAD - 1
+
+
+def audit(controller) -> None:
+    """What the module's indexes say is what a scan of its truth says."""
+    c, now = controller, controller.seen_at
+    held = sorted((job for job in c.jobs.values() if job.held), key=lambda job: job.slot)
+    assert [row[-1] for row in c.held] == held
+    assert c.held.total == pytest.approx(sum(job.cost for job in held), abs=1e-2)
+    assert {*c.lapses.new, *c.lapses.live} == {job.request for job in held}
+    out = [a for e in c.engines.values() for a in e.attempts.values() if a.job.group >= 0]
+    for tally, counts in ((c.loads, "is_load"), (c.waiters, "waits_for_loads")):
+        scanned = Counter((a.job.group, a.engine.id) for a in out if getattr(a.job.cs, counts))
+        assert {(g, e): n for g, members in tally.groups.items() for e, n in members.items()} == scanned
+    assert c.ranks.members == c.usable and c.ranks.rank == {e.id: rank for rank, e in enumerate(c.usable)}
+    assert [e for e in c.colds if e.cold(now)] == [e for e in c.usable if e.cold(now)]
+    stand = {e.id for e in c.usable if c.standing.kept and e.spares.any(now, 0)}
+    assert stand <= set(c.standing) and list(c.standing) == [e.id for e in c.standing.values()]
+    for engine in c.engines.values():
+        for a in engine.attempts.values():  # nothing is to be found before it is looked for
+            if now < engine.look_at:
+                expected = a.cost / a.job.cs.threads * c._pace(engine, a.job.cls)
+                unheard = not a.in_line and now - a.seen > (c.s.note_period_ms or math.inf) + 375.0
+                bad = now - a.sent - a.waited > 300.0 + 6.0 * expected and not a.job.done and not a.job.moved
+                assert not (unheard or bad or c._quiet(engine, now)), (engine.id, now)
+
+
+STEP = strategies.one_of(
+    strategies.tuples(strategies.just("request"), strategies.integers(0, 4), strategies.floats(50, 9000), SMALL),
+    strategies.tuples(strategies.just("end"), strategies.integers(0, 50), strategies.sampled_from(list(Verdict))),
+    strategies.tuples(strategies.just("note"), strategies.integers(0, 50), strategies.integers(1, 3),
+                      strategies.floats(0, 2)),
+    strategies.tuples(strategies.just("wait"), strategies.integers(1, 900)),
+    strategies.tuples(strategies.just("list"), strategies.integers(1, 20), strategies.integers(0, 2),
+                      strategies.booleans()))
+
+
+@pytest.mark.parametrize("few", [True, False])
+@hypothesis_settings(derandomize=True, max_examples=150, deadline=None)
+@given(steps=strategies.lists(STEP, min_size=15, max_size=60))
+def test_indexes_and_truth_never_drift_apart(few, steps):
+    waiter = replace(HEAVY, waits_for_loads=True)
+    k = Keeper(settings(READ, waiter, LOAD, KEYED, replace(LOAD, in_order=False), dispatchers=1 if few else 40,
+                        note_period_ms=400.0, conn_idle_ms=2000.0, price_handshake=0.08), engines=0)
+    k.list(*(entry(n, zone=n % 3, since=k.now - 500.0 * (n % 2)) for n in range(1, 21)), how=ListKind.FULL)
+    for number, step in enumerate(steps):
+        if step[0] == "request":
+            k.request(number, step[1], cost=step[2], key=step[3] if step[1] == 2 else 0, group=step[3] - 1)
+        elif step[0] == "wait":
+            k.wait(step[1], step=50.0)
+        elif step[0] == "list":
+            since = k.now if step[3] else k.entries[step[1]].since_ms
+            k.list(k.entries[step[1]]._replace(health=step[2], since_ms=since))
+        elif k.open:
+            request, attempt = list(k.open)[step[1] % len(k.open)]
+            if step[0] == "end":
+                k.end(request, step[2])
+            else:
+                k.feed(api.Note(request, attempt, k.open[(request, attempt)], step[2], step[3]))
+        audit(k.c)
+
+
+@hypothesis_settings(derandomize=True, max_examples=100, deadline=None)
+@given(strategies.lists(strategies.tuples(SMALL, SMALL, strategies.integers(1, 3)), max_size=30),
+       strategies.integers(1, 4), strategies.integers(0, 3), strategies.integers(0, 20))
+def test_a_cut_of_the_ranks_is_a_scan_of_all(counts, step, first, many):
+    ranks, tally, first = Ranks(), Tally(), first % step
+    members = [type("Member", (), {"id": 3 * n}) for n in range(many)]
+    ranks.set(members)
+    for group, member, count in counts:
+        tally.add(group, 3 * member, count)
+        tally.add(group - 9, 3 * member, count)
+    for group in range(-9, 7):
+        busy = {3 * m for g, m, _ in counts if g == group}
+        expected = [m for rank, m in enumerate(members) if rank % step == first and m.id not in busy]
+        cut = step, first, tally.of(group)
+        assert ranks.every(*cut) == expected
+        assert ranks.order([*members[::-1], *members[:2]], *cut) == expected
+    for group, member, count in counts:
+        tally.add(group, 3 * member, -count)
+    assert not tally.groups
+
+
+def crowd(count: int, held: int, **changes: object) -> Keeper:
+    k = Keeper(settings(READ, HEAVY, LOAD, **changes), engines=0)
+    k.list(*(entry(n) for n in range(1, count + 1)), how=ListKind.FULL)
+    k.wait(200)
+    for i in range(held):
+        k.request(i, 1, cost=3000.0, left=600_000.0)
+    return k
+
+
+def test_a_thousand_engines_replaced_while_requests_are_held():
+    """Every one is new and cold: the held leave for them within their budgets, and none for the old ones."""
+    k = crowd(1000, 12_500)
+    held = len(k.c.held)
+    assert held > 200, "the bound of all engines is reached"
+    old = len(k.sent)
+    k.list(*(entry(n, since=k.now) for n in range(2001, 3001)), how=ListKind.FULL)
+    k.wait(3000, step=50.0)
+    audit(k.c)
+    later = Counter(engine for _, _, engine in k.sent[old:])
+    assert min(later) > 2000 and sum(later.values()) > 200 and len(k.c.turns) <= 1000
+    budget = max(k.c.cold_budget(e, k.now) for e in k.c.engines.values() if e.id > 2000)
+    assert max(later.values()) * 3000.0 <= 4.0 * budget, "three windows, and one that began before"
+
+
+def test_all_engines_but_two_banned():
+    k = crowd(300, 3500)
+    k.list(entry(7), entry(8), *(entry(n, health=Health.DRAINING) for n in range(1, 301) if n not in (7, 8)),
+           how=ListKind.FULL)
+    old = len(k.sent)
+    for _ in range(40):
+        for request, number in [key for key, engine in k.open.items() if engine in (7, 8)]:
+            assert number == 0
+            k.end(request)
+        k.wait(50)
+    audit(k.c)
+    assert {engine for _, _, engine in k.sent[old:]} == {7, 8}
+    assert len(k.sent) - old > 100, "the two are kept busy"
+
+
+def test_a_queue_of_ten_thousand_whose_head_cannot_be_placed_is_not_walked():
+    """Loads of one group go to one engine each; all others behind them used to be asked at every event."""
+    k = Keeper(settings(READ, HEAVY, LOAD), engines=4)
+    asked, looked_at = [], k.c._looked_at
+    k.c._looked_at = lambda job, now: asked.append(job.request) or looked_at(job, now)
+    for i in range(10_000):
+        k.c.handle(k.now, api.Request(i, 2, 0, i + 1, 600_000.0, 100.0 + i, 0.0, 5.0))
+    assert len(k.c.held) == 9_996
+    asked.clear()
+    for i in range(10_000, 10_020):  # what is larger than all of them still finds its place at once
+        k.request(i, 0, cost=15_000.0, left=600_000.0, group=1)
+    assert len(k.sent) == 20 and len(asked) == 40, "the head once, and the new one"
+
+
+def test_of_many_cold_engines_those_with_a_turn_are_looked_at():
+    s = settings(READ, HEAVY, LOAD, dispatchers=40, number=3)
+    k = Keeper(s, engines=0, now=100_000.0)
+    k.list(*(entry(n, since=99_000.0) for n in range(1, 1001)), how=ListKind.FULL)
+    k.wait(150)
+    assert MANY < 1000 and 0 < len(k.c.turns) < 200
+    for i in range(40):
+        k.request(i, 0, cost=100.0)
+    assert len(k.sent) > 20, "a sample of all thousand would find a turn for a few only"
+
+
+def test_of_many_standing_connections_the_last_used_are_looked_at():
+    s = settings(READ, dispatchers=3, conn_idle_ms=15_000.0, price_handshake=0.08)
+    k = Keeper(s, engines=0)
+    k.list(*(entry(n) for n in range(1, 1001)), how=ListKind.FULL)
+    draw = Random(3)
+    for engine in (used := draw.sample(range(1, 1001), 400)):
+        k.c.engines[engine].spares.free(k.now)
+    for i in range(20):
+        k.request(i, 0, cost=100.0)
+    met = {engine for _, _, engine in k.sent}
+    assert len(met & set(used[-2 * SAMPLE:])) > 10 and len(met) > 10
