Fix the fields of an engine, so that a rarely met one of a thousand lies together

With more than thirty attributes an engine's were in a dictionary of its own. Standing connections are pruned where one is freed.

--- a/pinstage/books.py
+++ b/pinstage/books.py
@@ -1,7 +1,7 @@
 """What the module keeps of requests: the books that control.py reads and writes.
 
-Owns the shape of a request and of its attempts. It decides nothing: every choice, bound and threshold stands in
-control.py.
+Owns the shape of a request, of its attempts and of an engine, whose fields are fixed: those of one of a thousand lie
+together. It decides nothing: every choice, bound and threshold stands in control.py.
 """
 
 from __future__ import annotations
@@ -11,6 +11,9 @@
 from pinstage import interface as api
 from pinstage.interface import Verdict
 
+ENGINE_FIELDS = """entry id settings standing cores memory share ready told_at cold_sends attempts threads granted peers
+    peers_memory part hearsay denied bound slow fails cut_at suspect retest_at backoff keeps cleared_at sign_at gap
+    probed_at look_at warm spares report_at others others_memory""".split()
 NEVER_RAN = (Verdict.CONNECT_FAILED, Verdict.FULL, Verdict.MOOT)
 
 
--- a/pinstage/control.py
+++ b/pinstage/control.py
@@ -12,7 +12,7 @@
 from typing import get_args
 
 from pinstage import interface as api
-from pinstage.books import Attempt, Job
+from pinstage.books import ENGINE_FIELDS, Attempt, Job
 from pinstage.held import Held, Least
 from pinstage.index import Ranks, Standing, Tally, thinned
 from pinstage.interface import Effect, Health, ListKind, NoteKind, Verdict
@@ -23,7 +23,6 @@
 LOOK_MS, SURVEY_MS = 100.0, 500.0  # how often requests and engines are looked over, and the fleet
 MARGIN_MS = 40.0  # a request is ended at least this long before its client gives up
 WINDOW, ENOUGH = 400, 12  # recent estimates behind the cutoffs; before ENOUGH are seen: priority 1
-LEARN = 0.05, 0.8, 40  # of estimates' ratios: how fast the spread moves, longest step, answers that count
 SMALL, LARGE = 0.5, 0.9925  # quantiles of the outer cutoffs (the paper's half, and 0.5 to 1 percent)
 THREADS_A_CORE = 2.0  # the bound starts here, times our share of the dispatchers
 MOST_THREADS_A_CORE = 3.0
@@ -55,7 +54,7 @@
     """Estimated cost and memory of requests, and the cutoffs between bands."""
 
     def __init__(self, classes: tuple[api.ClassSettings, ...]) -> None:
-        self.costs, self.memories = [[Learned(*LEARN) for _ in classes] for _ in range(2)]
+        self.costs, self.memories = [[Learned(0.05, 0.8, 40) for _ in classes] for _ in range(2)]
         self.mean_cost = [c.aim_ms * c.threads / 2 for c in classes]
         self.mean_memory, self.counts = [0.0] * len(classes), [0] * len(classes)
         self.recent = Window(WINDOW)
@@ -100,6 +99,8 @@
 class Engine:
     """What this dispatcher knows and infers of one engine."""
 
+    __slots__ = ENGINE_FIELDS
+
     def __init__(self, entry: api.EngineEntry, settings: api.Settings, standing: Standing) -> None:
         self.entry, self.id, self.settings, self.standing = entry, entry.engine, settings, standing
         kind = entry.kind if entry.kind < len(settings.kind_cores) else 0
@@ -527,8 +528,8 @@
                 job.attempts and (job.out or not self._retry_allowed(now))):
             return None
         for engine in engines:
-            if engine.attempts and engine.bound - engine.threads < threads and not (
-                    engine.suspect or engine.cold(now)) or not self._may_send(job, engine, now):
+            full = engine.attempts and engine.bound - engine.threads < threads and not engine.suspect
+            if (full and not (self.colds and engine.cold(now))) or not self._may_send(job, engine, now):
                 continue  # while requests are held most are full: the gate would say the same, later
             others, others_memory = self._others(engine, now)
             if not self._has_memory(engine, min(want, self.s.most_grant * engine.memory), others_memory):
@@ -745,7 +746,6 @@
         self.usable = [e for e in self.engines.values() if e.ready and (not e.suspect or now >= e.retest_at)]
         self.ranks.set(self.usable)
         self.colds = self.turns = [e for e in self.usable if e.entry.since_ms > 0 and e.cold(now)]
-        self.standing.prune(now)
         self.shares = sum(e.bound for e in self.usable)
         slows = sorted(e.slow for e in self.engines.values() if e.ready)
         self.middle = slows[len(slows) // 2] if slows else 1.0
@@ -757,8 +757,7 @@
         self.looked_at = now
         if now - self.surveyed_at >= SURVEY_MS:
             self._survey(now)
-        if len(self.colds) > MANY:
-            self.turns = [e for e in self.colds if e.cold(now) and self._cold_left(e, now) > 0]
+        self.turns = [e for e in self.colds if len(self.colds) <= MANY or self._cold_left(e, now) > 0]
         for engine in [e for e in self.engines.values() if e.attempts and now >= e.look_at]:
             quiet, overdue, due = self._quiet(engine, now), 0, (self.s.note_period_ms or math.inf) + MUTE_MS
             for attempt in list(engine.attempts.values()):
@@ -795,10 +794,9 @@
         for job in sorted((self.jobs[request] for request in lapsed), key=lambda j: j.slot):
             self._exit(job, now)
 
-    def _look_at(self, attempt: Attempt) -> float:
+    def _look_at(self, a: Attempt) -> float:
         """The earliest time at which it could be found kept or badly planned, or its engine silent."""
-        job, period = attempt.job, self.s.note_period_ms
-        expected = math.inf if job.done or job.moved else attempt.cost / job.cs.threads
-        silent = attempt.engine.sign_at + max(SILENT_MS, 2.2 * period)
-        bad = attempt.sent + attempt.waited + 300.0 + BAD_PLAN * expected
-        return min(attempt.seen + (period or math.inf) + MUTE_MS, silent, bad) - 1.0  # sums are rounded
+        period, heard = self.s.note_period_ms, a.seen + MUTE_MS
+        bad = math.inf if a.job.done or a.job.moved else a.sent + a.waited + 300.0
+        silent = a.engine.sign_at + max(SILENT_MS, 2.2 * period)
+        return min(heard + (period or math.inf), bad + BAD_PLAN * a.cost / a.job.cs.threads, silent) - 1.0
--- a/pinstage/index.py
+++ b/pinstage/index.py
@@ -86,18 +86,16 @@
     def idle(self, member: Any, lasts_ms: float, streams: int) -> Idle:
         return Idle(self, member, lasts_ms, streams > 1)
 
-    def free(self, member: Any) -> None:
+    def free(self, member: Any, now: float) -> None:
         if self.kept:
             self.pop(member.id, None)
             self[member.id] = member
+            while self and not (first := next(iter(self.values()))).spares.any(now, 0):
+                del self[first.id]
 
     def last(self, most: int, take: int) -> list[Any]:
         """All, or where there are too many those freed last."""
-        return list(islice(reversed(self.values()), len(self) if len(self) <= most else take))
-
-    def prune(self, now: float) -> None:
-        while self and not (first := next(iter(self.values()))).spares.any(now, 0):
-            del self[first.id]
+        return list(islice(reversed(self.values()), len(self) if len(self) <= most else take)) if self else []
 
 
 class Idle:
@@ -115,7 +113,7 @@
         while self.since and now - self.since[0] >= self.lasts_ms:
             self.since.popleft()
         self.since.append(now)
-        self.standing.free(self.member)
+        self.standing.free(self.member, now)
 
     def any(self, now: float, out: int) -> bool:
         return (self.many and out > 0) or (len(self.since) > 0 and now - self.since[-1] < self.lasts_ms)
