Add a hierarchical timer wheel with O(1) start and cancel, without I/O or clock

Each answered request's timer stayed in a heap until its deadline: 125,000 dead ones at 5,000 a second and 25 s. A heap can't take one out cheaply. The wheel has six levels of 256 slots, its tick is 1 ms; a timer is in the dict of its slot, so that cancelling is one deletion; masks of used slots make empty time free. Moves between levels are bounded in each call. After a step of the clock backward all are filed anew. Tested by a state machine against a list, with steps of the clock and cancels.

--- /dev/null
+++ b/frostspindle/timers.py
@@ -0,0 +1,134 @@
+"""A hierarchical timer wheel: starting and cancelling cost the same however many timers there are.
+
+Owns when each timer is due, and in what order due ones come out. It has no I/O and no clock: times are handed in, Unix
+milliseconds, and its tick is one of them. It must never give out a timer before its time by the clock that it is
+handed, nor keep one for more than a tick after it, and never do more than a bounded part of its work in one call, so
+that 100,000 timers of one instant hold up nothing else. A step of the clock forward makes more of them due; after one
+backward they are filed anew, each for its own time.
+"""
+
+from __future__ import annotations
+
+import math
+from collections import deque
+from typing import Any
+
+BITS, LEVELS = 8, 6  # 256 slots a level: of 1 ms, 256 ms, 65.5 s, 4.7 h, 50 days, 35 years
+SLOTS = 1 << BITS
+LAST = (1 << BITS * LEVELS) - 1  # what is due later is due then
+MOVES = 256  # timers that one call takes to a finer level before others get their turn
+OUT = -1  # the place of a timer that was given out or cancelled
+
+
+class Timer:
+    """One timer; `what` is its owner's."""
+
+    __slots__ = ("tick", "what", "place")
+
+    def __init__(self, tick: int, what: Any) -> None:
+        self.tick, self.what, self.place = tick, what, OUT
+
+
+class Wheel:
+    """Timers by the part of their time that differs from now's: the coarser, the later they are.
+
+    A slot is looked at when its first tick has come; its timers are then in line, from which they are given out, or
+    moved to a finer slot. Which slots are in use is a bit of their level's mask, so that empty time costs nothing.
+    """
+
+    def __init__(self, now_ms: float) -> None:
+        self._now = int(now_ms)  # all that was due before this tick is out, or in line
+        self._slots: list[dict[Timer, None]] = [{} for _ in range(LEVELS * SLOTS)]
+        self._busy = [0] * LEVELS
+        self._line: deque[Timer] = deque()  # of the slot that is being emptied, with cancelled ones
+        self._count = 0
+
+    def __len__(self) -> int:
+        return self._count
+
+    def start(self, due_ms: float, what: Any) -> Timer:
+        """A timer that is due then; one in the past is due at once."""
+        timer = Timer(math.ceil(due_ms) if due_ms < LAST or math.isnan(due_ms) else LAST, what)
+        self._count += 1
+        self._file(timer)
+        return timer
+
+    def cancel(self, timer: Timer) -> None:
+        """It is not given out any more; nothing of it stays."""
+        if timer.place != OUT:
+            self._count -= 1
+            self._lift(timer)
+
+    def pop(self, now_ms: float) -> Timer | None:
+        """One timer whose time has come; None: none has, or there is more to move first (`next_ms` tells)."""
+        limit = min(int(now_ms), LAST)
+        if limit < self._now:
+            self._turn_back(limit)
+        moves = 0
+        while True:
+            while self._line:
+                timer = self._line.popleft()
+                if timer.place == OUT:
+                    continue
+                self._lift(timer)
+                if timer.tick <= self._now:
+                    self._count -= 1
+                    return timer
+                self._file(timer)
+                if (moves := moves + 1) == MOVES:
+                    return None
+            place, tick = self._first()
+            if place == OUT or tick > limit:
+                self._now = limit  # no slot in use begins before
+                return None
+            self._now = tick
+            self._line.extend(self._slots[place])
+
+    def next_ms(self) -> float | None:
+        """When to call `pop` again that gave none, never later than the next timer is due; None: there is none.
+
+        Of timers that are far away it is the time at which their slot begins.
+        """
+        if self._line:
+            return float(self._now)
+        place, tick = self._first()
+        return None if place == OUT else float(tick)
+
+    def _file(self, timer: Timer) -> None:
+        tick = timer.tick
+        if tick <= self._now:
+            tick = self._now
+            self._line.append(timer)
+        level = (((tick ^ self._now) | 1).bit_length() - 1) // BITS
+        index = (tick >> level * BITS) % SLOTS
+        timer.place = place = level * SLOTS + index
+        slot = self._slots[place]
+        if not slot:
+            self._busy[level] |= 1 << index
+        slot[timer] = None
+
+    def _lift(self, timer: Timer) -> None:
+        place, timer.place = timer.place, OUT
+        slot = self._slots[place]
+        del slot[timer]
+        if not slot:
+            self._busy[place // SLOTS] ^= 1 << place % SLOTS
+
+    def _first(self) -> tuple[int, int]:
+        """The first slot in use after those that hold now, and its first tick."""
+        for level, busy in enumerate(self._busy):
+            here = self._now >> level * BITS
+            if ahead := busy >> here % SLOTS + 1:
+                at = here + (ahead & -ahead).bit_length()
+                return level * SLOTS + at % SLOTS, at << level * BITS
+        return OUT, 0
+
+    def _turn_back(self, now: int) -> None:
+        """The clock was set back: each timer keeps its time, and is filed as seen from now."""
+        timers = [timer for slot in self._slots for timer in slot]
+        for slot in self._slots:
+            slot.clear()
+        self._line.clear()
+        self._busy, self._now = [0] * LEVELS, now
+        for timer in timers:
+            self._file(timer)
--- /dev/null
+++ b/tests/test_timers.py
@@ -0,0 +1,143 @@
+"""The timer wheel against a sorted list, and its hard cases."""
+
+import math
+import random
+
+import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from frostspindle.timers import LEVELS, MOVES, Wheel
+
+
+def drain(wheel, now):
+    """All that is due, however many calls it takes; at most MOVES moves between two of them."""
+    out = []
+    while True:
+        timer = wheel.pop(now)
+        if timer is not None:
+            out.append(timer)
+        elif (wheel.next_ms() or math.inf) > now:
+            return out
+
+
+SPANS = st.one_of(st.floats(-50.0, 300.0), st.floats(0.0, 70_000.0), st.floats(0.0, 5e8), st.floats(0.0, 1e13))
+
+
+class AgainstAList(RuleBasedStateMachine):
+    def __init__(self):
+        super().__init__()
+        self.now = 1.7e12 + 123.4
+        self.wheel = Wheel(self.now)
+        self.timers = {}  # the oracle: by timer, when it is due
+
+    @rule(span=SPANS, count=st.integers(1, 3))
+    def start(self, span, count):
+        for _ in range(count):
+            self.timers[self.wheel.start(self.now + span, len(self.timers))] = self.now + span
+
+    @rule(data=st.data())
+    def cancel(self, data):
+        if self.timers:
+            timer = data.draw(st.sampled_from(list(self.timers)))
+            self.wheel.cancel(timer)
+            self.wheel.cancel(timer)  # a second one is none
+            del self.timers[timer]
+
+    @rule(span=SPANS.filter(lambda span: span > 0))
+    def wait(self, span):
+        self.now += span
+
+    @rule()
+    def wait_as_told(self):
+        self.fire()
+        told, first = self.wheel.next_ms(), min(self.timers.values(), default=None)
+        assert (told is None) == (first is None)
+        if told is not None:
+            assert told < first + 1.0, "nobody sleeps past a timer"
+            self.now = max(self.now, told)
+
+    @rule(span=st.floats(0.0, 1e6))
+    def clock_is_set_back(self, span):
+        self.now -= span
+
+    @rule()
+    def fire(self):
+        due = {timer for timer, at in self.timers.items() if at <= math.floor(self.now)}
+        out = drain(self.wheel, self.now)
+        assert len(out) == len(set(out)) and set(out) == due
+        for timer in out:
+            del self.timers[timer]
+
+    @rule(most=st.integers(1, 3))
+    def fire_some(self, most):
+        for _ in range(most):
+            if (timer := self.wheel.pop(self.now)) is not None:
+                assert self.timers.pop(timer) <= self.now, "never before its time"
+
+    @invariant()
+    def none_is_lost(self):
+        assert len(self.wheel) == len(self.timers) == sum(map(len, self.wheel._slots))
+
+
+AgainstAList.TestCase.settings = settings(max_examples=150, stateful_step_count=40, deadline=None)
+TestAgainstAList = AgainstAList.TestCase
+
+
+def test_timers_come_in_the_order_of_their_time_and_those_of_one_tick_as_they_were_started():
+    draw, wheel = random.Random(5), Wheel(0.0)
+    timers = [wheel.start(draw.randrange(3000), number) for number in range(5000)]
+    assert [t.what for t in drain(wheel, 3000.0)] == [t.what for t in sorted(timers, key=lambda t: (t.tick, t.what))]
+
+
+@pytest.mark.parametrize("ahead", [0.5, 200.0, 30_000.0, 1e6])
+def test_100_000_of_one_instant_come_in_bounded_parts(ahead):
+    wheel, now = Wheel(1e12), 1e12 + ahead + 1.0
+    for number in range(100_000):
+        wheel.start(1e12 + ahead, number)
+    calls = given = filed = most = 0
+    file = wheel._file
+
+    def counted(timer):
+        nonlocal filed
+        filed += 1
+        file(timer)
+    wheel._file = counted
+    while len(wheel):
+        filed, calls = 0, calls + 1
+        given += wheel.pop(now) is not None
+        most = max(most, filed)
+        assert wheel.next_ms() is None or wheel.next_ms() <= now, "who has more to give says so"
+    assert given == 100_000 and most <= MOVES
+    assert calls <= 100_000 + LEVELS * 100_000 / MOVES
+
+
+def test_a_clock_that_steps_forward_makes_all_due_without_counting_the_ticks():
+    wheel = Wheel(1e12)
+    for number in range(1000):
+        wheel.start(1e12 + 25_000.0 * number, number)
+    assert [t.what for t in drain(wheel, 1e12 + 3e11)] == list(range(1000))  # ten years
+
+
+def test_a_clock_that_is_set_back_fires_nothing_early_and_new_timers_in_time():
+    wheel = Wheel(1e12)
+    old = wheel.start(1e12 + 500.0, "old")
+    due = wheel.start(1e12 + 10.0, "due")
+    later = wheel.start(1e12 + 10.0, "later")
+    assert wheel.pop(1e12 + 10.0) is due  # the other one is in line already
+    back = 1e12 - 60_000.0
+    new = wheel.start(back + 100.0, "new")
+    assert drain(wheel, back) == [] and drain(wheel, back + 99.0) == []
+    assert wheel.next_ms() <= back + 100.0
+    assert drain(wheel, back + 100.0) == [new]
+    assert drain(wheel, 1e12 + 9.0) == [] and drain(wheel, 1e12 + 499.9) == [later]
+    assert drain(wheel, 1e12 + 500.0) == [old]
+
+
+def test_a_time_that_is_none_is_refused_and_one_without_end_never_comes():
+    wheel = Wheel(1e12)
+    with pytest.raises(ValueError):
+        wheel.start(math.nan, "nan")
+    wheel.start(math.inf, "never")
+    assert len(wheel) == 1 and drain(wheel, 1e14) == []
