Keep the core's deadlines and reminders in the timer wheel, one alarm in the loop

The overdue timer of each answered request stayed in the core's heap until its deadline: 6,900 after 2 s of load. It is now taken out with the answer. The loop has one timer for all, set only when something is due before it: each idle turn set and cancelled one. At most 64 timers fire in one turn. After the clock was set back the module's chain of reminders waited as long as the step was; its reminders now come at once, and are logged.

--- a/frostspindle/core.py
+++ b/frostspindle/core.py
@@ -11,7 +11,6 @@
 from __future__ import annotations
 
 import asyncio
-import heapq
 import math
 import time
 import traceback
@@ -21,6 +20,7 @@
 from typing import Any, NamedTuple, Protocol
 
 from frostspindle.events import Events
+from frostspindle.timers import OUT, Timer, Wheel
 from pinstage import interface as api
 from pinstage.control import Controller
 from pinstage.interface import Health, ListKind, Verdict
@@ -32,7 +32,9 @@
 # What operators are told of a class, and the counters behind it; lost: open when a worker died.
 FIGURES = {"success": ("served",), "busy": ("refused", "full"), "failure": ("failed", "lost")}
 MOST_NAMES = 4096  # of engines that were ever listed
-TURN = 64  # events that one turn of the task may take before the sockets get theirs
+TURN = 64  # events, and timers, that one turn of the task may take before the sockets get theirs
+STEP_MS = 1000.0  # a clock that is back by so much was set
+NEAR_S = 50e-6  # an alarm that is set for a moment so near is not set anew: that would cost more than the wait
 
 
 def clock() -> float:
@@ -98,6 +100,7 @@
     attempts: list[Attempt] = field(default_factory=list)
     priority: int = 1
     grant_mb: float = 0.0
+    timer: Timer | None = None  # for when its client's time is up
 
 
 @dataclass(slots=True)
@@ -252,7 +255,7 @@
 
 @dataclass(slots=True, frozen=True)
 class _Overdue:
-    """A request's time is up. It names the request only: timers outlive what was answered long before."""
+    """A request's time is up. It names the request only."""
 
     number: int
 
@@ -308,14 +311,16 @@
         self._urgent: deque[Any] = deque()  # the engine list; never waits behind client work
         self._inbox: deque[Any] = deque()  # bounded: most_open requests, and what their attempts report
         self._wake = asyncio.Event()
-        self._timers: list[tuple[float, int, Any]] = []  # due, order, token of the module or Record
-        self._order = 0
+        self._timers = Wheel(clock())  # a token of the module's, _Overdue or _Absent
+        self._alarm: asyncio.TimerHandle | None = None  # the loop's one timer for them all
+        self._reminders: dict[int, Timer] = {}  # the module's last, by token
+        self._seen_ms = -math.inf
         self._does: dict[type, Callable[[float, Any], None]] = {
             api.Send: self._send, api.Terms: self._terms, api.Cancel: self._cancel,
             api.Refuse: lambda now, a: self._answer(a.request, Answer(REFUSED, None, a.retry_after_ms)),
             api.Fail: lambda now, a: self._answer(a.request, Answer(FAILED)),
             api.Probe: self._probe, api.Watch: lambda now, a: None,
-            api.Remind: lambda now, a: self._at(a.due_at_ms, a.token),
+            api.Remind: lambda now, a: self._remind(a.due_at_ms, a.token),
             api.Log: lambda now, a: self.events.log("module", text=a.text)}
 
     # What fronts and drivers call.
@@ -484,12 +489,12 @@
         while True:
             if not self._urgent and not self._inbox:
                 self._wake.clear()
-                due = self._timers[0][0] - clock() if self._timers else None
-                timer = loop.call_later(max(0.0, due) / 1000.0, self._wake.set) if due is not None else None
+                self._set_alarm(loop)
                 await self._wake.wait()
-                if timer:
-                    timer.cancel()
             now = clock()
+            if now < self._seen_ms - STEP_MS:
+                self._set_back(now)
+            self._seen_ms = now
             for _ in range(TURN):
                 if self._urgent:
                     self._guard(now, self._urgent.popleft())
@@ -497,11 +502,27 @@
                     self._guard(now, self._inbox.popleft())
                 else:
                     break
-            while self._timers and self._timers[0][0] <= now and not self._urgent:
-                due_event = heapq.heappop(self._timers)[2]
-                self._guard(now, api.Due(due_event) if isinstance(due_event, int) else due_event)
+            for _ in range(TURN):  # what a clock's step makes due at once must not keep sockets waiting
+                if self._urgent or (timer := self._timers.pop(now)) is None:
+                    break
+                self._guard(now, api.Due(timer.what) if isinstance(timer.what, int) else timer.what)
             await asyncio.sleep(0)
 
+    def _set_alarm(self, loop: asyncio.AbstractEventLoop) -> None:
+        """Wake for the next timer. An alarm that rings before is left: setting one for each turn costs more."""
+        if (due_ms := self._timers.next_ms()) is None:
+            return
+        at = loop.time() + max(0.0, due_ms - clock()) / 1000.0
+        if self._alarm is not None:
+            if self._alarm.when() <= at + NEAR_S:
+                return
+            self._alarm.cancel()
+        self._alarm = loop.call_at(at, self._ring)
+
+    def _ring(self) -> None:
+        self._alarm = None
+        self._wake.set()
+
     def _guard(self, now: float, event: Any) -> None:
         """One event; a fault in it costs the request that it is about, never the process."""
         try:
@@ -513,7 +534,7 @@
                             at=traceback.format_exc(limit=-3))
             if isinstance(event, api.Due):
                 # The module's clock is a chain of reminders: one lost link would stop all its deadlines.
-                self._at(now + AGAIN_MS, event.token)
+                self._remind(now + AGAIN_MS, event.token)
             self._give_up(number)
 
     def _give_up(self, number: int) -> None:
@@ -588,17 +609,35 @@
                 self.events.log("fault", error=repr(error), of=repr(action), at=traceback.format_exc(limit=-3))
                 self._give_up(getattr(action, "request", 0))
 
-    def _at(self, due_ms: float, what: Any) -> None:
-        self._order += 1
-        heapq.heappush(self._timers, (due_ms, self._order, what))
+    def _at(self, due_ms: float, what: Any) -> Timer:
+        return self._timers.start(due_ms, what)
+
+    def _remind(self, due_ms: float, token: int) -> None:
+        self._reminders[token] = self._at(due_ms, token)
+
+    def _set_back(self, now: float) -> None:
+        """The clock was set back: the module's own turns, each of which asks for the next, must not wait for it."""
+        self.events.log("clock", back_ms=round(self._seen_ms - now))
+        for token, timer in self._reminders.items():
+            if timer.place != OUT:
+                self._timers.cancel(timer)
+                self._reminders[token] = self._at(now, token)
+
+    def _settled(self, record: Record, how: str) -> None:
+        """It is answered, or its client left: its time no longer matters."""
+        record.answered = how
+        self._open -= 1
+        if record.timer is not None:
+            self._timers.cancel(record.timer)
+            record.timer = None
 
     # Events.
 
     def _take(self, now: float, ask: Ask) -> None:
         self._numbers += 1
         ask.number = self._numbers
-        self._records[ask.number] = Record(ask)
-        self._at(ask.taken_ms + ask.left_ms, _Overdue(ask.number))
+        record = self._records[ask.number] = Record(ask)
+        record.timer = self._at(ask.taken_ms + ask.left_ms, _Overdue(ask.number))
         self.events.count("taken", ask.front, self.classes[ask.cls][1])
         turn = self.turns.enter(ask.number, ask.key) if ask.key and self.turns is not None else True
         if turn is None:  # an order that can't be kept is turned down: nothing ran
@@ -617,8 +656,7 @@
         if record is None:
             return
         if not record.answered:
-            record.answered = why
-            self._open -= 1
+            self._settled(record, why)
             self.events.count(why, record.ask.front, self.classes[record.ask.cls][1])
         if self.gate is not None:
             self.gate.over(number, bool(record.attempts))
@@ -777,8 +815,7 @@
         record = self._records.get(number)
         if record is None or record.answered:
             return
-        record.answered = answer.how
-        self._open -= 1
+        self._settled(record, answer.how)
         self.events.count(answer.how, record.ask.front, self.classes[record.ask.cls][1])
         if self.gate is not None:
             self.gate.over(number, bool(record.attempts) and answer.how != REFUSED)
--- a/tests/test_edge.py
+++ b/tests/test_edge.py
@@ -304,7 +304,7 @@
             self.assertEqual((await self.ask(number=number, timeout=3900.0))[0], 200)
         paths = self.program.platform.paths
         self.assertEqual((self.program.core._records, paths.open, paths.ids), ({}, {}, set()))
-        self.assertTrue(all(not hasattr(what, "ask") for _, _, what in self.program.core._timers))
+        self.assertLess(len(self.program.core._timers), 5, "the module's reminders and no dead ones")
 
     async def test_a_client_that_leaves_costs_nothing_further(self):
         (engine,) = await self.start()
--- a/tests/test_timers.py
+++ b/tests/test_timers.py
@@ -1,13 +1,22 @@
 """The timer wheel against a sorted list, and its hard cases."""
 
+import asyncio
+import io
 import math
 import random
+import unittest.mock
+from unittest import IsolatedAsyncioTestCase
 
 import pytest
+from helpers import READ
+from helpers import settings as keeper_settings
 from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
+from frostspindle import core as core_module
+from frostspindle.core import Ask, Core
+from frostspindle.events import Events
 from frostspindle.timers import LEVELS, MOVES, Wheel
 
 
@@ -141,3 +150,68 @@
         wheel.start(math.nan, "nan")
     wheel.start(math.inf, "never")
     assert len(wheel) == 1 and drain(wheel, 1e14) == []
+
+
+class Timers(IsolatedAsyncioTestCase):
+    """The core's use of the wheel."""
+
+    async def asyncSetUp(self):
+        self.core = Core(keeper_settings(READ), [("http", "read")], 1, Events(sink=io.BytesIO()))
+        self.task = asyncio.create_task(self.core.run())
+        self.answers = []
+
+    async def asyncTearDown(self):
+        self.task.cancel()
+
+    def ask(self, left_ms):
+        ask = Ask("http", 0, "t", "SELECT 1", core_module.clock(), left_ms, self.answers.append)
+        self.assertTrue(self.core.submit(ask))
+        return ask
+
+    async def turns(self, until):
+        for _ in range(5000):
+            if until():
+                return
+            await asyncio.sleep(0)
+        self.fail("it does not come")
+
+    async def test_who_left_or_was_answered_leaves_no_timer(self):
+        asks = [self.ask(25_000.0) for _ in range(60)]
+        await self.turns(lambda: len(self.core._timers) >= 60)
+        for ask in asks[:30]:
+            self.core.left(ask)
+        await self.turns(lambda: len(self.core._records) == 30)
+        self.core.give_up()  # answers the others
+        await self.turns(lambda: len(self.answers) == 30)
+        self.assertLess(len(self.core._timers), 3, "what is left is the module's")
+
+    async def test_100_000_due_at_once_do_not_keep_the_sockets_waiting(self):
+        await self.turns(lambda: not self.core.behind)
+        for number in range(100_000):
+            self.core._at(core_module.clock() - 1.0, core_module._Absent(number))
+        self.core._wake.set()
+        most, before = 0, len(self.core._timers)
+        while len(self.core._timers) > 10:
+            await asyncio.sleep(0)  # so often sockets are looked at
+            most, before = max(most, before - len(self.core._timers)), len(self.core._timers)
+        self.assertLessEqual(most, core_module.TURN)
+
+    async def test_a_clock_that_steps_answers_each_request_once_and_the_reminders_go_on(self):
+        now = core_module.clock()
+        with unittest.mock.patch("frostspindle.core.clock", lambda: now):
+            for _ in range(10):
+                self.ask(25_000.0)
+            await self.turns(lambda: len(self.core._records) == 10)
+            now -= 3_600_000.0
+            late = self.ask(2_000.0)
+            await self.turns(lambda: late.number)
+            self.assertEqual(self.answers, [], "an hour ago nobody's time was up")
+            for _ in range(400):  # of 5 ms each
+                now += 5.0
+                self.core._wake.set()
+                await self.turns(lambda: not self.core._wake.is_set())
+            self.assertEqual([a.how for a in self.answers], ["refused"], "by the module, of the one after the step")
+            now += 7_200_000.0
+            self.core._wake.set()
+            await self.turns(lambda: len(self.answers) == 11)
+        self.assertEqual((self.core.open, len(self.core._records)), (0, 0))
