--- /dev/null
+++ b/bench/scale.py
@@ -0,0 +1,530 @@
+"""Where a request's time goes as engines and open requests grow, and what timers cost.
+
+    python bench/scale.py cells [FILE]           the core and the module without sockets, by engines and open requests
+    python bench/scale.py timers [FILE]          the wheel, a heap, asyncio's heap and a sorted list, side by side
+    python bench/scale.py profile [FILE]         a coordinator under load on sockets, sampled by its processor time
+    python bench/scale.py compare BASE [ROUNDS]  this checkout and another in turn: CPU a request, p99 at 80% load
+
+`cells` drives a `Core` with engines that answer when the bench says so; the module's part is timed inside. With
+PYTHONPATH set to another checkout it measures that one. `profile` needs no change in the program: the coordinator is
+started with a sampler on the interpreter's path that notes the stack at each millisecond of its own processor time.
+Times are of this thread's processor, which a busy machine tells as well as an idle one.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+import functools
+import heapq
+import io
+import itertools
+import json
+import os
+import random
+import signal
+import sys
+import tempfile
+import time
+import tracemalloc
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from pathlib import Path
+from statistics import median
+from typing import Any
+from unittest import mock
+
+from common import tell
+
+from frostspindle.core import Ask, Attempt, Core, EngineState
+from frostspindle.events import Events
+from frostspindle.lab.bench import SPAWN, SQL, coordinator, cpu_s, engines
+from frostspindle.lab.engines import document, host
+from pinstage import interface as api
+from pinstage.interface import Verdict
+
+ENGINES, OPEN = (4, 32, 96, 300, 1000), (100, 1000, 10_000)
+CELL_S = 1.5  # of processor time at most, for one cell
+REPORT = (0.3, 2.0, 0.2)
+
+
+# Without sockets.
+
+
+class Silent:
+    """A driver whose engines end their attempts when the bench says so."""
+
+    numbered = False
+
+    def __init__(self) -> None:
+        self.out: list[Attempt] = []
+
+    def listed(self, engine: EngineState) -> None: ...
+    def rank(self, attempt: Attempt) -> None: ...
+    def probe(self, engine: int) -> None: ...
+
+    def start(self, attempt: Attempt) -> None:
+        self.out.append(attempt)
+
+    def stop(self, attempt: Attempt) -> None: ...
+
+
+def settings() -> api.Settings:
+    cls = api.ClassSettings(25_000.0, 60_000.0, effect=api.Effect.REPEATABLE, late_share=0.4)
+    return api.Settings((cls,), kind_cores=(8.0,), kind_memory_mb=(16384.0,), grants=True, priorities=True,
+                        most_grant=0.4, may_cancel=True, may_probe=True, max_attempts=5, retry_after=True,
+                        report_columns=("load_share", "depth", "x0"), note_period_ms=0.0)
+
+
+async def cell(count: int, open_: int) -> dict[str, Any]:
+    """CPU microseconds a request: all of the core, and of it the module by event and the timers."""
+    draw, driver = random.Random(7), Silent()
+    core = Core(settings(), [("bench", "lookup")], 1, Events(sink=io.BytesIO()), open_ + 64)
+    spent: collections.Counter[str] = collections.Counter()
+    handle, numbers, answers = core.controller.handle, itertools.count(1), itertools.count()
+
+    def timed(now: float, event: Any) -> Any:
+        began = time.thread_time()
+        try:
+            return handle(now, event)
+        finally:
+            spent[type(event).__name__] += time.thread_time() - began
+    core.controller.handle = timed
+    task = asyncio.create_task(core.run())
+    core.list_engines(driver, [EngineState(api.EngineEntry(n, 0, 0, 0, 1, 1.0, 0.0), f"s-{n}", ("", 0), driver)
+                               for n in range(count)], api.ListKind.FULL, 1)
+
+    def ask() -> None:
+        core.submit(Ask("bench", 0, f"{next(numbers):016x}", "SELECT 1", time.time() * 1000.0, 60_000.0,
+                        lambda answer: next(answers) and None, 20.0 * draw.uniform(0.5, 2.0), 16.0, draw.randrange(50)))
+
+    async def settle() -> None:
+        for _ in range(3):
+            await asyncio.sleep(0)
+        while core._inbox or core._urgent:
+            await asyncio.sleep(0)
+
+    def end_one() -> None:
+        place = draw.randrange(len(driver.out))
+        driver.out[place], driver.out[-1] = driver.out[-1], driver.out[place]
+        core.ended(driver.out.pop(), Verdict.OK, REPORT)
+    for _ in range(open_):
+        ask()
+    await settle()
+    for _ in range(64):
+        end_one()
+        ask()
+    await settle()
+    spent.clear()
+    done, began = 0, time.thread_time()
+    while (took := time.thread_time() - began) < CELL_S and done < 20_000:
+        for _ in range(8):
+            if driver.out:
+                end_one()
+                ask()
+                done += 1
+        await settle()
+    result = {"engines": count, "open": open_, "out": len(driver.out), "requests": done,
+              "core_us": 1e6 * (took - sum(spent.values())) / done, "module_us": 1e6 * sum(spent.values()) / done,
+              **{f"{name.lower()}_us": 1e6 * spent[name] / done for name in ("Request", "Ended", "Due")},
+              "timers": core.sizes()["timers"]}
+    task.cancel()
+    return result
+
+
+async def held_mb(open_: int) -> float:
+    """Memory that so many open requests take in core and module."""
+    driver = Silent()
+    core = Core(settings(), [("bench", "lookup")], 1, Events(sink=io.BytesIO()), open_ + 64)
+    task = asyncio.create_task(core.run())
+    core.list_engines(driver, [EngineState(api.EngineEntry(n, 0, 0, 0, 1, 1.0, 0.0), f"s-{n}", ("", 0), driver)
+                               for n in range(96)], api.ListKind.FULL, 1)
+    await asyncio.sleep(0.01)
+    tracemalloc.start()
+    before = tracemalloc.get_traced_memory()[0]
+    for number in range(open_):
+        core.submit(Ask("bench", 0, f"{number:016x}", f"SELECT {number} FROM calls_17.notes", time.time() * 1000.0,
+                        60_000.0, lambda answer: None, 20.0, 16.0, 17))
+    while core._inbox:
+        await asyncio.sleep(0)
+    used = tracemalloc.get_traced_memory()[0] - before
+    tracemalloc.stop()
+    task.cancel()
+    return used / 2**20
+
+
+def cells() -> dict[str, Any]:
+    rows = []
+    for count in ENGINES:
+        for open_ in OPEN:
+            rows.append(asyncio.run(cell(count, open_)))
+            print({k: round(v, 1) for k, v in rows[-1].items()}, file=sys.stderr, flush=True)
+    return {"kind": "cells", "cells": rows, "mb_of_10000_open": asyncio.run(held_mb(10_000))}
+
+
+# Timers.
+
+
+class Heap:
+    """A plain heap: what was answered stays until its time."""
+
+    def __init__(self) -> None:
+        self.heap: list[Any] = []
+        self.order = 0
+
+    def start(self, due: float, what: Any) -> Any:
+        self.order += 1
+        heapq.heappush(self.heap, (due, self.order, what))
+
+    def cancel(self, timer: Any) -> None: ...
+
+    def turn(self, now: float) -> int:
+        fired = 0
+        while self.heap and self.heap[0][0] <= now:
+            heapq.heappop(self.heap)
+            fired += 1
+        return fired
+
+    def size(self) -> int:
+        return len(self.heap)
+
+
+class Loop:
+    """asyncio's: call_at and cancel, cancelled ones swept out once they are the half."""
+
+    def __init__(self) -> None:
+        self.loop, self.fired, self.now = asyncio.new_event_loop(), 0, 0.0
+        self.loop.time = lambda: self.now
+        self.loop._clock_resolution = 0.0
+
+    def _fire(self, what: Any) -> None:
+        self.fired += 1
+
+    def start(self, due: float, what: Any) -> Any:
+        return self.loop.call_at(due, self._fire, what)
+
+    def cancel(self, timer: Any) -> None:
+        timer.cancel()
+
+    def turn(self, now: float) -> int:
+        self.now, self.fired = now, 0
+        self.loop.call_soon(int)
+        self.loop._run_once()
+        return self.fired
+
+    def size(self) -> int:
+        return len(self.loop._scheduled)
+
+
+class Sorted:
+    """sortedcontainers' SortedList."""
+
+    def __init__(self) -> None:
+        from sortedcontainers import SortedList
+
+        self.list, self.order = SortedList(), 0
+
+    def start(self, due: float, what: Any) -> Any:
+        self.order += 1
+        timer = (due, self.order, what)
+        self.list.add(timer)
+        return timer
+
+    def cancel(self, timer: Any) -> None:
+        self.list.remove(timer)
+
+    def turn(self, now: float) -> int:
+        fired = 0
+        while self.list and self.list[0][0] <= now:
+            del self.list[0]
+            fired += 1
+        return fired
+
+    def size(self) -> int:
+        return len(self.list)
+
+
+class Wheels:
+    def __init__(self) -> None:
+        from frostspindle.timers import Wheel
+
+        self.wheel = Wheel(0.0)
+        self.start, self.cancel, self.size = self.wheel.start, self.wheel.cancel, self.wheel.__len__
+
+    def turn(self, now: float) -> int:
+        fired = 0
+        while self.wheel.pop(now) is not None:
+            fired += 1
+        return fired
+
+
+KINDS: dict[str, Callable[[], Any]] = {"heap": Heap, "asyncio": Loop, "sorted": Sorted, "wheel": Wheels}
+
+
+def answered(kind: str, rate: int, seconds: float, deadline_ms: float) -> dict[str, Any]:
+    """Requests at `rate` a second, each answered 50 ms later; a turn of the loop every millisecond.
+
+    Deadlines are drawn from a fifth of the longest up. Run twice, for time and for memory, which is slow to trace.
+    """
+    result: dict[str, Any] = {"kind": kind, "rate": rate}
+    for traced in (False, True):
+        draw, timers, out, most = random.Random(3), KINDS[kind](), collections.deque[Any](), 0
+        dues = [draw.uniform(deadline_ms / 5.0, deadline_ms) for _ in range(4096)]
+        if traced:
+            tracemalloc.start()
+        began, number = time.thread_time(), 0
+        for now in range(int(seconds * 1000)):
+            for _ in range(rate // 1000):
+                number += 1
+                out.append(timers.start(now + dues[number & 4095], now))
+            if now >= 50:
+                for _ in range(rate // 1000):
+                    timers.cancel(out.popleft())
+            timers.turn(float(now))
+            most = max(most, timers.size())
+        if not traced:
+            result |= {"us_a_request": 1e6 * (time.thread_time() - began) / number, "most": most}
+        else:
+            result["mb"] = tracemalloc.get_traced_memory()[0] / 2**20
+            tracemalloc.stop()
+    return result
+
+
+def at_once(kind: str, count: int, ahead_ms: float) -> dict[str, Any]:
+    """So many of one instant: what starting and firing them takes."""
+    timers = KINDS[kind]()
+    began = time.thread_time()
+    for number in range(count):
+        timers.start(ahead_ms, number)
+    started = time.thread_time()
+    fired = 0
+    while fired < count:
+        fired += timers.turn(ahead_ms + 1.0)
+    return {"kind": kind, "count": count, "ahead_ms": ahead_ms, "start_us": 1e6 * (started - began) / count,
+            "fire_us": 1e6 * (time.thread_time() - started) / count}
+
+
+def timer_costs() -> dict[str, Any]:
+    rows = [[answered(kind, rate, 30.0, 25_000.0) for kind in KINDS] for rate in (1000, 5000)]
+    once = [[at_once(kind, 100_000, ahead) for kind in KINDS] for ahead in (100.0, 25_000.0)]
+    for row in itertools.chain(*rows, *once):
+        print({k: round(v, 2) if isinstance(v, float) else v for k, v in row.items()}, file=sys.stderr)
+    return {"kind": "timers", "answered": rows, "at_once": once}
+
+
+# On sockets.
+
+SAMPLER = """
+import atexit, collections, json, os, signal
+path = os.environ.get("SCALE_SAMPLES")
+if path:
+    seen = collections.Counter()
+    def take(number, frame):
+        stack = []
+        while frame is not None and len(stack) < 12:
+            stack.append((frame.f_code.co_filename, frame.f_code.co_name))
+            frame = frame.f_back
+        seen[tuple(stack)] += 1
+    def begin(number, frame):
+        seen.clear()
+        signal.setitimer(signal.ITIMER_PROF, 0.001, 0.001)
+    signal.signal(signal.SIGPROF, take)
+    signal.signal(signal.SIGUSR2, begin)
+    atexit.register(lambda: open(path, "w").write(json.dumps(list(seen.items()))))
+"""
+# The innermost frame that one of these knows says what the time went to: a part of the file's name, and functions.
+KNOWN: tuple[tuple[str, str, tuple[str, ...]], ...] = (
+    ("module", "pinstage/", ()),
+    ("timers", "frostspindle/timers.py", ()), ("timers", "asyncio/timeouts.py", ()), ("timers", "heapq.py", ()),
+    ("timers", "base_events.py", ("call_later", "call_at", "_timer_handle_cancelled")),
+    ("timers", "asyncio/events.py", ("__lt__", "cancel", "when")),
+    ("sockets", "selector_events.py", ()), ("sockets", "selectors.py", ()), ("sockets", "line.py", ("usable",)),
+    ("parsing", "http/clients.py", ()), ("parsing", "net/fields.py", ()), ("parsing", "statements.py", ()),
+    ("parsing", "http/line.py", ("data_received", "on_message_begin", "on_header", "on_headers_complete", "on_body",
+                                 "on_message_complete")),
+    ("parsing", "replies.py", ()), ("parsing", "readings.py", ()),
+    ("answers, JSON", "http/calls.py", ()), ("answers, JSON", "http/paths.py", ()),
+    ("ledger, queue", "frostspindle/core.py", ()), ("ledger, queue", "frostspindle/events.py", ()),
+    ("front", "net/platform.py", ()),
+    ("attempt", "net/http/", ()), ("attempt", "net/engines.py", ()), ("attempt", "net/__init__.py", ()),
+    ("attempt", "frostspindle/pools.py", ()),
+    ("tasks, wake-ups", "asyncio/", ()),
+)
+
+
+def sort(stack: list[list[str]]) -> str:
+    for file, function in stack:
+        for kind, part, functions in KNOWN:
+            if part in file and (not functions or function in functions):
+                return kind
+    return "other"
+
+
+HEAD = (b"POST /call/lookup HTTP/1.1\r\nHost: b\r\nX-Request-Id: %016x\r\nX-Timeout-Ms: 7000\r\nX-Cost-Ms: 20\r\n"
+        b"X-Memory: 16\r\nContent-Length: %d\r\n\r\n%b")
+
+
+class Client(asyncio.Protocol):
+    """One connection that asks at its times, or again at once where it has none; late ones count from their time."""
+
+    def __init__(self, load: Load, first: float) -> None:
+        self.load, self.due, self.buffer = load, first, b""
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport: Any = transport
+        asyncio.get_running_loop().call_at(self.due, self.ask)
+
+    def ask(self) -> None:
+        if not self.load.done.done():
+            self.load.asked += 1
+            self.transport.write(HEAD % (self.load.first + self.load.asked, len(SQL), SQL))
+
+    def data_received(self, data: bytes) -> None:
+        self.buffer += data
+        head, mark, body = self.buffer.partition(b"\r\n\r\n")
+        if not mark or len(body) < int(head.partition(b"Content-Length: ")[2].partition(b"\r")[0]):
+            return
+        self.buffer = b""
+        loop = asyncio.get_running_loop()
+        if b'"next"' in body:
+            self.transport.write(b"GET %b HTTP/1.1\r\nHost: b\r\n\r\n" % json.loads(body)["next"].encode())
+            return
+        now = loop.time()
+        self.load.answered(now - self.due, head[9:12])
+        if not self.load.period:
+            self.due = now
+            self.ask()
+        else:
+            self.due += self.load.period
+            loop.call_at(self.due, self.ask)
+
+
+class Load:
+    """`count` requests of `connections` connections: closed, or at `rate` a second."""
+
+    def __init__(self, first: int, count: int, connections: int, rate: float) -> None:
+        self.first, self.count, self.asked = first, count, 0
+        self.period = connections / rate if rate else 0.0
+        self.took: list[float] = []
+        self.statuses: collections.Counter[bytes] = collections.Counter()
+        self.connections = connections
+
+    def answered(self, seconds: float, status: bytes) -> None:
+        self.took.append(seconds)
+        self.statuses[status] += 1
+        if len(self.took) >= self.count and not self.done.done():
+            self.done.set_result(None)
+
+    async def run(self, port: int) -> float:
+        loop = asyncio.get_running_loop()
+        self.done = loop.create_future()
+        began = loop.time() + 0.2
+        starts = [began + n * self.period / self.connections for n in range(self.connections)]
+        transports = [(await loop.create_connection(functools.partial(Client, self, at), "127.0.0.1", port))[0]
+                      for at in starts]
+        await asyncio.wait_for(self.done, 120.0)
+        took = loop.time() - began
+        for transport in transports:
+            transport.close()
+        return took
+
+
+def client(pipe: Any, port: int, first: int, warm: int, count: int, connections: int, rate: float) -> None:
+    """A process of its own: warms up, says so, measures once it is told."""
+    asyncio.run(Load(first, warm, connections, 0.0).run(port))
+    pipe.send(None)
+    pipe.recv()
+    load = Load(first + (1 << 30), count, connections, rate)
+    seconds = asyncio.run(load.run(port))
+    took = sorted(load.took)
+    pipe.send({"rps": len(took) / seconds, "p50_ms": 1000.0 * took[len(took) // 2],
+               "p99_ms": 1000.0 * took[int(0.99 * len(took))], "ok": load.statuses[b"200"] / len(took)})
+
+
+def run(ports: dict[str, int], source: str | None, count: int, connections: int = 64, rate: float = 0.0,
+        samples: str = "") -> dict[str, float]:
+    config = document([host(name, port) for name, port in ports.items()])
+    with coordinator(config, 1, source) as (port, (_, pid)):
+        here, there = SPAWN.Pipe()
+        process = SPAWN.Process(target=client, daemon=True, args=(
+            there, port, random.getrandbits(50) << 8, 1000, count, connections, rate))
+        process.start()
+        here.recv()
+        if samples:
+            os.kill(pid, signal.SIGUSR2)
+        before = cpu_s([pid])
+        here.send(None)
+        result = here.recv()
+        result["cpu_ms"] = 1000.0 * (cpu_s([pid]) - before) / count
+        process.join()
+    return result
+
+
+@contextmanager
+def sampler() -> Iterator[str]:
+    with tempfile.TemporaryDirectory() as folder:
+        Path(folder, "sitecustomize.py").write_text(SAMPLER)
+        samples = str(Path(folder, "samples"))
+        path = os.pathsep.join(filter(None, (folder, os.environ.get("PYTHONPATH"))))
+        with mock.patch.dict(os.environ, {"PYTHONPATH": path, "SCALE_SAMPLES": samples}):
+            yield samples
+
+
+def profile() -> dict[str, Any]:
+    """By engines at 64 connections; by open requests at 32 engines, which then take 100 ms for each."""
+    rows = []
+    for count, connections, delay_s in [(n, 64, 0.0) for n in ENGINES] + [(32, 100, 0.1), (32, 1000, 0.1)]:
+        names = [f"s-{n:08x}" for n in range(1, count + 1)]
+        with engines(names, delay_s, 2) as (ports, _), sampler() as samples:
+            try:
+                row: dict[str, Any] = {"engines": count, "connections": connections, "delay_s": delay_s,
+                                       **run(ports, None, 8000 if delay_s else 20_000, connections, samples=samples)}
+            except Exception as error:  # noqa: BLE001 - how far it reaches is a result
+                rows.append({"engines": count, "connections": connections, "error": repr(error)})
+                print(rows[-1], file=sys.stderr, flush=True)
+                continue
+            spent: collections.Counter[str] = collections.Counter()
+            for stack, times in json.loads(Path(samples).read_text()):
+                spent[sort(stack)] += times
+            row["share"] = {kind: round(times / spent.total(), 3) for kind, times in spent.most_common()}
+            row["samples"] = spent.total()
+            rows.append(row)
+            print(row, file=sys.stderr, flush=True)
+    return {"kind": "profile", "rows": rows}
+
+
+def compare(base: str, rounds: int, sizes: tuple[int, ...] = (4, 32, 96)) -> dict[str, Any]:
+    rows = []
+    for count in sizes:
+        with engines([f"s-{n:08x}" for n in range(1, count + 1)], 0.0, 2) as (ports, _):
+            full, paced = [], []
+            for turn in range(rounds):
+                order = [base, None][::1 if turn % 2 else -1]
+                full.append({source: run(ports, source, 6000) for source in order})
+            rate = 0.8 * median(pair[base]["rps"] for pair in full)
+            for turn in range(rounds):
+                order = [base, None][::1 if turn % 2 else -1]
+                paced.append({source: run(ports, source, int(6 * rate), rate=rate) for source in order})
+        row: dict[str, Any] = {"engines": count, "rate": rate}
+        for key, pairs, name in (("cpu_ms", full, "cpu_ms"), ("rps", full, "rps"), ("p99_ms", paced, "p99_at_80"),
+                                 ("cpu_ms", paced, "cpu_at_80")):
+            ratios = sorted(pair[None][key] / pair[base][key] for pair in pairs)
+            row[name] = {"ratio": median(ratios), "least": ratios[0], "most": ratios[-1],
+                         "now": median(pair[None][key] for pair in pairs),
+                         "base": median(pair[base][key] for pair in pairs)}
+        row["ok"] = min(one["ok"] for pair in full + paced for one in pair.values())
+        rows.append(row)
+        print(json.dumps(row), file=sys.stderr, flush=True)
+    return {"kind": "compare", "rows": rows}
+
+
+def main() -> None:
+    what, rest = sys.argv[1], sys.argv[2:]
+    if what == "compare":
+        tell(compare(rest[0], int(rest[1]) if rest[1:] else 3), None)
+    else:
+        tell({"cells": cells, "timers": timer_costs, "profile": profile}[what](), rest[0] if rest else None)
+
+
+if __name__ == "__main__":
+    main()
