Serve a connection's calls with one timer, and release it without a look at all engines

Each call to an engine set a timer of the loop and a timeout around taking a connection, and each release looked through all engines for who waits: at 1,000 engines that takes longer than the call. An idle connection is now taken at once; a timer that rings early is set anew; calls that wait, and connections that stand, are counted.

--- a/frostspindle/net/engines.py
+++ b/frostspindle/net/engines.py
@@ -38,7 +38,7 @@
         self.idle_s = pools.kept_ms(config.idle_ms) / 1000.0
         self.sockets = config.limits.sockets
         self.crowd(False)
-        self.opening = 0
+        self.opening = self.lines = self.waiters = 0
         self.readings = Readings(events, core.settings.report_columns)
         self.life = Life(core, events, self.readings)
         self.peers: dict[int, Peer] = {}
@@ -51,14 +51,13 @@
 
     @property
     def connections(self) -> int:
-        return sum(len(peer.lines) for peer in (*self.peers.values(), *self.retired)) + self.opening
+        return self.lines + self.opening
 
     def may_open(self, peer: Peer) -> bool:
         """Bounds all connections to engines together; idle ones of other engines make room."""
-        peers = [*self.peers.values(), *self.retired]
-        if sum(len(p.lines) for p in peers) + self.opening < self.most:
+        if self.connections < self.most:
             return len(peer.lines) + peer.opening < self.most_each
-        if spare := next((p for p in peers if p.idle and p is not peer), None):
+        if spare := next((p for p in (*self.peers.values(), *self.retired) if p.idle and p is not peer), None):
             spare.idle[0].drop()  # its place is free once the loop has let go of it
         return False
 
--- a/frostspindle/net/http/line.py
+++ b/frostspindle/net/http/line.py
@@ -8,10 +8,8 @@
 from __future__ import annotations
 
 import asyncio
-import functools
 import select
-from collections.abc import Coroutine
-from typing import Any, Protocol
+from typing import Protocol
 
 from httptools import HttpParserError, HttpParserUpgrade, HttpResponseParser
 
@@ -36,7 +34,8 @@
     @property
     def driver(self) -> Terms: ...
 
-    lines: set[Line]
+    def joined(self, line: Line) -> None:
+        """It stands."""
 
     def lost(self, line: Line) -> None:
         """It has ended."""
@@ -45,6 +44,14 @@
         """Its call is over; it may serve another one."""
 
 
+class Waiter(Protocol):
+    """Who waits for an answer: a future of a task's, or an attempt that has none. It hears once."""
+
+    def done(self) -> bool: ...
+    def set_result(self, reply: Reply, /) -> None: ...
+    def set_exception(self, error: BaseException, /) -> None: ...
+
+
 class Line(asyncio.Protocol):
     """One connection to an engine; one call at a time, and nothing more after the first doubt."""
 
@@ -52,7 +59,9 @@
         self.peer, self.loop = peer, peer.driver.loop
         self.transport: asyncio.Transport = None  # type: ignore[assignment]  # set before anything else is called
         self.parser = HttpResponseParser(self)
-        self.waiter: asyncio.Future[Reply] | None = None
+        self.waiter: Waiter | None = None
+        self.due = 0.0  # when the answer is overdue
+        self.timer: asyncio.TimerHandle | None = None  # the loop's, for that or an earlier call's
         self.good, self.whole, self.idle_at = True, False, self.loop.time()
         self.born_ms = self.heard_ms = clock()  # up since, and last answered
         self.came = self.fields = self.status = 0
@@ -64,11 +73,13 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = transport  # type: ignore[assignment]
-        self.peer.lines.add(self)
+        self.peer.joined(self)
         self.poll.register(transport.get_extra_info("socket").fileno(), select.POLLIN)
 
     def connection_lost(self, error: Exception | None) -> None:
         self.good = False
+        if self.timer is not None:
+            self.timer.cancel()
         self.peer.lost(self)
         self._fail(Broken(repr(error) if error else "the engine ended its connection"))
 
@@ -141,34 +152,45 @@
         self._fail(TimeoutError())  # type: ignore[arg-type]
         self.drop()
 
-    def ask(self, data: bytes, within_s: float) -> Coroutine[Any, Any, Reply]:
-        """Write a call at once; its answer is to be awaited."""
-        self.waiter = self.loop.create_future()
+    def ask(self, data: bytes, within_s: float, waiter: Waiter) -> None:
+        """Write a call at once; `waiter` hears its answer, or that none comes."""
+        self.waiter = waiter
         self.whole, self.came = False, 0
-        timer = self.loop.call_later(within_s, self.expire)
+        self.due = self.loop.time() + within_s
+        if self.timer is None or self.timer.when() > self.due:
+            if self.timer is not None:
+                self.timer.cancel()
+            self.timer = self.loop.call_at(self.due, self._rings)
         self.transport.write(data)
-        return self._answer(timer)
 
-    async def _answer(self, timer: asyncio.TimerHandle) -> Reply:
-        waiter = self.waiter
-        try:
-            return await waiter  # type: ignore[misc]
-        except asyncio.CancelledError:
-            if self.good and not self.whole:
-                # The call is given up, its answer is on its way, and a new connection costs the engine more.
-                self.waiter = self.loop.create_future()
-                self.waiter.add_done_callback(functools.partial(self._unheard, timer))
-            raise
-        finally:
-            if self.waiter is waiter:
-                timer.cancel()
-                if not self.whole:  # not to be read: whatever still comes belongs to no call
-                    self.drop()
-                self.waiter = None
-
-    def _unheard(self, timer: asyncio.TimerHandle, waiter: asyncio.Future[Reply]) -> None:
+    def _rings(self) -> None:
+        """One timer serves a connection's calls in turn: setting one for each costs more than a look here."""
+        self.timer = None
+        if self.waiter is None:
+            return
+        if self.loop.time() < self.due:
+            self.timer = self.loop.call_at(self.due, self._rings)
+        else:
+            self.expire()
+
+    def over(self) -> None:
+        """The call that was waited for is answered, or will not be."""
+        self.waiter = None
+        if not self.whole:  # not to be read: whatever still comes belongs to no call
+            self.drop()
+
+    def leave(self) -> bool:
+        """Nobody waits for the answer any more; whether the connection stays for it, to be free once it has come."""
+        if not self.good or self.whole:
+            return False
+        # The answer is on its way, and a new connection costs the engine more.
+        unheard: asyncio.Future[Reply] = self.loop.create_future()
+        unheard.add_done_callback(self._unheard)
+        self.waiter = unheard
+        return True
+
+    def _unheard(self, waiter: asyncio.Future[Reply]) -> None:
         """The answer to a call that was given up has come, or will not: the line is free, or gone."""
-        timer.cancel()
         self.waiter = None
         if waiter.cancelled() or waiter.exception() is not None:
             self.good = False
--- a/frostspindle/net/http/peer.py
+++ b/frostspindle/net/http/peer.py
@@ -12,7 +12,7 @@
 
 from frostspindle import pools
 from frostspindle.core import Attempt, Core, EngineState, clock
-from frostspindle.net.http.line import Line, Terms
+from frostspindle.net.http.line import Line, Terms, Waiter
 from frostspindle.net.http.replies import BadReply, Reply
 
 ANSWER_S = 0.5  # news come within 250 ms; an answer that is lost on the way is asked for again
@@ -37,6 +37,8 @@
     core: Core
     peers: dict[int, Peer]
     opening: int
+    lines: int  # connections that stand, of all peers
+    waiters: int  # calls that wait for one
 
     def may_open(self, peer: Peer) -> bool:
         """Whether the bounds leave room for one more."""
@@ -61,14 +63,22 @@
             line.drop()
         self.idle.clear()
 
+    def joined(self, line: Line) -> None:
+        self.lines.add(line)
+        self.driver.lines += 1
+
     def lost(self, line: Line) -> None:
-        self.lines.discard(line)
+        if line in self.lines:
+            self.lines.remove(line)
+            self.driver.lines -= 1
         if line in self.idle:
             self.idle.remove(line)
         self._next()
 
     def _next(self) -> None:
         """A line or a place is free: for a call that waits here, or else for one that waits for another engine."""
+        if not self.driver.waiters:
+            return  # as nearly always, and looking through a thousand engines takes longer than the call did
         for peer in (self, *self.driver.peers.values()):
             while peer.waiting:
                 waiter = peer.waiting.popleft()
@@ -84,22 +94,33 @@
         self.idle.append(line)
         self._next()
 
+    def take(self, eldest: bool = False) -> Line | None:
+        """An idle connection, the last used or the eldest, if there is one."""
+        while self.idle:
+            line = pools.pick(self.idle, eldest)
+            if line is self.idle[-1]:
+                self.idle.pop()
+            else:
+                self.idle.remove(line)
+            if line.usable():
+                return line
+            line.drop()
+        return None
+
     async def line(self, fresh: bool = False, eldest: bool = False, stay: bool = False) -> Line:
-        """A connection to use: an idle one, the last used or the eldest, unless it must be fresh; else a new one.
+        """A connection to use: an idle one unless it must be fresh; else a new one.
 
         An engine that drains refuses new connections and serves the old ones: who must reach this process and no
         other (`stay`) waits for one of those then.
         """
+        if not fresh and (line := self.take(eldest)) is not None:
+            return line
         limit_s, resets, bound = self.driver.core.settings.connect_timeout_ms / 1000.0, 0, False
         try:
             async with asyncio.timeout(limit_s):
                 while True:
-                    while self.idle and not fresh:
-                        line = pools.pick(self.idle, eldest)
-                        self.idle.remove(line)
-                        if line.usable():
-                            return line
-                        line.drop()
+                    if not fresh and (line := self.take(eldest)) is not None:
+                        return line
                     if self.driver.may_open(self):
                         # Reset when new: nothing was written yet, so that one more can be tried.
                         try:
@@ -118,7 +139,11 @@
                     bound = True
                     waiter: asyncio.Future[None] = self.driver.loop.create_future()
                     self.waiting.append(waiter)
-                    await waiter
+                    self.driver.waiters += 1
+                    try:
+                        await waiter
+                    finally:
+                        self.driver.waiters -= 1
         except TimeoutError:
             raise NoLine("no connection in time", full=bound) from None
 
@@ -154,20 +179,36 @@
             raise Drained("the engine drains")
         if wired is not None:
             wired[0] = True
-        length = f"Content-Length: {len(body)}\r\n" if body or method in ("POST", "PUT") else ""
+        waiter: asyncio.Future[Reply] = self.driver.loop.create_future()
         try:
-            answer = line.ask(
-                f"{method} {path} HTTP/1.1\r\nHost: {self.host}\r\n{head}{length}\r\n".encode() + body, within_s)
-            if sending is not None and not line.transport.get_write_buffer_size():
-                self.driver.core.written(sending)
-            reply = await answer
-            reply.line_ms, line.heard_ms = line.born_ms, clock()
-            if page is not None:
-                reply.read(page)
-            return reply
+            self.ask(line, method, path, head, body, sending, within_s, waiter)
+            return self.heard(line, await waiter, page)
+        except asyncio.CancelledError:
+            if not line.leave():
+                line.over()
+            raise
         except BadReply:
             line.good = False
             raise
         finally:
+            if line.waiter is waiter:
+                line.over()
             if line.waiter is None:  # else an answer is still to come
                 self.release(line)
+
+    def ask(self, line: Line, method: str, path: str, head: str, body: bytes, sending: Attempt | None,
+            within_s: float, waiter: Waiter) -> None:
+        """Write a call; `waiter` hears of its answer."""
+        length = f"Content-Length: {len(body)}\r\n" if body or method in ("POST", "PUT") else ""
+        line.ask(f"{method} {path} HTTP/1.1\r\nHost: {self.host}\r\n{head}{length}\r\n".encode() + body, within_s,
+                 waiter)
+        if sending is not None and not line.transport.get_write_buffer_size():
+            self.driver.core.written(sending)
+
+    @staticmethod
+    def heard(line: Line, reply: Reply, page: int | None) -> Reply:
+        """An answer has come; checked as that of `page`."""
+        reply.line_ms, line.heard_ms = line.born_ms, clock()
+        if page is not None:
+            reply.read(page)
+        return reply
