Run an attempt without a task while its POST is out

Nearly all attempts end with the answer to their POST. Each had a task with two timeouts, five coroutine frames, two futures and three turns of the loop. On an idle connection the attempt is now the connection's waiter itself; what is not ended by that one answer (news, pages, breaks, silence) goes on in a task as before, with what came, and a stop frees the engine as before.

--- a/frostspindle/core.py
+++ b/frostspindle/core.py
@@ -75,6 +75,12 @@
     number: int = 0  # the core's own, once taken
 
 
+class Cancels(Protocol):
+    """A task, or what stands in its place."""
+
+    def cancel(self) -> Any: ...
+
+
 @dataclass(slots=True, eq=False)
 class Attempt:
     """One sending of a request to an engine, numbered as the module sent it."""
@@ -88,7 +94,7 @@
     grant_mb: float
     priority: int
     over: bool = False
-    task: asyncio.Task[None] | None = None  # the driver's
+    task: Cancels | None = None  # the driver's: what runs it now
 
 
 @dataclass(slots=True, eq=False)
--- a/frostspindle/net/__init__.py
+++ b/frostspindle/net/__init__.py
@@ -39,9 +39,9 @@
         raise NotImplementedError
 
     def start(self, attempt: Attempt) -> None:
-        attempt.task = self.spawn(self.attempt(attempt))
+        attempt.task = task = self.spawn(self.attempt(attempt))
         # A task that is cancelled before its first step never runs: nothing was sent, but its end is owed.
-        attempt.task.add_done_callback(
+        task.add_done_callback(
             lambda task: self.core.ended(attempt, Verdict.CANCELLED) if task.cancelled() else None)
 
     def stop(self, attempt: Attempt) -> None:
--- a/frostspindle/net/engines.py
+++ b/frostspindle/net/engines.py
@@ -15,11 +15,11 @@
 from frostspindle.core import Attempt, Core, EngineState, clock
 from frostspindle.events import Events
 from frostspindle.net import TaskDriver
-from frostspindle.net.http.attempts import Life
+from frostspindle.net.http.attempts import End, First, Life
 from frostspindle.net.http.line import Broken
-from frostspindle.net.http.peer import NoLine, Peer
+from frostspindle.net.http.peer import ANSWER_S, NoLine, Peer
 from frostspindle.net.http.readings import Readings
-from frostspindle.net.http.replies import BadReply
+from frostspindle.net.http.replies import BadReply, Reply
 from frostspindle.pools import Course
 from pinstage.interface import Health, Verdict
 
@@ -91,6 +91,10 @@
 
     async def close(self) -> None:
         self._tidier.cancel()
+        for peer in [*self.peers.values(), *self.retired]:
+            for line in list(peer.lines):
+                if isinstance(line.waiter, First):
+                    line.waiter.cancel()
         await super().close()
         for peer in [*self.peers.values(), *self.retired]:
             for line in list(peer.lines):
@@ -98,15 +102,44 @@
 
     # One attempt.
 
-    async def attempt(self, attempt: Attempt) -> None:
+    def start(self, attempt: Attempt) -> None:
+        """On an idle connection at once and without a task, unless its time may be up before the first answer's is."""
         peer = self.peers.get(attempt.engine)
+        if peer is None or not peer.idle or self.left_s(attempt) <= ANSWER_S:
+            super().start(attempt)
+            return
+        first = First(self.life, peer, attempt, self._ended, self._on, self._off)
+        head, body = self.life.head(attempt, first.course), attempt.ask.statement.encode()
+        if (line := peer.take()) is None:
+            super().start(attempt)
+        elif self.core.may_send(attempt):
+            first.send(line, head, body)
+        else:
+            peer.release(line)
+            self.core.ended(attempt, Verdict.CONNECT_FAILED)
+
+    def _ended(self, attempt: Attempt, end: End) -> None:
+        self.core.ended(attempt, *end)
+
+    def _on(self, first: First, came: Reply | Exception) -> None:
+        """What the POST did not end is followed by a task."""
+        first.attempt.task = task = self.spawn(self.attempt(first.attempt, first.peer, first.course, came))
+        # One that is cancelled before its first step never runs, and the engine has the query.
+        task.add_done_callback(lambda task: self._off(first) if task.cancelled() else None)
+
+    def _off(self, first: First) -> None:
+        self.spawn(self._free(first.peer, first.attempt, first.course, Verdict.CANCELLED))
+
+    async def attempt(self, attempt: Attempt, peer: Peer | None = None, course: Course | None = None,
+                      came: Reply | Exception | None = None) -> None:
+        peer = peer or self.peers.get(attempt.engine)
         if peer is None:
             self.core.ended(attempt, Verdict.CONNECT_FAILED)
             return
-        course = Course(clock())
+        course = course or Course(clock())
         try:
             async with asyncio.timeout(self.left_s(attempt)):
-                verdict, report, rows, needed = await self.life.follow(peer, attempt, course)
+                verdict, report, rows, needed = await self.life.follow(peer, attempt, course, came)
         except TimeoutError:
             verdict = Verdict.TIMEOUT if course.wired[0] else Verdict.CONNECT_FAILED
         except asyncio.CancelledError:
--- a/frostspindle/net/http/attempts.py
+++ b/frostspindle/net/http/attempts.py
@@ -9,16 +9,18 @@
 
 import asyncio
 import math
+from collections.abc import Callable
 
 from frostspindle.core import UNTOLD, Attempt, Core, Needed, clock
 from frostspindle.events import Events
-from frostspindle.net.http.line import Broken
-from frostspindle.net.http.peer import ASKS, Drained, NoLine, Peer
+from frostspindle.net.http.line import Broken, Line
+from frostspindle.net.http.peer import ANSWER_S, ASKS, Drained, NoLine, Peer
 from frostspindle.net.http.readings import Readings
 from frostspindle.net.http.replies import RESULT_BYTES, BadReply, Reply, Rows
 from frostspindle.pools import Course
 from pinstage.interface import Effect, Verdict
 
+End = tuple[int, tuple[float, ...], tuple[Rows, int] | None, Needed]  # verdict, load report, rows with size, needs
 GIVE_UP_S = 0.3  # how long a DELETE may wait for its answer
 LOOK_S = 0.05  # so often it is looked whether an old connection has answered
 
@@ -29,35 +31,39 @@
     def __init__(self, core: Core, events: Events, readings: Readings) -> None:
         self.core, self.events, self.readings = core, events, readings
 
-    async def follow(self, peer: Peer, attempt: Attempt,
-                      course: Course) -> tuple[int, tuple[float, ...], tuple[Rows, int] | None, Needed]:
-        """From the POST to the last page; the verdict, the load report, the rows with their size, what they needed.
+    def head(self, attempt: Attempt, course: Course) -> str:
+        """The fields of its POST."""
+        course.priority = attempt.priority
+        grant = f"X-Memory-Mb: {attempt.grant_mb:.3f}\r\n" if attempt.grant_mb > 0 else ""
+        return (f"X-Ticket: {attempt.ask.ticket}\r\nX-Queue: {attempt.class_name}\r\n"
+                f"X-Max-Ms: {max(1, int(attempt.timeout_ms))}\r\nX-Priority: {attempt.priority}\r\n{grant}")
+
+    async def follow(self, peer: Peer, attempt: Attempt, course: Course, came: Reply | Exception | None = None) -> End:
+        """From the POST, or from what came of it, to the last page.
 
         RESET and CANCELLED leave open whether the query has ended.
         """
-        ask = attempt.ask
-        grant = f"X-Memory-Mb: {attempt.grant_mb:.3f}\r\n" if attempt.grant_mb > 0 else ""
-        head = (f"X-Ticket: {ask.ticket}\r\nX-Queue: {attempt.class_name}\r\n"
-                f"X-Max-Ms: {max(1, int(attempt.timeout_ms))}\r\nX-Priority: {attempt.priority}\r\n{grant}")
-        path = f"/v1/store/{ask.ticket}/"
+        path = f"/v1/store/{attempt.ask.ticket}/"
         report: tuple[float, ...] = ()
-        reply: Reply | None = None
-        told = attempt.priority
-        try:
-            reply = await peer.call("POST", "/v1/store", head, ask.statement.encode(), attempt, course.wired,
-                                    page=0)
-        except Drained:
-            return Verdict.CONNECT_FAILED, (), None, UNTOLD
-        except NoLine as error:  # nothing was written: proof that nothing ran
-            self.events.log("connect", engine=peer.state.name, error=str(error))
-            return (Verdict.FULL if error.full else Verdict.CONNECT_FAILED), (), None, UNTOLD
-        except (Broken, BadReply, TimeoutError) as error:
-            self._spoilt(peer, attempt, error)  # it may run: its news are asked for
+        if came is None:
+            try:
+                came = await peer.call("POST", "/v1/store", self.head(attempt, course), attempt.ask.statement.encode(),
+                                       attempt, course.wired, page=0)
+            except Drained:
+                return Verdict.CONNECT_FAILED, (), None, UNTOLD
+            except NoLine as error:  # nothing was written: proof that nothing ran
+                self.events.log("connect", engine=peer.state.name, error=str(error))
+                return (Verdict.FULL if error.full else Verdict.CONNECT_FAILED), (), None, UNTOLD
+            except (Broken, BadReply, TimeoutError) as error:
+                came = error
+        reply = came if isinstance(came, Reply) else None
+        if isinstance(came, Exception):
+            self._spoilt(peer, attempt, came)  # it may run: its news are asked for
             course.doubted = True
         while True:
             if reply is None:
-                if told != attempt.priority:
-                    told = attempt.priority
+                if course.priority != attempt.priority:
+                    course.priority = attempt.priority
                     await self._rank(peer, attempt, course)
                 reply = await self.news(peer, attempt, path, 0, course)
                 if reply is None:
@@ -68,7 +74,6 @@
                 # That it never ran, or runs no more, is likely and unproven.
                 self.events.count("queries_unknown")
                 return Verdict.CANCELLED, report, None, UNTOLD
-            shed = reply.headers.get(b"x-shed") == b"1"
             if reply.status == 202:
                 if (said := self.readings.note(reply)) is not None:
                     self.core.note(attempt, *said)
@@ -76,10 +81,21 @@
             elif reply.status == 200:
                 rows = await self._pages(peer, attempt, path, reply, course)
                 return (Verdict.OK if rows is not None else Verdict.ERROR), report, rows, self.readings.needed(reply)
-            elif reply.status in (503, 504) and shed:
-                return Verdict.FULL, report, None, UNTOLD
             else:
-                return Verdict.ERROR, report, None, UNTOLD
+                return self._refused(reply), report, None, UNTOLD
+
+    def _refused(self, reply: Reply) -> int:
+        shed = reply.status in (503, 504) and reply.headers.get(b"x-shed") == b"1"
+        return Verdict.FULL if shed else Verdict.ERROR
+
+    def told(self, reply: Reply) -> End | None:
+        """The end that the answer to a POST tells by itself; None: there is more to come."""
+        if reply.status == 202 or reply.pages > 1:
+            return None
+        report = self.readings.report(reply)
+        if reply.status == 200:
+            return Verdict.OK, report, (reply.rows, len(reply.body)), self.readings.needed(reply)
+        return self._refused(reply), report, None, UNTOLD
 
     def _spoilt(self, peer: Peer, attempt: Attempt, error: Exception) -> None:
         if isinstance(error, BadReply):
@@ -172,3 +188,62 @@
         except (NoLine, Broken, TimeoutError, BadReply):
             self.events.count("rank_failed")
             course.doubted = True
+
+
+class First:
+    """An attempt while its POST is out, without a task: what most attempts are from their begin to their end.
+
+    It is the connection's waiter. What does not end with that one answer, or in doubt, is handed on, once: to `ended`,
+    `on` (with the answer or what came in its place) or `off` (given up).
+    """
+
+    __slots__ = ("life", "peer", "attempt", "course", "ended", "on", "off", "line", "over")
+    line: Line
+
+    def __init__(self, life: Life, peer: Peer, attempt: Attempt, ended: Callable[[Attempt, End], None],
+                 on: Callable[[First, Reply | Exception], None], off: Callable[[First], None]) -> None:
+        self.life, self.peer, self.attempt, self.course = life, peer, attempt, Course(clock())
+        self.ended, self.on, self.off = ended, on, off
+        self.over = False
+
+    def send(self, line: Line, head: str, body: bytes) -> None:
+        """Called once; the engine was found ready, and the connection usable, in this same turn."""
+        self.line, self.attempt.task, self.course.wired[0] = line, self, True
+        self.peer.ask(line, "POST", "/v1/store", head, body, self.attempt, ANSWER_S, self)
+
+    # The connection's waiter.
+
+    def done(self) -> bool:
+        return self.over
+
+    def set_result(self, reply: Reply) -> None:
+        came: Reply | Exception = reply
+        end: End | None = None
+        try:
+            end = self.life.told(self.peer.heard(self.line, reply, 0))
+        except BadReply as error:
+            self.line.good, came = False, error
+        self._let_go()
+        if end is not None:
+            self.ended(self.attempt, end)
+        else:
+            self.on(self, came)
+
+    def set_exception(self, error: Exception) -> None:
+        self._let_go()
+        self.on(self, error)
+
+    def _let_go(self) -> None:
+        self.over, self.attempt.task = True, None  # a circle would be left to the collector
+        self.line.over()
+        self.peer.release(self.line)
+
+    # What the driver stops.
+
+    def cancel(self) -> None:
+        if not self.over:
+            self.over, self.attempt.task = True, None
+            if not self.line.leave():
+                self.line.over()
+                self.peer.release(self.line)
+            self.off(self)
--- a/frostspindle/pools.py
+++ b/frostspindle/pools.py
@@ -44,11 +44,12 @@
 class Course:
     """How far an attempt has come on the wire. Times are Unix ms."""
 
-    __slots__ = ("wired", "asked_ms", "began_ms", "doubted")
+    __slots__ = ("wired", "asked_ms", "began_ms", "doubted", "priority")
 
     def __init__(self, now_ms: float) -> None:
         self.wired = [False]  # bytes of its POST may have gone out
         self.asked_ms = self.began_ms = now_ms  # when the engine was last asked for this query, and first
+        self.priority = -1  # the last that the engine was told
         self.doubted = False  # an answer did not come as it should: the process may be another one by now
 
     def unsure(self, now_ms: float) -> bool:
