Spend less on each request in the ledger and on calls held

Records made for each request are plain tuples (frozen data classes set their fields one by one); the counter's name of a verdict is looked up, not made; of a request's attempts only the last can be out, so only it is looked at; calls that are held have one timer for all, as all are held for the same time; the core goes straight to waiting when nothing else has come.

--- a/frostspindle/core.py
+++ b/frostspindle/core.py
@@ -29,6 +29,7 @@
 PART = "part"  # front of what is asked for on a client's behalf: figures of clients leave it out
 ABSENT_MS = 30_000.0  # an engine that is gone for so long is forgotten
 AGAIN_MS = 20.0  # a reminder of the module's that met a fault comes again after this
+ENDED = {int(verdict): f"ended_{verdict.name.lower()}" for verdict in Verdict}  # counters
 # What operators are told of a class, and the counters behind it; lost: open when a worker died.
 FIGURES = {"success": ("served",), "busy": ("refused", "full"), "failure": ("failed", "lost")}
 MOST_NAMES = 4096  # of engines that were ever listed
@@ -42,8 +43,7 @@
     return time.time() * 1000.0
 
 
-@dataclass(slots=True, frozen=True)
-class Answer:
+class Answer(NamedTuple):
     """A request's one final answer."""
 
     how: str
@@ -108,6 +108,11 @@
     grant_mb: float = 0.0
     timer: Timer | None = None  # for when its client's time is up
 
+    @property
+    def out(self) -> bool:
+        """Whether an attempt is: none is sent before the one before it is over."""
+        return bool(self.attempts) and not self.attempts[-1].over
+
 
 @dataclass(slots=True)
 class EngineState:
@@ -259,8 +264,7 @@
     """The program ends."""
 
 
-@dataclass(slots=True, frozen=True)
-class _Overdue:
+class _Overdue(NamedTuple):
     """A request's time is up. It names the request only."""
 
     number: int
@@ -273,8 +277,7 @@
     engine: int
 
 
-@dataclass(slots=True, frozen=True)
-class _End:
+class _End(NamedTuple):
     attempt: Attempt
     verdict: int
     report: tuple[float, ...]
@@ -512,7 +515,8 @@
                 if self._urgent or (timer := self._timers.pop(now)) is None:
                     break
                 self._guard(now, api.Due(timer.what) if isinstance(timer.what, int) else timer.what)
-            await asyncio.sleep(0)
+            if self._urgent or self._inbox:
+                await asyncio.sleep(0)
 
     def _set_alarm(self, loop: asyncio.AbstractEventLoop) -> None:
         """Wake for the next timer. An alarm that rings before is left: setting one for each turn costs more."""
@@ -751,7 +755,7 @@
         record, verdict = self._records.get(ask.number), end.verdict
         if self.gate is not None and (state := self.engines.get(attempt.engine)) is not None:
             self.gate.ended(state.name, verdict)
-        self.events.count(f"ended_{Verdict(verdict).name.lower()}", ask.front, self.classes[ask.cls][1])
+        self.events.count(ENDED[verdict], ask.front, self.classes[ask.cls][1])
         if verdict not in (Verdict.OK, Verdict.CANCELLED):
             self.events.log("attempt", request=ask.number, ticket=ask.ticket, attempt=attempt.number,
                             engine=self.engines[attempt.engine].name, verdict=Verdict(verdict).name,
@@ -769,7 +773,7 @@
             self._passed(ask)  # what a fault hit has at most one attempt out
 
     def _forget(self, record: Record) -> None:
-        if record.answered and all(attempt.over for attempt in record.attempts):
+        if record.answered and not record.out:
             self._records.pop(record.ask.number, None)
             self._passed(record.ask)
 
@@ -786,7 +790,7 @@
         attempt = Attempt(ask, len(record.attempts), action.engine, now,
                           action.timeout_ms or max(1.0, ask.taken_ms + ask.left_ms - now),
                           self.classes[ask.cls][1], record.grant_mb, record.priority)
-        if record.answered or any(not earlier.over for earlier in record.attempts):
+        if record.answered or record.out:
             # Two attempts out at once is the rule that costs most; the module never asks for it.
             raise RuntimeError("a send while an attempt is out or the request is answered")
         record.attempts.append(attempt)
--- a/frostspindle/cores/mesh.py
+++ b/frostspindle/cores/mesh.py
@@ -93,8 +93,6 @@
         self.answer = answer
 
     def reply(self, status: int, body: Any = None, extra: str = "", last: bool = False) -> None:
-        if self.timer is not None:
-            self.timer.cancel()
         if self.data is None:
             self.data = b""
             self.answer((status, body, extra, last))
--- a/frostspindle/net/http/calls.py
+++ b/frostspindle/net/http/calls.py
@@ -64,17 +64,14 @@
 class Slot:
     """One call in its connection's line; answers leave in the order of the calls."""
 
-    __slots__ = ("client", "opened", "page", "timer", "data", "last")
+    __slots__ = ("client", "opened", "page", "data", "last")
 
     def __init__(self, client: Holder, opened: Opened | None = None, page: int = 0) -> None:
         self.client, self.opened, self.page = client, opened, page
-        self.timer: asyncio.TimerHandle | None = None
         self.data: bytes | None = None
         self.last = False
 
     def reply(self, status: int, body: Any = None, extra: str = "", last: bool = False) -> None:
-        if self.timer is not None:
-            self.timer.cancel()
         more = isinstance(body, dict) and "next" in body
         if self.client.front.draining and not more and self.client.line and self.client.line[-1] is self:
             last = True
--- a/frostspindle/net/http/paths.py
+++ b/frostspindle/net/http/paths.py
@@ -29,6 +29,8 @@
         self.ids: set[str] = set()  # of the requests that are open
         self.open: dict[str, Opened] = {}  # by path
         self._kept = self._numbers = 0
+        self._holds: dict[Slot, float] = {}  # until when each call is held, in their order: all as long
+        self._alarm: asyncio.TimerHandle | None = None
 
     @property
     def owing(self) -> int:
@@ -45,6 +47,7 @@
         self.released(opened.ticket)
         slots, opened.slots = opened.slots, []
         for slot in slots:
+            self._holds.pop(slot, None)
             self.give(slot)
 
     def wait(self, slot: Slot) -> None:
@@ -54,7 +57,20 @@
             self.give(slot)
         else:
             slot.opened.slots.append(slot)
-            slot.timer = self.loop.call_later(HOLD_S, self._held, slot)
+            until = self._holds[slot] = self.loop.time() + HOLD_S
+            if self._alarm is None:
+                self._alarm = self.loop.call_at(until, self._look)
+
+    def _look(self) -> None:
+        """The call that was held longest, if it was so long enough: a timer for each costs more than one for all."""
+        self._alarm, (slot, until) = None, next(iter(self._holds.items()), (None, 0.0))
+        due = slot is not None and until <= self.loop.time()
+        if due:
+            del self._holds[slot]
+        if self._holds:
+            self._alarm = self.loop.call_at(next(iter(self._holds.values())), self._look)
+        if due:
+            self._held(slot)
 
     def _held(self, slot: Slot) -> None:
         opened = slot.opened
@@ -121,8 +137,7 @@
 
     def gone(self, slot: Slot) -> None:
         """The connection of a call has ended."""
-        if slot.timer is not None:
-            slot.timer.cancel()
+        self._holds.pop(slot, None)
         opened = slot.opened
         if opened is None or slot.data is not None:
             return
