--- a/frostspindle/core.py
+++ b/frostspindle/core.py
@@ -319,7 +319,7 @@
         self._open = self._numbers = self._version = 0
         self._urgent: deque[Any] = deque()  # the engine list; never waits behind client work
         self._inbox: deque[Any] = deque()  # bounded: most_open requests, and what their attempts report
-        self._wake = asyncio.Event()
+        self._sleeper: asyncio.Future[None] | None = None  # what the task waits for while nothing is to be done
         self._timers = Wheel(clock())  # a token of the module's, _Overdue or _Absent
         self._alarm: asyncio.TimerHandle | None = None  # the loop's one timer for them all
         self._reminders: dict[int, Timer] = {}  # the module's last, by token
@@ -366,7 +366,7 @@
     def list_engines(self, driver: Driver, engines: Iterable[EngineState], how: int, version: int) -> None:
         """Word of one driver's engine list; goes before all else."""
         self._urgent.append(_Listing(driver, tuple(engines), how, version))
-        self._wake.set()
+        self._wake()
 
     def note(self, attempt: Attempt, kind: int, value: float) -> None:
         """Word on an attempt that is out."""
@@ -402,14 +402,14 @@
                 if state.listed is not None and state.listed.since_ms > began.get(state.name, now)}
         self._back.update(dict.fromkeys(began.keys() - told, now))
         self._urgent.append(_Banned(changed))
-        self._wake.set()
+        self._wake()
 
     def stop(self, name: str, version: int) -> None:
         """Another worker was told by a newer list that this engine takes nothing new; ours will tell it too."""
         if version > self.stops.get(name, 0):
             self.stops[name] = version
             self._urgent.append(_Banned(frozenset((name,)), False))
-            self._wake.set()
+            self._wake()
 
     def turn(self, number: int) -> None:
         """The turn of a request has come that waited for another process's."""
@@ -427,7 +427,7 @@
         """These engines are to be taken for started then, whatever the list says of an earlier start."""
         self._back.update(starts)
         self._urgent.append(_Chilled(frozenset(starts)))
-        self._wake.set()
+        self._wake()
 
     def hear(self, entries: tuple[api.Peer, ...]) -> None:
         """Word of the other workers, for the module."""
@@ -440,21 +440,21 @@
     def bound(self, most: int) -> None:
         """So many requests may be open before the module refuses some of those that it holds."""
         self._urgent.append(_Bound(most))
-        self._wake.set()
+        self._wake()
 
     def tune(self, settings: api.Settings) -> None:
         """Other shares of tenants, aims, deadlines and worths; all else must be as at the start."""
         self._urgent.append(_Tuned(settings))
-        self._wake.set()
+        self._wake()
 
     def give_up(self) -> None:
         """The program ends: the module ends what is still open, for no answer would come any more."""
         self._urgent.append(_Over())
-        self._wake.set()
+        self._wake()
 
     def _put(self, event: Any) -> None:
         self._inbox.append(event)
-        self._wake.set()
+        self._wake()
 
     def sizes(self) -> dict[str, int]:
         """How many of each of the core's tables there are: each has a bound, and a long day shows if one creeps."""
@@ -497,9 +497,9 @@
         loop = asyncio.get_running_loop()
         while True:
             if not self._urgent and not self._inbox:
-                self._wake.clear()
+                self._sleeper = loop.create_future()
                 self._set_alarm(loop)
-                await self._wake.wait()
+                await self._sleeper
             now = clock()
             if now < self._seen_ms - STEP_MS:
                 self._set_back(now)
@@ -531,7 +531,11 @@
 
     def _ring(self) -> None:
         self._alarm = None
-        self._wake.set()
+        self._wake()
+
+    def _wake(self) -> None:
+        if self._sleeper is not None and not self._sleeper.done():
+            self._sleeper.set_result(None)
 
     def _guard(self, now: float, event: Any) -> None:
         """One event; a fault in it costs the request that it is about, never the process."""
--- /dev/null
+++ b/tests/test_first.py
@@ -0,0 +1,100 @@
+"""An attempt without a task while its POST is out on an idle connection: spoilt answers again, and its own stories."""
+
+import asyncio
+import unittest.mock
+
+from aiohttp import web
+from peers import LOAD, at_work, page
+from test_edge import SpoiltAnswers, Wire, post
+
+
+class Idle(Wire):
+    async def start(self, *args, **kw):
+        """Engines to each of which an idle connection stands."""
+        engines = await super().start(*args, **kw)
+        self.assertEqual((await self.ask(LOAD, number=99))[0], 200)
+        for engine in engines:
+            engine.calls.clear()
+        self.driver = self.program.driver
+        self.assertTrue(self.driver.peers[0].idle)
+        return engines
+
+
+class SpoiltAnswersOnAnIdleConnection(Idle, SpoiltAnswers):
+    """A POST on an idle connection has no task: whatever comes of it must mean the same."""
+
+
+class First(Idle):
+    async def out(self, script):
+        """A request whose POST is out on the idle connection: its client, the engine, the attempt."""
+        (engine,) = await self.start()
+        line, engine.script = self.driver.peers[0].idle[0], script
+        reader, writer = await self.open()
+        writer.write(post(1))
+        await engine.seen("POST")
+        (record,) = self.program.core._records.values()
+        return engine, line, record.attempts[0], writer
+
+    async def gone(self, attempt):
+        await self.until(lambda: attempt.over and not self.program.core._records)
+
+    async def test_it_has_no_task_and_ends_with_its_answer(self):
+        go = asyncio.Event()
+        _, line, attempt, _ = await self.out(at_work(go))
+        self.assertEqual((self.driver.tasks, line.waiter), (set(), attempt.task))
+        go.set()
+        await self.gone(attempt)
+        self.assertEqual((self.count("served"), self.driver.peers[0].idle), (2, [line]))
+        self.assertIsNone(attempt.task, "nothing is left to the collector")
+
+    async def test_a_client_that_leaves_frees_the_engine_and_the_connection_waits_for_its_answer(self):
+        go = asyncio.Event()
+        engine, line, attempt, writer = await self.out(at_work(go))
+        writer.close()
+        await engine.seen("DELETE")
+        await self.gone(attempt)
+        self.assertEqual(self.count("ended_cancelled"), 1)
+        go.set()
+        await self.until(lambda: line in self.driver.peers[0].idle)
+        self.assertEqual((await self.ask(LOAD, number=2))[0], 200)
+        self.assertEqual(len(engine.of("POST")), 2)
+
+    async def test_what_is_stopped_as_its_task_begins_is_freed_at_the_engine(self):
+        """The task never runs then, and the engine works on."""
+        first = [web.Response(status=202)]
+        engine, _, attempt, _ = await self.out(lambda request, body: first.pop() if first else None)
+        goes_on = self.driver._on
+
+        def stopped(first, came):
+            goes_on(first, came)
+            attempt.task.cancel()
+        with unittest.mock.patch.object(attempt.task, "on", stopped):
+            await engine.seen("DELETE")
+        await self.until(lambda: attempt.over)
+        self.assertEqual([method for method, *_ in engine.calls[:2]], ["POST", "DELETE"])
+
+    async def test_an_engine_that_drains_gets_nothing_on_an_idle_connection(self):
+        (engine,) = await self.start()
+        with unittest.mock.patch.object(self.program.core, "may_send", lambda attempt: False):
+            await self.ask(LOAD, timeout=300.0)
+        self.assertEqual((engine.of("POST"), len(self.driver.peers[0].idle)), ([], 1))
+        self.assertGreater(self.count("ended_connect_failed"), 0)
+
+    async def test_a_time_that_is_up_before_an_answer_is_due_is_kept(self):
+        (engine,) = await self.start()
+        engine.script = lambda request, body: asyncio.sleep(9) if request.method != "DELETE" else None
+        await self.ask(LOAD, timeout=250.0)
+        await self.until(lambda: self.count("ended_timeout") + self.count("ended_cancelled"))
+        self.assertEqual([method for method, *_ in engine.calls], ["POST", "DELETE"])
+
+    async def test_news_and_further_pages_follow_on_the_same_query(self):
+        answers = [web.Response(status=202, headers={"X-Remark": "pct", "X-Value": "0.5"}), page("a\t\n", 2),
+                   page("b\t\n", 2, X_Page="1")]
+        (engine,) = await self.start()
+        engine.script = lambda request, body: answers.pop(0) if answers else None
+        self.assertEqual((await self.ask(LOAD))[:2], (200, {"rows": [["a", ""], ["b", ""]]}))
+        self.assertEqual([(method, path[-2:]) for method, path, _ in engine.calls],
+                         [("POST", "re"), ("GET", "/0"), ("GET", "/1")])
+
+
+del SpoiltAnswers, Wire  # else they would be run here once more
--- a/tests/test_timers.py
+++ b/tests/test_timers.py
@@ -189,7 +189,7 @@
         await self.turns(lambda: not self.core.behind)
         for number in range(100_000):
             self.core._at(core_module.clock() - 1.0, core_module._Absent(number))
-        self.core._wake.set()
+        self.core._wake()
         most, before = 0, len(self.core._timers)
         while len(self.core._timers) > 10:
             await asyncio.sleep(0)  # so often sockets are looked at
@@ -208,10 +208,10 @@
             self.assertEqual(self.answers, [], "an hour ago nobody's time was up")
             for _ in range(400):  # of 5 ms each
                 now += 5.0
-                self.core._wake.set()
-                await self.turns(lambda: not self.core._wake.is_set())
+                self.core._wake()
+                await self.turns(lambda: not self.core._sleeper.done())
             self.assertEqual([a.how for a in self.answers], ["refused"], "by the module, of the one after the step")
             now += 7_200_000.0
-            self.core._wake.set()
+            self.core._wake()
             await self.turns(lambda: len(self.answers) == 11)
         self.assertEqual((self.core.open, len(self.core._records)), (0, 0))
