--- a/bench/scale.py
+++ b/bench/scale.py
@@ -422,7 +422,7 @@
         starts = [began + n * self.period / self.connections for n in range(self.connections)]
         transports = [(await loop.create_connection(functools.partial(Client, self, at), "127.0.0.1", port))[0]
                       for at in starts]
-        await asyncio.wait_for(self.done, 120.0)
+        await asyncio.wait_for(self.done, 60.0)
         took = loop.time() - began
         for transport in transports:
             transport.close()
@@ -431,11 +431,15 @@
 
 def client(pipe: Any, port: int, first: int, warm: int, count: int, connections: int, rate: float) -> None:
     """A process of its own: warms up, says so, measures once it is told."""
-    asyncio.run(Load(first, warm, connections, 0.0).run(port))
-    pipe.send(None)
-    pipe.recv()
-    load = Load(first + (1 << 30), count, connections, rate)
-    seconds = asyncio.run(load.run(port))
+    try:
+        asyncio.run(Load(first, warm, connections, 0.0).run(port))
+        pipe.send(None)
+        pipe.recv()
+        load = Load(first + (1 << 30), count, connections, rate)
+        seconds = asyncio.run(load.run(port))
+    except Exception as error:  # noqa: BLE001 - or who waits for the result would wait for ever
+        pipe.send(repr(error))
+        return
     took = sorted(load.took)
     pipe.send({"rps": len(took) / seconds, "p50_ms": 1000.0 * took[len(took) // 2],
                "p99_ms": 1000.0 * took[int(0.99 * len(took))], "ok": load.statuses[b"200"] / len(took)})
@@ -449,12 +453,14 @@
         process = SPAWN.Process(target=client, daemon=True, args=(
             there, port, random.getrandbits(50) << 8, 1000, count, connections, rate))
         process.start()
-        here.recv()
+        if failed := here.recv():
+            raise RuntimeError(failed)
         if samples:
             os.kill(pid, signal.SIGUSR2)
         before = cpu_s([pid])
         here.send(None)
-        result = here.recv()
+        if isinstance(result := here.recv(), str):
+            raise RuntimeError(result)
         result["cpu_ms"] = 1000.0 * (cpu_s([pid]) - before) / count
         process.join()
     return result
--- a/tests/test_first.py
+++ b/tests/test_first.py
@@ -76,16 +76,35 @@
     async def test_an_engine_that_drains_gets_nothing_on_an_idle_connection(self):
         (engine,) = await self.start()
         with unittest.mock.patch.object(self.program.core, "may_send", lambda attempt: False):
-            await self.ask(LOAD, timeout=300.0)
+            await self.ask(LOAD)
         self.assertEqual((engine.of("POST"), len(self.driver.peers[0].idle)), ([], 1))
         self.assertGreater(self.count("ended_connect_failed"), 0)
 
-    async def test_a_time_that_is_up_before_an_answer_is_due_is_kept(self):
+    async def test_a_time_that_may_be_up_before_an_answer_is_due_is_kept_by_a_task(self):
+        with unittest.mock.patch("frostspindle.net.engines.Engines.left_s", staticmethod(lambda attempt: 0.4)):
+            _, _, attempt, _ = await self.out(at_work(asyncio.Event()))
+            self.assertIsInstance(attempt.task, asyncio.Task)
+
+    async def test_an_answer_that_is_no_page_ends_its_connection(self):
         (engine,) = await self.start()
-        engine.script = lambda request, body: asyncio.sleep(9) if request.method != "DELETE" else None
-        await self.ask(LOAD, timeout=250.0)
-        await self.until(lambda: self.count("ended_timeout") + self.count("ended_cancelled"))
-        self.assertEqual([method for method, *_ in engine.calls], ["POST", "DELETE"])
+        transports, answers = [], [page("a\t\n", 99)]
+
+        def script(request, body):
+            transports.append(request.transport)
+            return answers.pop() if answers else None
+        engine.script = script
+        self.assertEqual((await self.ask(LOAD))[0], 200)
+        self.assertEqual([method for method, *_ in engine.calls], ["POST", "GET"])
+        self.assertIsNot(transports[0], transports[1])
+
+    async def test_a_connections_timer_rings_for_the_call_that_is_out(self):
+        """One is left from an earlier call, for later."""
+        await self.start()
+        line = self.driver.peers[0].take()
+        self.assertGreater(line.timer.when(), line.loop.time() + 0.1)
+        with unittest.mock.patch.object(line, "transport"):
+            line.ask(b"", 0.1, asyncio.get_running_loop().create_future())
+        self.assertEqual(line.timer.when(), line.due)
 
     async def test_news_and_further_pages_follow_on_the_same_query(self):
         answers = [web.Response(status=202, headers={"X-Remark": "pct", "X-Value": "0.5"}), page("a\t\n", 2),
