Let the lab's coordinator listen where it is told, as a log of 300 engines lacks the line that says so

With 300 engines the start writes more lines than a second's allowance, the one that names the port among those dropped; the bench waited for it for ever.

--- a/bench/scale.py
+++ b/bench/scale.py
@@ -1,9 +1,9 @@
 """Where a request's time goes as engines and open requests grow, and what timers cost.
 
-    python bench/scale.py cells [FILE]           the core and the module without sockets, by engines and open requests
-    python bench/scale.py timers [FILE]          the wheel, a heap, asyncio's heap and a sorted list, side by side
-    python bench/scale.py profile [FILE]         a coordinator under load on sockets, sampled by its processor time
-    python bench/scale.py compare BASE [ROUNDS]  this checkout and another in turn: CPU a request, p99 at 80% load
+    python bench/scale.py cells [FILE]               core and module without sockets, by engines and open requests
+    python bench/scale.py timers [FILE]              the wheel, a heap, asyncio's heap and a sorted list, side by side
+    python bench/scale.py profile [FILE [CHECKOUT]]  a coordinator under load on sockets, sampled by its processor time
+    python bench/scale.py compare BASE [ROUNDS]      this checkout and another in turn: CPU a request, p99 at 80% load
 
 `cells` drives a `Core` with engines that answer when the bench says so; the module's part is timed inside. With
 PYTHONPATH set to another checkout it measures that one. `profile` needs no change in the program: the coordinator is
@@ -23,6 +23,7 @@
 import os
 import random
 import signal
+import socket
 import sys
 import tempfile
 import time
@@ -447,7 +448,9 @@
 
 def run(ports: dict[str, int], source: str | None, count: int, connections: int = 64, rate: float = 0.0,
         samples: str = "") -> dict[str, float]:
-    config = document([host(name, port) for name, port in ports.items()])
+    with socket.create_server(("127.0.0.1", 0)) as free:
+        listen = f"127.0.0.1:{free.getsockname()[1]}"
+    config = document([host(name, port) for name, port in ports.items()], listen=listen)
     with coordinator(config, 1, source) as (port, (_, pid)):
         here, there = SPAWN.Pipe()
         process = SPAWN.Process(target=client, daemon=True, args=(
@@ -476,7 +479,7 @@
             yield samples
 
 
-def profile() -> dict[str, Any]:
+def profile(source: str | None = None) -> dict[str, Any]:
     """By engines at 64 connections; by open requests at 32 engines, which then take 100 ms for each."""
     rows = []
     for count, connections, delay_s in [(n, 64, 0.0) for n in ENGINES] + [(32, 100, 0.1), (32, 1000, 0.1)]:
@@ -484,7 +487,7 @@
         with engines(names, delay_s, 2) as (ports, _), sampler() as samples:
             try:
                 row: dict[str, Any] = {"engines": count, "connections": connections, "delay_s": delay_s,
-                                       **run(ports, None, 8000 if delay_s else 20_000, connections, samples=samples)}
+                                       **run(ports, source, 8000 if delay_s else 20_000, connections, samples=samples)}
             except Exception as error:  # noqa: BLE001 - how far it reaches is a result
                 rows.append({"engines": count, "connections": connections, "error": repr(error)})
                 print(rows[-1], file=sys.stderr, flush=True)
@@ -529,7 +532,8 @@
     if what == "compare":
         tell(compare(rest[0], int(rest[1]) if rest[1:] else 3), None)
     else:
-        tell({"cells": cells, "timers": timer_costs, "profile": profile}[what](), rest[0] if rest else None)
+        does: dict[str, Callable[..., dict[str, Any]]] = {"cells": cells, "timers": timer_costs, "profile": profile}
+        tell(does[what](*rest[1:]), rest[0] if rest else None)
 
 
 if __name__ == "__main__":
--- a/frostspindle/lab/bench.py
+++ b/frostspindle/lab/bench.py
@@ -174,9 +174,11 @@
                 if time.time() > until or child.poll() is not None:
                     raise RuntimeError(f"the coordinator does not start: {log.read_text()[-500:]}")
                 time.sleep(0.05)
-            while not (ready := [json.loads(line) for line in log.read_text().splitlines() if '"ready"' in line]):
+            port = int(config["listen"].rpartition(":")[2])  # where it is set, a log of many engines may lack the line
+            while not port:
+                ready = [json.loads(line) for line in log.read_text().splitlines() if '"ready"' in line]
+                port = next((int(e["listen"].rpartition(":")[2]) for e in ready if e.get("worker") is None), 0)
                 time.sleep(0.01)
-            port = int([e for e in ready if e.get("worker") is None][0]["listen"].rpartition(":")[2])
             yield port, (desk, child.pid)
         finally:
             child.send_signal(signal.SIGTERM)
