--- a/frostspindle/core.py
+++ b/frostspindle/core.py
@@ -11,7 +11,6 @@
 from __future__ import annotations
 
 import asyncio
-import heapq
 import math
 import time
 import traceback
@@ -21,6 +20,7 @@
 from typing import Any, NamedTuple, Protocol
 
 from frostspindle.events import Events
+from frostspindle.timers import OUT, Timer, Wheel
 from pinstage import interface as api
 from pinstage.control import Controller
 from pinstage.interface import Health, ListKind, Verdict
@@ -29,10 +29,13 @@
 PART = "part"  # front of what is asked for on a client's behalf: figures of clients leave it out
 ABSENT_MS = 30_000.0  # an engine that is gone for so long is forgotten
 AGAIN_MS = 20.0  # a reminder of the module's that met a fault comes again after this
+ENDED = {int(verdict): f"ended_{verdict.name.lower()}" for verdict in Verdict}  # counters
 # What operators are told of a class, and the counters behind it; lost: open when a worker died.
 FIGURES = {"success": ("served",), "busy": ("refused", "full"), "failure": ("failed", "lost")}
 MOST_NAMES = 4096  # of engines that were ever listed
-TURN = 64  # events that one turn of the task may take before the sockets get theirs
+TURN = 64  # events, and timers, that one turn of the task may take before the sockets get theirs
+STEP_MS = 1000.0  # a clock that is back by so much was set
+NEAR_S = 50e-6  # an alarm that is set for a moment so near is not set anew: that would cost more than the wait
 
 
 def clock() -> float:
@@ -40,8 +43,7 @@
     return time.time() * 1000.0
 
 
-@dataclass(slots=True, frozen=True)
-class Answer:
+class Answer(NamedTuple):
     """A request's one final answer."""
 
     how: str
@@ -73,6 +75,12 @@
     number: int = 0  # the core's own, once taken
 
 
+class Cancels(Protocol):
+    """A task, or what stands in its place."""
+
+    def cancel(self) -> Any: ...
+
+
 @dataclass(slots=True, eq=False)
 class Attempt:
     """One sending of a request to an engine, numbered as the module sent it."""
@@ -86,7 +94,7 @@
     grant_mb: float
     priority: int
     over: bool = False
-    task: asyncio.Task[None] | None = None  # the driver's
+    task: Cancels | None = None  # the driver's: what runs it now
 
 
 @dataclass(slots=True, eq=False)
@@ -98,6 +106,12 @@
     attempts: list[Attempt] = field(default_factory=list)
     priority: int = 1
     grant_mb: float = 0.0
+    timer: Timer | None = None  # for when its client's time is up
+
+    @property
+    def out(self) -> bool:
+        """Whether an attempt is: none is sent before the one before it is over."""
+        return bool(self.attempts) and not self.attempts[-1].over
 
 
 @dataclass(slots=True)
@@ -250,9 +264,8 @@
     """The program ends."""
 
 
-@dataclass(slots=True, frozen=True)
-class _Overdue:
-    """A request's time is up. It names the request only: timers outlive what was answered long before."""
+class _Overdue(NamedTuple):
+    """A request's time is up. It names the request only."""
 
     number: int
 
@@ -264,8 +277,7 @@
     engine: int
 
 
-@dataclass(slots=True, frozen=True)
-class _End:
+class _End(NamedTuple):
     attempt: Attempt
     verdict: int
     report: tuple[float, ...]
@@ -307,15 +319,17 @@
         self._open = self._numbers = self._version = 0
         self._urgent: deque[Any] = deque()  # the engine list; never waits behind client work
         self._inbox: deque[Any] = deque()  # bounded: most_open requests, and what their attempts report
-        self._wake = asyncio.Event()
-        self._timers: list[tuple[float, int, Any]] = []  # due, order, token of the module or Record
-        self._order = 0
+        self._sleeper: asyncio.Future[None] | None = None  # what the task waits for while nothing is to be done
+        self._timers = Wheel(clock())  # a token of the module's, _Overdue or _Absent
+        self._alarm: asyncio.TimerHandle | None = None  # the loop's one timer for them all
+        self._reminders: dict[int, Timer] = {}  # the module's last, by token
+        self._seen_ms = -math.inf
         self._does: dict[type, Callable[[float, Any], None]] = {
             api.Send: self._send, api.Terms: self._terms, api.Cancel: self._cancel,
             api.Refuse: lambda now, a: self._answer(a.request, Answer(REFUSED, None, a.retry_after_ms)),
             api.Fail: lambda now, a: self._answer(a.request, Answer(FAILED)),
             api.Probe: self._probe, api.Watch: lambda now, a: None,
-            api.Remind: lambda now, a: self._at(a.due_at_ms, a.token),
+            api.Remind: lambda now, a: self._remind(a.due_at_ms, a.token),
             api.Log: lambda now, a: self.events.log("module", text=a.text)}
 
     # What fronts and drivers call.
@@ -352,7 +366,7 @@
     def list_engines(self, driver: Driver, engines: Iterable[EngineState], how: int, version: int) -> None:
         """Word of one driver's engine list; goes before all else."""
         self._urgent.append(_Listing(driver, tuple(engines), how, version))
-        self._wake.set()
+        self._wake()
 
     def note(self, attempt: Attempt, kind: int, value: float) -> None:
         """Word on an attempt that is out."""
@@ -388,14 +402,14 @@
                 if state.listed is not None and state.listed.since_ms > began.get(state.name, now)}
         self._back.update(dict.fromkeys(began.keys() - told, now))
         self._urgent.append(_Banned(changed))
-        self._wake.set()
+        self._wake()
 
     def stop(self, name: str, version: int) -> None:
         """Another worker was told by a newer list that this engine takes nothing new; ours will tell it too."""
         if version > self.stops.get(name, 0):
             self.stops[name] = version
             self._urgent.append(_Banned(frozenset((name,)), False))
-            self._wake.set()
+            self._wake()
 
     def turn(self, number: int) -> None:
         """The turn of a request has come that waited for another process's."""
@@ -413,7 +427,7 @@
         """These engines are to be taken for started then, whatever the list says of an earlier start."""
         self._back.update(starts)
         self._urgent.append(_Chilled(frozenset(starts)))
-        self._wake.set()
+        self._wake()
 
     def hear(self, entries: tuple[api.Peer, ...]) -> None:
         """Word of the other workers, for the module."""
@@ -426,21 +440,21 @@
     def bound(self, most: int) -> None:
         """So many requests may be open before the module refuses some of those that it holds."""
         self._urgent.append(_Bound(most))
-        self._wake.set()
+        self._wake()
 
     def tune(self, settings: api.Settings) -> None:
         """Other shares of tenants, aims, deadlines and worths; all else must be as at the start."""
         self._urgent.append(_Tuned(settings))
-        self._wake.set()
+        self._wake()
 
     def give_up(self) -> None:
         """The program ends: the module ends what is still open, for no answer would come any more."""
         self._urgent.append(_Over())
-        self._wake.set()
+        self._wake()
 
     def _put(self, event: Any) -> None:
         self._inbox.append(event)
-        self._wake.set()
+        self._wake()
 
     def sizes(self) -> dict[str, int]:
         """How many of each of the core's tables there are: each has a bound, and a long day shows if one creeps."""
@@ -483,13 +497,13 @@
         loop = asyncio.get_running_loop()
         while True:
             if not self._urgent and not self._inbox:
-                self._wake.clear()
-                due = self._timers[0][0] - clock() if self._timers else None
-                timer = loop.call_later(max(0.0, due) / 1000.0, self._wake.set) if due is not None else None
-                await self._wake.wait()
-                if timer:
-                    timer.cancel()
+                self._sleeper = loop.create_future()
+                self._set_alarm(loop)
+                await self._sleeper
             now = clock()
+            if now < self._seen_ms - STEP_MS:
+                self._set_back(now)
+            self._seen_ms = now
             for _ in range(TURN):
                 if self._urgent:
                     self._guard(now, self._urgent.popleft())
@@ -497,10 +511,31 @@
                     self._guard(now, self._inbox.popleft())
                 else:
                     break
-            while self._timers and self._timers[0][0] <= now and not self._urgent:
-                due_event = heapq.heappop(self._timers)[2]
-                self._guard(now, api.Due(due_event) if isinstance(due_event, int) else due_event)
-            await asyncio.sleep(0)
+            for _ in range(TURN):  # what a clock's step makes due at once must not keep sockets waiting
+                if self._urgent or (timer := self._timers.pop(now)) is None:
+                    break
+                self._guard(now, api.Due(timer.what) if isinstance(timer.what, int) else timer.what)
+            if self._urgent or self._inbox:
+                await asyncio.sleep(0)
+
+    def _set_alarm(self, loop: asyncio.AbstractEventLoop) -> None:
+        """Wake for the next timer. An alarm that rings before is left: setting one for each turn costs more."""
+        if (due_ms := self._timers.next_ms()) is None:
+            return
+        at = loop.time() + max(0.0, due_ms - clock()) / 1000.0
+        if self._alarm is not None:
+            if self._alarm.when() <= at + NEAR_S:
+                return
+            self._alarm.cancel()
+        self._alarm = loop.call_at(at, self._ring)
+
+    def _ring(self) -> None:
+        self._alarm = None
+        self._wake()
+
+    def _wake(self) -> None:
+        if self._sleeper is not None and not self._sleeper.done():
+            self._sleeper.set_result(None)
 
     def _guard(self, now: float, event: Any) -> None:
         """One event; a fault in it costs the request that it is about, never the process."""
@@ -513,7 +548,7 @@
                             at=traceback.format_exc(limit=-3))
             if isinstance(event, api.Due):
                 # The module's clock is a chain of reminders: one lost link would stop all its deadlines.
-                self._at(now + AGAIN_MS, event.token)
+                self._remind(now + AGAIN_MS, event.token)
             self._give_up(number)
 
     def _give_up(self, number: int) -> None:
@@ -588,17 +623,35 @@
                 self.events.log("fault", error=repr(error), of=repr(action), at=traceback.format_exc(limit=-3))
                 self._give_up(getattr(action, "request", 0))
 
-    def _at(self, due_ms: float, what: Any) -> None:
-        self._order += 1
-        heapq.heappush(self._timers, (due_ms, self._order, what))
+    def _at(self, due_ms: float, what: Any) -> Timer:
+        return self._timers.start(due_ms, what)
+
+    def _remind(self, due_ms: float, token: int) -> None:
+        self._reminders[token] = self._at(due_ms, token)
+
+    def _set_back(self, now: float) -> None:
+        """The clock was set back: the module's own turns, each of which asks for the next, must not wait for it."""
+        self.events.log("clock", back_ms=round(self._seen_ms - now))
+        for token, timer in self._reminders.items():
+            if timer.place != OUT:
+                self._timers.cancel(timer)
+                self._reminders[token] = self._at(now, token)
+
+    def _settled(self, record: Record, how: str) -> None:
+        """It is answered, or its client left: its time no longer matters."""
+        record.answered = how
+        self._open -= 1
+        if record.timer is not None:
+            self._timers.cancel(record.timer)
+            record.timer = None
 
     # Events.
 
     def _take(self, now: float, ask: Ask) -> None:
         self._numbers += 1
         ask.number = self._numbers
-        self._records[ask.number] = Record(ask)
-        self._at(ask.taken_ms + ask.left_ms, _Overdue(ask.number))
+        record = self._records[ask.number] = Record(ask)
+        record.timer = self._at(ask.taken_ms + ask.left_ms, _Overdue(ask.number))
         self.events.count("taken", ask.front, self.classes[ask.cls][1])
         turn = self.turns.enter(ask.number, ask.key) if ask.key and self.turns is not None else True
         if turn is None:  # an order that can't be kept is turned down: nothing ran
@@ -617,8 +670,7 @@
         if record is None:
             return
         if not record.answered:
-            record.answered = why
-            self._open -= 1
+            self._settled(record, why)
             self.events.count(why, record.ask.front, self.classes[record.ask.cls][1])
         if self.gate is not None:
             self.gate.over(number, bool(record.attempts))
@@ -707,7 +759,7 @@
         record, verdict = self._records.get(ask.number), end.verdict
         if self.gate is not None and (state := self.engines.get(attempt.engine)) is not None:
             self.gate.ended(state.name, verdict)
-        self.events.count(f"ended_{Verdict(verdict).name.lower()}", ask.front, self.classes[ask.cls][1])
+        self.events.count(ENDED[verdict], ask.front, self.classes[ask.cls][1])
         if verdict not in (Verdict.OK, Verdict.CANCELLED):
             self.events.log("attempt", request=ask.number, ticket=ask.ticket, attempt=attempt.number,
                             engine=self.engines[attempt.engine].name, verdict=Verdict(verdict).name,
@@ -725,7 +777,7 @@
             self._passed(ask)  # what a fault hit has at most one attempt out
 
     def _forget(self, record: Record) -> None:
-        if record.answered and all(attempt.over for attempt in record.attempts):
+        if record.answered and not record.out:
             self._records.pop(record.ask.number, None)
             self._passed(record.ask)
 
@@ -742,7 +794,7 @@
         attempt = Attempt(ask, len(record.attempts), action.engine, now,
                           action.timeout_ms or max(1.0, ask.taken_ms + ask.left_ms - now),
                           self.classes[ask.cls][1], record.grant_mb, record.priority)
-        if record.answered or any(not earlier.over for earlier in record.attempts):
+        if record.answered or record.out:
             # Two attempts out at once is the rule that costs most; the module never asks for it.
             raise RuntimeError("a send while an attempt is out or the request is answered")
         record.attempts.append(attempt)
@@ -777,8 +829,7 @@
         record = self._records.get(number)
         if record is None or record.answered:
             return
-        record.answered = answer.how
-        self._open -= 1
+        self._settled(record, answer.how)
         self.events.count(answer.how, record.ask.front, self.classes[record.ask.cls][1])
         if self.gate is not None:
             self.gate.over(number, bool(record.attempts) and answer.how != REFUSED)
