Test that ends which come after the sheet is closed do not reach it

A request that is answered between `Order.close` and the end of the core's task wrote to a released map and counted as a fault.

--- a/tests/test_order.py
+++ b/tests/test_order.py
@@ -538,6 +538,18 @@
             self.assertEqual(self.program.order.sheets.keep_ms, FORGOTTEN_MS + pause_ms)  # of one that was killed, too
             self.assertEqual((len(places()), self.program.order.turns.open), (int(stands), int(stands)))
 
+    async def test_what_ends_after_the_sheet_is_closed_touches_it_no_more(self):
+        classes = settings()["categories"]
+        classes[1] = classes[1] | {"inOrder": True}
+        (engine,) = await self.start(1, categories=classes)
+        go = asyncio.Event()
+        engine.script = at_work(go)
+        asked = asyncio.create_task(self.ask(LOAD_CLASS, 1, **{"X-Object": "k"}))
+        await engine.seen("POST")
+        self.program.order.close()
+        go.set()
+        self.assertEqual(((await asked)[0], self.count("faults")), (200, 0))
+
     async def test_a_request_without_a_place_is_refused_and_never_sent(self):
         classes = settings()["categories"]
         classes[1] = classes[1] | {"inOrder": True}
