--- a/frostspindle/ownership/holder.py
+++ b/frostspindle/ownership/holder.py
@@ -49,7 +49,7 @@
 MARGIN, MARGIN_PART = 2.0, 0.1  # who holds more than another by this, or this part of the mean, gives
 MOST_MOVES = 16  # bids of one ask, an ask of them a lease, and gifts a lease
 KEEP_LEASES = 3.0  # what was got is kept at least so long
-MOST_BID_LEASES = 16.0
+MOST_BID_LEASES = 8.0
 GIVEN_SPREADS = 4.0  # what was given is not asked for here for so long
 OPEN_ASKS = 16  # numbers of asks whose outcome may still come, remembered with when they were asked
 
