Keep how far a warming-up has come on the log, and test it with five processes

Need: warming a cold engine up by an owner was tried with stand-ins of the driver only. And the history checker looked for an event log_dropped that nobody writes: the program's word is lines_dropped. Change: a machine on the log keeps by engine and start how many statements ended well, and takes no word under a lower token; a statement's ticket begins with its token, so that an engine's log is a receiver's to the checker. The checker knows lines_dropped and lines that failed to be written.

--- a/frostspindle/lab/faults/owners.py
+++ b/frostspindle/lab/faults/owners.py
@@ -10,10 +10,12 @@
 import json
 import socket
 import tempfile
+import time
 from pathlib import Path
 from typing import Any
 
 from frostspindle.lab.engines import Bus, Engine, document, host
+from frostspindle.lab.faults.relay import Relay
 from frostspindle.lab.faults.runner import Process, free_port
 from frostspindle.lab.faults.script import Script, parse
 from frostspindle.lab.faults.streams import Streams
@@ -24,16 +26,45 @@
 SECRET = "a secret of the lab, and of nobody else"
 
 
+WARM = """
+[fleet]
+listen = "127.0.0.1:{inside}"
+advertise = "{outside}"
+cold = true
+lease_ms = 2000
+probe_ms = 400
+timeout_ms = 150
+{seeds}"""
+RULES = {"stopSendingWithin": 250.0, "startCapacity": 0.3, "warmWithin": 60_000.0, "fall": 1000.0, "tipMultiple": 4.0,
+         "answerSlack": 20.0}
+
+
+class Warmed(Engine):
+    """A stand-in engine that keeps what it was sent, when, and whether one statement came while another ran."""
+
+    def __init__(self, name: str, delay_s: float) -> None:
+        super().__init__(name, delay_s)
+        self.said: list[tuple[float, int, str]] = []  # when, under which token, what
+
+    def _take(self, ticket: str, statement: str) -> None:
+        self.said.append((clock(), int(ticket[:8], 16), statement))
+        super()._take(ticket, statement)
+
+
 class Owned:
     """So many coordinators, the first `voters` of them voting; all stand for each task, whose work is an export to the
-    sink every `every_ms`."""
+    sink every `every_ms`. With `statements` there is a fleet too, and they warm the engines `e0` and `e1` up."""
 
     def __init__(self, count: int = 5, voters: int = 3, lease_ms: int = 1_000, tasks: tuple[str, ...] = ("x",),
-                 every_ms: int = 30, seed: int = 1, script: Script | None = None, fenced: bool = True) -> None:
+                 every_ms: int = 30, seed: int = 1, script: Script | None = None, fenced: bool = True,
+                 statements: tuple[str, ...] = ()) -> None:
+        self.statements = statements
+        self.engines: list[Any] = [Warmed(f"e{n}", 0.03) for n in range(2)] if statements else [Engine("toy-0")]
+        self.relay = Relay(count, script or parse("", count), seed)
         self.streams = Streams(count, script or parse("", count), seed)
         self.voters, self.lease_ms, self.tasks, self.every_ms = voters, lease_ms, tasks, every_ms
         self.sink = Sink("sink", clock, fenced=fenced)
-        self.server, self.bus, self.engine = Server(self.sink), Bus(), Engine("toy-0")
+        self.server, self.bus = Server(self.sink), Bus()
         self.folder = tempfile.TemporaryDirectory()
         self.processes = [Process(n, Path(self.folder.name, f"c{n}")) for n in range(count)]
         self.died: dict[str, list[float]] = {}
@@ -41,10 +72,13 @@
     async def start(self) -> Owned:
         await self.streams.start()
         await self.server.start()
-        await self.engine.start()
+        for engine in self.engines:
+            await engine.start()
         await self.bus.start()
-        self.bus.say(host(self.engine.name, self.engine.port), whole=True)
-        config = json.dumps(document(self.bus.events[0]["topology"]["hosts"], self.bus.port))
+        self.relay.start()
+        self.bus.say(*(host(engine.name, engine.port) for engine in self.engines), whole=True)
+        config = json.dumps(document(self.bus.events[0]["topology"]["hosts"], self.bus.port, balancers=len(
+            self.processes), rules=RULES))
         for process in self.processes:
             process.folder.mkdir()
             process.http, process.desk = free_port(socket.SOCK_STREAM), free_port(socket.SOCK_STREAM)
@@ -59,12 +93,28 @@
                 f'secret = "{process.folder}/key"\nheartbeat_ms = 50\nelection_ms = 300\n\n[ownership]\n'
                 f'lease_ms = {self.lease_ms}\n' + "".join(
                     f'\n[[ownership.task]]\nname = "{task}"\nat = "127.0.0.1:{self.server.port}"\n'
-                    f'every_ms = {self.every_ms}\n' for task in self.tasks))
+                    f'every_ms = {self.every_ms}\n' for task in self.tasks) + self._warms(number))
         await asyncio.gather(*(process.start() for process in self.processes))
         await asyncio.gather(*(p.until(lambda p=p: p.events("ready") and p.events("owner_stands"), 60.0)
                                for p in self.processes))
         return self
 
+    def _warms(self, number: int) -> str:
+        if not self.statements:
+            return ""
+        inside = free_port()
+        self.relay.place(number, ("127.0.0.1", inside))
+        seeds = "".join(f'[[fleet.seed]]\nname = "c{n}"\naddress = "{self.relay.outside(n)}"\n'
+                        for n in range(len(self.processes)))
+        return (f'\n[ownership.warm]\nclass = "lookup"\nstatement = {json.dumps(self.statements)}\n'
+                f'every_ms = {self.every_ms}\n' + WARM.format(inside=inside, outside=self.relay.outside(number),
+                                                              seeds=seeds))
+
+    def begins(self, number: int) -> None:
+        """The list tells that an engine has begun anew."""
+        engine = self.engines[number]
+        self.bus.say(host(engine.name, engine.port, born_ms=time.time() * 1_000.0))
+
     def accepted(self, task: str = "x") -> list[dict[str, Any]]:
         return [line for line in self.sink.lines if line["accepted"] and line["task"] == task]
 
@@ -85,12 +135,21 @@
         await process.end(9)
 
     def checked(self, expect: int = 1) -> Checked:
+        """Engines' logs count as receivers that can't refuse: who sent what is known by the token in its ticket."""
         lines = [line for process in self.processes for line in process.lines]
-        return check([*lines, *self.sink.lines], self.died, expect=expect)
+        whose = {line["token"]: line["holder"] for line in lines if line.get("event") == "owner_took"
+                 and line.get("task") == "warm"}
+        engines = [{"event": "sink_acted", "receiver": engine.name, "seq": seq, "task": "warm", "token": token,
+                    "at": at, "holder": whose.get(token, "nobody"), "action": text, "accepted": True}
+                   for engine in self.engines if self.statements for seq, (at, token, text) in enumerate(engine.said)]
+        return check([*lines, *engines, *self.sink.lines], self.died, expect=expect)
 
     async def close(self) -> list[int | None]:
         codes = list(await asyncio.gather(*(process.end() for process in self.processes)))
         self.server.close()
         await self.streams.close()
+        self.relay.close()
+        for engine in self.engines:
+            engine.server.close()
         self.folder.cleanup()
         return codes
--- a/frostspindle/lab/history.py
+++ b/frostspindle/lab/history.py
@@ -85,7 +85,8 @@
     lines = list(lines)
     found = Checked()
     for line in lines:
-        if line.get("event") == "log_dropped" or line.get("dropped"):
+        if line.get("event") == "lines_dropped" or any(row.get("what") == "log_failed" and row.get("count")
+                                                       for row in line.get("counters", ())):
             found.fault(f"lines are missing: {line}")
     grants = spans(lines, died)
     found.grants, found.tasks = len(grants), len({task for task, _ in grants})
--- /dev/null
+++ b/frostspindle/ownership/progress.py
@@ -0,0 +1,78 @@
+"""How far each cold engine's warming-up has come, on the replicated log: where the next owner goes on from.
+
+Owns the number of statements that have ended well at each engine's latest start, and the highest token under which one
+was told. It must never go back, never take word under a lower token than one seen, and never raise on whatever bytes.
+"""
+
+from __future__ import annotations
+
+from typing import Annotated, Any
+
+import msgspec
+from msgspec import Meta, Struct
+
+TOPIC = "warmed"
+MOST_ENGINES = 512
+Name = Annotated[str, Meta(min_length=1, max_length=256)]
+Count = Annotated[int, Meta(ge=0, le=2**53)]
+Born = Annotated[float, Meta(ge=0, le=1e14)]
+
+
+class Note(Struct, array_like=True, frozen=True):
+    """So many statements have ended well at this start."""
+
+    token: Count
+    engine: Name
+    born_ms: Born
+    place: Count
+
+
+class _State(Struct, array_like=True):
+    highest: Count
+    starts: Annotated[dict[Name, tuple[Born, Count]], Meta(max_length=MOST_ENGINES)]
+
+
+encode = msgspec.msgpack.encode
+_NOTE = msgspec.msgpack.Decoder(Note)
+_STATE = msgspec.msgpack.Decoder(_State)
+
+
+class Progress:
+    """See replica's Machine."""
+
+    def __init__(self) -> None:
+        self.highest = 0
+        self.starts: dict[str, tuple[float, int]] = {}  # by engine: when it began, and how many; told last stands last
+        self.refused = 0
+
+    def place(self, engine: str, born_ms: float) -> int:
+        """From which statement on this start is to be warmed."""
+        born, place = self.starts.get(engine, (0.0, 0))
+        return place if born == born_ms else 0
+
+    def apply(self, index: int, command: bytes) -> bytes:
+        try:
+            note: Any = _NOTE.decode(command)
+        except (msgspec.DecodeError, UnicodeDecodeError, RecursionError):
+            note = None
+        if note is None or note.token < self.highest or (note.born_ms, note.place) <= self.starts.get(
+                note.engine, (0.0, 0)):
+            self.refused += 1
+            return b""
+        self.highest = note.token
+        self.starts.pop(note.engine, None)
+        if len(self.starts) >= MOST_ENGINES:
+            del self.starts[next(iter(self.starts))]
+        self.starts[note.engine] = note.born_ms, note.place
+        return b"1"
+
+    def state(self) -> bytes:
+        return encode(_State(self.highest, self.starts))
+
+    def restore(self, index: int, state: bytes) -> None:
+        """ValueError, and nothing is changed."""
+        try:
+            found = _STATE.decode(state)
+        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+            raise ValueError(f"not a state of warmings-up: {error}") from None
+        self.highest, self.starts = found.highest, found.starts
--- a/frostspindle/ownership/wiring.py
+++ b/frostspindle/ownership/wiring.py
@@ -15,6 +15,7 @@
 from frostspindle.ownership.export import Export
 from frostspindle.ownership.holder import Terms
 from frostspindle.ownership.jobs import Job, Runner
+from frostspindle.ownership.progress import TOPIC, Progress
 from frostspindle.ownership.service import Owners
 from frostspindle.ownership.warm import Cold, Warm
 
@@ -33,6 +34,8 @@
         self.program = program
         self.owners = Owners(program.replica, program.config.operator.replica.me, Terms(config.lease_ms, config.drift),
                              program.events, self.busy)
+        warmed = Progress()  # also where nothing is warmed up: all coordinators hold the same topics
+        program.replica.attach(TOPIC, warmed)
         jobs: list[Job] = [Export(task.name, configuration.address(task.at, "ownership.task.at"), task.every_ms,
                                   self.owners.name, self._sums) for task in config.task]
         weights = {task.name: task.weight for task in config.task}
@@ -40,7 +43,8 @@
             warm = config.warm
             jobs.append(Warm("warm", warm.every_ms, warm.statement, self._cold, self._pay,
                              lambda number, ticket, statement: program.driver.warm(number, ticket, statement, warm.cls,
-                                                                                   warm.most_ms)))
+                                                                                   warm.most_ms),
+                             program.replica, warmed))
             weights["warm"] = warm.weight
         self.cost_ms = config.warm.cost_ms if config.warm is not None else 0.0
         self.runner = Runner(self.owners, program.events, jobs, weights)
--- a/tests/test_ownership_lab.py
+++ b/tests/test_ownership_lab.py
@@ -1,11 +1,14 @@
 """The history checker on planted faults, and owners in simulated time: each hard case, and runs under drawn faults."""
 
+import io
 import json
+from unittest import mock
 
 import pytest
 from click.testing import CliRunner
 
 from frostspindle.cli import cli
+from frostspindle.events import LINES_A_SECOND, Events
 from frostspindle.lab.fenced import Sink
 from frostspindle.lab.history import check
 from frostspindle.lab.ownership import Coordinator, Lab, measure, play
@@ -25,6 +28,16 @@
             "action": "mark", "accepted": accepted, "at": at}
 
 
+def dropped():
+    """As the program tells it."""
+    sink = io.BytesIO()
+    told = Events("a", sink=sink)
+    with mock.patch("frostspindle.events.time.time", side_effect=[1_000.0] * (LINES_A_SECOND + 1) + [1_001.0]):
+        for _ in range(LINES_A_SECOND + 2):
+            told.log("storm")
+    return json.loads(sink.getvalue().splitlines()[-2])
+
+
 GOOD = [took(0, 3, "a"), acted(0, 1, 3, "a"), lost(10, 3, "a"), took(12, 7, "b"), acted(1, 13, 7, "b"),
         acted(2, 14, 3, "a", False), lost(20, 7, "b")]
 
@@ -47,7 +60,8 @@
     ([*GOOD, took(30, 7, "c"), lost(31, 7, "c")], "two holders"),
     ([*GOOD, acted(3, 15, 8, "b")], "granted to nobody"),
     ([*GOOD, acted(3, 15, 7, "a")], "used by a"),
-    ([*GOOD, {"event": "counters", "dropped": 4}], "lines are missing"),
+    ([*GOOD, {"event": "counters", "counters": [{"what": "log_failed", "count": 4}]}], "lines are missing"),
+    ([*GOOD, dropped()], "lines are missing"),
     (GOOD[:1], "nothing is shown"),
 ))
 def test_a_planted_fault_is_found(lines, words):
--- a/tests/test_ownership_processes.py
+++ b/tests/test_ownership_processes.py
@@ -2,12 +2,15 @@
 
 import asyncio
 import json
+import random
 import signal
+import time
 import unittest
 
 from click.testing import CliRunner
 
 from frostspindle.cli import cli
+from frostspindle.lab.engines import host
 from frostspindle.lab.faults.owners import Owned
 
 
@@ -92,3 +95,77 @@
         self.assertEqual(gone[0].events("replica_journal", life=2)[0]["found"], "torn")
         found = fleet.checked()
         self.assertTrue(found.good, found.faults)
+
+    async def test_one_warms_a_new_engine_and_another_goes_on_when_it_is_stopped_or_killed_or_the_engine_goes(self):
+        rng, statements = random.Random(7), tuple(f"SELECT {n}" for n in range(1, 9))
+        fleet = self.fleet = Owned(voters=5, tasks=(), every_ms=20, statements=statements)
+        self.addAsyncCleanup(fleet.close)
+        await fleet.start()
+        first, second = fleet.engines
+
+        async def said(engine, most, after):
+            async with asyncio.timeout(60.0):
+                while len({text for _, _, text in engine.said[after:]}) < most:
+                    await asyncio.sleep(0.002)
+            return engine.said[after:]
+
+        def once(found, least=0):
+            """In order, each at the engine, and no more than one of them again for each change of the owner."""
+            texts = [text for _, _, text in found]
+            again = sum(one == other for one, other in zip(texts, texts[1:], strict=False))
+            self.assertEqual([text for n, text in enumerate(texts) if n == 0 or texts[n - 1] != text],
+                             list(statements[:max(len(set(texts)), least)]))
+            self.assertLessEqual(again, len({token for _, token, _ in found}) - 1)
+
+        # What has long been warm is sent nothing; a new start is warmed by one, one statement at a time.
+        self.assertEqual((first.said, second.said), ([], []))
+        fleet.begins(0)
+        found = await said(first, 8, 0)
+        once(found, 8)
+        self.assertEqual(len({token for _, token, _ in found}), 1)
+
+        # SIGSTOP of the owner mid-way, for two leases: another goes on from there, and the late one sends one at most.
+        fleet.begins(0)
+        token = (await said(first, rng.randint(2, 4), 8))[-1][1]
+        holder = self.holding(token)
+        holder.send_signal(signal.SIGSTOP)
+        await said(first, 8, 8)
+        await asyncio.sleep(1.0)
+        holder.send_signal(signal.SIGCONT)
+        await holder.until(lambda: holder.events("owner_lost", task="warm", token=token))
+        found = first.said[8:]
+        once(found, 8)
+        new = [n for n, one in enumerate(found) if one[1] != token]
+        self.assertLessEqual(sum(one[1] == token for one in found[new[0]:]), 1)
+        self.assertGreater(min(found[n][1] for n in new), token)
+
+        # kill -9 of the owner mid-way, at another engine.
+        fleet.begins(1)
+        token = (await said(second, rng.randint(2, 4), 0))[-1][1]
+        holder = self.holding(token)
+        await fleet.kill(holder)
+        await said(second, 8, 0)
+        self.assertGreater(second.said[-1][1], token)
+        once(second.said, 8)
+        await holder.start()
+
+        # An engine that is gone before it is warm gets nothing more, and holds the others up for nothing.
+        mark, other = len(first.said), len(second.said)
+        fleet.begins(0)
+        await said(first, 2, mark)
+        first.server.close()
+        for line in list(first.lines):
+            line.transport.abort()
+        fleet.bus.say(host(second.name, second.port, born_ms=time.time() * 1_000.0), whole=True)
+        once(await said(second, 8, other), 8)
+        self.assertLess(len(first.said) - mark, 8)
+        self.assertEqual((first.most, second.most), (1, 1), "one at a time")
+        self.assertFalse([line for process in fleet.processes for line in process.events("owner_job")])
+        checked = fleet.checked(expect=24)
+        self.assertTrue(checked.good, checked.faults)
+        self.assertGreaterEqual(checked.grants, 3)
+
+    def holding(self, token):
+        (name,) = {line["holder"] for process in self.fleet.processes
+                   for line in process.events("owner_took", task="warm", token=token)}
+        return self.fleet.process(name)
