Bid only for what has been renewed nine times, as all see it in the table

Seen with five processes and 1,000 tasks: 35 s after the start one still held 130, as its bids for what others had just got were refused and made it ask ever more seldom. The row's renewals tell both sides how long it was held: about three leases.

--- a/frostspindle/ownership/holder.py
+++ b/frostspindle/ownership/holder.py
@@ -21,7 +21,7 @@
 
 Evening out. Who holds too little says so by a bid, a take of a held task as if it were free: the table refuses it while
 the task is held, and all read it in the log. The holder gives the task up if it holds more than the bidder by a margin
-(`margin_of`), has held it for KEEP_LEASES, and has given no more than MOST_MOVES in this lease; the bidder takes what
+(`margin_of`), has renewed it KEEP_RENEWALS times, and has given no more than MOST_MOVES in this lease; the bidder takes what
 falls free by it at once. Each move brings the two nearer by what the next would undo, so none goes back, and no task is
 let go of for which nobody else stands. Safety is untouched: a row is gone only after its holder has stopped.
 """
@@ -48,7 +48,7 @@
 REST_LEASES = 2.0  # what an operator released is not asked for here for so long
 MARGIN, MARGIN_PART = 2.0, 0.1  # who holds more than another by this, or this part of the mean, gives
 MOST_MOVES = 16  # bids of one ask, an ask of them a lease, and gifts a lease
-KEEP_LEASES = 3.0  # what was got is kept at least so long
+KEEP_RENEWALS = 9  # what was renewed less often is kept, and not bid for: about three leases
 MOST_BID_LEASES = 8.0
 GIVEN_SPREADS = 4.0  # what was given is not asked for here for so long
 OPEN_ASKS = 16  # numbers of asks whose outcome may still come, remembered with when they were asked
@@ -119,7 +119,6 @@
     asked: float
     end: float  # -inf: over until it is renewed
     told: bool = False  # those who work were told of it, and not yet of its end
-    since: float = 0.0  # when it was granted, on the clock of patience
 
 
 @dataclass(slots=True)
@@ -292,7 +291,7 @@
             row = self.table.rows.get(task)
             self.counts["takes" if done else "takes_refused" if ask.number != self._bid_number else "bids"] += 1
             if done and row is not None:
-                self.own[task] = Own(row.token, 0.0 if asked is None else asked, -math.inf, since=self._patience)
+                self.own[task] = Own(row.token, 0.0 if asked is None else asked, -math.inf)
                 self._extend(task, row.token, ask, asked)
             if done and task in self._bid:
                 self._bid.discard(task)
@@ -322,7 +321,7 @@
         for task in bids:
             weight = self.weights.get(task, 1.0)
             if (self._gifts < MOST_MOVES and len(self.own) / max(1.0, weight) - theirs >= margin
-                    and self._patience - self.own[task].since >= KEEP_LEASES * self.terms.lease_ms):
+                    and self.table.rows[task].renewals >= KEEP_RENEWALS):
                 self._drop(task, "released to even out")
                 self._rests[task] = self._patience + GIVEN_SPREADS * self.terms.spread
                 self._gifts, theirs = self._gifts + 1, theirs + 1
@@ -452,13 +451,14 @@
             self._bid_leases = 1.0
             return []
         for _, task in sorted((rank, task) for task, rank in self.wants.items() if task in self.table.rows):
-            holder = self.table.rows[task].holder
-            if held[holder] - mine >= margin and holder != self.name and task not in self._drops:
+            row = self.table.rows[task]
+            if held[row.holder] - mine >= margin and row.holder != self.name and row.renewals >= KEEP_RENEWALS:
                 out.append((task, *NONE))
-                held[holder], mine = held[holder] - 1, mine + 1
+                held[row.holder], mine = held[row.holder] - 1, mine + 1
                 if len(out) == MOST_MOVES:
                     break
-        self._bid_leases = min(MOST_BID_LEASES, 2.0 * self._bid_leases)
+        if out:
+            self._bid_leases = min(MOST_BID_LEASES, 2.0 * self._bid_leases)
         return out
 
     def outcome(self, now: float, number: int, well: bool, appended: bool | None = True) -> None:
