--- a/frostspindle/ownership/holder.py
+++ b/frostspindle/ownership/holder.py
@@ -21,9 +21,9 @@
 
 Evening out. Who holds too little says so by a bid, a take of a held task as if it were free: the table refuses it while
 the task is held, and all read it in the log. The holder gives the task up if it holds more than the bidder by a margin
-(`margin_of`), has renewed it KEEP_RENEWALS times, and has given no more than MOST_MOVES in this lease; the bidder takes what
-falls free by it at once. Each move brings the two nearer by what the next would undo, so none goes back, and no task is
-let go of for which nobody else stands. Safety is untouched: a row is gone only after its holder has stopped.
+(`margin_of`), has renewed it KEEP_RENEWALS times, and has given no more than MOST_MOVES in this lease; the bidder takes
+what falls free by it at once. Each move brings the two nearer by more than the next could undo, so none goes back, and
+no task is let go of for which nobody else stands. Safety is untouched: a row is gone only after its holder has stopped.
 """
 
 from __future__ import annotations
