--- a/bench/ownership.py
+++ b/bench/ownership.py
@@ -166,7 +166,7 @@
     """Five processes of the program, three voting, over so long after all tasks are held and evened out."""
     fleet = Owned(lease_ms=3_000, tasks=())
     for process in fleet.processes:
-        process.command = ["-c", WANTS.format(tasks=tasks)]
+        process.started_as = ["-c", WANTS.format(tasks=tasks)]
     try:
         await fleet.start(stands=bool(tasks))
         shown: list[dict[str, Any]] = [{}]
--- a/frostspindle/lab/faults/runner.py
+++ b/frostspindle/lab/faults/runner.py
@@ -51,7 +51,7 @@
         self.reader: asyncio.Task[None] | None = None
         self.http = self.desk = 0
         self.lives = 0
-        self.command = ["-m", "frostspindle"]  # of Python
+        self.started_as = ["-m", "frostspindle"]  # of Python
         self.changed = asyncio.Event()
 
     @property
@@ -65,7 +65,7 @@
     async def start(self) -> None:
         self.lives += 1
         self.child = await asyncio.create_subprocess_exec(
-            sys.executable, *self.command, stderr=asyncio.subprocess.PIPE, limit=1 << 24, env={
+            sys.executable, *self.started_as, stderr=asyncio.subprocess.PIPE, limit=1 << 24, env={
                 **os.environ, "LB_CONFIG": str(self.folder / "config.json"), "TMPDIR": str(self.folder),
                 "FROSTSPINDLE_OPERATOR": str(self.folder / "operator.toml"), "LB_NAME": self.name,
                 "LB_LISTEN": f"127.0.0.1:{self.http}", "LB_OPERATOR": f"127.0.0.1:{self.desk}"})
