Send doubts without address and proof, and name a key once in a row

In a cut three quarters of all bytes were claims on members that are not heard, 55 bytes each, of which address and proof are two thirds. Whoever hears a suspicion of an incarnation that it knows has both; of one that it does not know it can make nothing without the proof, and hears of it by the member itself or a page. So what is said of a member that is not well is a Doubt: name, state, epoch, incarnation and whose probe it was. Claims of living members, pages and the sender's own claim are whole as before, and a whole claim of any state is still taken.

Rows of counts name the same key for each window; it is now named by the first, and the others say "as before".

Old and new forms are not read by each other.

--- a/bench/fleet_state.py
+++ b/bench/fleet_state.py
@@ -97,7 +97,7 @@
         for _, data in datagrams:
             if self.messages % self.SAMPLE == 0:
                 packet = wire.decode(data)
-                sizes = {"claims passed on": sum(map(wire.size, packet.news)),
+                sizes = {"claims passed on": sum(map(wire.size, (*packet.news, *packet.doubts))),
                          "rows passed on": sum(map(wire.size, packet.rows)), "sender": wire.size(packet.me)}
                 name = type(packet.body).__name__
                 self.kinds.update({**sizes, name: len(data) - sum(sizes.values()), f"{name} (messages)": 1})
--- a/frostspindle/fleet/counts.py
+++ b/frostspindle/fleet/counts.py
@@ -144,6 +144,9 @@
         place = (row.origin, row.epoch, row.stream)
         if place[1] == self.epoch and place[0] == self.name:
             return
+        if row.entries and not row.entries[0][0]:  # the first has none before it to be named as
+            self.count("fleet_undecodable")
+            return
         known = self.origins.get(place)
         if known is None:
             if not self._room(place):
@@ -152,8 +155,11 @@
             known = self._take(place, now - row.age_ms)
         if row.version < known.version:
             return
-        changed = False
-        for key, window, plus, minus in row.entries:
+        told: list[Key] = []
+        changed, key = False, ""
+        for same, window, plus, minus in row.entries:
+            key = same or key
+            told.append((key, window))
             if window and window <= self._window - KEEP:
                 continue
             old = known.values.get((key, window))
@@ -169,7 +175,7 @@
                 self._news.put(place, (0, (), row.version))
         elif row.base <= known.version:  # a whole row stands on version 0
             known.version, known.made, known.digest = row.version, max(known.made, now - row.age_ms), None
-            keys = tuple((key, window) for key, window, _, _ in row.entries) if row.base else ()
+            keys = tuple(told) if row.base else ()
             self._news.put(place, (row.base, keys, row.version))
 
     def _room(self, place: Place) -> bool:
@@ -210,7 +216,12 @@
         known = self.origins[place]
         own = place[1] == self.epoch and place[0] == self.name
         values = self._told.get(place[2], {}) if own else known.values
-        entries = [(*key, *values[key]) for key in (keys if base else values) if key in values]
+        entries, last = [], ""
+        for key in keys if base else values:
+            if key in values:
+                name = key[0]
+                entries.append((name if name != last else "", key[1], *values[key]))
+                last = name
         age = now - known.made  # whole ms, as they take a third of the bytes
         return Row(*place, base, known.version, math.ceil(min(1e9, max(0.0, age))), entries)
 
--- a/frostspindle/fleet/membership.py
+++ b/frostspindle/fleet/membership.py
@@ -18,7 +18,7 @@
 from frostspindle.fleet import wire
 from frostspindle.fleet.incarnation import Chain, owned
 from frostspindle.fleet.rumours import Rumours
-from frostspindle.fleet.wire import ALIVE, DEAD, LEFT, SUSPECT, Claim
+from frostspindle.fleet.wire import ALIVE, DEAD, LEFT, SUSPECT, Claim, Doubt
 
 Address = tuple[str, int]
 MOST_MEMBERS = 8_192  # tombstones too; past that nobody new is taken
@@ -99,7 +99,7 @@
         self.leaving = False
         self.met = False  # who may know much that we do not has been met
         self._met_at = -math.inf
-        self._news: Rumours[str, tuple[Claim, int]] = Rumours()  # with its size in bytes
+        self._news: Rumours[str, tuple[Claim | Doubt, int]] = Rumours()  # with its size in bytes
         self._seq = 0
         self._probe: _Probe | None = None
         self._errands: dict[int, _Errand] = {}
@@ -259,25 +259,29 @@
 
     # News.
 
-    def news(self, to: str, room: int) -> tuple[list[Claim], int]:
-        """Claims to pass on to a member, within so many bytes: first what is wrongly believed of itself. And the room
+    def news(self, to: str, room: int) -> tuple[list[Claim], list[Doubt], int]:
+        """What to pass on to a member, within so many bytes: first what is wrongly believed of itself. And the room
         that is left."""
-        out: list[Claim] = []
+        claims: list[Claim] = []
+        doubts: list[Doubt] = []
         member = self.members.get(to)
         if member is not None and member.claim.state != ALIVE:
-            room -= wire.size(member.claim)
-            out.append(member.claim)
+            doubts.append(_doubt(member.claim))
+            room -= wire.size(doubts[0])
         if self._news.keys:
             most = RESEND * math.ceil(math.log10(self.size + 1))
             sent = self._news.sent
-            for name, (claim, size) in self._news.next(32):
+            for name, (piece, size) in self._news.next(32 - len(doubts)):
                 if size > room:
                     break
                 sent(name, most)
                 if name != to:
                     room -= size
-                    out.append(claim)
-        return out, room
+                    if piece.__class__ is Doubt:
+                        doubts.append(piece)
+                    else:
+                        claims.append(piece)
+        return claims, doubts, room
 
     def page(self, after: str, room: int) -> tuple[list[Claim], str]:
         """Claims in the order of names, and the last name, "" at the end."""
@@ -327,6 +331,18 @@
         else:
             self._apply(now, claim, f"told by {by}")
 
+    def doubted(self, now: float, doubt: Doubt, by: str) -> None:
+        """As `told`. Of an incarnation that is not known here its proof is lacking: then nothing is believed."""
+        if doubt.name == self.me.name:
+            self._refute(now, doubt, by)
+        elif (known := self.members.get(doubt.name)) is not None:
+            claim = known.claim
+            if doubt.epoch == claim.epoch and doubt.incarnation == claim.incarnation:
+                if doubt.state != claim.state or doubt.by != claim.by:  # most are no news
+                    self._apply(now, _as(claim, doubt.state, doubt.by), f"told by {by}")
+            elif (doubt.epoch, doubt.incarnation) > (claim.epoch, claim.incarnation):
+                self.count("fleet_unproven")
+
     def on_ping(self, now: float, sender: str, ping: wire.Ping) -> None:
         if (member := self.members.get(sender)) is not None:  # also one that is held for dead: it has to hear so
             self.out.append(Out(member.claim.address, sender, wire.Ack(ping.seq)))
@@ -360,7 +376,7 @@
 
     # Beliefs.
 
-    def _refute(self, now: float, claim: Claim, by: str) -> None:
+    def _refute(self, now: float, claim: Claim | Doubt, by: str) -> None:
         """Somebody believes that we are not well, or says what we never said."""
         if claim.epoch > self.me.epoch or (claim.epoch == self.me.epoch and claim.incarnation > self.me.incarnation):
             self.count("fleet_forged")  # nobody but us can have proof of such a one: others drop it too
@@ -379,7 +395,8 @@
             self._tell(self.me)
 
     def _tell(self, claim: Claim) -> None:
-        self._news.put(claim.name, (claim, wire.size(claim)))
+        piece = claim if claim.state == ALIVE else _doubt(claim)
+        self._news.put(claim.name, (piece, wire.size(piece)))
 
     def _contest(self, now: float, known: Member) -> None:
         """A new process in a living member's name: its own address decides, or its suspicion."""
@@ -460,3 +477,7 @@
 
 def _as(claim: Claim, state: int, by: str = "") -> Claim:
     return Claim(claim.name, claim.host, claim.port, state, claim.epoch, claim.incarnation, claim.proof, by)
+
+
+def _doubt(claim: Claim) -> Doubt:
+    return Doubt(claim.name, claim.state, claim.epoch, claim.incarnation, claim.by)
--- a/frostspindle/fleet/node.py
+++ b/frostspindle/fleet/node.py
@@ -141,6 +141,8 @@
         if self.members.heard(now, packet.me, source):
             for claim in packet.news:
                 self.members.told(now, claim, packet.me.name)
+            for doubt in packet.doubts:
+                self.members.doubted(now, doubt, packet.me.name)
             for row in packet.rows:
                 self.counts.merge(now, row)
             self._on[type(packet.body)](now, packet.me, packet.body)
@@ -400,8 +402,8 @@
         if kind in ALONE:
             return Packet(self.members.me, to, body)
         kept = int(room * KEPT) if self.counts.pending else 0
-        claims, room = self.members.news(to, room - kept)
-        return Packet(self.members.me, to, body, claims, self.counts.news(now, room + kept))
+        claims, doubts, room = self.members.news(to, room - kept)
+        return Packet(self.members.me, to, body, claims, self.counts.news(now, room + kept), doubts)
 
     # What is told.
 
--- a/frostspindle/fleet/wire.py
+++ b/frostspindle/fleet/wire.py
@@ -23,7 +23,7 @@
 
 Whole = Annotated[int, Meta(ge=0, le=2**53)]
 Name = Annotated[str, Meta(min_length=1, max_length=64)]  # of a member or an engine
-Key = Annotated[str, Meta(min_length=1, max_length=24)]
+Key = Annotated[str, Meta(max_length=24)]  # of a count; "": that of the entry before
 Proof = Annotated[bytes, Meta(min_length=PROOF, max_length=PROOF)]
 Ms = Annotated[float, Meta(ge=0, le=1e9)]
 Position = Annotated[int, Meta(ge=0, lt=2**SPAN_BITS)]
@@ -46,6 +46,17 @@
         return self.host, self.port
 
 
+class Doubt(Struct, array_like=True, frozen=True):
+    """What somebody says of a member that is not well, to who knows this incarnation of it: its address and proof are
+    two thirds of a claim, and are known there, or nothing can be made of it."""
+
+    name: Name
+    state: Annotated[int, Meta(ge=SUSPECT, le=LEFT)]
+    epoch: Whole
+    incarnation: Whole
+    by: Annotated[str, Meta(max_length=64)] = ""
+
+
 class Row(Struct, array_like=True, frozen=True):
     """Counts of one origin: all of a stream where `base` is 0, else those changed since its version `base`."""
 
@@ -178,6 +189,7 @@
     body: Body
     news: Annotated[list[Claim], Meta(max_length=32)] = []
     rows: Annotated[list[Row], Meta(max_length=32)] = []
+    doubts: Annotated[list[Doubt], Meta(max_length=32)] = []
 
 
 encode = msgspec.msgpack.Encoder().encode
