Take what is passed on in one go, and look at less where nothing has changed

Claims to pass on were listed and then marked one by one; they are taken at once. Whom to ask for rights is looked for among those that are here by the interpreter's own filter, and not at all among those that had some left where nobody has. When to write next is worked out when it changes. A row's keys, a wish of a client and a message that comes make fewer calls.

A large fleet that is calm can be watched until its sums agree: demand ends after 20 s.

--- a/bench/fleet_state.py
+++ b/bench/fleet_state.py
@@ -104,18 +104,18 @@
 
 
 def watch(count: int, shape: str, limit_s: float) -> dict[str, Any]:
-    """A fleet that has joined before: calm; or cut in halves from 20 s to 50 s, with demand until then."""
+    """A fleet that has joined before: calm, with demand for 20 s; or cut in halves from 20 s to 50 s, with demand until
+    then."""
     halves = f"20-50 cut 0-{count // 2 - 1}|{count // 2}-{count - 1}" if shape == "halves" else ""
     began = time.process_time()
-    emulator = Watched(count, 1, parse(halves, count), 240.0 if halves else 120.0, 20 * count,
+    emulator = Watched(count, 1, parse(halves, count), 240.0, 20 * count,
                        demand=lambda n: 2.0 if halves else 0.2, homes=64, joined=True)
-    settle(emulator, 1_000.0)
-    settled = emulator.on_step if halves else None
+    settle(emulator, 1_000.0, 20.0)
+    settled = emulator.on_step
     spans, seen = [], {"at": 0.0, "bytes": 0, "events": 0, "cpu": began, "kinds": Counter[str]()}
 
     def step(e: Emulator) -> None:
-        if settled is not None:
-            settled(e)
+        settled(e)
         cpu = time.process_time()
         if e.now - seen["at"] >= 5_000.0:
             span = (e.now - seen["at"]) / 1e3
--- a/frostspindle/fleet/counts.py
+++ b/frostspindle/fleet/counts.py
@@ -80,6 +80,8 @@
         self._order: list[tuple[int, Place, Origin]] = []  # by position
         self._epochs: dict[str, dict[int, int]] = {}  # by name: how many streams of each epoch
         self._told: dict[int, dict[Key, tuple[int, int]]] = {}  # own counts as last written, by stream
+        self._own: dict[int, Origin] = {}  # by stream
+        self._due: tuple[int, float] = (0, 0.0)  # for this size of the fleet; size 0: to be made anew
         self._take((name, epoch, 0), now)
         self.count: Callable[[str], None] = lambda what: None
         self._changed: dict[int, dict[Key, int]] = {0: {}}  # by stream: the version in which a key was last written
@@ -96,20 +98,22 @@
         """Count; negative numbers are refused, as counts only grow."""
         if plus < 0 or minus < 0 or not 0 <= stream < MOST_STREAMS:
             raise ValueError("counts only grow, in streams from 0 to 63")
-        place = (self.name, self.epoch, stream)
-        mine = (self.origins.get(place) or self._take(place, self._published)).values
-        if (key, window) not in mine and len(mine) >= MOST_KEYS:
+        known = self._own.get(stream) or self._take((self.name, self.epoch, stream), self._published)
+        mine, place = known.values, (key, window)
+        if (old := mine.get(place)) is not None:
+            mine[place] = (old[0] + plus, old[1] + minus)
+        elif len(mine) < MOST_KEYS:
+            mine[place] = (plus, minus)
+        else:
             self.count("fleet_keys_full")
             return
-        old = mine.get((key, window), (0, 0))
-        mine[key, window] = (old[0] + plus, old[1] + minus)
-        self._changed.setdefault(stream, {})[key, window] = self.origins[place].version + 1
+        self._changed.setdefault(stream, {})[place] = known.version + 1
 
     def publish(self, now: float, size: int) -> None:
         """Write new versions, if it is time; of stream 0 also when nothing has changed, so that others see us live."""
         if now < self.due(size):
             return
-        self._published, self._paced = now, interval(size)
+        self._published, self._paced, self._due = now, interval(size), (0, 0.0)
         places = {stream: (self.name, self.epoch, stream) for stream in self._changed}
         written = [stream for stream, changed in self._changed.items()
                    if self.origins[places[stream]].version + 1 in changed.values()]
@@ -132,10 +136,12 @@
     def due(self, size: int) -> float:
         """When to write next. As the fleet grows, each waits for its own part of what the interval has grown by: else
         all of a fleet that starts together would write at once, and ever after."""
-        paced = interval(size)
-        if paced > self._paced:
-            paced = self._paced + (paced - self._paced) * self._phase
-        return self._published + paced
+        if self._due[0] != size:
+            paced = interval(size)
+            if paced > self._paced:
+                paced = self._paced + (paced - self._paced) * self._phase
+            self._due = size, self._published + paced
+        return self._due[1]
 
     # Others'.
 
@@ -156,19 +162,26 @@
         if row.version < known.version:
             return
         told: list[Key] = []
-        changed, key = False, ""
+        changed, name = False, ""
+        values, past = known.values, self._window - KEEP
         for same, window, plus, minus in row.entries:
-            key = same or key
-            told.append((key, window))
-            if window and window <= self._window - KEEP:
+            if same:
+                name = same
+            told.append(key := (name, window))
+            if 0 < window <= past:
                 continue
-            old = known.values.get((key, window))
-            if old is None and len(known.values) >= MOST_KEYS:
-                self.count("fleet_keys_full")
-            elif old is None or plus > old[0] or minus > old[1]:
-                known.values[key, window] = (max(plus, old[0]), max(minus, old[1])) if old else (plus, minus)
-                known.digest = None
+            old = values.get(key)
+            if old is not None:
+                if plus > old[0] or minus > old[1]:
+                    values[key] = (max(plus, old[0]), max(minus, old[1]))
+                    changed = True
+            elif len(values) < MOST_KEYS:
+                values[key] = (plus, minus)
                 changed = True
+            else:
+                self.count("fleet_keys_full")
+        if changed:
+            known.digest = None
         if row.version == known.version:  # an origin counts on after it wrote: a row sent later may hold more
             known.made = max(known.made, now - row.age_ms)
             if changed:
@@ -197,6 +210,8 @@
         """A place that was not known yet."""
         known = self.origins[place] = Origin(made=made, position=_position(place))
         insort(self._order, (known.position, place, known))
+        if place[1] == self.epoch and place[0] == self.name:
+            self._own[place[2]] = known
         epochs = self._epochs.setdefault(place[0], {})
         epochs[place[1]] = epochs.get(place[1], 0) + 1
         return known
--- a/frostspindle/fleet/flow.py
+++ b/frostspindle/fleet/flow.py
@@ -11,7 +11,7 @@
 import random
 from bisect import bisect_left
 from collections import deque
-from collections.abc import Container
+from collections.abc import Collection, Container
 from hashlib import blake2b
 
 from frostspindle.division import level
@@ -84,6 +84,7 @@
         self._free: list[str] = []  # homes that may be asked, in their order
         self._pauses: list[tuple[float, str]] = []  # a heap of when the others may be
         self.spare: dict[str, int] = {}
+        self._rich: set[str] = set()  # who had some left
         self._dry: deque[bool] = deque([False], maxlen=ASKED_AT_ONCE)  # of the last answers: nothing, and none left
 
     @property
@@ -91,7 +92,7 @@
         """Nobody had anything lately: room for scatter would only keep rights idle that others lack."""
         return all(self._dry)
 
-    def choose(self, now: float, homes: list[str], here: Container[str], but: Container[str]) -> list[str]:
+    def choose(self, now: float, homes: list[str], here: Container[str], but: Collection[str]) -> list[str]:
         """A few of the homes (in order, the same each time) that are here, without some."""
         if homes is not self._homes:
             self._homes, self._free, self._pauses = homes, list(homes), []
@@ -103,12 +104,16 @@
                 self._release(name)
         most = 1 if len(homes) > FEW and self.scarce else ASKED_AT_ONCE
         some = [name for name, left in self.spare.items() if left and now >= self.again.get(name, FREE)[0]
-                and name in here and name not in but]
+                and name in here and name not in but] if self._rich else []
         if len(some) > 1:  # the draw is among those that had as many left
             first = int(self.random.random() * len(some))
             some = heapq.nlargest(most, some[first:] + some[:first], key=self.spare.__getitem__)
         if len(some) < most:
-            free = [name for name in self._free if name in here and name not in but and not self.spare.get(name)]
+            free = list(filter(here.__contains__, self._free))
+            for name in (*but, *self._rich):  # few, or enough have some left
+                place = bisect_left(free, name)
+                if place < len(free) and free[place] == name:
+                    del free[place]
             for place in range(min(most - len(some), len(free))):
                 other = place + int(self.random.random() * (len(free) - place))
                 free[place], free[other] = free[other], free[place]
@@ -117,6 +122,10 @@
 
     def answered(self, now: float, name: str, got: int, spare: int) -> None:
         self.spare[name] = spare
+        if spare:
+            self._rich.add(name)
+        else:
+            self._rich.discard(name)
         self._dry.append(not got and not spare)
         if not got:
             self.silent(now, name)
--- a/frostspindle/fleet/membership.py
+++ b/frostspindle/fleet/membership.py
@@ -92,6 +92,7 @@
         self.suspects: dict[str, Member] = {}
         self.health = 0
         self.out: list[Out] = []
+        self._names: list[str] = []  # of `alive`, for draws
         self.changes: list[tuple[str, str, str]] = []  # name, state, why: for the log
         self.count: Callable[[str], None] = lambda what: None
         self.more: Collection[Any] = ()  # other news to pass on
@@ -109,7 +110,6 @@
         self._gossip_at = now + self.random.random() * GOSSIP_MS
         self._rejoin_at, self._sync_at = now, now + self.random.random() * SYNC_MS
         self._join_wait = min(250.0, probe_ms)
-        self._names: list[str] = []  # of `alive`, for draws
 
     # The fleet.
 
@@ -165,7 +165,8 @@
     def tick(self, now: float) -> None:
         if self.leaving:
             return
-        self._overdue(now)
+        if self._errands or self._probe is not None:
+            self._overdue(now)
         for name, member in list(self.suspects.items()) if now >= self._first_verdict() else ():
             if now >= self._verdict_at(member):
                 self._apply(now, _as(member.claim, DEAD), "did not answer its suspicion")
@@ -269,18 +270,12 @@
             doubts.append(_doubt(member.claim))
             room -= wire.size(doubts[0])
         if self._news.keys:
-            most = RESEND * math.ceil(math.log10(self.size + 1))
-            sent = self._news.sent
-            for name, (piece, size) in self._news.next(32 - len(doubts)):
-                if size > room:
-                    break
-                sent(name, most)
-                if name != to:
-                    room -= size
-                    if piece.__class__ is Doubt:
-                        doubts.append(piece)
-                    else:
-                        claims.append(piece)
+            pieces, room = self._news.take(room, 32 - len(doubts), RESEND * math.ceil(math.log10(self.size + 1)), to)
+            for piece in pieces:
+                if piece.__class__ is Doubt:
+                    doubts.append(piece)
+                else:
+                    claims.append(piece)
         return claims, doubts, room
 
     def page(self, after: str, room: int) -> tuple[list[Claim], str]:
@@ -333,13 +328,15 @@
 
     def doubted(self, now: float, doubt: Doubt, by: str) -> None:
         """As `told`. Of an incarnation that is not known here its proof is lacking: then nothing is believed."""
-        if doubt.name == self.me.name:
+        name = doubt.name
+        if name == self.me.name:
             self._refute(now, doubt, by)
-        elif (known := self.members.get(doubt.name)) is not None:
+        elif (known := self.members.get(name)) is not None:
             claim = known.claim
             if doubt.epoch == claim.epoch and doubt.incarnation == claim.incarnation:
-                if doubt.state != claim.state or doubt.by != claim.by:  # most are no news
-                    self._apply(now, _as(claim, doubt.state, doubt.by), f"told by {by}")
+                state = doubt.state
+                if state > claim.state or state == SUSPECT == claim.state and doubt.by not in known.confirmers:
+                    self._apply(now, _as(claim, state, doubt.by), f"told by {by}")  # most are no news
             elif (doubt.epoch, doubt.incarnation) > (claim.epoch, claim.incarnation):
                 self.count("fleet_unproven")
 
--- a/frostspindle/fleet/node.py
+++ b/frostspindle/fleet/node.py
@@ -24,7 +24,8 @@
 from frostspindle.fleet.wire import Claim, Packet
 
 ENVELOPE = 180  # bytes kept free of piggyback for the sender's claim and the frame
-KEPT = 0.5  # of the room for news, for counts that wait: when all are suspected at once, they still travel
+ROOM = wire.MOST_BYTES - ENVELOPE  # for piggyback
+KEPT = ROOM // 2  # of that, for counts that wait: when all are suspected at once, they still travel
 MOST_BUDGETS = 32
 COUNT_WINDOW_MS = 10_000.0
 ROWS_MS, ROWS = 1_000.0, 0.25  # counts are compared with one other member so often, or in a part of the time of writing
@@ -138,17 +139,18 @@
         if packet.to not in ("", self.name):
             self._count("fleet_misdelivered")
             return []
-        if self.members.heard(now, packet.me, source):
+        members, me = self.members, packet.me
+        if members.heard(now, me, source):
             for claim in packet.news:
-                self.members.told(now, claim, packet.me.name)
+                members.told(now, claim, me.name)
             for doubt in packet.doubts:
-                self.members.doubted(now, doubt, packet.me.name)
+                members.doubted(now, doubt, me.name)
             for row in packet.rows:
                 self.counts.merge(now, row)
-            self._on[type(packet.body)](now, packet.me, packet.body)
-            if self.members.met:
-                self.members.met, self._rows_at = False, now
-        return self._flush(now)
+            self._on[packet.body.__class__](now, me, packet.body)
+            if members.met:
+                members.met, self._rows_at = False, now
+        return self._flush(now) if members.out or members.changes else []
 
     def tick(self, now: float, unix_ms: float) -> list[Datagram]:
         """Whatever is due."""
@@ -280,10 +282,9 @@
         rights, need = state.rights, state.demand.need(now, False)  # others lack what would lie idle
         loan = rights.on_ask(now, me.name, me.epoch, ask.lender == self.epoch, ask.series, ask.returned, ask.closed,
                              ask.want)
-        if state.number:
+        if not isinstance(wish := state.demand, flow.Wish):
             give, keep = flow.offer(rights, need, loan, me.name)
         else:
-            wish = state.demand
             give, keep = flow.in_turn(rights, need, loan, me.name, self.name, wish.turn,
                                       wish.least * rights.own // state.budget.units)
         rights.lend(loan, give)
@@ -361,7 +362,7 @@
             self.members.send(name, self.counts.compare(begin, self.random.getrandbits(53) | 1))
 
     def _on_compare(self, now: float, me: Claim, ask: wire.Compare) -> None:
-        self.members.send(me.name, self.counts.differing(now, ask, wire.MOST_BYTES - ENVELOPE))
+        self.members.send(me.name, self.counts.differing(now, ask, ROOM))
 
     def _on_rows(self, now: float, me: Claim, body: wire.Rows) -> None:
         for row in body.rows:
@@ -395,15 +396,17 @@
         return out
 
     def _packet(self, now: float, to: str, body: wire.Body) -> Packet:
-        room, kind = wire.MOST_BYTES - ENVELOPE, body.__class__
-        if kind is wire.Page:
-            claims, last = self.members.page(body.last, room)
-            return Packet(self.members.me, to, wire.Page(last), claims)
-        if kind in ALONE:
-            return Packet(self.members.me, to, body)
-        kept = int(room * KEPT) if self.counts.pending else 0
-        claims, doubts, room = self.members.news(to, room - kept)
-        return Packet(self.members.me, to, body, claims, self.counts.news(now, room + kept), doubts)
+        members = self.members
+        if isinstance(body, wire.Page):
+            claims, last = members.page(body.last, ROOM)
+            return Packet(members.me, to, wire.Page(last), claims)
+        if body.__class__ in ALONE:
+            return Packet(members.me, to, body)
+        if not self.counts.pending:
+            claims, doubts, _ = members.news(to, ROOM)
+            return Packet(members.me, to, body, claims, [], doubts)
+        claims, doubts, room = members.news(to, ROOM - KEPT)
+        return Packet(members.me, to, body, claims, self.counts.news(now, room + KEPT), doubts)
 
     # What is told.
 
--- a/frostspindle/fleet/rumours.py
+++ b/frostspindle/fleet/rumours.py
@@ -8,7 +8,7 @@
 
 from collections.abc import Hashable
 from itertools import islice
-from typing import Generic, TypeVar
+from typing import Any, Generic, TypeVar
 
 Key = TypeVar("Key", bound=Hashable)
 Value = TypeVar("Value")
@@ -46,6 +46,41 @@
                         break
         return out
 
+    def take(self, room: int, most: int, times: int, but: Key) -> tuple[list[Any], int]:
+        """`next` and `sent` at once, where values are pairs of a piece and its size: those pieces that fit, and the
+        room that is left. The one of the key `but` counts as sent and is left out."""
+        out: list[Any] = []
+        levels, level_of = self._levels, self._level
+        some = []
+        for index, level in enumerate(levels):
+            if level:
+                some.append((index, list(islice(level.items(), most))))
+                most -= len(some[-1][1])
+                if not most:
+                    break
+        for index, pieces in some:
+            level = levels[index]
+            index += 1
+            if index < times:
+                if index == len(levels):
+                    levels.append({})
+                later = levels[index]
+            for key, value in pieces:
+                pair: Any = value
+                piece, size = pair
+                if size > room:
+                    return out, room
+                del level[key]
+                if index < times:
+                    later[key] = value
+                    level_of[key] = index
+                else:
+                    del level_of[key]
+                if key != but:
+                    room -= size
+                    out.append(piece)
+        return out, room
+
     def sent(self, key: Key, times: int) -> None:
         """It went out once more; after `times` it is forgotten."""
         level = self._level.pop(key)
--- a/frostspindle/lab/fleet.py
+++ b/frostspindle/lab/fleet.py
@@ -112,7 +112,8 @@
 
     def _run(self, until: float) -> None:
         step = 0.0
-        processes, paused, addresses = self.processes, self.network.paused, self.addresses
+        processes, paused, addresses, later = self.processes, self.network.paused, self.addresses, self.network.at
+        send, want = self._send, self._want
         for at, number, what in self.network.deliver(until):
             while step <= at:
                 self.now = max(self.now, step)
@@ -123,15 +124,18 @@
             process = processes[number]
             node = process.node
             if what.__class__ is tuple:  # a datagram: who sent it, the bytes
+                assert node is not None  # the network takes none to who is down
                 if out := node.receive(process.offset + at * process.rate, addresses[what[0]], what[1]):
-                    self._send(number, out)
-                self._plan(number, process)
+                    send(number, out)
+                if (due := (node.due() - process.offset) / process.rate + ROUNDING_MS) < process.due:
+                    process.due = due if due > at else at
+                    later(due, number, "tick")
             elif what == "want":
-                self._want(number, process)
+                want(number, process)
             elif what == "tick":
                 if node is not None and not paused[number] and at >= process.due:
                     if out := node.tick(process.offset + at * process.rate, self.unix()):
-                        self._send(number, out)
+                        send(number, out)
                     self._plan(number, process, True)
             else:
                 self._act(number, process, what)
@@ -183,11 +187,12 @@
         return self.random.expovariate(process.demand / 1_000.0)
 
     def _want(self, number: int, process: Process) -> None:
+        now, node = self.now, process.node
         if process.demand > 0:
-            self.network.at(self.now + self._gap(process), number, "want")
-        if process.node is not None and not self.network.paused[number] and process.node.spend(
-                self.clock(process), self.unix(), BUDGET):
-            self.spends.append((self.now, number))
+            self.network.at(now + self._gap(process), number, "want")
+        if node is not None and not self.network.paused[number] and node.spend(
+                process.offset + now * process.rate, self.unix(), BUDGET):
+            self.spends.append((now, number))
 
     def _send(self, number: int, datagrams: list[Any]) -> None:
         size = carried = 0
@@ -257,10 +262,9 @@
         "counted": dict(sorted(sum((n.counted for n in live), start=type(live[0].counted)()).items())) if live else {}}
 
 
-def settle(emulator: Emulator, every_ms: float = 500.0) -> None:
-    """From the last heal on nothing more is wanted; note when all live processes sum up alike."""
-    healed = emulator.script.healed_at * 1_000.0
-    healed = max([healed, *(act.at * 1_000.0 for act in emulator.script.acts)])
+def settle(emulator: Emulator, every_ms: float = 500.0, after_s: float = 0.0) -> None:
+    """From the last heal on, or later, nothing more is wanted; note when all live processes sum up alike."""
+    healed = max([emulator.script.healed_at, after_s, *(act.at for act in emulator.script.acts)]) * 1_000.0
     looked = 0.0
 
     def step(e: Emulator) -> None:
--- a/frostspindle/lab/network.py
+++ b/frostspindle/lab/network.py
@@ -20,10 +20,10 @@
 
 from __future__ import annotations
 
-import heapq
 import math
 from collections import Counter
 from collections.abc import Iterator
+from heapq import heappop, heappush
 from typing import Any
 
 from frostspindle.fleet.wire import MOST_BYTES
@@ -51,10 +51,11 @@
 
     def at(self, at: float, node: int, what: Any) -> None:
         """Have `what`, anything but a tuple, come to a place at a time. OverflowError: too much is to come already."""
-        if len(self._queue) >= UNDER_WAY:
+        queue = self._queue
+        if len(queue) >= UNDER_WAY:
             raise OverflowError("too much is under way")
         self._order += 1
-        heapq.heappush(self._queue, (at if at > self.now else self.now, self._order, node, what))
+        heappush(queue, (at if at > self.now else self.now, self._order, node, what))
 
     def send(self, source: int, target: int, data: bytes) -> bool:
         """Put a message on its way, if it fits into a datagram; False: no socket would have taken it."""
@@ -67,7 +68,7 @@
                 self.counted["crowded"] += 1
                 break
             self._order += 1
-            heapq.heappush(queue, (now + delay, self._order, target, (source, data)))
+            heappush(queue, (now + delay, self._order, target, (source, data)))
         return True
 
     def due(self) -> float:
@@ -77,7 +78,7 @@
     def deliver(self, until: float) -> Iterator[tuple[float, int, Any]]:
         """All that comes up to a time, one after another, what is put on its way meanwhile too: time, place, and a
         message as (source, bytes), an act of the script or what `at` was given. Ties come in the order put in."""
-        queue, up, paused, pop = self._queue, self.up, self.paused, heapq.heappop
+        queue, up, paused, pop = self._queue, self.up, self.paused, heappop
         while queue and queue[0][0] <= until:
             at, _, node, what = pop(queue)
             self.now = at
@@ -103,7 +104,7 @@
             if what == "cont":  # its timers were put in first, then its socket is read
                 for message in self.waiting[node]:
                     self._order += 1
-                    heapq.heappush(queue, (at, self._order, node, message))
+                    heappush(queue, (at, self._order, node, message))
                 self.waiting[node] = []
         self.now = max(self.now, until)
 
--- a/tests/test_fleet_state.py
+++ b/tests/test_fleet_state.py
@@ -546,6 +546,26 @@
         self.assertEqual(len(counts.news(0.0, 2_000)), 1)  # there is room for more copies
 
 
+    @given(strategies.lists(strategies.tuples(strategies.integers(0, 9), strategies.integers(1, 9)), max_size=40),
+           strategies.randoms(use_true_random=False))
+    def test_what_is_taken_at_once_is_what_is_next_and_sent_one_by_one(self, pieces, draw):
+        one, other = Rumours(), Rumours()
+        for number, (key, size) in enumerate(pieces):
+            for news in (one, other):
+                news.put(key, (number, size))
+            room, most, times, but = draw.randrange(30), draw.randrange(1, 12), draw.randrange(1, 4), draw.randrange(12)
+            left, expected = room, []
+            for name, (piece, size) in other.next(most):
+                if size > left:
+                    break
+                other.sent(name, times)
+                if name != but:
+                    left -= size
+                    expected.append(piece)
+            self.assertEqual(one.take(room, most, times, but), (expected, left))
+            self.assertEqual(one.next(99), other.next(99))
+
+
 class LendersCase(unittest.TestCase):
     def test_one_of_many_homes_is_asked_at_a_time_while_nobody_has_any_left(self):
         for count, most in ((flow.FEW, 3), (flow.FEW + 1, 1)):
