Round the copies of news after the logarithm, not before it

Each piece of news was passed on 4 times log10 of the fleet rounded up first: 8 times in a fleet of 30, 12 in one of 100, 16 in one of 1,000, so that it jumped at each power of ten. It is 4 log10 N rounded up now: 6, 9 and 13, and 4 at the least, as before in small fleets.

--- a/frostspindle/fleet/membership.py
+++ b/frostspindle/fleet/membership.py
@@ -13,6 +13,7 @@
 import random
 from collections.abc import Callable, Collection, Iterable
 from dataclasses import dataclass
+from functools import lru_cache
 from typing import Any, NamedTuple
 
 from frostspindle.fleet import wire
@@ -24,7 +25,7 @@
 MOST_MEMBERS = 8_192  # tombstones too; past that nobody new is taken
 HELPERS = 3  # members asked to probe for us
 FANOUT, GOSSIP_MS = 3, 200.0  # who is told news, and how often
-RESEND = 4  # times log10 of the fleet: so often is one piece of news passed on by each
+RESEND = 4  # times log10 of the fleet, and no less: so often is one piece of news passed on by each
 CONFIRMS = 3  # independent suspicions that bring the time to answer one down to its least
 LEAST, SPAN = 5.0, 6.0  # least time to refute, in probe intervals times log10 of the fleet; most: SPAN times that
 HEALTH_MOST = 8  # Lifeguard's local health: probes become so much slower at most
@@ -74,6 +75,12 @@
     until: float
 
 
+@lru_cache(256)
+def resends(size: int) -> int:
+    """How often each passes a piece of news on: 10 times of 300, 13 of 1,000."""
+    return max(RESEND, math.ceil(RESEND * math.log10(size + 1)))
+
+
 def rank(claim: Claim) -> tuple[int, int, int]:
     """The order of claims on one member: a later process, a later incarnation, a graver state."""
     return claim.epoch, claim.incarnation, claim.state
@@ -270,7 +277,7 @@
             doubts.append(_doubt(member.claim))
             room -= wire.size(doubts[0])
         if self._news.keys:
-            pieces, room = self._news.take(room, 32 - len(doubts), RESEND * math.ceil(math.log10(self.size + 1)), to)
+            pieces, room = self._news.take(room, 32 - len(doubts), resends(self.size), to)
             for piece in pieces:
                 if piece.__class__ is Doubt:
                     doubts.append(piece)
--- a/tests/test_fleet_state.py
+++ b/tests/test_fleet_state.py
@@ -14,6 +14,7 @@
 from frostspindle.fleet.counts import PUBLISH_MS, Counts, interval
 from frostspindle.fleet.escrow import Rights
 from frostspindle.fleet.incarnation import Chain, owned
+from frostspindle.fleet.membership import resends
 from frostspindle.fleet.node import Node, Terms
 from frostspindle.fleet.rumours import Rumours
 from frostspindle.lab.faults.script import BadScript, Weather, parse
@@ -546,6 +547,9 @@
         self.assertEqual(len(counts.news(0.0, 2_000)), 1)  # there is room for more copies
 
 
+    def test_news_is_passed_on_as_often_as_the_logarithm_of_the_fleet_says(self):
+        self.assertEqual([resends(size) for size in (2, 9, 30, 100, 300, 999, 3_000)], [4, 4, 6, 9, 10, 12, 14])
+
     @given(strategies.lists(strategies.tuples(strategies.integers(0, 9), strategies.integers(1, 9)), max_size=40),
            strategies.randoms(use_true_random=False))
     def test_what_is_taken_at_once_is_what_is_next_and_sent_one_by_one(self, pieces, draw):
