--- /dev/null
+++ b/bench/compiled.py
@@ -0,0 +1,93 @@
+"""Runs a command of this project with the parts that the fleet's emulator spends its time in compiled to machine code.
+
+    pip install -r requirements-compile.txt                                     (and a C compiler)
+    python bench/compiled.py bench/fleet_state.py --watch 1000:halves
+    python bench/compiled.py -m frostspindle lab fleet --nodes 300 --faults '0- loss 0.3'
+
+Owns the compiled copy of the project: build/compiled-DIGEST, one for each state of the sources, made once by mypyc.
+The sources are those that serve, and these are never compiled for it: a coordinator spends its time elsewhere. It must
+never use a copy whose short run under faults differs from the one that is not compiled in any byte or spend.
+"""
+
+from __future__ import annotations
+
+import hashlib
+import os
+import shutil
+import subprocess
+import sys
+import tempfile
+from pathlib import Path
+
+ROOT = Path(__file__).resolve().parents[1]
+PACKAGES = ("frostspindle", "pinstage", "bench", "deploy")
+# Without `lab/fleet.py`, as a compiled class can't have subclasses that are not, and `wire.py`, which msgspec reads.
+MODULES = tuple(f"frostspindle/{name}.py" for name in (
+    "division", "fleet/counts", "fleet/escrow", "fleet/flow", "fleet/incarnation", "fleet/membership", "fleet/node",
+    "fleet/rumours", "fleet/verdicts", "lab/network", "lab/faults/script"))
+SETUP = """
+from mypyc.build import mypycify
+from setuptools import setup
+setup(name="compiled", ext_modules=mypycify({modules!r}))
+"""
+RUN = """
+from frostspindle.fleet import node
+from frostspindle.lab.faults.script import parse
+from frostspindle.lab.fleet import Emulator, measure
+emulator = Emulator(9, 3, parse("0- loss 0.2; 0- dup 0.1; 0- reorder 0.2; 5-12 cut 0-3|4-8; 8 kill 2; 9 start 2; "
+                                "10 stop 4; 15 cont 4; clock 1 1.05", 9), 20.0, 180, demand=lambda n: 30.0)
+emulator.run()
+print(repr((emulator.spends, emulator.bytes, sorted(measure(emulator).items()))))
+print(node.__file__)
+"""
+
+
+def digest() -> str:
+    """Of all that a copy is made of."""
+    state = hashlib.sha256(repr((sys.version, MODULES, SETUP)).encode())
+    for package in PACKAGES:
+        for path in sorted((ROOT / package).rglob("*.py")):
+            state.update(str(path.relative_to(ROOT)).encode() + b"\0" + path.read_bytes())
+    return state.hexdigest()[:16]
+
+
+def run(folder: Path) -> tuple[str, str]:
+    """What a short run tells, and from which file the nodes of it came."""
+    told = subprocess.run([sys.executable, "-P", "-c", RUN], env=os.environ | {"PYTHONPATH": str(folder)}, check=True,
+                          stdout=subprocess.PIPE, text=True).stdout.splitlines()
+    return told[0], told[1]
+
+
+def build(to: Path) -> None:
+    """A compiled copy, in its place only when it is whole and does as the sources do."""
+    to.parent.mkdir(exist_ok=True)
+    with tempfile.TemporaryDirectory(dir=to.parent) as name:
+        folder = Path(name) / "copy"
+        for package in PACKAGES:
+            shutil.copytree(ROOT / package, folder / package, ignore=shutil.ignore_patterns("__pycache__"))
+        (folder / "setup.py").write_text(SETUP.format(modules=list(MODULES)))
+        subprocess.run([sys.executable, "setup.py", "-q", "build_ext", "--inplace"], cwd=folder, check=True,
+                       stdout=sys.stderr)
+        shutil.rmtree(folder / "build")
+        (plain, _), (compiled, file) = run(ROOT), run(folder)
+        if not file.endswith(".so"):
+            sys.exit(f"nothing was compiled: {file}")
+        if plain != compiled:
+            sys.exit("the compiled copy does not do as the sources do, and is not used")
+        folder.rename(to)
+
+
+def main() -> None:
+    if len(sys.argv) < 2:
+        sys.exit(__doc__)
+    folder = ROOT / "build" / f"compiled-{digest()}"
+    if not folder.exists():
+        build(folder)
+    command = sys.argv[1:]
+    if not command[0].startswith("-"):
+        command[0] = str(folder / command[0])
+    os.execve(sys.executable, [sys.executable, "-P", *command], os.environ | {"PYTHONPATH": str(folder)})
+
+
+if __name__ == "__main__":
+    main()
