--- a/tests/test_fleet_state.py
+++ b/tests/test_fleet_state.py
@@ -241,8 +241,8 @@
     def test_a_doubt_is_of_the_incarnation_that_is_known_or_nothing_is_believed(self):
         a, b, _ = self.nodes()
 
-        def doubt(name, state, epoch, incarnation):
-            word = wire.Doubt(name, state, epoch, incarnation, "a")
+        def doubt(name, state, epoch, incarnation, by="a"):
+            word = wire.Doubt(name, state, epoch, incarnation, by)
             return b.receive(1_000.0, a.members.me.address, wire.encode(wire.Packet(
                 a.members.me, "b", wire.Gossip(), doubts=[word])))
         known = b.members.members["c"].claim
@@ -256,6 +256,9 @@
         told = b.members.members["c"]
         self.assertEqual((told.claim.state, told.claim.proof, told.claim.address, told.confirmers),
                          (wire.SUSPECT, known.proof, known.address, frozenset("a")))
+        doubt("c", wire.SUSPECT, 10, 0, "d")
+        doubt("c", wire.SUSPECT, 10, 0, "a")
+        self.assertEqual(b.members.members["c"].confirmers, {"a", "d"})
         doubt("b", wire.DEAD, 10, 3)
         self.assertEqual((b.counted["fleet_forged"], b.members.me.incarnation), (1, 0))
         doubt("b", wire.SUSPECT, 10, 0)
