--- a/frostspindle/fleet/membership.py
+++ b/frostspindle/fleet/membership.py
@@ -13,18 +13,19 @@
 import random
 from collections.abc import Callable, Collection, Iterable
 from dataclasses import dataclass
+from functools import lru_cache
 from typing import Any, NamedTuple
 
 from frostspindle.fleet import wire
 from frostspindle.fleet.incarnation import Chain, owned
 from frostspindle.fleet.rumours import Rumours
-from frostspindle.fleet.wire import ALIVE, DEAD, LEFT, SUSPECT, Claim
+from frostspindle.fleet.wire import ALIVE, DEAD, LEFT, SUSPECT, Claim, Doubt
 
 Address = tuple[str, int]
 MOST_MEMBERS = 8_192  # tombstones too; past that nobody new is taken
 HELPERS = 3  # members asked to probe for us
 FANOUT, GOSSIP_MS = 3, 200.0  # who is told news, and how often
-RESEND = 4  # times log10 of the fleet: so often is one piece of news passed on by each
+RESEND = 4  # times log10 of the fleet, and no less: so often is one piece of news passed on by each
 CONFIRMS = 3  # independent suspicions that bring the time to answer one down to its least
 LEAST, SPAN = 5.0, 6.0  # least time to refute, in probe intervals times log10 of the fleet; most: SPAN times that
 HEALTH_MOST = 8  # Lifeguard's local health: probes become so much slower at most
@@ -74,6 +75,12 @@
     until: float
 
 
+@lru_cache(256)
+def resends(size: int) -> int:
+    """How often each passes a piece of news on: 10 times of 300, 13 of 1,000."""
+    return max(RESEND, math.ceil(RESEND * math.log10(size + 1)))
+
+
 def rank(claim: Claim) -> tuple[int, int, int]:
     """The order of claims on one member: a later process, a later incarnation, a graver state."""
     return claim.epoch, claim.incarnation, claim.state
@@ -92,6 +99,7 @@
         self.suspects: dict[str, Member] = {}
         self.health = 0
         self.out: list[Out] = []
+        self._names: list[str] = []  # of `alive`, for draws
         self.changes: list[tuple[str, str, str]] = []  # name, state, why: for the log
         self.count: Callable[[str], None] = lambda what: None
         self.more: Collection[Any] = ()  # other news to pass on
@@ -99,7 +107,7 @@
         self.leaving = False
         self.met = False  # who may know much that we do not has been met
         self._met_at = -math.inf
-        self._news: Rumours[str, tuple[Claim, int]] = Rumours()  # with its size in bytes
+        self._news: Rumours[str, tuple[Claim | Doubt, int]] = Rumours()  # with its size in bytes
         self._seq = 0
         self._probe: _Probe | None = None
         self._errands: dict[int, _Errand] = {}
@@ -109,7 +117,6 @@
         self._gossip_at = now + self.random.random() * GOSSIP_MS
         self._rejoin_at, self._sync_at = now, now + self.random.random() * SYNC_MS
         self._join_wait = min(250.0, probe_ms)
-        self._names: list[str] = []  # of `alive`, for draws
 
     # The fleet.
 
@@ -165,7 +172,8 @@
     def tick(self, now: float) -> None:
         if self.leaving:
             return
-        self._overdue(now)
+        if self._errands or self._probe is not None:
+            self._overdue(now)
         for name, member in list(self.suspects.items()) if now >= self._first_verdict() else ():
             if now >= self._verdict_at(member):
                 self._apply(now, _as(member.claim, DEAD), "did not answer its suspicion")
@@ -259,25 +267,23 @@
 
     # News.
 
-    def news(self, to: str, room: int) -> tuple[list[Claim], int]:
-        """Claims to pass on to a member, within so many bytes: first what is wrongly believed of itself. And the room
+    def news(self, to: str, room: int) -> tuple[list[Claim], list[Doubt], int]:
+        """What to pass on to a member, within so many bytes: first what is wrongly believed of itself. And the room
         that is left."""
-        out: list[Claim] = []
+        claims: list[Claim] = []
+        doubts: list[Doubt] = []
         member = self.members.get(to)
         if member is not None and member.claim.state != ALIVE:
-            room -= wire.size(member.claim)
-            out.append(member.claim)
+            doubts.append(_doubt(member.claim))
+            room -= wire.size(doubts[0])
         if self._news.keys:
-            most = RESEND * math.ceil(math.log10(self.size + 1))
-            sent = self._news.sent
-            for name, (claim, size) in self._news.next(32):
-                if size > room:
-                    break
-                sent(name, most)
-                if name != to:
-                    room -= size
-                    out.append(claim)
-        return out, room
+            pieces, room = self._news.take(room, 32 - len(doubts), resends(self.size), to)
+            for piece in pieces:
+                if piece.__class__ is Doubt:
+                    doubts.append(piece)
+                else:
+                    claims.append(piece)
+        return claims, doubts, room
 
     def page(self, after: str, room: int) -> tuple[list[Claim], str]:
         """Claims in the order of names, and the last name, "" at the end."""
@@ -327,6 +333,20 @@
         else:
             self._apply(now, claim, f"told by {by}")
 
+    def doubted(self, now: float, doubt: Doubt, by: str) -> None:
+        """As `told`. Of an incarnation that is not known here its proof is lacking: then nothing is believed."""
+        name = doubt.name
+        if name == self.me.name:
+            self._refute(now, doubt, by)
+        elif (known := self.members.get(name)) is not None:
+            claim = known.claim
+            if doubt.epoch == claim.epoch and doubt.incarnation == claim.incarnation:
+                state = doubt.state
+                if state > claim.state or state == SUSPECT == claim.state and doubt.by not in known.confirmers:
+                    self._apply(now, _as(claim, state, doubt.by), f"told by {by}")  # most are no news
+            elif (doubt.epoch, doubt.incarnation) > (claim.epoch, claim.incarnation):
+                self.count("fleet_unproven")
+
     def on_ping(self, now: float, sender: str, ping: wire.Ping) -> None:
         if (member := self.members.get(sender)) is not None:  # also one that is held for dead: it has to hear so
             self.out.append(Out(member.claim.address, sender, wire.Ack(ping.seq)))
@@ -360,7 +380,7 @@
 
     # Beliefs.
 
-    def _refute(self, now: float, claim: Claim, by: str) -> None:
+    def _refute(self, now: float, claim: Claim | Doubt, by: str) -> None:
         """Somebody believes that we are not well, or says what we never said."""
         if claim.epoch > self.me.epoch or (claim.epoch == self.me.epoch and claim.incarnation > self.me.incarnation):
             self.count("fleet_forged")  # nobody but us can have proof of such a one: others drop it too
@@ -379,7 +399,8 @@
             self._tell(self.me)
 
     def _tell(self, claim: Claim) -> None:
-        self._news.put(claim.name, (claim, wire.size(claim)))
+        piece = claim if claim.state == ALIVE else _doubt(claim)
+        self._news.put(claim.name, (piece, wire.size(piece)))
 
     def _contest(self, now: float, known: Member) -> None:
         """A new process in a living member's name: its own address decides, or its suspicion."""
@@ -460,3 +481,7 @@
 
 def _as(claim: Claim, state: int, by: str = "") -> Claim:
     return Claim(claim.name, claim.host, claim.port, state, claim.epoch, claim.incarnation, claim.proof, by)
+
+
+def _doubt(claim: Claim) -> Doubt:
+    return Doubt(claim.name, claim.state, claim.epoch, claim.incarnation, claim.by)
