Measure settings under a paced load in windows with and without pushes, and what holds the loop

Now clients (open loop, times from when a request was due), engines, the pushing client and the coordinator are processes of their own, windows with and without pushes alternate in one run, and the ratios' intervals are bootstrapped over pairs of windows. `held` times each turn in the event loop of a serving process.

--- a/bench/settings.py
+++ b/bench/settings.py
@@ -4,7 +4,8 @@
     python bench/settings.py applied [--nodes 3,30,300]
     python bench/settings.py versions [--engines 10000]
     python bench/settings.py guard [--runs 2000]
-    python bench/settings.py flood [--seconds 60] [--rate 16.7]        a process of the program, with and without pushes
+    python bench/settings.py pace [--windows 40] [--rate 200]          windows with and without 1,200 pushes a minute
+    python bench/settings.py held [--first 10000]                      what a push costs the event loop
     python bench/settings.py sockets [--runs 30] [--nodes 9]           processes of the program, cuts and stops
     python bench/settings.py explore [--limit 100000]
 
@@ -14,14 +15,20 @@
 from __future__ import annotations
 
 import asyncio
+import base64
+import gc
 import json
+import math
 import os
 import random
+import selectors
 import signal
 import sys
+import tempfile
 import time
 import tracemalloc
-from collections import Counter
+from collections import Counter, deque
+from pathlib import Path
 from typing import Any
 
 import click
@@ -32,8 +39,8 @@
 from frostspindle.lab.faults.script import parse  # noqa: E402
 from frostspindle.settings.deciding import REFUSE, Terms  # noqa: E402
 from frostspindle.settings.meet import adjacent, meet  # noqa: E402
-from frostspindle.settings.schema import Ban, Engine, Scope  # noqa: E402
-from frostspindle.settings.versions import EMPTY, diff, pack  # noqa: E402
+from frostspindle.settings.schema import Ban, Class, Engine, Scope  # noqa: E402
+from frostspindle.settings.versions import EMPTY, cut, diff, pack  # noqa: E402
 
 
 def spread(values: list[float]) -> dict[str, float]:
@@ -184,62 +191,315 @@
                                "took_s": round(time.perf_counter() - began, 1)}))
 
 
-@cli.command()
-@click.option("--seconds", default=60.0)
-@click.option("--rate", default=1_000 / 60.0)
-@click.option("--clients", default=16)
-def flood(seconds: float, rate: float, clients: int) -> None:
-    """Versions of valid, broken and truncated kinds at a coordinator under load, against the same time without."""
-    click.echo(json.dumps(asyncio.run(_flood(seconds, rate, clients))))
+class _Line(asyncio.Protocol):
+    """One of the clients' connections; it has one request at a time."""
+
+    def __init__(self, load: _Paced) -> None:
+        from httptools import HttpResponseParser
+
+        self.load, self.parser, self.body, self.due = load, HttpResponseParser(self), b"", 0.0
+
+    def connection_made(self, transport: Any) -> None:
+        self.transport = transport
+        self.load.idle.append(self)
+
+    def connection_lost(self, error: Exception | None) -> None:
+        if self in self.load.idle:
+            self.load.idle.remove(self)
+
+    def ask(self, due: float) -> None:
+        self.due = due
+        self.load.numbers += 1
+        self.transport.write(b"POST /call/lookup HTTP/1.1\r\nHost: b\r\nX-Request-Id: %016x\r\nX-Timeout-Ms: 7000\r\n"
+                             b"X-Cost-Ms: 20\r\nX-Memory: 16\r\nContent-Length: 8\r\n\r\nSELECT 1" % self.load.numbers)
+
+    def data_received(self, data: bytes) -> None:
+        self.parser.feed_data(data)
+
+    def on_message_begin(self) -> None:
+        self.body = b""
+
+    def on_body(self, part: bytes) -> None:
+        self.body += part
+
+    def on_message_complete(self) -> None:
+        if b'"next"' in self.body:
+            self.transport.write(b"GET %b HTTP/1.1\r\nHost: b\r\n\r\n" % json.loads(self.body)["next"].encode())
+        else:
+            self.load.done(self)
+
+
+class _Paced:
+    """An open loop: requests are due at a fixed rate, whatever became of those before, and a request's time counts from
+    when it was due, so that waiting for a connection or a late client is in it."""
+
+    def __init__(self, rate: float, lines: int) -> None:
+        self.rate, self.lines = rate, lines
+        self.idle: deque[_Line] = deque()
+        self.waiting: deque[float] = deque()
+        self.numbers = int(time.time()) << 24
+        self.rows: list[tuple[float, float, int]] = []
+
+    def done(self, line: _Line) -> None:
+        self.rows.append((line.due, time.time() - line.due, line.parser.get_status_code()))
+        if self.waiting:
+            line.ask(self.waiting.popleft())
+        else:
+            self.idle.append(line)
+
+    async def run(self, port: int, at: float, seconds: float) -> int:
+        await asyncio.sleep(max(0.0, at - 0.5 - time.time()))  # a connection on which nothing comes is ended soon
+        for _ in range(self.lines):
+            await asyncio.get_running_loop().create_connection(lambda: _Line(self), "127.0.0.1", port)
+        total = int(seconds * self.rate)
+        for number in range(total):
+            due = at + number / self.rate
+            if (left := due - time.time()) > 0.0:
+                await asyncio.sleep(left)
+            if self.idle:
+                self.idle.popleft().ask(due)
+            else:
+                self.waiting.append(due)
+        until = time.time() + 10.0
+        while len(self.rows) < total and time.time() < until:
+            await asyncio.sleep(0.01)
+        return total
+
+
+def _exactly(work: Any) -> Any:
+    """Run with timers that are not rounded up to milliseconds, and no collector of garbage in between."""
+    gc.disable()
+    with asyncio.Runner(loop_factory=lambda: asyncio.SelectorEventLoop(selectors.SelectSelector())) as runner:
+        return runner.run(work)
+
+
+def paced_process(pipe: Any, port: int, rate: float, at: float, seconds: float) -> None:
+    load = _Paced(rate, 64)
+    pipe.send((_exactly(load.run(port, at, seconds)), load.rows))
+
+
+def pushing_process(pipe: Any, desk: str, pushes: list[float], entries: int, listed: dict[str, int]) -> None:
+    """Pushes at these times: half are valid, a quarter each broken and cut short; of each it is asked once what became
+    of it. `entries`: of each version, besides what changes; `listed`: engines and their ports."""
+    pipe.send(_exactly(_pushing(desk, pushes, entries, listed)))
+
+
+async def _pushing(desk: str, pushes: list[float], entries: int, listed: dict[str, int]) -> dict[str, int]:
+    rng, told = random.Random(2), Counter[str]()
+    base: dict[str, Any] = {f"ban/b{n}": Ban(f"b{n}") for n in range(entries)}
+    if listed:
+        base |= {f"engine/http/{name}": Engine(name, f"127.0.0.1:{port}", state="active" if port != 9 else "leaving")
+                 for name, port in listed.items()} | {"scope/http": Scope()}
+
+    async def call(text: str) -> str:
+        reader, writer = await asyncio.open_unix_connection(desk)
+        writer.write(text.encode() + b"\n")
+        answer = await reader.read()
+        writer.close()
+        return answer.decode()
+
+    async def push(number: int) -> None:
+        rules: dict[str, Any] = {**base, f"ban/x{number % 7}": Ban(f"x{number % 7}", str(number)),
+                                 f"drain/y{number % 5}": Ban(f"y{number % 5}")}  # a push has the whole file
+        if number % 4 == 0:
+            rules["class/lookup"] = Class("lookup", 1_500.0 + number % 3)
+        data, kind = pack(rules), rng.choice(("valid", "valid", "broken", "cut short"))
+        kind = "valid" if listed else kind
+        data = data[:-2] + b"xx" if kind == "broken" else data[:-5] if kind == "cut short" else data
+        told["pushes"] += 1
+        pieces = cut(data, 32_768)
+        for at, piece in enumerate(pieces):
+            answer = await call(f"settings-push p{number} {at}/{len(pieces)} {base64.b64encode(piece).decode()}")
+            if answer.startswith("NAK"):
+                told[f"{kind}, not taken"] += 1
+                return
+        await asyncio.sleep(1.0)
+        answer = await call(f"settings-outcome p{number}")
+        state = "not known any more" if answer.startswith("NAK") else json.loads(answer.splitlines()[0])["state"]
+        told[f"{kind}, {'live' if state == 'proven' else state}"] += 1
+
+    tasks = []
+    for number, at in enumerate(pushes):
+        await asyncio.sleep(max(0.0, at - time.time()))
+        tasks.append(asyncio.create_task(push(number)))
+    await asyncio.gather(*tasks)
+    return dict(told)
+
+
+def processor_s(pid: int) -> float:
+    """Of all threads so far, in seconds, finely."""
+    return sum(int(Path(f"/proc/{pid}/task/{task}/schedstat").read_text().split()[0])
+               for task in os.listdir(f"/proc/{pid}/task")) / 1e9
+
+
+OPERATOR = '[settings]\nfolder = "FOLDER/kept"\n'
 
 
-async def _flood(seconds: float, rate: float, clients: int) -> dict[str, Any]:
-    import base64
+@cli.command()
+@click.option("--windows", default=40, help="Half of them with pushes, in an order that is drawn pair by pair.")
+@click.option("--seconds", default=5.0, help="Of a window.")
+@click.option("--rate", default=200.0, help="Requests a second, open loop.")
+@click.option("--pushes", default=1_200.0, help="A minute, in windows that have them.")
+@click.option("--delay-ms", default=20.0, help="Of each query at its engine.")
+@click.option("--entries", default=0, help="Of each version, besides what changes.")
+@click.option("--seed", default=1)
+def pace(windows: int, seconds: float, rate: float, pushes: float, delay_ms: float, entries: int, seed: int) -> None:
+    """Versions of valid, broken and truncated kinds under a steady load, in windows among windows without any. Clients,
+    pushing client, stand-in engines and coordinator are processes of their own; the ratios' intervals are bootstrapped
+    over pairs of windows."""
+    from frostspindle.caller import operate
+    from frostspindle.lab.bench import SPAWN, coordinator, engines
+    from frostspindle.lab.engines import document, host
+
+    rng, settle = random.Random(seed), 0.5  # the end of what the window before left is not measured
+    pushed = [side for _ in range(windows // 2) for side in rng.sample((False, True), 2)]
+    with engines([f"s-{n}" for n in range(4)], delay_ms / 1e3, 2) as (ports, _), coordinator(
+            document([host(name, port) for name, port in ports.items()]), 1, operator=OPERATOR) as (port, (desk, pid)):
+        start = time.time() + 3.0
+        begins = [start + 1.0 + n * seconds for n in range(windows)]
+        plan = [begin + k * 60.0 / pushes for begin, side in zip(begins, pushed, strict=True) if side
+                for k in range(int(seconds * pushes / 60.0))]
+        pipes = []
+        for target, args in ((paced_process, (port, rate, start, 1.0 + windows * seconds)),
+                             (pushing_process, (desk, plan, entries, {}))):
+            here, there = SPAWN.Pipe()
+            SPAWN.Process(target=target, args=(there, *args), daemon=True).start()
+            pipes.append(here)
+        cpu, lasts, load = [], [], []
+        for begin in begins:
+            time.sleep(max(0.0, begin + settle - time.time()))
+            before, last = processor_s(pid), json.loads(operate(desk, "show-settings").splitlines()[0])["last"]
+            time.sleep(max(0.0, begin + seconds - time.time()))
+            cpu.append(processor_s(pid) - before)
+            lasts.append(json.loads(operate(desk, "show-settings").splitlines()[0])["last"] - last)
+            load.append(os.getloadavg()[0])
+        total, rows = pipes[0].recv()
+        outcomes = pipes[1].recv()
+    cells: list[list[float]] = [[] for _ in begins]
+    for due, took, _ in rows:
+        place, into = divmod(due - begins[0], seconds)
+        if 0 <= place < windows and into >= settle:
+            cells[int(place)].append(took * 1e3)
+    for cell in cells:
+        cell.sort()
+    pairs = []  # with and without pushes
+    for n in range(0, windows, 2):
+        pairs.append((n, n + 1) if pushed[n] else (n + 1, n))
+
+    def part(of: float) -> Any:
+        def told(places: list[int]) -> float:
+            ranked = sorted(x for place in places for x in cells[place])
+            return ranked[min(len(ranked) - 1, int(of * len(ranked)))]
+        return told
+
+    def cpu_ms(places: list[int]) -> float:
+        return 1e3 * sum(cpu[p] for p in places) / sum(len(cells[p]) for p in places)
 
-    from test_settings_processes import call
+    out = {}
+    for name, figure in (("p50_ms", part(0.5)), ("p99_ms", part(0.99)), ("cpu_ms_a_request", cpu_ms)):
+        drawn = []
+        for _ in range(400):
+            some = [rng.choice(pairs) for _ in pairs]
+            drawn.append(figure([w for w, _ in some]) / figure([o for _, o in some]))
+        drawn.sort()
+        low, high = drawn[10], drawn[389]
+        calm = [o for _, o in pairs]
+        rng.shuffle(calm)
+        out[name] = {"with": round(figure([w for w, _ in pairs]), 3), "without": round(figure(calm), 3),
+                     "ratio": round(figure([w for w, _ in pairs]) / figure(calm), 4),
+                     "interval_95": [round(low, 4), round(high, 4)],
+                     # windows without against windows without: what the machine alone makes of it
+                     "null": round(figure(calm[::2]) / figure(calm[1::2]), 4),
+                     "windows_for_2%": max(2, math.ceil(windows * ((high - low) / 2.0 / 0.02) ** 2))}
+    measured_s = (seconds - settle) * windows / 2
+    click.echo(json.dumps({
+        "windows": windows, "seconds": seconds, "requests_a_second": rate, "requests": total,
+        "answers": len(rows), "statuses": dict(Counter(status for _, _, status in rows)), **out,
+        "pushes_a_minute": round(len(plan) / (seconds * windows / 2) * 60.0), "outcomes": outcomes,
+        "versions_a_minute": round(sum(n for n, side in zip(lasts, pushed, strict=True) if side) / measured_s * 60.0),
+        "core_share": {name: round(sum(cpu[p[side]] for p in pairs) / measured_s, 3)
+                       for side, name in enumerate(("with", "without"))},
+        "load_average": [round(min(load), 1), round(max(load), 1)]}))
+
+
+# Runs the program with each turn of a callback in the event loop timed; a signal has the table written and begun anew.
+HELD = """
+import asyncio.events, json, os, signal, sys, time
+table, run = {}, asyncio.events.Handle._run
+def timed(handle):
+    call = handle._callback
+    of = getattr(call, "__self__", None)
+    name = of.get_coro().__qualname__ if hasattr(of, "get_coro") else getattr(call, "__qualname__", repr(call))
+    began, wall = time.thread_time(), time.perf_counter()
+    run(handle)
+    took, wall = time.thread_time() - began, time.perf_counter() - wall
+    row = table.setdefault(name, [0, 0.0, 0.0, 0.0])
+    row[0] += 1; row[1] += took; row[2] = max(row[2], took); row[3] = max(row[3], wall)
+def dump(*_):
+    with open(sys.argv[1] + ".new", "w") as out:
+        json.dump(table, out)
+    table.clear()
+    os.rename(sys.argv[1] + ".new", sys.argv[1])
+asyncio.events.Handle._run = timed
+signal.signal(signal.SIGRTMIN + 1, dump)
+from frostspindle.serving import serve
+sys.exit(serve())
+"""
 
-    from frostspindle.caller import operate
-    from frostspindle.lab.faults.settled import Agreeing
-    from frostspindle.settings.versions import cut
 
-    world = await Agreeing(1, 1, parse("", 1), 3, delay_s=0.02).start()
-    c0, out = world.processes[0], {}
-    try:
-        for name in ("calm", "flood", "calm_again"):
-            ended, statuses, times = asyncio.Event(), Counter[int](), list[float]()
-
-            async def client(number: int, ended: Any = ended, statuses: Any = statuses, times: Any = times) -> None:
-                place = 0
-                while not ended.is_set():
-                    place += 1
-                    began = time.perf_counter()
-                    statuses[await call(c0.http, (number << 32) + place + int(time.time()) % 1_000 * 1_000_000)] += 1
-                    times.append((time.perf_counter() - began) * 1e3)
-
-            tasks = [asyncio.create_task(client(n + 1)) for n in range(clients)]
-            pushed: Counter[str] = Counter()
-            until, number, rng = time.monotonic() + seconds, 0, random.Random(2)
-            while time.monotonic() < until:
-                await asyncio.sleep(1.0 / rate)
-                if name == "flood":
-                    number += 1
-                    data = pack({f"ban/x{number % 7}": Ban(f"x{number % 7}", str(number))})
-                    kind = rng.choice(("valid", "valid", "broken", "truncated"))
-                    if kind == "broken":
-                        data = data[:-2] + b"xx"
-                    elif kind == "truncated":
-                        data = data[:-5]
-                    text = f"settings-push p{number} 0/1 {base64.b64encode(cut(data)[0]).decode()}"
-                    answer = await asyncio.to_thread(operate, ("127.0.0.1", c0.desk), text)
-                    pushed[kind + (" refused" if answer.startswith("NAK") else "")] += 1
-            ended.set()
-            await asyncio.gather(*tasks)
-            figures = await c0.figures("show-settings")
-            out[name] = {"statuses": dict(statuses), "ms": spread(times), "pushed": dict(pushed),
-                         "versions": figures["last"], "counts": figures["counts"]}
-    finally:
-        await world.close()
-    return out
+@cli.command()
+@click.option("--seconds", default=8.0)
+@click.option("--pushes", default=1_200.0, help="A minute.")
+@click.option("--entries", default=0, help="Of each version, besides what changes.")
+@click.option("--rate", default=100.0, help="Requests a second meanwhile.")
+@click.option("--first", default=0, help="Instead of pushes one first version of so many engines.")
+def held(seconds: float, pushes: float, entries: int, rate: float, first: int) -> None:
+    """What a push costs the event loop, by what runs there: processor milliseconds above the same time without."""
+    from frostspindle.lab.bench import SPAWN, coordinator, engines
+    from frostspindle.lab.engines import document, host
+
+    def started(target: Any, *args: Any) -> Any:
+        here, there = SPAWN.Pipe()
+        SPAWN.Process(target=target, args=(there, *args), daemon=True).start()
+        return here
+
+    with tempfile.TemporaryDirectory() as folder, engines(["s-0"], 0.02) as (ports, _):
+        path = Path(folder, "table")
+        with coordinator(document([host("s-0", ports["s-0"])]), 1, operator=OPERATOR,
+                         program=("-c", HELD, str(path))) as (port, (desk, pid)):
+
+            def table() -> dict[str, list[float]]:
+                os.kill(pid, signal.SIGRTMIN + 1)
+                while not path.exists():
+                    time.sleep(0.01)
+                rows = json.loads(path.read_text())
+                path.unlink()
+                return dict(rows)
+
+            at = time.time() + 2.0
+            load = started(paced_process, port, rate, at, 2.0 * seconds + 4.0)
+            pushing = started(pushing_process, desk, [at + seconds + 3.0] if first else [
+                at + seconds + 3.0 + k * 60.0 / pushes for k in range(int(seconds * pushes / 60.0))], entries,
+                {"s-0": ports["s-0"], **{f"n{n}": 9 for n in range(first - 1)}} if first else {})
+            time.sleep(at + 2.0 - time.time())
+            table()
+            time.sleep(seconds)
+            calm, before = table(), processor_s(pid)
+            told = pushing.recv()
+            cpu, busy = processor_s(pid) - before, table()
+            load.recv()
+    count, times = told["pushes"], (seconds + 2.0) / seconds
+    rows = {name: (1e3 * (row[1] - calm.get(name, [0, 0.0])[1] * times) / count,
+                   (row[0] - calm.get(name, [0])[0] * times) / count, 1e3 * row[2], 1e3 * row[3])
+            for name, row in busy.items()}
+    click.echo(json.dumps({
+        "pushes": told, "loop_ms_a_push": round(sum(row[0] for row in rows.values()), 3),
+        "cpu_s": round(cpu, 2),
+        "loop_ms_a_second_without": round(1e3 * sum(row[1] for row in calm.values()) / seconds, 2),
+        "longest_ms": {name: round(row[2], 2) for name, row in sorted(rows.items(), key=lambda x: -x[1][2])[:8]},
+        "longest_ms_without": round(1e3 * max(row[2] for row in calm.values()), 2),
+        "ms_a_push": {name: [round(row[0], 4), round(row[1], 2)]
+                      for name, row in sorted(rows.items(), key=lambda item: -item[1][0])[:14]}}))
 
 
 @cli.command()
--- a/frostspindle/lab/bench.py
+++ b/frostspindle/lab/bench.py
@@ -153,15 +153,20 @@
 
 
 @contextmanager
-def coordinator(config: dict[str, Any], workers: int, source: str | None = None) -> Iterator[tuple[int, Any]]:
-    """A coordinator process; its clients' port and its operators' address."""
+def coordinator(config: dict[str, Any], workers: int, source: str | None = None, operator: str = "",
+                program: tuple[str, ...] = ("-m", "frostspindle")) -> Iterator[tuple[int, Any]]:
+    """A coordinator process; its clients' port and its operators' address. `operator`: the operator's file, with FOLDER
+    for a folder of the process's own; `program`: what the interpreter runs."""
     with tempfile.TemporaryDirectory() as folder:
         path, desk, log = Path(folder, "config.json"), str(Path(folder, "desk")), Path(folder, "log")
         config = {**config, "operator": desk}
         path.write_text(json.dumps(config))
+        toml = Path(folder, "operator.toml")
+        toml.write_text(operator.replace("FOLDER", folder))
         with log.open("wb") as sink:
-            child = subprocess.Popen([sys.executable, "-m", "frostspindle"], stderr=sink, cwd=source, env={
-                **os.environ, "LB_CONFIG": str(path), "FROSTSPINDLE_OPERATOR": "", "TMPDIR": folder,
+            child = subprocess.Popen([sys.executable, *program], stderr=sink, cwd=source, env={
+                **os.environ, "LB_CONFIG": str(path), "FROSTSPINDLE_OPERATOR": str(toml) if operator else "",
+                "TMPDIR": folder,
                 "FROSTSPINDLE_WORKERS": str(workers)})
         try:
             until = time.time() + 60.0
