Carry what was usual before a version in the log, so that the next publisher can judge it

After a change of publisher the version on trial was proven by time alone: the windows before it were the old publisher's, and the new one cleared its own. A verdict is computed once a window, not at each step.

--- a/frostspindle/settings/agreement.py
+++ b/frostspindle/settings/agreement.py
@@ -15,6 +15,7 @@
 
 from __future__ import annotations
 
+import math
 import zlib
 from collections import Counter
 from dataclasses import dataclass, field, replace
@@ -30,6 +31,7 @@
 
 TOPIC = TASK = "settings"
 MOST_MEMBERS, MOST_DRAFTS, MOST_BAD, MOST_NEWS, MOST_TEXT = 1_024, 16, 64, 64, 200
+MOST_USUAL = 16  # figures of what was usual
 DRAFT_BYTES = 600 << 10  # of all drafts, packed
 STATE_BYTES = 3 << 20  # of the oldest version kept and the changes of all others: a snapshot has 4 MiB
 MOST_STATE = 16 << 20  # bytes of a snapshot, not compressed
@@ -76,8 +78,11 @@
 
 
 class Live(Struct, array_like=True, tag="l", frozen=True):
+    """`usual`: what the publisher saw before it (harm.Usual), so that any later one can judge the version."""
+
     token: int
     version: int
+    usual: tuple[float, ...] = ()
 
 
 class Withdraw(Struct, array_like=True, tag="w", frozen=True):
@@ -160,6 +165,7 @@
     members: list[tuple[Hold, int]]
     bad: list[tuple[bytes, int]]
     news: list[News]
+    usual: tuple[float, ...] = ()
 
 
 @dataclass(slots=True)
@@ -172,6 +178,7 @@
     proven: int = 0  # the newest that was live and stood its trial: where a version that harms is rolled back to
     pending: int = 0
     trial: int = 0  # the entry that made the live version live; 0: it is proven
+    usual: tuple[float, ...] = ()  # what was usual before the live version
     history: History = field(default_factory=lambda: History(KEPT))
     drafts: dict[str, Waiting] = field(default_factory=dict)
     members: dict[str, Member] = field(default_factory=dict)
@@ -332,7 +339,9 @@
             return self._no("stale")
         if word.version != self.pending or not self.pending:
             return self._no("not pending")
-        self.live, self.pending, self.trial = word.version, 0, index
+        if len(word.usual) > MOST_USUAL or not all(0.0 <= figure < math.inf for figure in word.usual):
+            return self._no("bounds")
+        self.live, self.pending, self.trial, self.usual = word.version, 0, index, word.usual
         self._tell(index, "live", self.live)
         return OK
 
@@ -399,7 +408,8 @@
         return zlib.compress(ENCODE(_State(
             FORMAT, self.token, self.last, self.live, self.proven, self.pending, self.trial, self.index, rows,
             [(w.first, w.pieces.pieces, w.index) for w in self.drafts.values()],
-            [(m.hold, m.index) for m in self.members.values()], list(self.bad.items()), self.news)), 1)
+            [(m.hold, m.index) for m in self.members.values()], list(self.bad.items()), self.news,
+            self.usual)), 1)
 
     def restore(self, index: int, state: bytes) -> None:
         """ValueError: it can't be read, and nothing was changed."""
@@ -424,7 +434,7 @@
             raise ValueError("settings: another format, or versions are missing")
         self.token, self.last, self.live, self.proven = told.token, told.last, told.live, told.proven
         self.pending, self.trial, self.index = told.pending, told.trial, max(index, told.index)
-        self.history, self.bad, self.news = history, dict(told.bad), told.news
+        self.history, self.bad, self.news, self.usual = history, dict(told.bad), told.news, told.usual
         self.drafts = {first.key: Waiting(first, Assembly(first.of, pieces), at) for first, pieces, at in told.drafts}
         self.members = {hold.name: Member(hold, at) for hold, at in told.members}
 
--- a/frostspindle/settings/deciding.py
+++ b/frostspindle/settings/deciding.py
@@ -255,11 +255,9 @@
         self._trial: tuple[int, float] = (0, 0.0)  # the live version on trial, and since when it is seen so here
 
     def take(self, now: float, token: int) -> None:
-        """All waits begin anew: what was before is not known here."""
+        """All waits begin anew, and a trial too: what was usual before the version is in the machine."""
         self.token = token
         self._seen, self._pending, self._trial = {}, (0, 0.0), (0, 0.0)
-        if self.judge is not None:
-            self.judge.clear()
 
     def lose(self) -> None:
         self.token = 0
@@ -282,7 +280,7 @@
         if self._trial[0] != trial:
             self._trial = (trial, now)
             if self.judge is not None and trial:
-                self.judge.begin(now)
+                self.judge.begin(now, machine.usual)
         if not self.token:
             return None
         if machine.pending:
@@ -310,5 +308,5 @@
                 return Withdraw(self.token, number, f"{name}: {member.hold.why}"[:agreement.MOST_TEXT])
             acked &= member.hold.acked >= number
         if acked or now - self._pending[1] >= self.terms.wait_ms:
-            return Live(self.token, number)
+            return Live(self.token, number, self.judge.usual() if self.judge is not None else ())
         return None
--- a/frostspindle/settings/harm.py
+++ b/frostspindle/settings/harm.py
@@ -15,8 +15,9 @@
 
 import math
 from collections import deque
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass, field
+from typing import NamedTuple
 
 FIRST_MS, RATIO, BUCKETS = 2.0, 1.5, 30  # of latencies: the first bucket ends at 2 ms, the last one holds all above
 FAILED, REFUSED, SLOW = "failed", "refused", "slow"
@@ -64,6 +65,50 @@
     return max(1.0, sum((h - c * part) ** 2 / (c * part * (1.0 - part)) for h, c in rows) / (len(rows) - 1))
 
 
+class Usual(NamedTuple):
+    """What was usual before a version, as it travels with the word that makes it live: whoever publishes next judges by
+    the same. `waited`: requests open at the end of a window; `edge`: the first slow bucket; then for each figure its
+    hits and its dispersion."""
+
+    windows: float = 0.0
+    answered: float = 0.0
+    waited: float = 0.0
+    edge: float = 0.0
+    failed: float = 0.0
+    refused: float = 0.0
+    slow: float = 0.0
+    loose_failed: float = 1.0
+    loose_refused: float = 1.0
+    loose_slow: float = 1.0
+
+
+def summed(rows: list[list[int]]) -> Usual:
+    """What windows of figures say together."""
+    if not rows:
+        return Usual()
+    edge = _slow_from(rows)
+    hits = {name: [(float(of(row, edge)), float(row[0])) for row in rows] for name, of in FIGURES.items()}
+    return Usual(len(rows), sum(row[0] for row in rows), sum(row[OPEN] for row in rows) / len(rows), edge,
+                 *(sum(h for h, _ in told) for told in hits.values()), *(dispersion(told) for told in hits.values()))
+
+
+def _slow_from(rows: list[list[int]]) -> int:
+    """The first bucket above which no more than one in a hundred was."""
+    sums = [sum(row[HEAD + place] for row in rows) for place in range(BUCKETS)]
+    whole, above = sum(sums), 0
+    for place in range(BUCKETS - 1, -1, -1):
+        above += sums[place]
+        if above > whole / 100.0:
+            return place + 1
+    return 0
+
+
+# How many of a window's requests were so, by the first slow bucket.
+FIGURES: dict[str, Callable[[list[int], int], int]] = {
+    FAILED: lambda row, edge: row[1], REFUSED: lambda row, edge: row[2],
+    SLOW: lambda row, edge: sum(row[HEAD + edge:])}
+
+
 class Judge:
     """Fed with each coordinator's figures since its process began; they may stand still, jump back or be missing."""
 
@@ -73,13 +118,9 @@
         self._windows: deque[list[int]] = deque(maxlen=guard.before + guard.after + 2)
         self._edge = -math.inf  # when the open window began
         self._begun: float | None = None
-        self._before: list[list[int]] = []
+        self._usual = Usual()
         self._after: list[list[int]] = []
-
-    def clear(self) -> None:
-        """Another publisher spoke meanwhile."""
-        self._windows.clear()
-        self._last, self._begun, self._edge = {}, None, -math.inf
+        self._said: tuple[int, str] = (-1, "")  # the verdict, and of how many windows
 
     def feed(self, now: float, told: Mapping[str, tuple[int, tuple[int, ...]]]) -> None:
         """All coordinators' figures as last heard."""
@@ -102,11 +143,16 @@
         for name in self._last.keys() - told.keys():
             del self._last[name]
 
-    def begin(self, now: float) -> None:
-        """A version is live from now on. What is usual stays that before a version whose judgement is still open."""
+    def usual(self) -> Usual:
+        """What is usual now; it stays that before a version whose judgement is still open."""
         if self._begun is None or len(self._after) > self.guard.after:
-            self._before = [row for row in self._windows if row[0]][-self.guard.before:]
-        self._begun, self._after = now, []
+            return summed([row for row in self._windows if row[0]][-self.guard.before:])
+        return self._usual
+
+    def begin(self, now: float, usual: Sequence[float] = ()) -> None:
+        """A version is live from now on. `usual`: as its publisher saw it; () where it told nothing."""
+        self._usual = Usual(*usual) if len(usual) == len(Usual._fields) else self.usual()
+        self._begun, self._after, self._said = now, [], (-1, "")
         self._windows.append([0] * (HEAD + BUCKETS))
         self._edge = now
 
@@ -114,49 +160,39 @@
         """What harms, in words; CALM: the version stood its windows; "": not yet."""
         if self._begun is None:
             return CALM
+        if self._said[0] != len(self._after):  # a window that is over does not change
+            self._said = (len(self._after), self._judged())
+        return self._said[1]
+
+    def _judged(self) -> str:
         after = self._after[1:]  # the first one still has answers from before: coordinators tell late
-        if sum(row[0] for row in self._before) < self.guard.least:
-            return CALM if len(self._after) > self.guard.after else ""
-        if why := self._stall(after):
-            return why
-        edge = self._slow_from()
-        for name, of in ((FAILED, lambda row: row[1]), (REFUSED, lambda row: row[2]),
-                         (SLOW, lambda row: sum(row[HEAD + edge:]))):
-            usual, since = ([(of(row), row[0]) for row in rows] for rows in (self._before, after))
-            if why := self._harm(name, usual, since):
+        if self._usual.answered >= self.guard.least:
+            if why := self._stall(after):
                 return why
+            edge = int(self._usual.edge)
+            for place, (name, of) in enumerate(FIGURES.items()):
+                if why := self._harm(name, self._usual[4 + place], self._usual[7 + place],
+                                     [(of(row, edge), row[0]) for row in after]):
+                    return why
         return CALM if len(self._after) > self.guard.after else ""
 
     def _stall(self, after: list[list[int]]) -> str:
-        last = after[-STALLED_WINDOWS:]
-        usual = sum(row[0] for row in self._before) / len(self._before)
-        waited = sum(row[OPEN] for row in self._before) / len(self._before)
-        answers, expected = sum(row[0] for row in last), usual * len(last)
+        last, usual = after[-STALLED_WINDOWS:], self._usual
+        answers, expected = sum(row[0] for row in last), usual.answered / max(1.0, usual.windows) * len(last)
         if len(last) < STALLED_WINDOWS or expected < self.guard.z ** 2 / STALL or answers > STALL * expected or any(
-                row[OPEN] < max(1.0, waited) for row in last):
+                row[OPEN] < max(1.0, usual.waited) for row in last):
             return ""
         return f"stalled: {answers} answers, usually {expected:.0f}; {last[-1][OPEN]} requests wait"
 
-    def _slow_from(self) -> int:
-        """The first bucket above which no more than one in a hundred was."""
-        sums = [sum(row[HEAD + place] for row in self._before) for place in range(BUCKETS)]
-        whole, above = sum(sums), 0
-        for place in range(BUCKETS - 1, -1, -1):
-            above += sums[place]
-            if above > whole / 100.0:
-                return place + 1
-        return 0
-
-    def _harm(self, name: str, before: list[tuple[float, float]], after: list[tuple[float, float]]) -> str:
-        guard = self.guard
+    def _harm(self, name: str, usual: float, loose: float, after: list[tuple[int, int]]) -> str:
+        guard, before = self.guard, self._usual.answered
         hits, count = sum(h for h, _ in after), sum(c for _, c in after)
         if count < guard.least:
             return ""
-        loose = dispersion(before)
-        usual = sum(h for h, _ in before), sum(c for _, c in before)
-        upper = wilson(usual[0] / loose, usual[1] / loose, guard.z)[1]
+        loose = max(1.0, loose)
+        upper = wilson(usual / loose, before / loose, guard.z)[1]
         lower = wilson(hits / loose, count / loose, guard.z)[0]
         bound = upper + guard.bands[name]
         if lower <= bound or sum(h > bound * c for h, c in after if c) < 2:
             return ""
-        return f"{name}: {hits / count:.1%} of {count} requests, {usual[0] / usual[1]:.1%} of {usual[1]} before"
+        return f"{name}: {hits / count:.1%} of {count} requests, {usual / before:.1%} of {before:.0f} before"
--- a/tests/test_settings_agreement.py
+++ b/tests/test_settings_agreement.py
@@ -431,6 +431,53 @@
         assert "ban/e4" in node.machine.version(node.machine.live).rules
 
 
+    def test_the_next_publisher_judges_by_what_was_usual_before_the_version_and_rolls_it_back(self):
+        from frostspindle.settings.harm import BUCKETS, HEAD, Judge
+
+        world, counts = agreed(), {name: [0] * (HEAD + BUCKETS) for name in ("c0", "c1", "c2")}
+
+        def run(fails, until, steps=100):
+            for _ in range(steps):
+                for name, node in world.nodes.items():
+                    node.publisher.judge = node.publisher.judge or Judge()
+                    for place, more in ((0, 50), (1, fails), (HEAD + 3, 50)):
+                        counts[name][place] += more
+                    if (word := node.holder.holds(world.now, tuple(counts[name]))) is not None:
+                        world.propose(word)
+                    world.publish(name)
+                for name in world.nodes:
+                    world.apply(name, 99)
+                    world.keep(name)
+                world.pass_time(100.0)
+                if until(next(iter(world.nodes.values())).machine):
+                    return
+            raise AssertionError("it did not come to that")
+
+        run(0, lambda machine: world.now > 30_000.0, 400)
+        push(world, ban("e2"), 2)
+        run(0, lambda machine: machine.live == 2)
+        trial = world.nodes["c0"].machine.usual
+        assert trial[1] > 1_000 and world.nodes["c0"].machine.trial
+        # Its publisher dies, and so do the others, who saw the time before it; one that has seen none of it publishes.
+        state, at = world.nodes["c1"].machine.state(), world.nodes["c1"].at
+        for name in ("c0", "c1", "c2"):
+            world.crash(name)
+        world.start("c1")
+        node = world.nodes["c1"]
+        node.machine.restore(at, state)
+        node.at = at
+        assert node.machine.usual == trial
+        node.publisher.take(world.now, 20)
+        run(20, lambda machine: machine.pending)
+        assert node.machine.news[-1].what == "rolled back" and node.machine.news[-1].why.startswith("failed: ")
+        run(20, lambda machine: machine.live == 3)
+        assert node.machine.version(3).rules == node.machine.version(1).rules and node.machine.usual == trial
+        fed = Fed()
+        fed.push(ban("e1"), live=False)
+        for usual in ((1.0,) * 17, (-1.0,), (float("nan"),), (float("inf"),)):
+            assert fed(Live(5, 1, usual)) == "no: bounds"
+
+
 class TestAudit:
     def test_the_longest_contradiction_is_found_over_all_pairs(self):
         always = lambda one, two: True  # noqa: E731
--- a/tests/test_settings_processes.py
+++ b/tests/test_settings_processes.py
@@ -116,6 +116,40 @@
         await self.finish(world)
 
 
+    async def test_a_publisher_killed_while_a_harmful_version_is_on_trial_is_followed_by_one_that_rolls_it_back(self):
+        world = await self.agreeing(3, 3, delay_s=0.005)
+        c, ended = world.processes, asyncio.Event()
+        answers = 0
+
+        async def client(number):
+            nonlocal answers
+            while not ended.is_set():
+                try:
+                    await call(c[number % 3].http, number * 100_000 + answers)
+                except (OSError, asyncio.IncompleteReadError):
+                    number += 1  # of the one that was killed: its clients go to the others
+                    await asyncio.sleep(0.05)
+                answers += 1
+        await world.publisher()
+        clients = [asyncio.create_task(client(n)) for n in range(1, 13)]
+        self.addAsyncCleanup(asyncio.gather, *clients)
+        self.addCleanup(ended.set)
+        while answers < 900:
+            await asyncio.sleep(0.1)
+        publisher = await world.publisher()
+        pushed = asyncio.create_task(next(p for p in c if p is not publisher).command(
+            "push", world.file('lists = ["http"]\n')))  # no engine at all
+        await publisher.until(lambda: publisher.events("settings_news", what="live", version=1))
+        await publisher.kill()
+        self.assertEqual(publisher.events("settings_news", what="rolled back"), [])
+        after = await world.publisher(but=publisher)
+        back = await after.until(lambda: after.events("settings_news", what="rolled back"))
+        self.assertRegex(back[0]["why"], "^(refused|failed|slow|stalled): ")
+        await after.plain(2)
+        await pushed
+        self.assertEqual(await call(after.http, 77), 200)
+
+
 class AloneCase(Case):
     async def test_sighup_reads_the_file_of_one_that_is_alone_and_a_bad_one_changes_nothing(self):
         world = Agreeing(1, 1, parse("", 1), 3, more="")
