--- a/tests/agreeing.py
+++ b/tests/agreeing.py
@@ -105,9 +105,9 @@
             self.propose(word)
         return word
 
-    def keep(self, name):
+    def keep(self, name, less=True):
         holder = self.nodes[name].holder
-        versions = holder.to_keep()
+        versions = holder.to_keep(less)
         if versions:
             self.disks[name] = Kept(versions, self.now)
             holder.was_kept(versions)
--- a/tests/test_operator.py
+++ b/tests/test_operator.py
@@ -252,3 +252,7 @@
         for number in range(5000):
             core._remember([f"s-{number + 1:08x}"])
         self.assertEqual((len(core.names), "s-00000000" in core.names), (4096, True))
+        looked, core.engines = core.engines, unittest.mock.MagicMock(wraps=core.engines)
+        core._remember([f"s-{number + 6000:08x}" for number in range(100)])
+        self.assertEqual((core.engines.values.call_count, len(core.names)), (1, 4096))
+        core.engines = looked
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -3,6 +3,7 @@
 import json
 import random
 from pathlib import Path
+from unittest import mock
 
 import pytest
 from hypothesis import given
@@ -13,7 +14,7 @@
 from frostspindle.config import TenantRule
 from frostspindle.settings import meet as meeting
 from frostspindle.settings import schema
-from frostspindle.settings.harm import BUCKETS, CALM, HEAD, OPEN, Guard, Judge, bucket
+from frostspindle.settings.harm import BUCKETS, CALM, HEAD, OPEN, Guard, Judge, bucket, wilson
 from frostspindle.settings.meet import TOP, adjacent, below, contradictions, contradicts, meet, settled
 from frostspindle.settings.schema import (
     BadSettings,
@@ -365,6 +366,28 @@
         assert judge.verdict(now).startswith("failed")
 
 
+    def test_nothing_is_judged_anew_that_has_not_changed(self):
+        class Told(tuple):
+            reads = 0
+
+            def __iter__(self):
+                type(self).reads += 1
+                return super().__iter__()
+
+        judge, told = Judge(), {"c1": (1, Told(row(100)))}
+        for now in range(0, 450, 50):
+            judge.feed(float(now), told)
+        assert Told.reads == 0, "it was heard once, and nothing since"
+        for number in range(30):
+            judge.feed(500.0 * (number + 1), {"c1": (1, tuple(row(200 * (number + 2))))})
+            if number == 20:
+                judge.begin(500.0 * (number + 1))
+        with mock.patch("frostspindle.settings.harm.wilson", wraps=wilson) as bounds:
+            for _ in range(50):
+                judge.verdict(16_000.0)
+        assert 0 < bounds.call_count <= 6, "once for a window"
+
+
 def test_meeting_costs_nothing_for_one_table():
     table = Map({"ban/e1": Ban("e1")})
     assert meeting.meet(table, table) is table
--- a/tests/test_settings_agreement.py
+++ b/tests/test_settings_agreement.py
@@ -1,6 +1,7 @@
 """Agreement on versions: the machine, a coordinator's and the publisher's decisions, every order of their steps."""
 
 import random
+from unittest import mock
 
 import pytest
 from agreeing import TERMS, World, ban, draft, span
@@ -24,7 +25,7 @@
     encode,
 )
 from frostspindle.settings.audit import contradictions, longest, spans
-from frostspindle.settings.deciding import FILE, MEET, REFUSE, VERSION, Terms
+from frostspindle.settings.deciding import FILE, MEET, REFUSE, VERSION, Holder, Terms
 from frostspindle.settings.schema import Ban, Engine, Limit, Scope
 from frostspindle.settings.versions import EMPTY, KEPT, PIECE, cut, pack
 
@@ -110,6 +111,32 @@
         assert fed.machine.apply(fed.index, encode(Live(5, 1))) == b"no: old" and fed.machine.live == 0
         assert {fed.machine.counts[what] for what in ("gap", "repeat", "other", "old")} >= {1}
 
+    def test_a_long_version_is_made_ahead_in_slices_and_its_publication_makes_nothing(self):
+        fed, twin, changes = Fed(), Fed(), {f"ban/e{n}": Ban(f"e{n}") for n in range(3_000)}
+        for one in (fed, twin):
+            one.draft(changes)
+        slices = 0
+        while fed.machine.unmade:
+            fed.machine.make()
+            slices += 1
+        assert slices > 60
+        with mock.patch("frostspindle.settings.agreement.unpacking", side_effect=AssertionError("made again")):
+            assert fed(Publish(5, "me/1/1")) == "ok 1"
+        with mock.patch("frostspindle.settings.deciding.adjacent", side_effect=AssertionError("met again")):
+            holder = Holder("c1", 1, TERMS, fed.machine, 0.0)
+            assert len(holder._meet((EMPTY, fed.machine.version(1)), "pending").rules) == 3_000
+        assert twin(Publish(5, "me/1/1")) == "ok 1" and twin.machine.state() == fed.machine.state()
+        assert fed(Live(5, 1)) == "ok" and fed(Proven(5, 1)) == "ok"
+        # What a draft would go back to may be gone until it is published; a bad one says so at its publication.
+        assert fed(Draft("me", 1, 99, -1, b"x" * 16, 0, 1, bytes(9_000), to=0)) == "ok" and not fed.machine.unmade
+        assert fed(Publish(5, "me/1/99")).startswith("ok")
+        assert fed(Withdraw(5, 2, "")) == "ok"
+        made = fed.machine.version(1).next(2, {f"ban/f{n}": Ban(f"f{n}", "x" * 40) for n in range(3_000)})
+        assert fed(Draft("me", 1, 100, 1, b"x" * 16, 0, 1, pack(made.changes))) == "ok"
+        while fed.machine.unmade:
+            fed.machine.make()
+        assert fed(Publish(5, "me/1/100")).startswith("no: checksum")
+
     def test_what_harmed_is_rolled_back_under_a_new_number_and_not_taken_again(self):
         fed = Fed()
         good, bad = fed.push(ban("e1")), fed.push(ban("e2"), proven=False)
@@ -646,10 +673,10 @@
         if name in self.world.nodes:
             self.world.hold(name)
 
-    @rule(name=names)
-    def keep(self, name):
+    @rule(name=names, less=st.booleans())
+    def keep(self, name, less):
         if name in self.world.nodes:
-            self.world.keep(name)
+            self.world.keep(name, less)
 
     @rule(name=names)
     def publish(self, name):
--- a/tests/test_settings_program.py
+++ b/tests/test_settings_program.py
@@ -25,6 +25,8 @@
 from frostspindle.net.operator import Nak
 from frostspindle.program import Program
 from frostspindle.replica.local import LocalLog
+from frostspindle.settings import agreement
+from frostspindle.settings.agreement import Machine, Publish
 from frostspindle.settings.deciding import MEET, REFUSE, VERSION, Acting, Kept, Terms
 from frostspindle.settings.harm import BUCKETS, HEAD
 from frostspindle.settings.keep import Keeper
@@ -198,7 +200,14 @@
             await asyncio.sleep(0)
         told = {state.name: int(state.entry.health) for state in self.core.engines.values()}
         self.assertEqual([told[name] for name in ("toy-0", "toy-1", "new", "x7", "x249")], [1, 0, 1, 2, 2])
-        self.applied.act(Acting(VERSION, (2,), EMPTY.rules))
+        with mock.patch.object(self.core, "ban", wraps=self.core.ban) as ban:
+            self.applied._told = ban
+            self.applied.act(Acting(VERSION, (2,), table))
+            self.assertEqual((ban.call_count, "x7" in self.applied.out), (0, False), "it was never sent to")
+        self.applied.act(Acting(VERSION, (3,), table.set("engine/http/new", Engine("new", "127.0.0.1:9009",
+                                                                                   state="leaving"))))
+        self.assertIn("new", self.core.banned)
+        self.applied.act(Acting(VERSION, (4,), EMPTY.rules))
         await self.quiet()
         told = {state.name: int(state.entry.health) for state in self.core.engines.values()}
         self.assertEqual([told[name] for name in ("toy-0", "toy-1", "new", "x7")], [1, 1, 0, 0])
@@ -279,6 +288,26 @@
                 self.applied.act(acting)
         self.assertEqual(calls, [["toy-1"], "bounds", "bounds", "bounds"])
 
+    async def test_a_ban_among_many_entries_costs_what_it_touches(self):
+        class Long(dict):
+            def items(self):
+                raise AssertionError("all entries are looked through")
+
+        one = {f"ban/b{n}": Ban(f"b{n}") for n in range(50)} | {"scope/http": Scope()}
+        await self.act(**{key.replace("/", "__"): entry for key, entry in one.items()})
+        self.assertEqual((len(self.applied.out), "toy-1" in self.applied.out), (53, True))
+        two = {**one, "drain/b0": Ban("b0"), "ban/new": Ban("new")}
+        del two["ban/b0"], two["ban/b1"]
+        self.applied.between = lambda old, new: {"ban/b0", "ban/b1", "drain/b0", "ban/new"}
+        with mock.patch.object(self.applied, "_not_listed", side_effect=AssertionError("all engines are")):
+            self.applied.act(Acting(VERSION, (2,), Long(two)))
+        self.assertEqual(self.events_of("faults"), 0)
+        self.assertEqual((len(self.applied.out), "b0" in self.core.banned, "b1" in self.core.banned,
+                          "new" in self.core.banned), (53, True, False, True))
+
+    def events_of(self, what):
+        return self.program.events.counts[what, "", ""]
+
     async def test_operators_calls_are_checked(self):
         does = self.program.desk.does
         for call, words in (("settings-push", ("a", "0/0", "")), ("settings-push", ("a", "x", "")),
@@ -370,6 +399,37 @@
         log.lead(True)
         await self.until(lambda: service.acting.mode == "version" and "ban/e3" in service.acting.rules)
 
+    async def test_a_run_of_versions_is_a_batch_each_and_what_is_left_goes_later(self):
+        store, batches = Memory(), []
+        service = self.service(LocalLog("c1"), keeper=Keeper(store))
+        with mock.patch.object(store, "apply", side_effect=lambda changes, apply=store.apply: (
+                batches.append(1), apply(changes))), mock.patch("frostspindle.settings.service.LESS_S", 1e9):
+            service.start()
+            await self.until(lambda: service.holder.heard)
+            for number in range(6):
+                self.push(service, f"p{number}", {"ban/e": Ban("e", str(number))})
+                await self.until(lambda n=number: service.outcome(f"p{n}")["state"] in ("live", "proven"))
+            self.assertEqual(len(batches), 6)
+        await self.until(lambda: tuple(sorted(service.holder.durable)) == tuple(n for n in service.machine.open if n))
+
+    async def test_a_long_version_is_made_in_turn_with_others_before_it_is_published(self):
+        service, slices, published = self.service(LocalLog("c1"), keeper=Keeper(Memory())), [], []
+        machine = service.machine
+        make, apply = Machine.make, Machine.apply
+
+        def applied(self, index, command):
+            if isinstance(agreement.read(command), Publish):
+                published.append(self.unmade)
+            return apply(self, index, command)
+        with mock.patch.object(Machine, "make", lambda self: (slices.append(1), make(self))), mock.patch.object(
+                Machine, "apply", applied):
+            service.start()
+            await self.until(lambda: service.holder.heard)
+            self.push(service, "p", {f"ban/e{n}": Ban(f"e{n}") for n in range(3_000)})
+            self.push(service, "q", {"ban/e": Ban("e")})  # on the same base: one of both is drafted again
+            await self.until(lambda: machine.live == 2, 8.0)
+        self.assertEqual(({*published}, len(slices) > 60), ({False}, True))
+
     async def test_pushes_are_bounded_and_a_gap_is_told(self):
         service = self.service(LocalLog("c1"))
         for number in range(9):
