Test a flood of all kinds at a process that serves, and kills in the middle of it

Each request has its one answer, each push its verdict, and a start after kill -9 serves from a version that was good and could be taken.

--- a/tests/test_settings_processes.py
+++ b/tests/test_settings_processes.py
@@ -2,12 +2,16 @@
 coordinator alone: SIGHUP, 10,000 engines while requests are open, a version that harms."""
 
 import asyncio
+import base64
 import json
+import random
 import signal
 import unittest
 
 from frostspindle.lab.faults.script import parse
 from frostspindle.lab.faults.settled import Agreeing
+from frostspindle.settings.schema import Ban, Class
+from frostspindle.settings.versions import pack
 
 
 def bans(*names: str) -> str:
@@ -29,6 +33,25 @@
         path, method, body = json.loads(text)["next"], "GET", b""
 
 
+def kind_of(number: int) -> str:
+    return random.Random(number).choice(("valid", "valid", "broken", "cut", "unfit"))
+
+
+async def flood(port: int, number: int) -> tuple[str, str]:
+    """One push of a drawn kind, as a client makes it that stays; its kind and what was answered."""
+    kind = kind_of(number)
+    rules = {"ban/x": Ban("x", str(number))}
+    if kind == "unfit":
+        rules["class/lookup"] = Class("lookup", effect="once")  # needs a new start
+    data = pack(rules)
+    data = {"broken": data[:-2] + b"??", "cut": data[:-5]}.get(kind, data)
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    writer.write(f"settings-push p{number} 0/1 {base64.b64encode(data).decode()}\n".encode())
+    answer = (await reader.read()).decode()
+    writer.close()
+    return kind, answer
+
+
 class Case(unittest.IsolatedAsyncioTestCase):
     async def agreeing(self, count: int, voters: int = 1, **more) -> Agreeing:
         world = Agreeing(count, voters, parse("", count), 3, **more)
@@ -209,6 +232,44 @@
         self.assertEqual((figures["live"], figures["entries"]), (1, 10_001))
         await self.finish(world)
 
+    async def test_a_flood_of_all_kinds_leaves_each_request_its_answer_and_no_kill_a_bad_version(self):
+        world = await self.agreeing(1, delay_s=0.01)
+        c0, ended, rng = world.processes[0], asyncio.Event(), random.Random(6)
+        asked, statuses = 0, []
+
+        async def client(number):
+            nonlocal asked
+            while not ended.is_set():
+                asked += 1
+                statuses.append(await call(c0.http, number * 100_000 + asked))
+        clients = [asyncio.create_task(client(n)) for n in range(1, 7)]
+        number, last = 0, 0
+        while number < 60:
+            number += 1
+            kind, answer = await flood(c0.desk, number)
+            if not answer.startswith("NAK"):
+                last = number if kind == "valid" else last
+                while (told := await c0.figures(f"settings-outcome p{number}"))["state"] in ("drafted", "published"):
+                    await asyncio.sleep(0.01)
+                self.assertEqual(told["state"] in ("live", "proven"), kind == "valid", (kind, told))
+        ended.set()
+        await asyncio.gather(*clients)
+        self.assertEqual(({*statuses}, len(statuses)), ({200}, asked))
+        for _ in range(4):  # killed between its check, its applying and its keeping, at whatever moment that is
+            pushing = asyncio.create_task(asyncio.wait([asyncio.create_task(flood(c0.desk, number + n))
+                                                        for n in range(1, 4)]))
+            await asyncio.sleep(rng.uniform(0.0, 0.12))
+            await c0.kill()
+            await pushing
+            number += 3
+            await c0.start()
+            first = (await c0.until(lambda: c0.events("settings_acting", life=c0.lives)))[0]
+            shown = (await c0.figures(f"settings-diff 0 {first['versions'][-1]}"))["shown"]
+            self.assertEqual({*shown}, {"ban/x"}, "a version that can't be taken is not what a start serves")
+            why = int(shown["ban/x"]["why"])
+            self.assertTrue(last <= why <= number and kind_of(why) == "valid", (last, why))
+            last = why
+
     async def test_a_version_that_harms_is_rolled_back_and_not_taken_again(self):
         world = await self.agreeing(1, delay_s=0.005)
         c0, ended = world.processes[0], asyncio.Event()
