--- a/bench/settings.py
+++ b/bench/settings.py
@@ -415,7 +415,9 @@
                      "median_of_pairs": [round(x, 4) for x in (median(ratios), medians[50], medians[1949])],
                      # windows without against windows without: what the machine alone makes of it
                      "null": round(figure(calm[::2]) / figure(calm[1::2]), 4),
-                     "windows_for_2%": max(2, math.ceil(windows * ((high - low) / 2.0 / 0.02) ** 2))}
+                     # so many would make the interval of the median 2% to either side
+                     "windows_for_2%": max(2, math.ceil(
+                         windows * ((medians[1949] - medians[50]) / 2.0 / 0.02) ** 2))}
     measured_s = (seconds - settle) * windows / 2
     click.echo(json.dumps({
         "windows": windows, "seconds": seconds, "requests_a_second": rate, "requests": total,
