Tell engines, shares and times by the entries that changed

Where what is acted on follows from what was before, its changed entries are enough; while a list is still being told, or after a fault in that, all are compared as before.

--- a/frostspindle/settings/wiring.py
+++ b/frostspindle/settings/wiring.py
@@ -104,6 +104,7 @@
         self._told: Callable[[frozenset[str]], None] = self.core.ban
         self._passed, self.core.fence = self.core.fence, self.fence
         self._sent: dict[int, list[Attempt]] = {}  # what passed the fence and is not over, by engine
+        self._tuned: dict[str, Any] = {}  # entries of tenants and classes, as told to the core
         self._engines: dict[str, Any] = {}  # of HTTP, as told to the core
         self._listed = False  # they are the version's
         self._listing: asyncio.Task[None] | None = None
@@ -213,7 +214,13 @@
     def _tune(self, old: Rules, new: Rules) -> None:
         """Shares of tenants, and the times of classes: the module's settings with them laid over the start's."""
         kinds = ("tenant/", "class/")
-        one, two = ({key: entry for key, entry in table.items() if key.startswith(kinds)} for table in (old, new))
+        one, keys = self._tuned, self._keys
+        if keys is None:
+            two = {key: entry for key, entry in new.items() if key.startswith(kinds)}
+        else:
+            touched = [key for key in keys if key.startswith(kinds)]
+            two = {key: entry for key in (*one, *touched) if (entry := new.get(key)) is not None}
+        self._tuned = two
         if one == two:
             return
         base = self.config.settings
@@ -259,16 +266,23 @@
         """HTTP engines, where no bus lists them: what has changed, in slices."""
         if "scope/http" not in new and not self._listed:
             return
+        told = self._listing is None or (
+            self._listing.done() and not self._listing.cancelled() and self._listing.exception() is None)
         if self._listing is not None:
             self._listing.cancel()
-        wanted = {entry.name: entry for key, entry in new.items() if key.startswith("engine/http/")}
+            self._listing = None
+        if told and self._listed and self._keys is not None and "scope/http" not in self._keys:
+            names = [key.removeprefix("engine/http/") for key in self._keys if key.startswith("engine/http/")]
+            wanted = {name: entry for name in names if (entry := new.get(f"engine/http/{name}")) is not None}
+        else:
+            wanted = {entry.name: entry for key, entry in new.items() if key.startswith("engine/http/")}
+            names = [*wanted, *(self._engines.keys() - wanted.keys())]
         if "scope/http" not in new:  # the list is no longer the version's: it is as the file has it
             hosts = {host.host: host for event in self.config.known if event.topology for host in event.topology.hosts}
             self._listed, self._engines = False, {}
             bus = self.program.bus
             bus.restore(BusEvent(bus.last + 1, Topology(list(hosts.values()), whole=True)))
             return
-        gone = [name for name in self._engines if name not in wanted]
         zone, kind = (names[0] if names else "" for names in (self.config.zones, self.config.kinds))
 
         def host(name: str) -> Host:
@@ -276,7 +290,7 @@
                 return Host(name, health="left")
             return Host(entry.name, entry.dial, entry.zone or zone, entry.kind or kind, entry.block, entry.state,
                         entry.weight)
-        names = gone + [name for name, entry in wanted.items() if self._engines.get(name) != entry]
+        names = [name for name in names if self._engines.get(name) != wanted.get(name)]
         if not self._listed:  # what the start's file knew is not on the list
             self._listed = True
             known = {state.name for state in self.core.engines.values() if state.driver is self.program.driver}
--- a/tests/test_settings_program.py
+++ b/tests/test_settings_program.py
@@ -296,8 +296,20 @@
         one = {f"ban/b{n}": Ban(f"b{n}") for n in range(50)} | {"scope/http": Scope()}
         await self.act(**{key.replace("/", "__"): entry for key, entry in one.items()})
         self.assertEqual((len(self.applied.out), "toy-1" in self.applied.out), (53, True))
-        two = {**one, "drain/b0": Ban("b0"), "ban/new": Ban("new")}
+        two = {**one, "drain/b0": Ban("b0"), "ban/new": Ban("new"), "class/lookup": Class("lookup", 900.0),
+               "engine/http/toy-1": Engine("toy-1", "127.0.0.1:9001"), "tenant/blue": Tenant("blue", 7.0)}
         del two["ban/b0"], two["ban/b1"]
+        self.applied.between = lambda old, new: {"engine/http/toy-1", "class/lookup", "tenant/blue"}
+        self.applied.act(Acting(VERSION, (2,), Long(two)))
+        await self.quiet()
+        states = {state.name: int(state.entry.health) for state in self.core.engines.values()}
+        self.assertEqual((self.core.controller.s.classes[0].aim_ms, states["toy-1"], states["toy-2"]), (900.0, 1, 0))
+        del two["class/lookup"], two["engine/http/toy-1"]
+        self.applied.act(Acting(VERSION, (2,), Long(two)))
+        await self.quiet()
+        states = {state.name: int(state.entry.health) for state in self.core.engines.values()}
+        self.assertEqual((self.core.controller.s.classes[0].aim_ms, self.core.controller.s.tenant_quota_per_s[1],
+                          states["toy-1"]), (self.program.config.settings.classes[0].aim_ms, 7.0, 0))
         self.applied.between = lambda old, new: {"ban/b0", "ban/b1", "drain/b0", "ban/new"}
         with mock.patch.object(self.applied, "_not_listed", side_effect=AssertionError("all engines are")):
             self.applied.act(Acting(VERSION, (2,), Long(two)))
