--- a/frostspindle/settings/agreement.py
+++ b/frostspindle/settings/agreement.py
@@ -15,6 +15,7 @@
 
 from __future__ import annotations
 
+import math
 import zlib
 from collections import Counter
 from dataclasses import dataclass, field, replace
@@ -24,16 +25,20 @@
 from msgspec import Struct
 
 from frostspindle.settings import schema
+from frostspindle.settings.meet import adjoining
 from frostspindle.settings.schema import ENCODE, BadSettings
-from frostspindle.settings.versions import EMPTY, KEPT, Assembly, History, Version, pack, unpack
+from frostspindle.settings.slices import Steps
+from frostspindle.settings.versions import EMPTY, KEPT, Assembly, History, Version, pack, unpack, unpacking
 from frostspindle.store.base import SUM
 
 TOPIC = TASK = "settings"
 MOST_MEMBERS, MOST_DRAFTS, MOST_BAD, MOST_NEWS, MOST_TEXT = 1_024, 16, 64, 64, 200
+MOST_USUAL = 16  # figures of what was usual
 DRAFT_BYTES = 600 << 10  # of all drafts, packed
 STATE_BYTES = 3 << 20  # of the oldest version kept and the changes of all others: a snapshot has 4 MiB
 MOST_STATE = 16 << 20  # bytes of a snapshot, not compressed
 FORMAT = 1
+LONG = 4_096  # bytes of a draft, from which on its version is made ahead
 OK = b"ok"
 
 
@@ -76,8 +81,11 @@
 
 
 class Live(Struct, array_like=True, tag="l", frozen=True):
+    """`usual`: what the publisher saw before it (harm.Usual), so that any later one can judge the version."""
+
     token: int
     version: int
+    usual: tuple[float, ...] = ()
 
 
 class Withdraw(Struct, array_like=True, tag="w", frozen=True):
@@ -135,6 +143,30 @@
     index: int
 
 
+@dataclass(slots=True)
+class _Making:
+    """The version of a draft on a live one, as far as it is made: steps, then it and its meet with the live one, or
+    what is wrong with it."""
+
+    key: str
+    live: int
+    steps: Steps[tuple[Version, Any]]
+    made: tuple[Version, Any] | None = None
+    fault: str = ""
+
+    @property
+    def over(self) -> bool:
+        return self.made is not None or bool(self.fault)
+
+    def step(self) -> None:
+        try:
+            next(self.steps)
+        except StopIteration as end:
+            self.made = end.value
+        except BadSettings as error:
+            self.fault = str(error)
+
+
 @dataclass(slots=True, frozen=True)
 class Member:
     """What a coordinator said last, and in which entry."""
@@ -160,6 +192,7 @@
     members: list[tuple[Hold, int]]
     bad: list[tuple[bytes, int]]
     news: list[News]
+    usual: tuple[float, ...] = ()
 
 
 @dataclass(slots=True)
@@ -172,6 +205,7 @@
     proven: int = 0  # the newest that was live and stood its trial: where a version that harms is rolled back to
     pending: int = 0
     trial: int = 0  # the entry that made the live version live; 0: it is proven
+    usual: tuple[float, ...] = ()  # what was usual before the live version
     history: History = field(default_factory=lambda: History(KEPT))
     drafts: dict[str, Waiting] = field(default_factory=dict)
     members: dict[str, Member] = field(default_factory=dict)
@@ -179,6 +213,9 @@
     news: list[News] = field(default_factory=list)
     counts: Counter[str] = field(default_factory=Counter)
     index: int = 0
+    heard: dict[str, None] = field(default_factory=dict)  # coordinators with word that the publisher has not looked at
+    met: tuple[int, int, Any] = (0, 0, None)  # two adjacent versions and their meet, where it was made beforehand
+    _making: _Making | None = field(default=None, init=False, compare=False)
 
     # What is read.
 
@@ -198,6 +235,27 @@
         """The first whole draft."""
         return next((waiting for waiting in self.drafts.values() if waiting.pieces.whole), None)
 
+    # Ahead of the log: what a publication will need, in slices. It changes nothing but how long that takes.
+
+    @property
+    def unmade(self) -> bool:
+        """Whether the first whole draft is a long one, of which there is more to make."""
+        waiting = self.draft()
+        return (waiting is not None and not self.pending and waiting.pieces.size > LONG
+                and waiting.first.to < 0  # history may move on until then
+                and not self._of(waiting).over)
+
+    def make(self) -> None:
+        """One more slice of it."""
+        if (waiting := self.draft()) is not None:
+            self._of(waiting).step()
+
+    def _of(self, waiting: Waiting) -> _Making:
+        making = self._making
+        if making is None or (making.key, making.live) != (waiting.first.key, self.live):
+            making = self._making = _Making(waiting.first.key, self.live, self._steps(waiting))
+        return making
+
     # The log's side.
 
     def apply(self, index: int, command: bytes) -> bytes:
@@ -257,8 +315,8 @@
     def _waiting(self) -> int:
         return sum(waiting.pieces.size for waiting in self.drafts.values())
 
-    def made(self, waiting: Waiting, number: int) -> Version:
-        """The version that a draft makes; BadSettings."""
+    def _steps(self, waiting: Waiting) -> Steps[tuple[Version, Any]]:
+        """The version that a draft makes, and its meet with the live one."""
         draft, live = waiting.first, self.version(self.live)
         if draft.to >= 0:
             target = self.history.get(draft.to)
@@ -268,21 +326,33 @@
         else:
             if draft.base != live.number:
                 raise BadSettings(f"base: drafted on version {draft.base}, the live one is {live.number}")
-            changes, digest = unpack(b"".join(waiting.pieces.pieces)), draft.digest
-        version = live.next(number, changes, draft.key)
+            changes, digest = (yield from unpacking(b"".join(waiting.pieces.pieces))), draft.digest
+        version = yield from live.following(self.last + 1, changes, draft.key)
         if version.sum != digest:
             raise BadSettings("checksum: the changes don't make the rules that were drafted")
-        if digest in self.bad:
-            raise BadSettings(f"harmful: these are the rules of version {self.bad[digest]}, which was rolled back")
+        yield from schema.checking(version.rules, version.changes)
+        return version, (yield from adjoining(live.rules, version.rules, version.changes))
+
+    def made(self, waiting: Waiting, number: int) -> Version:
+        """The version that a draft makes; BadSettings."""
+        making, live = self._of(waiting), self.version(self.live)
+        while not making.over:
+            making.step()
+        self._making = None
+        if making.made is None:
+            raise BadSettings(making.fault)
+        version = replace(making.made[0], number=number)
+        if version.sum in self.bad:
+            raise BadSettings(f"harmful: these are the rules of version {self.bad[version.sum]}, which was rolled back")
         if version.digest == live.digest and live.number:
             raise BadSettings("same: these are the rules of the live version")
-        schema.check(version.rules, version.changes)
         if version.size > schema.MOST_BYTES:
             raise BadSettings(f"entries of {version.size} bytes, at most {schema.MOST_BYTES}")
         needed = [self.version(number) for number in self.open if number]
         whole = needed[0].size + sum(kept.moved for kept in needed[1:]) + version.moved if needed else version.size
         if whole > STATE_BYTES:
             raise BadSettings(f"too large a change: with the versions still needed more than {STATE_BYTES} bytes")
+        self.met = (live.number, number, making.made[1])
         return version
 
     def _publish(self, index: int, word: Publish) -> bytes:
@@ -325,6 +395,7 @@
         if known is None and len(self.members) >= MOST_MEMBERS:
             return self._no("full", f"full: {MOST_MEMBERS} coordinators hold leases")
         self.members[word.name] = Member(word, index)
+        self.heard[word.name] = None
         return OK
 
     def _live(self, index: int, word: Live) -> bytes:
@@ -332,7 +403,9 @@
             return self._no("stale")
         if word.version != self.pending or not self.pending:
             return self._no("not pending")
-        self.live, self.pending, self.trial = word.version, 0, index
+        if len(word.usual) > MOST_USUAL or not all(0.0 <= figure < math.inf for figure in word.usual):
+            return self._no("bounds")
+        self.live, self.pending, self.trial, self.usual = word.version, 0, index, word.usual
         self._tell(index, "live", self.live)
         return OK
 
@@ -377,6 +450,7 @@
         if known is None or (known.hold.process, known.hold.number) != (word.process, word.number):
             return self._no("heard since")
         del self.members[word.name]
+        self.heard[word.name] = None
         return OK
 
     def _leave(self, index: int, word: Leave) -> bytes:
@@ -384,6 +458,7 @@
         if known is None or known.hold.process != word.process:
             return self._no("unknown")
         del self.members[word.name]
+        self.heard[word.name] = None
         return OK
 
     # Snapshots.
@@ -399,7 +474,8 @@
         return zlib.compress(ENCODE(_State(
             FORMAT, self.token, self.last, self.live, self.proven, self.pending, self.trial, self.index, rows,
             [(w.first, w.pieces.pieces, w.index) for w in self.drafts.values()],
-            [(m.hold, m.index) for m in self.members.values()], list(self.bad.items()), self.news)), 1)
+            [(m.hold, m.index) for m in self.members.values()], list(self.bad.items()), self.news,
+            self.usual)), 1)
 
     def restore(self, index: int, state: bytes) -> None:
         """ValueError: it can't be read, and nothing was changed."""
@@ -423,9 +499,12 @@
         if told.format != FORMAT or any(history.get(n) is None for n in (told.live, told.proven, told.pending)):
             raise ValueError("settings: another format, or versions are missing")
         self.token, self.last, self.live, self.proven = told.token, told.last, told.live, told.proven
+        self._making, self.met = None, (0, 0, None)
         self.pending, self.trial, self.index = told.pending, told.trial, max(index, told.index)
-        self.history, self.bad, self.news = history, dict(told.bad), told.news
+        self.history, self.bad, self.news, self.usual = history, dict(told.bad), told.news, told.usual
         self.drafts = {first.key: Waiting(first, Assembly(first.of, pieces), at) for first, pieces, at in told.drafts}
+        self.heard.update(dict.fromkeys(self.members))
+        self.heard.update({hold.name: None for hold, _ in told.members})
         self.members = {hold.name: Member(hold, at) for hold, at in told.members}
 
 
--- a/frostspindle/settings/deciding.py
+++ b/frostspindle/settings/deciding.py
@@ -177,7 +177,9 @@
 
     def _meet(self, versions: tuple[Version, ...], why: str) -> Acting:
         numbers = tuple(dict.fromkeys(version.number for version in versions))
-        if len(versions) == 2 and versions[1].parent == versions[0].number:
+        if numbers == self.machine.met[:2]:
+            rules = self.machine.met[2]
+        elif len(versions) == 2 and versions[1].parent == versions[0].number:
             rules = adjacent(versions[0].rules, versions[1].rules, versions[1].changes)
         else:
             rules = meet_all(version.rules for version in versions)
@@ -187,14 +189,16 @@
         """The core acts on it."""
         self.applied = acting
 
-    def to_keep(self) -> tuple[Version, ...]:
-        """The versions that must be durable, if they are not yet: whoever starts from them meets all of them. Before a
-        hold of this process was applied, the machine may be behind what is kept."""
+    def to_keep(self, less: bool = True) -> tuple[Version, ...]:
+        """The versions that must be durable, if they are not, or, with `less`, if others are besides: whoever starts
+        meets all that are, so more are no danger. Before a hold of this process was applied, the machine may be behind
+        what is kept."""
         machine = self.machine
         if not self.heard:
             return ()
         needed = tuple(machine.version(number) for number in machine.open if number and not self._unfit.get(number))
-        if {version.number: version.digest for version in needed} == self.durable:
+        wanted = {version.number: version.digest for version in needed}
+        if wanted == self.durable or not less and wanted.items() <= self.durable.items():
             return ()
         return needed
 
@@ -250,16 +254,16 @@
     def __init__(self, terms: Terms, machine: Machine, judge: Judge | None = None) -> None:
         self.terms, self.machine, self.judge = terms, machine, judge
         self.token = 0
-        self._seen: dict[str, tuple[int, int, float]] = {}  # by coordinator its last hold, and when it was seen here
+        # By coordinator its last hold, and when it was seen here; who was heard last stands last.
+        self._seen: dict[str, tuple[int, int, float]] = {}
+        self._all = True  # all must be looked at, not only who was heard since
         self._pending: tuple[int, float] = (0, 0.0)
         self._trial: tuple[int, float] = (0, 0.0)  # the live version on trial, and since when it is seen so here
 
     def take(self, now: float, token: int) -> None:
-        """All waits begin anew: what was before is not known here."""
+        """All waits begin anew, and a trial too: what was usual before the version is in the machine."""
         self.token = token
-        self._seen, self._pending, self._trial = {}, (0, 0.0), (0, 0.0)
-        if self.judge is not None:
-            self.judge.clear()
+        self._seen, self._pending, self._trial, self._all = {}, (0, 0.0), (0, 0.0), True
 
     def lose(self) -> None:
         self.token = 0
@@ -267,22 +271,30 @@
     def decide(self, now: float) -> Command | None:
         """The next command to propose, if any; asked again after each entry and every so often."""
         machine, terms = self.machine, self.terms
-        for name in self._seen.keys() - machine.members.keys():
-            del self._seen[name]
-        for name, member in machine.members.items():
-            mark = (member.hold.process, member.hold.number)
+        heard = [*machine.members, *machine.heard] if self._all else [*machine.heard]
+        machine.heard.clear()
+        self._all = False
+        told, gone = {}, []
+        for name in heard:
+            if (member := machine.members.get(name)) is None:
+                self._seen.pop(name, None)
+                gone.append(name)
+                continue
+            hold = member.hold
+            told[name] = (hold.process, hold.seen)
             known = self._seen.get(name)
-            if known is None or known[:2] != mark:
-                self._seen[name] = (*mark, now)
+            if known is None or known[:2] != (hold.process, hold.number):
+                self._seen.pop(name, None)
+                self._seen[name] = (hold.process, hold.number, now)
         if self.judge is not None:
-            self.judge.feed(now, {name: (m.hold.process, m.hold.seen) for name, m in machine.members.items()})
+            self.judge.feed(now, told, gone)
         if self._pending[0] != machine.pending:
             self._pending = (machine.pending, now)
         trial = machine.live if machine.trial else 0
         if self._trial[0] != trial:
             self._trial = (trial, now)
             if self.judge is not None and trial:
-                self.judge.begin(now)
+                self.judge.begin(now, machine.usual)
         if not self.token:
             return None
         if machine.pending:
@@ -298,8 +310,7 @@
         if trial and calm and now - self._trial[1] >= terms.trial_ms:
             return Proven(self.token, trial)
         for name, (process, number, at) in self._seen.items():
-            if now - at >= 2.0 * terms.wait_ms:
-                return Forget(self.token, name, process, number)
+            return Forget(self.token, name, process, number) if now - at >= 2.0 * terms.wait_ms else None
         return None
 
     def _pass(self, now: float) -> Command | None:
@@ -310,5 +321,5 @@
                 return Withdraw(self.token, number, f"{name}: {member.hold.why}"[:agreement.MOST_TEXT])
             acked &= member.hold.acked >= number
         if acked or now - self._pending[1] >= self.terms.wait_ms:
-            return Live(self.token, number)
+            return Live(self.token, number, self.judge.usual() if self.judge is not None else ())
         return None
--- a/tests/test_settings_agreement.py
+++ b/tests/test_settings_agreement.py
@@ -1,6 +1,7 @@
 """Agreement on versions: the machine, a coordinator's and the publisher's decisions, every order of their steps."""
 
 import random
+from unittest import mock
 
 import pytest
 from agreeing import TERMS, World, ban, draft, span
@@ -24,7 +25,8 @@
     encode,
 )
 from frostspindle.settings.audit import contradictions, longest, spans
-from frostspindle.settings.deciding import FILE, MEET, REFUSE, VERSION, Terms
+from frostspindle.settings.deciding import FILE, MEET, REFUSE, VERSION, Holder, Publisher, Terms
+from frostspindle.settings.harm import BUCKETS, HEAD, Judge
 from frostspindle.settings.schema import Ban, Engine, Limit, Scope
 from frostspindle.settings.versions import EMPTY, KEPT, PIECE, cut, pack
 
@@ -110,6 +112,32 @@
         assert fed.machine.apply(fed.index, encode(Live(5, 1))) == b"no: old" and fed.machine.live == 0
         assert {fed.machine.counts[what] for what in ("gap", "repeat", "other", "old")} >= {1}
 
+    def test_a_long_version_is_made_ahead_in_slices_and_its_publication_makes_nothing(self):
+        fed, twin, changes = Fed(), Fed(), {f"ban/e{n}": Ban(f"e{n}") for n in range(3_000)}
+        for one in (fed, twin):
+            one.draft(changes)
+        slices = 0
+        while fed.machine.unmade:
+            fed.machine.make()
+            slices += 1
+        assert slices > 60
+        with mock.patch("frostspindle.settings.agreement.unpacking", side_effect=AssertionError("made again")):
+            assert fed(Publish(5, "me/1/1")) == "ok 1"
+        with mock.patch("frostspindle.settings.deciding.adjacent", side_effect=AssertionError("met again")):
+            holder = Holder("c1", 1, TERMS, fed.machine, 0.0)
+            assert len(holder._meet((EMPTY, fed.machine.version(1)), "pending").rules) == 3_000
+        assert twin(Publish(5, "me/1/1")) == "ok 1" and twin.machine.state() == fed.machine.state()
+        assert fed(Live(5, 1)) == "ok" and fed(Proven(5, 1)) == "ok"
+        # What a draft would go back to may be gone until it is published; a bad one says so at its publication.
+        assert fed(Draft("me", 1, 99, -1, b"x" * 16, 0, 1, bytes(9_000), to=0)) == "ok" and not fed.machine.unmade
+        assert fed(Publish(5, "me/1/99")).startswith("ok")
+        assert fed(Withdraw(5, 2, "")) == "ok"
+        made = fed.machine.version(1).next(2, {f"ban/f{n}": Ban(f"f{n}", "x" * 40) for n in range(3_000)})
+        assert fed(Draft("me", 1, 100, 1, b"x" * 16, 0, 1, pack(made.changes))) == "ok"
+        while fed.machine.unmade:
+            fed.machine.make()
+        assert fed(Publish(5, "me/1/100")).startswith("no: checksum")
+
     def test_what_harmed_is_rolled_back_under_a_new_number_and_not_taken_again(self):
         fed = Fed()
         good, bad = fed.push(ban("e1")), fed.push(ban("e2"), proven=False)
@@ -393,9 +421,37 @@
             world.settle(1, 50.0)
         assert world.now - before <= 400.0
 
-    def test_harm_is_rolled_back_by_the_publisher_and_the_next_version_is_taken(self):
-        from frostspindle.settings.harm import BUCKETS, HEAD, Judge
+    def test_a_word_of_one_coordinator_costs_no_look_at_all_and_who_fell_silent_is_found_all_the_same(self):
+        class Many(dict):
+            def items(self):
+                raise AssertionError("all are looked at")
+            values = keys = __iter__ = items
 
+        fed = Fed()
+        publisher = Publisher(TERMS, fed.machine, Judge())
+        for n in range(9):
+            assert fed(Hold(f"c{n}", 1, 1)) == "ok"
+        publisher.take(0.0, 5)
+        assert publisher.decide(0.0) is None
+        for n in (*range(3), *range(4, 9)):
+            assert fed(Hold(f"c{n}", 1, 2, seen=(*range(4), *[0] * BUCKETS))) == "ok"
+        plain, fed.machine.members = fed.machine.members, Many(fed.machine.members)
+        assert publisher.decide(3_000.0) is None and publisher.judge._windows[-1][3] == 24
+        assert publisher.decide(4_000.0) == Forget(5, "c3", 1, 1)
+        fed.machine.members = plain
+        assert fed(Forget(5, "c3", 1, 1)) == "ok" and fed(Leave("c8", 1)) == "ok"
+        publisher.decide(4_100.0)
+        assert publisher._seen.keys() == plain.keys() and publisher.judge._windows[-1][3] == 21
+        late = Machine()
+        for n in (1, 99):
+            late.apply(n, encode(Hold(f"c{n}", 1, 9)))
+        fed.machine.restore(fed.index, late.state())
+        publisher.decide(4_200.0)
+        assert publisher._seen.keys() == {"c1", "c99"} and not publisher.judge._windows[-1][3]
+        publisher.take(4_300.0, 6)
+        assert publisher.decide(4_300.0) is None and publisher.decide(8_400.0).name == "c1"
+
+    def test_harm_is_rolled_back_by_the_publisher_and_the_next_version_is_taken(self):
         world, figures = agreed(1), [0] * (HEAD + BUCKETS)
         node = world.nodes["c0"]
         node.publisher.judge = Judge()
@@ -431,6 +487,51 @@
         assert "ban/e4" in node.machine.version(node.machine.live).rules
 
 
+    def test_the_next_publisher_judges_by_what_was_usual_before_the_version_and_rolls_it_back(self):
+        world, counts = agreed(), {name: [0] * (HEAD + BUCKETS) for name in ("c0", "c1", "c2")}
+
+        def run(fails, until, steps=100):
+            for _ in range(steps):
+                for name, node in world.nodes.items():
+                    node.publisher.judge = node.publisher.judge or Judge()
+                    for place, more in ((0, 50), (1, fails), (HEAD + 3, 50)):
+                        counts[name][place] += more
+                    if (word := node.holder.holds(world.now, tuple(counts[name]))) is not None:
+                        world.propose(word)
+                    world.publish(name)
+                for name in world.nodes:
+                    world.apply(name, 99)
+                    world.keep(name)
+                world.pass_time(100.0)
+                if until(next(iter(world.nodes.values())).machine):
+                    return
+            raise AssertionError("it did not come to that")
+
+        run(0, lambda machine: world.now > 30_000.0, 400)
+        push(world, ban("e2"), 2)
+        run(0, lambda machine: machine.live == 2)
+        trial = world.nodes["c0"].machine.usual
+        assert trial[1] > 1_000 and world.nodes["c0"].machine.trial
+        # Its publisher dies, and so do the others, who saw the time before it; one that has seen none of it publishes.
+        state, at = world.nodes["c1"].machine.state(), world.nodes["c1"].at
+        for name in ("c0", "c1", "c2"):
+            world.crash(name)
+        world.start("c1")
+        node = world.nodes["c1"]
+        node.machine.restore(at, state)
+        node.at = at
+        assert node.machine.usual == trial
+        node.publisher.take(world.now, 20)
+        run(20, lambda machine: machine.pending)
+        assert node.machine.news[-1].what == "rolled back" and node.machine.news[-1].why.startswith("failed: ")
+        run(20, lambda machine: machine.live == 3)
+        assert node.machine.version(3).rules == node.machine.version(1).rules and node.machine.usual == trial
+        fed = Fed()
+        fed.push(ban("e1"), live=False)
+        for usual in ((1.0,) * 17, (-1.0,), (float("nan"),), (float("inf"),)):
+            assert fed(Live(5, 1, usual)) == "no: bounds"
+
+
 class TestAudit:
     def test_the_longest_contradiction_is_found_over_all_pairs(self):
         always = lambda one, two: True  # noqa: E731
@@ -599,10 +700,10 @@
         if name in self.world.nodes:
             self.world.hold(name)
 
-    @rule(name=names)
-    def keep(self, name):
+    @rule(name=names, less=st.booleans())
+    def keep(self, name, less):
         if name in self.world.nodes:
-            self.world.keep(name)
+            self.world.keep(name, less)
 
     @rule(name=names)
     def publish(self, name):
