Don't vouch for an engine that was seen to refuse connections while others were down

Who came back now takes over the start by which others vouch. A listed engine tells whether its teller has seen it refuse connections and take none since (Listed.ran, a last field, read as true where an earlier version leaves it out); such a word vouches for nothing of that engine, for the others as before. With the first answer after refusals of 200 ms the start that was given is brought up to then, unless the bus has told one; others are told it before the core has it. In the program only an answer counts as a connection taken: one that broke, was cancelled or stopped cleared the refusals before. Refusals of engines that left the list were kept for ever; they go with the list.

--- a/frostspindle/lab/power.py
+++ b/frostspindle/lab/power.py
@@ -230,7 +230,8 @@
     def listed(self) -> None:
         assert self.node is not None
         self.node.holds(self.w.now, EPOCH + self.w.now, self.spoken, {f"e{n}": wire.Listed(
-            f"e{n}", "127.0.0.1:1", "", "", 0, 1, 1.0, born and EPOCH + born) for n, born in self.engines.items()})
+            f"e{n}", "127.0.0.1:1", "", "", 0, 1, 1.0, born and EPOCH + born,
+            self.told.get(n, 0.0) and EPOCH + self.told[n]) for n, born in self.engines.items()})
 
     def on_store(self, life: int, opened: Opened) -> None:
         if life == self.life and self.up and self.node:
@@ -422,7 +423,7 @@
         if life != self.life or not self.up:
             return
         record = attempt.record
-        if self.node is not None and attempt.paid:
+        if self.node is not None and attempt.paid and verdict in (Verdict.OK, Verdict.CONNECT_FAILED):
             self.node.ended(EPOCH + self.w.now, f"e{attempt.engine}", verdict == Verdict.CONNECT_FAILED)
             self.drain()
         if verdict == Verdict.OK:
--- a/frostspindle/recovery/agree.py
+++ b/frostspindle/recovery/agree.py
@@ -124,9 +124,11 @@
         ran = [w for w in words if w.firm and w.up_ms >= RAN_MS and w.maker != name]
         among = frozenset(seeds)
         if 2 * sum(w.maker in among for w in ran) > len(among):  # they saw the engines run on through our loss
+            refuses = {engine.name for word in ran for engine in word.engines.values() if not engine.ran}
             for word in ran:
                 for engine in word.engines.values():
-                    starts[engine.name] = max(starts.get(engine.name, 0.0), engine.born_ms)
+                    if engine.name not in refuses:  # who was turned away by one saw that it did not run on
+                        starts[engine.name] = max(starts.get(engine.name, 0.0), engine.born_ms)
     return Agreed(are, best.number, listed, withheld, banned, starts)
 
 
--- a/frostspindle/recovery/node.py
+++ b/frostspindle/recovery/node.py
@@ -145,6 +145,7 @@
         self._first = False  # the operator's word: there was no store, and so no loss
         self._given: dict[str, tuple[float, ...]] = {}  # engines' latest starts as others told them
         self._refuses: dict[str, tuple[float, float]] = {}  # since when an engine does, and when that was last told
+        self._restarts: dict[str, float] = {}  # starts that we have told of ourselves and that `engines` lacks still
         self._seen: set[str] = set()  # engines that were judged cold or not
         self._pull_at = now + self.random.uniform(0.2, 1.0) * ANEW_MS
         self._beat_at, self._prune_at = now, now + PRUNE_MS
@@ -221,6 +222,9 @@
             if self.stages.stage > Stage.AGREE:
                 self._keep_list(engines)
             self.number, self.engines, self._book = number, engines, None
+            self._refuses = {name: of for name, of in self._refuses.items() if name in engines}
+            self._restarts = {name: start for name, start in self._restarts.items()
+                              if name in engines and engines[name].born_ms < start}
         if Stage.ENGINES < self.stages.stage < Stage.OPEN:
             self._chill(unix)
 
@@ -243,15 +247,32 @@
             self._book = None
 
     def ended(self, unix: float, engine: str, refused: bool) -> None:
-        """An attempt has ended; `refused`: its engine took no connection. Who keeps running sees a loss of power so."""
-        if not refused or self.stages.stage <= Stage.ENGINES:
+        """An attempt has ended; `refused`: its engine took no connection. Who keeps running sees a loss of power so.
+
+        From the first refusal until a connection is taken we don't vouch for the engine, and from then on by the start
+        that we have given it, which the bus may not be there to tell.
+        """
+        known = self.engines.get(engine)
+        if self.stages.stage <= Stage.ENGINES or known is None:
             self._refuses.pop(engine, None)
-        elif engine in self.engines:
+        elif refused:
             since, told = self._refuses.get(engine, (unix, -math.inf))
             if unix - since >= REFUSES_MS and unix - told >= REFUSES_MS:
                 told = unix
-                self.effects.append(Chill({engine: math.floor(unix / GRID_MS) * GRID_MS}))
+                self._restarted(engine, unix)
+            if engine not in self._refuses:
+                self._book = None
             self._refuses[engine] = since, told
+        elif engine in self._refuses:
+            since, told = self._refuses.pop(engine)
+            self._book = None
+            if told > since and known.told_ms <= since:  # it began after the last refusal, and nobody has told when
+                self._restarted(engine, unix)
+
+    def _restarted(self, engine: str, unix: float) -> None:
+        start = self._restarts[engine] = math.floor(unix / GRID_MS) * GRID_MS
+        self._book = None
+        self.effects.append(Chill({engine: start}))
 
     def quiet(self, quiet: bool) -> None:
         """Whether nothing of our rights in cold engines' budgets is out or wanted: the store keeps it for a next life.
@@ -398,7 +419,7 @@
             number, engines = self._holding()
             pages: list[tuple[list[Listed], list[Ban]]] = [([], [])]
             digest, room = blake2b(str(number).encode(), digest_size=6), wire.ROOM
-            rows: list[Listed | Ban] = [*engines.values(), *self.bans.words.values()]
+            rows: list[Listed | Ban] = [*map(self._seen_by_us, engines.values()), *self.bans.words.values()]
             for row in rows:
                 data = wire.encode(row)
                 digest.update(data)
@@ -411,6 +432,13 @@
             self._book = int.from_bytes(digest.digest()), pages[:wire.MOST_PAGES]
         return self._book
 
+    def _seen_by_us(self, engine: Listed) -> Listed:
+        """As others are told of it: with what we saw of it ourselves."""
+        start = max(engine.born_ms, self._restarts.get(engine.name, 0.0))
+        if start == engine.born_ms and engine.name not in self._refuses:
+            return engine
+        return msgspec.structs.replace(engine, born_ms=start, ran=engine.name not in self._refuses)
+
     def _holding(self) -> tuple[int, Mapping[str, Listed]]:
         """The list that we speak for: of the store and the present one, that with the higher number."""
         if self.kept is not None and self.kept.number > self.number and self.stages.stage <= Stage.AGREE:
@@ -563,18 +591,22 @@
     def _chill(self, unix: float) -> None:
         """Engines that were not judged yet; the list's word on those that come after the recovery is believed.
 
-        A start that others have given since our loss is taken over: a cold engine's budget is one for each start.
+        A start that others have given since our loss is taken over: a cold engine's budget is one for each start. So is
+        the start by which those vouch who ran on: they may have seen it begin anew while the bus was away.
         """
         starts = self.agreed.starts if self.agreed else {}
         fresh = {name: e.born_ms for name, e in self.engines.items() if name not in self._seen}
         self._seen.update(fresh)
         beat = self.beat if not self.blank else None
         clean = bool(beat and beat.clean) or self._first
+        later = {name: starts[name] for name, born in fresh.items() if starts.get(name, 0.0) > born}
         if names := agree.cold(fresh, starts, beat.at_ms if beat else None, clean):
             grid = math.floor(unix / GRID_MS) * GRID_MS
-            self.effects.append(Chill({name: max(
+            later |= {name: max(
                 (given for given in self._given.get(name, ()) if beat is None or given > beat.at_ms), default=grid)
-                for name in names}))
+                for name in names}
+        if later:
+            self.effects.append(Chill(later))
 
     def _later(self, unix: float, word: Word) -> None:
         """Another gives an engine a later start than we do: all go by the latest, within the skew of clocks."""
--- a/frostspindle/recovery/service.py
+++ b/frostspindle/recovery/service.py
@@ -98,8 +98,11 @@
         self.service.settled(number, ran)
 
     def ended(self, engine: str, verdict: int) -> None:
+        """Only an answer proves that a connection was taken: one that broke may be of before a loss, and what was
+        stopped or cancelled need not have reached the engine."""
         node = self.service.node
-        node.ended(clock(), engine, verdict == Verdict.CONNECT_FAILED)
+        if verdict in (Verdict.OK, Verdict.CONNECT_FAILED):
+            node.ended(clock(), engine, verdict == Verdict.CONNECT_FAILED)
         if node.effects:
             self.service.drain()
 
--- a/frostspindle/recovery/wire.py
+++ b/frostspindle/recovery/wire.py
@@ -56,6 +56,7 @@
     share: Annotated[float, Meta(ge=0, le=1e6)]
     born_ms: Ms  # as it is believed: an engine may be taken for started later than the bus has told
     told_ms: Ms = 0.0  # as the bus has it: rights to a cold engine go by this, the same at all
+    ran: bool = True  # False: the teller has seen it refuse connections, and none accepted since
 
 
 class Ask(Struct, array_like=True, frozen=True, tag=0):
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -129,6 +129,10 @@
         late = agree.agree("a", [word("a", 5, listed("x")), ran[0], word("c", 5, listed("x"), firm=True, up_ms=9.0)],
                            Bans(), self.SEEDS)
         self.assertEqual(late.starts, {})
+        one = msgspec.structs.replace(listed("x", born=7.0), ran=False)  # saw it refuse connections
+        seen = agree.agree("a", [word("a", 5, listed("x")), ran[0], word(
+            "c", 5, one, listed("y", born=3.0), firm=True, up_ms=agree.RAN_MS)], Bans(), self.SEEDS)
+        self.assertEqual(seen.starts, {"y": 3.0})
         born = {"x": 1.0, "y": 50.0}
         self.assertEqual(agree.cold(born, {}, 10.0, False), {"x"})
         self.assertEqual(agree.cold(born, {"x": 7.0}, 10.0, False), set())
@@ -407,7 +411,8 @@
                             self.way.append((name, target, data))
                 self.draw.shuffle(self.way) if self.loss else None
                 for chill in [effect for effect in node.effects if isinstance(effect, Chill)]:
-                    node.holds(self.now, UNIX + self.now, 1, {n: listed(n, born=s) for n, s in chill.starts.items()})
+                    node.holds(self.now, UNIX + self.now, 1, {
+                        **node.engines, **{n: listed(n, born=s) for n, s in chill.starts.items()}})
                 self.effects[name] += node.effects
                 node.out, node.effects = [], []
 
@@ -532,6 +537,53 @@
         [chill] = node.effects
         self.assertTrue(UNIX - 2_000.0 < chill.starts["e"] <= UNIX + 500.0)
 
+    def test_who_ran_on_does_not_vouch_for_an_engine_that_it_saw_refuse_connections(self):
+        """The bus is away, and tells nobody that it restarted: who comes back is told, and takes no word of the other
+        engines for less."""
+        for seen, cold in (("none", set()), ("refuses", {"e"}), ("back", {"e"}), ("not looked at again", {"e"})):
+            with self.subTest(seen):
+                net = self.fleet(3)
+                net.run(1_000.0)
+                for node in net.nodes.values():
+                    node.holds(net.now, UNIX + net.now, 1, {"e": listed("e"), "f": listed("f")})
+                net.run(agree.RAN_MS)
+                net.kill("c0")
+                ran, before, looks = net.nodes["c1"], net.now, 0 if seen == "none" else 1 if seen == "refuses" else 3
+                for _ in range(looks):
+                    ran.ended(UNIX + net.now, "e", True)
+                    net.run(300.0)
+                net.run(3_000.0)
+                if seen == "back":  # the core has not yet told that it goes by the start
+                    ran.ended(UNIX + net.now, "e", False)
+                    ran.effects.clear()
+                net.start("c0", fresh=True)  # its own word doesn't count, and it waits for both others'
+                net.nodes["c0"].holds(net.now, UNIX + net.now, 1, {"e": listed("e"), "f": listed("f")})
+                net.run(1_500.0)
+                starts = {}
+                for effect in net.effects["c0"]:
+                    if isinstance(effect, Chill):
+                        starts |= effect.starts
+                self.assertEqual(set(starts), cold)
+                # Not by the start before it was seen to refuse, and once it was seen back not by one before that.
+                self.assertTrue(all(start > UNIX + before - 2_000.0 + 2_000.0 * (seen == "back")
+                                    for start in starts.values()), starts)
+
+    def test_a_start_that_the_bus_tells_is_not_moved_by_who_saw_the_engine_refuse(self):
+        node = self.fleet(3).nodes["c0"]
+        for at in (0.0, 300.0):
+            node.ended(UNIX + at, "e", True)
+        node.effects.clear()
+        node.holds(0.0, UNIX, 2, {"e": msgspec.structs.replace(listed("e", born=UNIX + 9e3), told_ms=UNIX + 9e3)})
+        node.ended(UNIX + 20_000.0, "e", False)
+        self.assertEqual(node.effects, [])
+
+    def test_refusals_of_engines_that_have_left_the_list_are_forgotten(self):
+        node = self.fleet(3).nodes["c0"]
+        node.ended(UNIX, "e", True)
+        self.assertEqual(set(node._refuses), {"e"})
+        node.holds(0.0, UNIX, 2, {"f": listed("f")})
+        self.assertEqual(node._refuses, {})
+
     def test_a_home_grants_nothing_before_it_has_asked_whether_its_store_is_the_last(self):
         net = Net(["c0", "c1", "c2"])
         net.start("c0")
--- a/tests/test_recovery_program.py
+++ b/tests/test_recovery_program.py
@@ -18,8 +18,9 @@
 from frostspindle.config import ConfigError
 from frostspindle.lab.engines import document
 from frostspindle.recovery.agree import Agreed
-from frostspindle.recovery.service import Service
+from frostspindle.recovery.service import Gate, Service
 from frostspindle.recovery.wire import Listed
+from pinstage.interface import Verdict
 
 ROOT = Path(__file__).parent.parent
 RECOVERY = '[recovery]\nfolder = "FOLDER/store"\nfirst_start = true\n'
@@ -93,6 +94,16 @@
         self.assertEqual([host.born_ms for event in said for host in event.topology.hosts], [1.7e12])
 
 
+    def test_what_engines_do_with_connections_is_told_to_the_node_by_the_core(self):
+        told, drained = [], []
+        node = SimpleNamespace(effects=[1], ended=lambda unix, engine, refused: told.append((engine, refused)))
+        gate = Gate(SimpleNamespace(node=node, drain=lambda: drained.append(1)), None, ())
+        for verdict in Verdict:  # a connection that breaks may be of before a loss
+            gate.ended("e", verdict)
+        self.assertEqual(told, [("e", False), ("e", True)])
+        self.assertTrue(drained)
+
+
 class ProcessesCase(FaultsCase):
     async def up(self, fleet, life: int) -> None:
         for process in fleet.processes:
