Refuse at the gate only who could not be done in time even as the next

Now it refuses at once who has no hope even if nothing is ahead; the wait that is told is still that of the whole queue.

--- a/frostspindle/recovery/intake.py
+++ b/frostspindle/recovery/intake.py
@@ -2,8 +2,8 @@
 
 Owns the requests that wait, their order and the rate at which they go on. The module goes on deciding on each that is
 let through. It must never do I/O or read a clock, never let a request of a key pass an earlier one of it, never keep
-one that can't be done in its time (it is refused at once, so that its client need not wait for nothing), and never
-grow past `most`: then what is worth least for its work is refused.
+one that can't be done in its time even if it is next (it is refused at once, so that its client need not wait for
+nothing), and never grow past `most`: then what is worth least for its work is refused.
 
 What engines can bear now is told by the curve of cold engines; the gate lets through as much work as fits in HORIZON_MS
 of it, and more as answers come. Those that wait go by worth a unit of work, of equal worth the smallest first.
@@ -214,13 +214,16 @@
         return [Out(one.number, False, wait)]
 
     def _hopeless(self, now: float) -> list[Out]:
-        """Of those that wait, in their order, whoever would come too late."""
+        """Of those that wait, whoever would come too late even if it were next.
+
+        What is ahead of it is not held against it: the module takes the smallest first, and others leave. By the order
+        here more than twice as many were refused, and fewer served.
+        """
         out: list[Out] = []
         ahead = self.work
         for one in sorted(self.waiting.values(), key=lambda w: w.rank):
-            done = self._until(now, ahead + one.cost)
-            if done > one.ends:
-                out += self._refuse(now, one, self.wait_ms(now, done))
+            if self._until(now, one.cost) > one.ends:
+                out += self._refuse(now, one, self.wait_ms(now, self._until(now, ahead + one.cost)))
             else:
                 ahead += one.cost
         return out
