--- a/frostspindle/recovery/node.py
+++ b/frostspindle/recovery/node.py
@@ -255,8 +255,8 @@
     def ended(self, unix: float, engine: str, refused: bool) -> None:
         """An attempt has ended; `refused`: its engine took no connection. Who keeps running sees a loss of power so.
 
-        From the first refusal on we don't vouch for the engine, until the bus tells of a start or, where it refused for a
-        while, an answer shows that it is back: then by that start. A blip is no start, but may have hidden one.
+        From the first refusal on we don't vouch for the engine, until the bus tells of a start or, where it refused for
+        a while, an answer shows that it is back: then by that start. A blip is no start, but may have hidden one.
         """
         known = self.engines.get(engine)
         if self.stages.stage <= Stage.ENGINES or known is None:
