Tell who sent a load whose homes rest to wait as long as may be told

Homes whose store was lost or set back rest for ticket_ms, minutes, and the load's client was told to come back after a second: it was refused again each time.

--- a/frostspindle/lab/power.py
+++ b/frostspindle/lab/power.py
@@ -14,6 +14,7 @@
 
 import dataclasses
 import heapq
+import math
 import random
 from collections import Counter
 from collections.abc import Callable
@@ -324,7 +325,7 @@
                 record = self.waits.pop(effect.number)
                 self.w.counted[f"claim_{effect.how.replace(' ', '_')}"] += 1
                 self.answer(record, "failed" if effect.how == tickets.RAN else "refused",
-                            self.intake.wait_ms(now, now + 1_000.0))
+                            self.intake.wait_ms(now, now + (1_000.0 if effect.how == tickets.UNSURE else math.inf)))
 
     def carry(self, outs: list[Out]) -> None:
         for out in outs:
--- a/frostspindle/recovery/service.py
+++ b/frostspindle/recovery/service.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import secrets
 import time
 from collections.abc import Callable
@@ -402,8 +403,10 @@
         elif effect.number in self.gate.asks:
             del self.gate.asks[effect.number]
             self.events.count("loads_repeated" if effect.how == tickets.RAN else "loads_without_ticket")
+            # Homes that rest do so for long: who comes back soon is refused again.
+            wait_ms = self.config.claim_ms if effect.how == tickets.UNSURE else math.inf
             self.core.turn_away(effect.number, Answer(FAILED) if effect.how == tickets.RAN else Answer(
-                REFUSED, None, self.intake.wait_ms(clock(), clock() + self.config.claim_ms)))
+                REFUSED, None, self.intake.wait_ms(clock(), clock() + wait_ms)))
 
     def _agreed(self, agreed: agree.Agreed) -> None:
         """Lists and bans are settled, by enough of the seeds or, for now, by the safest of what is known."""
--- a/tests/test_recovery_program.py
+++ b/tests/test_recovery_program.py
@@ -17,7 +17,10 @@
 from frostspindle.cli import cli
 from frostspindle.config import ConfigError
 from frostspindle.lab.engines import document
+from frostspindle.recovery import tickets
 from frostspindle.recovery.agree import Agreed
+from frostspindle.recovery.intake import Curve, Intake
+from frostspindle.recovery.node import Settled
 from frostspindle.recovery.service import Gate, Service
 from frostspindle.recovery.wire import Listed
 from pinstage.interface import Verdict
@@ -104,6 +107,22 @@
         self.assertTrue(drained)
 
 
+    def test_a_load_whose_homes_rest_is_told_to_wait_as_long_as_may_be(self):
+        """They rest for minutes, and who came back within a second was refused again and again."""
+        for how, least, most in ((tickets.UNSURE, 500.0, 1_500.0), (tickets.CANT, 1_000.0, 3_000.0)):
+            waits = []
+            service = SimpleNamespace(
+                gate=SimpleNamespace(asks={}), events=SimpleNamespace(count=lambda what: None),
+                config=SimpleNamespace(claim_ms=1_000.0), intake=Intake((), Curve(), 1.0, 9, 1, 3_000.0),
+                node=SimpleNamespace(stages=SimpleNamespace(over=True)),
+                core=SimpleNamespace(turn_away=lambda number, answer: waits.append(answer.retry_after_ms)))
+            for number in range(40):
+                service.gate.asks[number] = None
+                Service._settle(service, Settled(number, how))
+            self.assertTrue(all(least - 1.0 <= wait <= most + 1.0 for wait in waits), waits)
+            self.assertGreater(max(waits), 0.8 * most)
+
+
 class ProcessesCase(FaultsCase):
     async def up(self, fleet, life: int) -> None:
         for process in fleet.processes:
