Let the few who are back first gather rights at cold engines in turn of those there

A coordinator gathers rights at one cold engine, chosen by its number. Of the three or four that are back first two often have the same, and the rights of another engine lie idle. While fewer than two for each cold engine are there they now take engines by their place among those.

The tick of starts looked through all starts for each one; it does now only for those that are to be forgotten.

--- a/frostspindle/fleet/cold.py
+++ b/frostspindle/fleet/cold.py
@@ -15,7 +15,7 @@
 
 import math
 from collections import deque
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Collection, Sequence
 from dataclasses import dataclass, field
 from hashlib import blake2b
 from typing import Any
@@ -26,6 +26,7 @@
 
 UNITS = 960  # of one start's budget: small beside a query, and some for each of the most seeds there may be
 MOST = 512  # starts that are looked after at once
+FEW = 2  # coordinators for each cold engine: fewer choose theirs by who is there
 TURN = 2.0  # windows: what the one before has used must rest first
 MARK, PLACE = "~", 17  # a name no budget of the settings can have; where its second part begins
 IDLE_MS = 300.0  # what was not believed cold for so long is wanted no more
@@ -57,6 +58,17 @@
     return total, order[0] if order else 0.0
 
 
+def gathers(number: int, name: str, others: Collection[str], place: int, engines: int) -> bool:
+    """Whether this coordinator (`number` of all, with these `others` there) states its wish at the cold engine in this
+    place.
+
+    By numbers that are theirs for good the few who are back first crowd at one engine and leave others, so these take
+    them in turn of those that are there. With more the turns would change with each that comes, and rights move for it.
+    """
+    few = len(others) + 1 < FEW * engines
+    return place == (sum(other < name for other in others) if few else number) % engines
+
+
 def named(engine: str, born_ms: float) -> str:
     """The budget of one start: its engine, by a hash, and when it began, Unix ms."""
     place = blake2b(engine.encode(), digest_size=8).hexdigest()
@@ -180,9 +192,11 @@
                 start.wish.units = 0  # or two that no longer use it would keep each other at lending
             # As long after the last use as others may still count a loan to us, so that none is taken up again.
             quiet = start.rights.back_ms + 2.0 * start.rights.rest_ms
-            # Not before what earlier starts have lent is back: it would be lost.
-            first = not any(o.place == start.place and o.born_ms < start.born_ms for o in self.starts.values())
-            if first and now - start.heard_at >= quiet and self.node.shut(now, name):
+            if now - start.heard_at < quiet or any(
+                    # Not before what earlier starts have lent is back: it would be lost.
+                    o.place == start.place and o.born_ms < start.born_ms for o in self.starts.values()):
+                continue
+            if self.node.shut(now, name):
                 del self.starts[name]
                 if not any(other.place == start.place for other in self.starts.values()):
                     del self.newest[start.place]
--- a/frostspindle/fleet/warming.py
+++ b/frostspindle/fleet/warming.py
@@ -11,7 +11,7 @@
 from typing import TYPE_CHECKING, Any
 
 from frostspindle.core import Attempt, EngineState, clock
-from frostspindle.fleet.cold import Cold, exact, wished
+from frostspindle.fleet.cold import Cold, exact, gathers, wished
 from frostspindle.fleet.node import Node
 from frostspindle.fleet.service import monotonic
 from pinstage import interface as api
@@ -101,7 +101,7 @@
             if state is not None:
                 whole = times * controller.cold_budget(believed, now)
                 wish, least = wished(works, len(needs), whole / controller.s.dispatchers)
-                here = place == controller.s.number % len(needs)
+                here = gathers(controller.s.number, cold.node.name, cold.node.members.alive, place, len(needs))
                 part = times * cold.look(mono, now, state.name, born(state), whole, needs[number][0] / times,
                                          here * wish / whole, least / whole, TICK_S * 1e3)
                 if part != believed.part:
--- a/frostspindle/lab/warming.py
+++ b/frostspindle/lab/warming.py
@@ -8,7 +8,7 @@
 
 from collections.abc import Callable
 
-from frostspindle.fleet.cold import Cold, exact, wished
+from frostspindle.fleet.cold import Cold, exact, gathers, wished
 from frostspindle.fleet.node import Datagram, Node, Terms
 from pinstage import interface as api
 from pinstage.control import COLD_SAFETY, Controller
@@ -61,7 +61,7 @@
             engine = controller.engines[number]
             whole = times * controller.cold_budget(engine, unix)
             wish, least = wished(works, len(needs), whole / controller.s.dispatchers)
-            here = place == controller.s.number % len(needs)
+            here = gathers(controller.s.number, self.node.name, self.node.members.alive, place, len(needs))
             part = times * self.cold.look(now, unix, f"e{number}", born[number], whole, needs[number][0] / times,
                                           here * wish / whole, least / whole, TICK_MS)
             if part != engine.part:
--- a/tests/test_cold_rights.py
+++ b/tests/test_cold_rights.py
@@ -9,7 +9,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
 from frostspindle.fleet import flow
-from frostspindle.fleet.cold import MOST, SKEW_MS, UNITS, Cold, exact, named, read, wished
+from frostspindle.fleet.cold import MOST, SKEW_MS, UNITS, Cold, exact, gathers, named, read, wished
 from frostspindle.fleet.escrow import Rights
 from frostspindle.fleet.node import Budget, Node, Terms
 from frostspindle.fleet.warming import Warming
@@ -253,6 +253,16 @@
     assert [exact(9, *case, (0.75, 0.5)) for case in ((0, True), (1, True), (0, False))] == [1.5, 1.0, 1.0]
 
 
+def test_the_few_who_are_there_gather_at_cold_engines_in_turn_and_many_by_their_numbers():
+    def places(numbers):
+        here = [f"c{n}" for n in numbers]
+        rows = [[gathers(n, f"c{n}", [c for c in here if c != f"c{n}"], p, 3) for p in range(3)] for n in numbers]
+        assert all(sum(row) == 1 for row in rows)
+        return [row.index(True) for row in rows]
+    assert places([0, 3, 6, 9]) == [0, 1, 2, 0]
+    assert places([0, 1, 2, 3, 6, 9]) == [0, 1, 2, 0, 0, 0]
+
+
 def test_starts_are_bounded_and_forgotten_once_nothing_is_out():
     cold, counted = alone(), []
     cold.count = counted.append
