--- a/tests/test_recovery_program.py
+++ b/tests/test_recovery_program.py
@@ -110,12 +110,12 @@
     def test_a_load_whose_homes_rest_is_told_to_wait_as_long_as_may_be(self):
         """They rest for minutes, and who came back within a second was refused again and again."""
         for how, least, most in ((tickets.UNSURE, 500.0, 1_500.0), (tickets.CANT, 1_000.0, 3_000.0)):
-            waits = []
+            waits: list[float] = []
             service = SimpleNamespace(
                 gate=SimpleNamespace(asks={}), events=SimpleNamespace(count=lambda what: None),
                 config=SimpleNamespace(claim_ms=1_000.0), intake=Intake((), Curve(), 1.0, 9, 1, 3_000.0),
                 node=SimpleNamespace(stages=SimpleNamespace(over=True)),
-                core=SimpleNamespace(turn_away=lambda number, answer: waits.append(answer.retry_after_ms)))
+                core=SimpleNamespace(turn_away=lambda n, answer, waits=waits: waits.append(answer.retry_after_ms)))
             for number in range(40):
                 service.gate.asks[number] = None
                 Service._settle(service, Settled(number, how))
