--- a/frostspindle/lab/power.py
+++ b/frostspindle/lab/power.py
@@ -14,6 +14,7 @@
 
 import dataclasses
 import heapq
+import math
 import random
 from collections import Counter
 from collections.abc import Callable
@@ -230,7 +231,8 @@
     def listed(self) -> None:
         assert self.node is not None
         self.node.holds(self.w.now, EPOCH + self.w.now, self.spoken, {f"e{n}": wire.Listed(
-            f"e{n}", "127.0.0.1:1", "", "", 0, 1, 1.0, born and EPOCH + born) for n, born in self.engines.items()})
+            f"e{n}", "127.0.0.1:1", "", "", 0, 1, 1.0, born and EPOCH + born,
+            self.told.get(n, 0.0) and EPOCH + self.told[n]) for n, born in self.engines.items()})
 
     def on_store(self, life: int, opened: Opened) -> None:
         if life == self.life and self.up and self.node:
@@ -323,7 +325,7 @@
                 record = self.waits.pop(effect.number)
                 self.w.counted[f"claim_{effect.how.replace(' ', '_')}"] += 1
                 self.answer(record, "failed" if effect.how == tickets.RAN else "refused",
-                            self.intake.wait_ms(now, now + 1_000.0))
+                            self.intake.wait_ms(now, now + (1_000.0 if effect.how == tickets.UNSURE else math.inf)))
 
     def carry(self, outs: list[Out]) -> None:
         for out in outs:
@@ -422,7 +424,7 @@
         if life != self.life or not self.up:
             return
         record = attempt.record
-        if self.node is not None and attempt.paid:
+        if self.node is not None and attempt.paid and verdict in (Verdict.OK, Verdict.CONNECT_FAILED):
             self.node.ended(EPOCH + self.w.now, f"e{attempt.engine}", verdict == Verdict.CONNECT_FAILED)
             self.drain()
         if verdict == Verdict.OK:
--- a/frostspindle/recovery/node.py
+++ b/frostspindle/recovery/node.py
@@ -27,6 +27,7 @@
 PULL_MS, AGAIN_MS, ANEW_MS = 5_000.0, 200.0, 1_000.0  # running: one other is asked so often; recovering: resends, words
 AT_ONCE, PAGES = 16, 4  # members asked at a time; pages asked of one at a time
 BEAT_MS = 5_000.0
+KNOWN_MS = 1_000.0  # so long after a member has told of its store it is in ours at the latest, also while nobody loads
 PRUNE_MS = 10_000.0
 MOST_KNOWN = 512
 GIVEN_MS = 120_000.0  # a start that others gave so long ago is of no use
@@ -126,6 +127,8 @@
         self.kept: Word | None = None  # as the store has them
         self.beat: Beat | None = None
         self.bans, self.known = Bans(), dict[str, Known]()
+        self._fresh: set[str] = set()  # of `known`, what the store lacks
+        self._known_at = math.inf  # when it is written
         self.journal = tickets.Journal((), terms.rests.tickets_ms, unix, True, False)
         self.claims = tickets.Claims(terms.claim_ms)
         self.alive: set[str] = set()
@@ -145,6 +148,8 @@
         self._first = False  # the operator's word: there was no store, and so no loss
         self._given: dict[str, tuple[float, ...]] = {}  # engines' latest starts as others told them
         self._refuses: dict[str, tuple[float, float]] = {}  # since when an engine does, and when that was last told
+        self._doubts: dict[str, float] = {}  # when an engine last refused that we may not know the start of since
+        self._restarts: dict[str, float] = {}  # starts that we have told of ourselves and that `engines` lacks still
         self._seen: set[str] = set()  # engines that were judged cold or not
         self._pull_at = now + self.random.uniform(0.2, 1.0) * ANEW_MS
         self._beat_at, self._prune_at = now, now + PRUNE_MS
@@ -221,6 +226,11 @@
             if self.stages.stage > Stage.AGREE:
                 self._keep_list(engines)
             self.number, self.engines, self._book = number, engines, None
+            self._refuses = {name: of for name, of in self._refuses.items() if name in engines}
+            self._doubts = {name: at for name, at in self._doubts.items()
+                            if name in engines and engines[name].told_ms <= at}
+            self._restarts = {name: start for name, start in self._restarts.items()
+                              if name in engines and engines[name].born_ms < start}
         if Stage.ENGINES < self.stages.stage < Stage.OPEN:
             self._chill(unix)
 
@@ -243,15 +253,33 @@
             self._book = None
 
     def ended(self, unix: float, engine: str, refused: bool) -> None:
-        """An attempt has ended; `refused`: its engine took no connection. Who keeps running sees a loss of power so."""
-        if not refused or self.stages.stage <= Stage.ENGINES:
+        """An attempt has ended; `refused`: its engine took no connection. Who keeps running sees a loss of power so.
+
+        From the first refusal on we don't vouch for the engine, until the bus tells of a start or, where it refused for
+        a while, an answer shows that it is back: then by that start. A blip is no start, but may have hidden one.
+        """
+        known = self.engines.get(engine)
+        if self.stages.stage <= Stage.ENGINES or known is None:
             self._refuses.pop(engine, None)
-        elif engine in self.engines:
+        elif refused:
             since, told = self._refuses.get(engine, (unix, -math.inf))
             if unix - since >= REFUSES_MS and unix - told >= REFUSES_MS:
                 told = unix
-                self.effects.append(Chill({engine: math.floor(unix / GRID_MS) * GRID_MS}))
+                self._restarted(engine, unix)
             self._refuses[engine] = since, told
+            if engine not in self._doubts:
+                self._book = None
+            self._doubts[engine] = unix
+        elif engine in self._refuses:
+            since, told = self._refuses.pop(engine)
+            if told > since and known.told_ms <= since:  # it began after the last refusal, and nobody has told when
+                self._restarted(engine, unix)
+                self._doubts.pop(engine, None)
+
+    def _restarted(self, engine: str, unix: float) -> None:
+        start = self._restarts[engine] = math.floor(unix / GRID_MS) * GRID_MS
+        self._book = None
+        self.effects.append(Chill({engine: start}))
 
     def quiet(self, quiet: bool) -> None:
         """Whether nothing of our rights in cold engines' budgets is out or wanted: the store keeps it for a next life.
@@ -367,7 +395,7 @@
             self.counted["recovery_undecodable"] += 1
             return
         if isinstance(body, wire.Ask):
-            self._remember(name, body.mine)
+            self._remember(now, name, body.mine)
             self._on_ask(now, name, body)
         elif isinstance(body, wire.Page):
             self._on_page(now, unix, name, body)
@@ -376,7 +404,7 @@
             if how is not None:
                 self._reply(name, body.ticket, body.nonce, how)
         elif isinstance(body, wire.Reply):
-            self._remember(name, body.mine)
+            self._remember(now, name, body.mine)
             self._answered(now, unix, name, body.nonce, body.how)
         else:
             self.journal.free(name, body.ticket, body.nonce)
@@ -384,13 +412,15 @@
     def _reply(self, name: str, of: bytes, nonce: int, how: int) -> None:
         self.out.append((name, wire.encode(wire.Reply(of, nonce, how, self.mine))))
 
-    def _remember(self, name: str, known: Known | None) -> None:
+    def _remember(self, now: float, name: str, known: Known | None) -> None:
         """The last state of a member's store; its own word counts, and only forwards."""
         if known is None or (name not in self.known and len(self.known) >= MOST_KNOWN):
             return
         old = self.known.get(name)
         if old is None or (known.life, known.generation) > (old.life, old.generation):
             self.known[name] = known
+            self._fresh.add(name)
+            self._known_at = min(self._known_at, now + KNOWN_MS)
 
     def _pages(self) -> tuple[int, list[tuple[list[Listed], list[Ban]]]]:
         """All that others may ask for, cut into pages, and its digest."""
@@ -398,7 +428,7 @@
             number, engines = self._holding()
             pages: list[tuple[list[Listed], list[Ban]]] = [([], [])]
             digest, room = blake2b(str(number).encode(), digest_size=6), wire.ROOM
-            rows: list[Listed | Ban] = [*engines.values(), *self.bans.words.values()]
+            rows: list[Listed | Ban] = [*map(self._seen_by_us, engines.values()), *self.bans.words.values()]
             for row in rows:
                 data = wire.encode(row)
                 digest.update(data)
@@ -411,6 +441,13 @@
             self._book = int.from_bytes(digest.digest()), pages[:wire.MOST_PAGES]
         return self._book
 
+    def _seen_by_us(self, engine: Listed) -> Listed:
+        """As others are told of it: with what we saw of it ourselves."""
+        start = max(engine.born_ms, self._restarts.get(engine.name, 0.0))
+        if start == engine.born_ms and engine.name not in self._doubts:
+            return engine
+        return msgspec.structs.replace(engine, born_ms=start, ran=engine.name not in self._doubts)
+
     def _holding(self) -> tuple[int, Mapping[str, Listed]]:
         """The list that we speak for: of the store and the present one, that with the higher number."""
         if self.kept is not None and self.kept.number > self.number and self.stages.stage <= Stage.AGREE:
@@ -434,7 +471,7 @@
         pull = self._pulls.get(name)
         if pull is None:
             return  # nobody asked
-        self._remember(name, page.mine)
+        self._remember(now, name, page.mine)
         if page.digest != pull.digest:
             pull.digest, pull.total, pull.pages = page.digest, page.pages, {}
         if page.page >= pull.total:
@@ -472,6 +509,8 @@
 
     def due(self) -> float:
         at = min(self.stages.due(), self.claims.due(), self._beat_at, self._prune_at, self._pull_at)
+        if self.stages.stage > Stage.AGREE:
+            at = min(at, self._known_at)
         if not self._enough():
             at = min([at, *(self._pull_due(pull) for pull in self._pulls.values())])
         return at
@@ -492,14 +531,19 @@
         if now >= self._prune_at:
             self._prune_at = now + PRUNE_MS
             self.journal.prune(unix)
+            if old := [name for name, at in self._doubts.items() if unix - at > GIVEN_MS]:
+                self._doubts, self._book = {n: at for n, at in self._doubts.items() if n not in old}, None
             for maker, engine in self.bans.prune(unix):
                 self._dirty[state.prefix("bans") + f"{maker}/{engine}".encode()] = None
         if now >= self._beat_at:
             self._beat_at = now + BEAT_MS
             if self.stages.stage > Stage.AGREE:  # else the last process's own would be lost
                 self._write_beat(unix, False)
-                for name, known in self.known.items():
-                    self._dirty[state.prefix("generations") + name.encode()] = wire.encode(known)
+        if now >= self._known_at and self.stages.stage > Stage.AGREE:
+            self._known_at = math.inf
+            for name in self._fresh:
+                self._dirty[state.prefix("generations") + name.encode()] = wire.encode(self.known[name])
+            self._fresh.clear()
         self._look(now, unix)
         self._pull(now)
 
@@ -563,18 +607,22 @@
     def _chill(self, unix: float) -> None:
         """Engines that were not judged yet; the list's word on those that come after the recovery is believed.
 
-        A start that others have given since our loss is taken over: a cold engine's budget is one for each start.
+        A start that others have given since our loss is taken over: a cold engine's budget is one for each start. So is
+        the start by which those vouch who ran on: they may have seen it begin anew while the bus was away.
         """
         starts = self.agreed.starts if self.agreed else {}
         fresh = {name: e.born_ms for name, e in self.engines.items() if name not in self._seen}
         self._seen.update(fresh)
         beat = self.beat if not self.blank else None
         clean = bool(beat and beat.clean) or self._first
+        later = {name: starts[name] for name, born in fresh.items() if starts.get(name, 0.0) > born}
         if names := agree.cold(fresh, starts, beat.at_ms if beat else None, clean):
             grid = math.floor(unix / GRID_MS) * GRID_MS
-            self.effects.append(Chill({name: max(
+            later |= {name: max(
                 (given for given in self._given.get(name, ()) if beat is None or given > beat.at_ms), default=grid)
-                for name in names}))
+                for name in names}
+        if later:
+            self.effects.append(Chill(later))
 
     def _later(self, unix: float, word: Word) -> None:
         """Another gives an engine a later start than we do: all go by the latest, within the skew of clocks."""
--- a/frostspindle/recovery/service.py
+++ b/frostspindle/recovery/service.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import secrets
 import time
 from collections.abc import Callable
@@ -98,8 +99,11 @@
         self.service.settled(number, ran)
 
     def ended(self, engine: str, verdict: int) -> None:
+        """Only an answer proves that a connection was taken: one that broke may be of before a loss, and what was
+        stopped or cancelled need not have reached the engine."""
         node = self.service.node
-        node.ended(clock(), engine, verdict == Verdict.CONNECT_FAILED)
+        if verdict in (Verdict.OK, Verdict.CONNECT_FAILED):
+            node.ended(clock(), engine, verdict == Verdict.CONNECT_FAILED)
         if node.effects:
             self.service.drain()
 
@@ -399,8 +403,10 @@
         elif effect.number in self.gate.asks:
             del self.gate.asks[effect.number]
             self.events.count("loads_repeated" if effect.how == tickets.RAN else "loads_without_ticket")
+            # Homes that rest do so for long: who comes back soon is refused again.
+            wait_ms = self.config.claim_ms if effect.how == tickets.UNSURE else math.inf
             self.core.turn_away(effect.number, Answer(FAILED) if effect.how == tickets.RAN else Answer(
-                REFUSED, None, self.intake.wait_ms(clock(), clock() + self.config.claim_ms)))
+                REFUSED, None, self.intake.wait_ms(clock(), clock() + wait_ms)))
 
     def _agreed(self, agreed: agree.Agreed) -> None:
         """Lists and bans are settled, by enough of the seeds or, for now, by the safest of what is known."""
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -1,5 +1,6 @@
 """Recovery's decisions: the table, stages, agreement, journal of loads and gate; and the node over lossy messages."""
 
+import math
 import random
 import tempfile
 import unittest
@@ -129,6 +130,10 @@
         late = agree.agree("a", [word("a", 5, listed("x")), ran[0], word("c", 5, listed("x"), firm=True, up_ms=9.0)],
                            Bans(), self.SEEDS)
         self.assertEqual(late.starts, {})
+        one = msgspec.structs.replace(listed("x", born=7.0), ran=False)  # saw it refuse connections
+        seen = agree.agree("a", [word("a", 5, listed("x")), ran[0], word(
+            "c", 5, one, listed("y", born=3.0), firm=True, up_ms=agree.RAN_MS)], Bans(), self.SEEDS)
+        self.assertEqual(seen.starts, {"y": 3.0})
         born = {"x": 1.0, "y": 50.0}
         self.assertEqual(agree.cold(born, {}, 10.0, False), {"x"})
         self.assertEqual(agree.cold(born, {"x": 7.0}, 10.0, False), set())
@@ -292,20 +297,32 @@
             self.assertFalse(intake.lines)
 
     def test_who_can_t_be_done_in_time_is_told_at_once_and_the_waits_are_spread(self):
-        intake = gate(cores=1.0)
-        for number in range(1, 61):
-            intake.enter(UNIX, number, 0, 0, 3_000.0, 200.0, True)
-        outs = intake.look(UNIX + 60.0)
-        self.assertFalse([o for o in outs if o.passes])
-        # At 0.3 cores some 15 of them fit into 3 s.
-        self.assertTrue(40 <= len(outs) <= 56, len(outs))
+        intake, outs = gate(cores=1.0), []
+        for number in range(1, 61):  # at 0.3 cores 200 ms take 667, and 2,000 more than 3 s
+            outs += intake.enter(UNIX, number, 0, 0, 3_000.0, 2_000.0 if number % 2 else 200.0, True)
+        outs += intake.look(UNIX + 60.0)
+        self.assertEqual({(o.number % 2, o.passes) for o in outs}, {(1, False)})
+        self.assertEqual(len(outs), 30)
         waits = [o.retry_ms for o in outs]
         self.assertTrue(all(0.0 < wait <= 1_000.0 for wait in waits))
         self.assertGreater(len({round(wait / 50.0) for wait in waits}), 8)
+        # The others may still be served, whoever is ahead; in the end nobody is kept for nothing.
+        self.assertEqual(intake.look(UNIX + 2_200.0), [])
+        self.assertEqual(len([o for o in intake.look(UNIX + 2_400.0) if not o.passes]), 30)
         untold = gate(cores=1.0, retry=0.0)
-        for number in range(1, 61):
-            untold.enter(UNIX, number, 0, 0, 3_000.0, 200.0, True)
-        self.assertEqual({o.retry_ms for o in untold.look(UNIX + 60.0)}, {0.0})
+        self.assertEqual(untold.enter(UNIX, 1, 0, 0, 3_000.0, 2_000.0, True), [(1, False, 0.0)])
+
+    def test_what_engines_will_have_done_is_told_anew_when_they_change_or_time_has_passed(self):
+        intake = gate(cores=1.0, born=0.0)
+        intake.begun = True
+        for at in (0.0, 330.0, 9_990.0, 11_000.0, 90_000.0):
+            self.assertAlmostEqual(intake._until(UNIX + at, 1_000.0), UNIX + at + 1_000.0, delta=1.0)
+        intake.share = 0.5
+        self.assertAlmostEqual(intake._until(UNIX + 90_010.0, 1_000.0), UNIX + 92_010.0, delta=1.0)
+        intake.engines = (Engine(2.0, 0.0),)
+        self.assertAlmostEqual(intake._until(UNIX + 90_020.0, 1_000.0), UNIX + 91_020.0, delta=1.0)
+        intake.engines = ()
+        self.assertEqual(intake._until(UNIX + 90_030.0, 1_000.0), math.inf)
 
     def test_past_its_bound_what_is_worth_least_for_its_work_makes_way(self):
         intake = gate(most=2)
@@ -407,7 +424,8 @@
                             self.way.append((name, target, data))
                 self.draw.shuffle(self.way) if self.loss else None
                 for chill in [effect for effect in node.effects if isinstance(effect, Chill)]:
-                    node.holds(self.now, UNIX + self.now, 1, {n: listed(n, born=s) for n, s in chill.starts.items()})
+                    node.holds(self.now, UNIX + self.now, 1, {
+                        **node.engines, **{n: listed(n, born=s) for n, s in chill.starts.items()}})
                 self.effects[name] += node.effects
                 node.out, node.effects = [], []
 
@@ -452,6 +470,20 @@
         # Two of three homes rest: no load can be had, and none runs twice.
         self.assertEqual(net.claim("c2", 5, "another"), [tickets.CANT])
 
+    def test_a_store_set_back_by_seconds_is_known_by_others_also_after_a_loss_of_all(self):
+        net = self.fleet(3)
+        net.run(1_500.0)  # what the beats have written lies behind the copy, and the next ones are far
+        before = net.disks["c0"]["generation"]
+        self.assertEqual(net.claim("c1", 1, "load", 1_900.0), [tickets.GO])
+        self.assertGreater(net.disks["c0"]["generation"], before)
+        for name in net.names:
+            net.kill(name)
+        net.way = []
+        for name in net.names:
+            net.start(name, generation=before if name == "c0" else None)
+        net.run(3_000.0)
+        self.assertEqual([net.nodes[name].blank for name in net.names], [True, False, False])
+
     def test_its_own_bans_come_back_from_the_others(self):
         net = self.fleet(3)
         net.nodes["c0"].ban(UNIX + net.now, "e", True)
@@ -532,6 +564,59 @@
         [chill] = node.effects
         self.assertTrue(UNIX - 2_000.0 < chill.starts["e"] <= UNIX + 500.0)
 
+    def test_who_ran_on_does_not_vouch_for_an_engine_that_it_saw_refuse_connections(self):
+        """The bus is away, and tells nobody that it restarted: who comes back is told, and takes no word of the other
+        engines for less."""
+        for seen, cold in (("none", set()), ("refuses", {"e"}), ("back", {"e"}), ("not looked at again", {"e"}),
+                           ("blip", {"e"})):
+            with self.subTest(seen):
+                net = self.fleet(3)
+                net.run(1_000.0)
+                for node in net.nodes.values():
+                    node.holds(net.now, UNIX + net.now, 1, {"e": listed("e"), "f": listed("f")})
+                net.run(agree.RAN_MS)
+                net.kill("c0")
+                ran, before, looks = net.nodes["c1"], net.now, {"none": 0, "refuses": 1, "blip": 1}.get(seen, 3)
+                for _ in range(looks):
+                    ran.ended(UNIX + net.now, "e", True)
+                    net.run(300.0)
+                net.run(3_000.0)
+                if seen in ("back", "blip"):  # the core has not yet told that it goes by the start
+                    ran.ended(UNIX + net.now, "e", False)
+                    ran.effects.clear()
+                net.start("c0", fresh=True)  # its own word doesn't count, and it waits for both others'
+                net.nodes["c0"].holds(net.now, UNIX + net.now, 1, {"e": listed("e"), "f": listed("f")})
+                net.run(1_500.0)
+                starts = {}
+                for effect in net.effects["c0"]:
+                    if isinstance(effect, Chill):
+                        starts |= effect.starts
+                self.assertEqual(set(starts), cold)
+                # Not by the start before it was seen to refuse, and once it was seen back not by one before that.
+                self.assertTrue(all(start > UNIX + before - 2_000.0 + 2_000.0 * (seen == "back")
+                                    for start in starts.values()), starts)
+
+    def test_a_start_that_the_bus_tells_is_not_moved_by_who_saw_the_engine_refuse(self):
+        node = self.fleet(3).nodes["c0"]
+        for at in (0.0, 300.0):
+            node.ended(UNIX + at, "e", True)
+        node.effects.clear()
+        node.holds(0.0, UNIX, 2, {"e": msgspec.structs.replace(listed("e", born=UNIX + 9e3), told_ms=UNIX + 9e3)})
+        node.ended(UNIX + 20_000.0, "e", False)
+        self.assertEqual(node.effects, [])
+
+    def test_refusals_of_engines_that_have_left_the_list_are_forgotten(self):
+        node = self.fleet(3).nodes["c0"]
+        node.ended(UNIX, "e", True)
+        self.assertEqual((set(node._refuses), set(node._doubts)), ({"e"}, {"e"}))
+        node.holds(0.0, UNIX, 2, {"f": listed("f")})
+        self.assertEqual((node._refuses, node._doubts), ({}, {}))
+        node.ended(UNIX, "f", True)
+        node.ended(UNIX + 50.0, "f", False)
+        for at, doubted in ((60_000.0, True), (140_000.0, False)):
+            node.tick(at, UNIX + at)
+            self.assertEqual("f" in node._doubts, doubted)
+
     def test_a_home_grants_nothing_before_it_has_asked_whether_its_store_is_the_last(self):
         net = Net(["c0", "c1", "c2"])
         net.start("c0")
@@ -539,6 +624,12 @@
         node.hear(net.now, UNIX, "c1", wire.encode(wire.Claim(tickets.ticket("x"), 1)))
         self.assertIs(node.stages.stage, Stage.FIND)
         self.assertEqual((node.out, node.journal.table), ([], {}))
+        # Nor does it write what others tell of their stores: its own would seem later than it is.
+        node.hear(net.now, UNIX, "c1", wire.encode(wire.Ask(1, 0, Known(b"c1", 1, 9))))
+        node.tick(net.now + 1_200.0, UNIX)
+        self.assertIs(node.stages.stage, Stage.AGREE)
+        self.assertFalse([key for key in node.batch() or () if key.startswith(b"generations")])
+        self.assertGreater(node.due(), net.now + 1_200.0)
 
     def test_spoilt_entries_and_messages_are_counted_and_go_no_further(self):
         net = Net(["c0"])
