--- a/bench/choices.py
+++ b/bench/choices.py
@@ -28,7 +28,7 @@
 from common import tell
 
 ROOT = Path(__file__).parent.parent
-SITES = ("plain", "many", "priced", "stuck", "shed")
+SITES = ("plain", "many", "priced", "stuck", "shed", "replaced", "replaced-many")
 
 
 def load(ref: str, name: str) -> ModuleType:
@@ -51,9 +51,10 @@
 def settings(api: Any, site: str) -> Any:
     """Few coordinators, many that each see little, prices for connections and zones.
 
-    Beside these, few coordinators with a queue of ordered loads of one group, or with too many open at every arrival.
+    Beside these, few coordinators with a queue of ordered loads of one group, or with too many open at every arrival,
+    and few or many with all engines replaced by cold ones, under new ids, every thousandth request.
     """
-    few = site != "many"
+    few = "many" not in site
     cls, effect = api.ClassSettings, api.Effect
     classes = (
         cls(aim_ms=1000, deadline_ms=5000, aim_stretch=1.5, effect=effect.REPEATABLE),
@@ -120,7 +121,7 @@
         self.out[(action.request, number)] = action.engine
         idle = [at for at in self.idle.get(action.engine, ()) if self.now - at < 15_000.0]
         self.sends, self.opened, self.idle[action.engine] = self.sends + 1, self.opened + (not idle), idle[:-1]
-        self.far += self.entries[action.engine].zone != 0
+        self.far += action.engine in self.entries and self.entries[action.engine].zone != 0
         luck = self.draw.random()
         verdict = api.Verdict.OK
         if not self.calm:
@@ -203,6 +204,14 @@
                 "sends": self.sends, "far": round(self.far / max(1, self.sends), 3),
                 "opened": round(self.opened / max(1, self.sends), 3)}
 
+    def replace(self) -> None:
+        first = max(self.entries) + 1
+        self.entries = {first + n: entry._replace(engine=first + n, since_ms=self.now)
+                        for n, entry in enumerate(self.entries.values())}
+        self.feed(self.api.EngineList(self.api.ListKind.FULL, 1, tuple(self.entries.values())))
+        for request, number in self.out:
+            self.at(1.0, "end", request, number, self.api.Verdict.RESET)
+
     def play(self, requests: int) -> list[tuple[float, Any]]:
         """So many requests, as many open at a time as was asked for, once it is filled."""
         number = 0
@@ -211,6 +220,8 @@
                 number += 1
                 self.now += 0.01
                 self.arrive(number)
+                if "replaced" in self.site and number % 1000 == 0:
+                    self.replace()
                 if not self.calm and number % 200 == 0:
                     self.trouble()
             else:
