--- a/tests/test_module_indexes.py
+++ b/tests/test_module_indexes.py
@@ -278,3 +278,33 @@
         k.request(i, 0, cost=100.0)
     met = {engine for _, _, engine in k.sent}
     assert len(met & set(used[-2 * SAMPLE:])) > 10 and len(met) > 10
+
+
+def test_too_many_open_what_is_worth_least_goes_and_what_is_past_hope_in_its_order():
+    """Against a scan of all held, as of the last ranking; the structures may hold more than what is held still."""
+    k, draw, shed = Keeper(settings(READ, HEAVY, LOAD), engines=1), Random(5), 0
+    k.c.most_open = 60
+    for i in range(1, 300):
+        held = {job.request: k.c._worth(job, k.now) for *_, job in k.c.held}
+        k.requests[i], k.taken_at[i], k.attempts[i] = None, k.now, []
+        event = api.Request(i, draw.randrange(2), 0, 0, 60_000.0, draw.uniform(50.0, 9000.0), 0.0, -1.0)
+        k.requests[i] = event
+        actions = k.feed(event)
+        gone = [a.request for a in actions if isinstance(a, api.Refuse)]
+        if gone:
+            shed += 1
+            new = {i: event.cost_ms} if i not in held else {}
+            worth = {**held, **{n: k.s.classes[event.cls].worth / cost for n, cost in new.items()}}
+            assert gone == [min(worth, key=worth.get)], i
+        if i % 40 == 39 and k.open:
+            k.end(next(iter(k.open))[0])
+    assert shed > 100
+    k.c.most_open = 1000
+    k.now += 100.0
+    k.c.handle(k.now, api.Due(0))
+    order, k.now = [row[2] for row in k.c.held], k.now + 300.0
+    k.now += 50_000.0
+    k.c.handle(k.now, api.Due(0))
+    k.now += 200.0
+    gone = [a.request for a in k.c.handle(k.now, api.Due(0)) if isinstance(a, (api.Refuse, api.Fail))]
+    assert gone == [n for n in order if n in gone] and len(gone) > 5
