Leave stuck loads out of a round only where every request fits

Where the bound over all engines counts, the first held request that does not fit ends a round, also a load that has no engine.

--- a/pinstage/control.py
+++ b/pinstage/control.py
@@ -573,10 +573,10 @@
         if not self.held or self._room(2.0) < 1.0 or now == self.woke_at:  # first take in all that came
             return
         sent, misses, taken = list[Job](), 0, set[int]()  # taken: groups without an engine for a load of ours
-        for job in self.held.walk(taken) if self.usable else ():
+        for job in self.held.walk(() if self.sparse else taken) if self.usable else ():  # where all fit
             if misses >= MISSES or not self._fits(job):
                 break
-            if not (few := self._looked_at(job, now)):
+            if job.lane in taken or not (few := self._looked_at(job, now)):
                 taken.add(job.lane)
             elif (engine := self._choose(job, few, now)) is None:
                 misses += 1
