--- a/tests/test_module_indexes.py
+++ b/tests/test_module_indexes.py
@@ -244,9 +244,11 @@
 def test_a_queue_of_ten_thousand_whose_head_cannot_be_placed_is_not_walked():
     """Loads of one group go to one engine each; all others behind them used to be asked at every event."""
     k = Keeper(settings(READ, HEAVY, LOAD), engines=4)
-    asked, looked_at = [], k.c._looked_at
+    asked, met, looked_at, fits = [], [], k.c._looked_at, k.c._fits
     k.c._looked_at = lambda job, now: asked.append(job.request) or looked_at(job, now)
+    k.c._fits = lambda job: met.append(job.request) or fits(job)
     for i in range(10_000):
+        assert len(met) <= 3 * i, "a few of the queue at an event"
         k.c.handle(k.now, api.Request(i, 2, 0, i + 1, 600_000.0, 100.0 + i, 0.0, 5.0))
     assert len(k.c.held) == 9_996
     asked.clear()
