Leave the least that a tenant's bucket holds to the decision module

Need: window.py, which decides nothing, held the two tokens that a bucket has at least; every bound is the module's.

--- a/pinstage/window.py
+++ b/pinstage/window.py
@@ -57,16 +57,16 @@
 
 
 class Buckets(list[float]):
-    """Token buckets of a part of each of several rates a second, of at least two tokens each."""
+    """Token buckets of a part of each of several rates a second; the least that one holds is its user's choice."""
 
     at = 0.0
 
-    def take(self, which: int, now: float, rates: Sequence[float], parts: int) -> bool:
+    def take(self, which: int, now: float, rates: Sequence[float], parts: int, least: float) -> bool:
         if which >= len(self):
             return True
         span, self.at = (now - self.at) / 1000.0 / parts, now
         for i, rate in enumerate(rates[:len(self)]):
-            self[i] = min(max(2.0, rate / parts), self[i] + span * rate)
+            self[i] = min(max(least, rate / parts), self[i] + span * rate)
         within = self[which] >= 1.0
         self[which] -= within
         return within
