--- a/pinstage/control.py
+++ b/pinstage/control.py
@@ -339,7 +339,7 @@
         """Token bucket of our part of each tenant's share; traffic beyond it goes last."""
         quotas = self.s.tenant_quota_per_s
         return job.tenant < len(quotas) and quotas[job.tenant] > 0 and not self.tokens.take(
-            job.tenant, now, quotas, self.s.dispatchers, 2.0)  # at least two, so that a small part takes a pair at once
+            job.tenant, now, quotas, self.s.dispatchers, 2.0)  # two at least, for a small part
 
     def _run_ms(self, job: Job) -> float:
         return job.cost / job.cs.threads * max(1.0, self.best[job.cls] * self.middle)
