Log how clients leave, why attempts are withheld, and each unserved request

Cause: n1's log had no line on the request of the incident, as none was written when a client left, when a request was given a path, when an attempt was withheld or when a request ended unserved. Change: client_left, response_path_given, request_dropped, attempt_withheld, request_unserved, call_rejected and connection_ended, each with the ticket where there is one; connections_ended_* count each end of a client's connection by the front. Statements and texts of clients are not logged.

--- a/frostspindle/core/attempts.py
+++ b/frostspindle/core/attempts.py
@@ -4,6 +4,7 @@
 
 import math
 from dataclasses import dataclass
+from enum import StrEnum
 from typing import Any, Protocol
 
 from frostspindle.core.requests import ClientRequest
@@ -13,6 +14,16 @@
 MIN_REMAINING_MS = 1.0  # the shortest timeout that an engine can be given; with less left nothing is sent
 
 
+class WithheldReason(StrEnum):
+    """Why an attempt was not sent although the decision module had started it."""
+
+    ENGINE_UNAVAILABLE = "engine unavailable"  # draining, banned or gone
+    ABANDONED = "abandoned"  # the attempt or its request is finished, or its time is up
+    WINDOW_OVER = "idempotency window over"
+    CLIENT_LEFT = "client left"
+    WORKER_LIMIT = "worker limit"  # by the other workers: a lease, a ban, a drain
+
+
 class Cancellable(Protocol):
     """A task, or an object in its place, that an attempt can be cancelled by."""
 
--- a/frostspindle/core/core.py
+++ b/frostspindle/core/core.py
@@ -15,7 +15,7 @@
 from frostspindle import policy
 from frostspindle.core import figures
 from frostspindle.core.actions import ActionExecutor
-from frostspindle.core.attempts import Attempt
+from frostspindle.core.attempts import Attempt, WithheldReason
 from frostspindle.core.dispatcher import EventDispatcher
 from frostspindle.core.drivers import Driver, EngineState
 from frostspindle.core.endpoints import EndpointRegistry
@@ -116,18 +116,36 @@
         Since the decision the engine may have begun to drain, the client may have left, or the time may be up. A client
         found gone is dropped here, and that is applied before the attempt's end.
         """
+        reason = self._withheld_reason(attempt)
+        if reason is None:
+            return True
+        self.telemetry.log(
+            "attempt_withheld",
+            request=attempt.request.number,
+            ticket=attempt.request.ticket,
+            attempt=attempt.number,
+            reason=reason,
+        )
+        return False
+
+    def _withheld_reason(self, attempt: Attempt) -> WithheldReason | None:
+        """Return why an attempt may not be sent now, None if it may."""
         engine = self.engines.get(attempt.engine)
-        if engine is None or attempt.is_finished or attempt.is_abandoned:
-            return False
-        if not self.endpoints.accepts_attempts(engine) or clock() > attempt.begin_by_ms:
-            return False
+        if attempt.is_finished or attempt.is_abandoned:
+            return WithheldReason.ABANDONED
+        if engine is None or not self.endpoints.accepts_attempts(engine):
+            return WithheldReason.ENGINE_UNAVAILABLE
+        if clock() > attempt.begin_by_ms:
+            return WithheldReason.WINDOW_OVER
         if not attempt.request.is_client_connected():
             self.client_disconnected(attempt.request)
-            return False
+            return WithheldReason.CLIENT_LEFT
         if self.may_start is None:
-            return True
+            return None
         # What `may_start` allows is paid for, and while it asks it may learn of bans and drains.
-        return self.may_start(engine, attempt) and self.endpoints.accepts_attempts(engine)
+        if self.may_start(engine, attempt) and self.endpoints.accepts_attempts(engine):
+            return None
+        return WithheldReason.WORKER_LIMIT
 
     def count_written(self, attempt: Attempt) -> None:
         """Count an attempt that has been written completely to its engine."""
--- a/frostspindle/core/ledger.py
+++ b/frostspindle/core/ledger.py
@@ -10,6 +10,7 @@
 from frostspindle.core.interfaces import CoreHooks
 from frostspindle.core.messages import DeadlinePassed
 from frostspindle.core.requests import ClientRequest, Response, ResponseStatus
+from frostspindle.core.wall_clock import clock
 from frostspindle.telemetry import Telemetry
 from frostspindle.timers import Timer, TimerWheel
 
@@ -71,6 +72,8 @@
             return
         request = entry.request
         self._settle(entry, response.status)
+        if response.status != ResponseStatus.SERVED:
+            self._log_unserved(entry, response)
         if self._hooks.admission_gate is not None:
             may_have_run = bool(entry.attempts) and response.status != ResponseStatus.REJECTED
             self._hooks.admission_gate.on_request_finished(number, may_have_run)
@@ -83,10 +86,30 @@
                 engine = self._engines.get(entry.attempts[-1].engine) if entry.attempts else None
                 self._hooks.observer.on_response(request, response.status, engine.name if engine else "")
 
+    def _log_unserved(self, entry: RequestEntry, response: Response) -> None:
+        request = entry.request
+        self._telemetry.log(
+            "request_unserved",
+            request=request.number,
+            ticket=request.ticket,
+            status=response.status,
+            attempts=len(entry.attempts),
+            retry_after_ms=round(response.retry_after_ms),
+            ms=round(clock() - request.received_ms, 1),
+        )
+
     def drop(self, entry: RequestEntry, reason: str) -> None:
         """Settle a request without a response, unless it is settled: its client left or its deadline passed."""
         if not entry.ending:
             self._settle(entry, reason)
+            self._telemetry.log(
+                "request_dropped",
+                request=entry.request.number,
+                ticket=entry.request.ticket,
+                reason=reason,
+                attempts=len(entry.attempts),
+                ms=round(clock() - entry.request.received_ms, 1),
+            )
         if self._hooks.admission_gate is not None:
             self._hooks.admission_gate.on_request_finished(entry.request.number, bool(entry.attempts))
 
--- a/frostspindle/net/http/clients.py
+++ b/frostspindle/net/http/clients.py
@@ -251,6 +251,7 @@
         """Queue the connection's last response, an error; nothing more of it is parsed."""
         self.deaf, self.partial, self.expects = True, False, False
         self.front.telemetry.count("bad_calls", FRONT)
+        self.front.telemetry.log("call_rejected", status=refusal.status)  # its text may hold what the client sent
         slot = PendingCall(self)
         self.line.append(slot)
         slot.reply(refusal.status, {"failure": refusal.text}, self.front.advice if refusal.status == 503 else "", True)
--- a/frostspindle/net/http/request_registry.py
+++ b/frostspindle/net/http/request_registry.py
@@ -10,6 +10,7 @@
 import asyncio
 import math
 from collections.abc import Callable
+from enum import StrEnum
 from typing import Any
 
 from frostspindle.core import Core, Response, ResponseStatus
@@ -21,6 +22,13 @@
 KEEP_S = 5.0  # how long answers are kept for a repeated GET
 
 
+class DepartureReason(StrEnum):
+    """How it was learnt that the client of an open request has left."""
+
+    CONNECTION_ENDED = "connection ended"  # before the client was given a path
+    DELETED = "deleted"
+
+
 class RequestRegistry:
     """The requests that are open at this front, by id and by path, and their results."""
 
@@ -81,6 +89,7 @@
             if not slot.client.present():
                 return  # it left without a path, and would be taken for one that comes back with it
             self._publish(opened)
+            self.core.telemetry.log("response_path_given", ticket=opened.ticket)
         opened.slots.remove(slot)
         slot.reply(200, {"next": f"{opened.path}/{max(0, slot.page)}"})
 
@@ -149,16 +158,18 @@
         if slot in opened.slots:
             opened.slots.remove(slot)
         if slot.page < 0:
-            self.leave(opened)  # the client has no path yet: its connection was the request
+            # The client has no path yet: its connection was the request.
+            self.leave(opened, DepartureReason.CONNECTION_ENDED)
 
     def present(self, opened: OpenRequest, slot: PendingCall) -> bool:
         """Return whether a client waits for the request; it is bound to the call's connection until it has a path."""
         return opened.answer is None and (opened.path in self.open or slot.client.present())
 
-    def leave(self, opened: OpenRequest) -> None:
+    def leave(self, opened: OpenRequest, reason: DepartureReason) -> None:
         """Drop a request whose client has stopped waiting, and free the engine's work."""
         self._drop(opened)
         if opened.answer is None and opened.request is not None:
+            self.core.telemetry.log("client_left", ticket=opened.ticket, reason=reason)
             self.core.client_disconnected(opened.request)
             opened.on_response(Response(ResponseStatus.FAILED))
 
--- a/frostspindle/net/platform.py
+++ b/frostspindle/net/platform.py
@@ -25,7 +25,7 @@
 from frostspindle.net.http.clients import AHEAD, ClientConnection
 from frostspindle.net.http.connection_limits import RECEIVING, ConnectionStep
 from frostspindle.net.http.listener import Listener
-from frostspindle.net.http.request_registry import RequestRegistry
+from frostspindle.net.http.request_registry import DepartureReason, RequestRegistry
 from frostspindle.net.http.statements import schema, table_group
 from frostspindle.policy import Idempotency
 from frostspindle.telemetry import Telemetry
@@ -213,6 +213,9 @@
             )
             if step is ConnectionStep.KEEP:
                 continue
+            self.telemetry.count(f"connections_ended_{step.name.lower()}", FRONT)
+            if client.awaited:
+                self.telemetry.log("connection_ended", reason=step.name.lower(), path_awaited=True)
             if step is ConnectionStep.ABORT:
                 client.transport.abort()
             elif step is ConnectionStep.REQUEST_TOO_SLOW:
@@ -256,7 +259,7 @@
         if method == b"DELETE":
             if opened is None:
                 raise CallRejectedError(404, "no such request")
-            self.paths.leave(opened)
+            self.paths.leave(opened, DepartureReason.DELETED)
             slot.reply(204)
         elif method != b"GET":
             raise CallRejectedError(405, "only POST, GET and DELETE")
