Show that a request with a path is sent on after its client has left

Callers saw: requests were sent to engines seconds after their clients had closed their connections. The tests start real processes without an engine, let a client take its path (or close over the answer that names it) and go, and let the engine join 0.2 s later.

--- /dev/null
+++ b/tests/test_client_departure.py
@@ -0,0 +1,175 @@
+"""What is sent to engines for a client that has left, however it left: real processes, raw connections.
+
+The engine joins only once the client has gone, so that its request still waits then. A second request, sent later by
+a client that stays, shows that the coordinator has dispatched what it held.
+"""
+
+import asyncio
+import json
+import socket
+from contextlib import asynccontextmanager
+
+import pytest
+
+from frostspindle.lab.engines import Bus, Engine, document, host
+from frostspindle.lab.faults.runner import Process, free_port
+
+PATH_GIVEN_S = 3.0  # within which a held POST is answered with a path
+LEFT_SLACK_S = 0.1  # an attempt may begin so long after its client left
+LEFT, STAYS = "00000000000000a1", "00000000000000b2"
+WORKERS_FILE = "[cores]\nworkers = 2\n"
+
+
+class Site:
+    """A coordinator without an engine, an engine that can join it, and the event bus between them."""
+
+    def __init__(self, process, engine, bus):
+        self.process = process
+        self.engine = engine
+        self.bus = bus
+
+    async def join_engine(self):
+        """Let the engine join behind the time in which an attempt for a client that left may still begin."""
+        await asyncio.sleep(2.0 * LEFT_SLACK_S)
+        self.bus.say(host(self.engine.name, self.engine.port))
+
+    def sent(self):
+        return [ticket for _, ticket, _ in self.engine.sent]
+
+    async def open(self):
+        return await asyncio.open_connection("127.0.0.1", self.process.http)
+
+
+@asynccontextmanager
+async def running_site(folder, operator=""):
+    engine = await Engine("s-00000001", delay_s=0.01).start()
+    engine.keep = True
+    bus = await Bus().start()
+    bus.say(whole=True)
+    process = Process(0, folder)
+    process.http = free_port(socket.SOCK_STREAM)
+    process.desk = free_port(socket.SOCK_STREAM)
+    config = document([], bus.port, sockets=300)
+    config["settings"]["categories"][1]["effect"] = "once"
+    (folder / "config.json").write_text(json.dumps(config))
+    (folder / "operator.toml").write_text(operator)
+    try:
+        await process.start()
+        await process.until(lambda: any("workers" in e or not operator for e in process.events("coordinator_started")))
+        yield Site(process, engine, bus)
+    finally:
+        await process.end()
+        engine.server.close()
+        bus.server.close()
+
+
+def post(ticket, cls="report", timeout_ms=9000):
+    body = f"SELECT '{ticket}' FROM calls_17.notes"
+    return (
+        f"POST /call/{cls} HTTP/1.1\r\nHost: t\r\nX-Request-Id: {ticket}\r\nX-Timeout-Ms: {timeout_ms}\r\n"
+        f"X-Cost-Ms: 50\r\nX-Memory: 16\r\nContent-Length: {len(body)}\r\n\r\n{body}"
+    ).encode()
+
+
+def get(path):
+    return f"GET {path} HTTP/1.1\r\nHost: t\r\n\r\n".encode()
+
+
+async def read_answer(reader):
+    head = await reader.readuntil(b"\r\n\r\n")
+    length = int(head.lower().split(b"content-length: ")[1].split(b"\r\n")[0])
+    return int(head.split()[1]), json.loads(await reader.readexactly(length))
+
+
+async def follow(reader, writer, path=""):
+    """Read to the last answer, calling each path on the same connection."""
+    if path:
+        writer.write(get(path))
+    while True:
+        status, body = await read_answer(reader)
+        if "next" not in body:
+            return status, body
+        writer.write(get(body["next"]))
+
+
+async def serve_another(site):
+    """Send a second request and return its last answer, with the engine joining while it waits."""
+    reader, writer = await site.open()
+    writer.write(post(STAYS))
+    await site.join_engine()
+    async with asyncio.timeout(8.0):
+        answer = await follow(reader, writer)
+    writer.close()
+    return answer
+
+
+# How a client leaves, once its POST was held for as long as it can be.
+
+
+async def close_unread(site):
+    """It gives up without a path while the answer that names one is under way, which resets the connection."""
+    plain = socket.socket()
+    plain.setblocking(False)
+    loop = asyncio.get_running_loop()
+    await loop.sock_connect(plain, ("127.0.0.1", site.process.http))
+    await loop.sock_sendall(plain, post(LEFT))
+    arrived = asyncio.Event()
+    loop.add_reader(plain, arrived.set)
+    async with asyncio.timeout(PATH_GIVEN_S):
+        await arrived.wait()
+    loop.remove_reader(plain)
+    plain.close()
+
+
+async def take_path(site):
+    reader, writer = await site.open()
+    writer.write(post(LEFT))
+    async with asyncio.timeout(PATH_GIVEN_S):
+        _, body = await read_answer(reader)
+    return reader, writer, body["next"]
+
+
+async def close_after_path(site):
+    """It has read its path and closes the connection; its DELETE never comes."""
+    _, writer, _ = await take_path(site)
+    writer.close()
+    await writer.wait_closed()
+
+
+async def delete_path(site):
+    """It gives up by DELETE on a new connection."""
+    _, writer, path = await take_path(site)
+    reader, other = await site.open()
+    other.write(f"DELETE {path} HTTP/1.1\r\nHost: t\r\n\r\n".encode())
+    assert b"204" in await reader.readline()
+    for one in (writer, other):
+        one.close()
+
+
+DEPARTURES = [close_unread, close_after_path, delete_path]
+
+
+# Guards against: a request with a path was sent on 4.8 s after its client had closed its connection.
+@pytest.mark.parametrize("leave", DEPARTURES)
+def test_nothing_is_sent_for_a_client_that_left_as_it_was_given_a_path(tmp_path, leave):
+    async def play():
+        async with running_site(tmp_path) as site:
+            await leave(site)
+            status, body = await serve_another(site)
+            assert (status, len(body["rows"])) == (200, 1)
+            assert site.sent() == [STAYS]
+
+    asyncio.run(play())
+
+
+# Guards against the same at a worker whose client called the path at another worker.
+@pytest.mark.parametrize("leave", [close_after_path])
+def test_nothing_is_sent_for_a_client_that_left_over_several_workers(tmp_path, leave):
+    async def play():
+        async with running_site(tmp_path, WORKERS_FILE) as site:
+            await leave(site)
+            status, body = await serve_another(site)
+            assert (status, len(body["rows"])) == (200, 1)
+            assert site.sent() == [STAYS]
+
+    asyncio.run(play())
