Send nothing for a request with a path while its client has no connection

Cause: from the moment in which a request had a path, RequestRegistry.present took its client for present without a look at any connection. A client that closes its connection while the answer with its path is under way sends no DELETE, so its request waited and was retried until its deadline. The same assumption stood in TDS (presence was never looked at), in the parts of scattered requests, and at a worker whose client calls at another worker. Change: each open request knows the connection on which its client made its last call. When that ends, a request without a path is over as before; one with a path is suspended: the decision module (RequestSuspended, RequestResumed) starts nothing for it, its running attempt goes on, and a call on its path resumes it. After 2 s without a call it is given up. Right before each send the connection is polled, so that an end that is not read yet counts too. Workers tell the owner when the client of a relayed call has gone. TDS polls its session for a hang-up and for what lies unread; parts ask the connection of the whole request's client.

--- a/frostspindle/core/attempts.py
+++ b/frostspindle/core/attempts.py
@@ -21,6 +21,7 @@
     ABANDONED = "abandoned"  # the attempt or its request is finished, or its time is up
     WINDOW_OVER = "idempotency window over"
     CLIENT_LEFT = "client left"
+    CLIENT_AWAY = "client away"  # it may return
     WORKER_LIMIT = "worker limit"  # by the other workers: a lease, a ban, a drain
 
 
@@ -63,5 +64,6 @@
 
     @property
     def unsent_outcome(self) -> AttemptOutcome:
-        """The outcome where `Core.may_send` forbade it; that of an abandoned attempt is no fault of the engine."""
-        return AttemptOutcome.NOT_SENT if self.is_abandoned else AttemptOutcome.CONNECT_FAILED
+        """The outcome where `Core.may_send` forbade it: NOT_SENT for reasons of its client, not of the engine."""
+        is_no_fault = self.is_abandoned or self.request.is_suspended
+        return AttemptOutcome.NOT_SENT if is_no_fault else AttemptOutcome.CONNECT_FAILED
--- a/frostspindle/core/core.py
+++ b/frostspindle/core/core.py
@@ -26,7 +26,9 @@
     AdmissionDecided,
     AttemptCompleted,
     BansChanged,
+    ClientAway,
     ClientLeft,
+    ClientReturned,
     EndpointsListed,
     EngineDraining,
     EnginesRestarted,
@@ -104,6 +106,26 @@
             request.is_finished = True
             self.dispatcher.enqueue(ClientLeft(request))
 
+    def suspend_request(self, request: ClientRequest) -> None:
+        """Send nothing more for a request whose client is away and may return; attempts in flight go on."""
+        if request.is_suspended or request.is_finished:
+            return
+        request.is_suspended = True
+        if self.interceptor is not None:
+            for subrequest in self.interceptor.subrequests(request):
+                self.suspend_request(subrequest)
+        self.dispatcher.enqueue(ClientAway(request))
+
+    def resume_request(self, request: ClientRequest) -> None:
+        """Go on with a suspended request, as its client has returned."""
+        if not request.is_suspended or request.is_finished:
+            return
+        request.is_suspended = False
+        if self.interceptor is not None:
+            for subrequest in self.interceptor.subrequests(request):
+                self.resume_request(subrequest)
+        self.dispatcher.enqueue(ClientReturned(request))
+
     # What drivers call.
 
     def update_endpoints(self, driver: Driver, engines: Iterable[EngineState], kind: int, version: int) -> None:
@@ -138,6 +160,8 @@
         if clock() > attempt.begin_by_ms:
             return WithheldReason.WINDOW_OVER
         if not attempt.request.is_client_connected():
+            if attempt.request.is_suspended:  # its front expects it back
+                return WithheldReason.CLIENT_AWAY
             self.client_disconnected(attempt.request)
             return WithheldReason.CLIENT_LEFT
         if self.may_start is None:
--- a/frostspindle/core/event_handlers.py
+++ b/frostspindle/core/event_handlers.py
@@ -16,7 +16,9 @@
     AdmissionDecided,
     AttemptCompleted,
     BansChanged,
+    ClientAway,
     ClientLeft,
+    ClientReturned,
     DeadlinePassed,
     EndpointsListed,
     EngineDraining,
@@ -71,6 +73,8 @@
             ClientRequest: self._on_request,
             AdmissionDecided: self._on_admission_decided,
             ClientLeft: self._on_client_left,
+            ClientAway: self._on_client_away,
+            ClientReturned: self._on_client_returned,
             DeadlinePassed: self._on_deadline_passed,
             AttemptCompleted: self._on_attempt_completed,
             EndpointsListed: self._on_endpoints_listed,
@@ -116,7 +120,7 @@
         match event:
             case AttemptCompleted():
                 return event.attempt.request.number
-            case ClientLeft():
+            case ClientLeft() | ClientAway() | ClientReturned():
                 return event.request.number
             case ClientRequest() | DeadlinePassed():
                 return event.number
@@ -158,6 +162,7 @@
                 float(request.group),
                 exceeds_quota,
                 has_turn,
+                request.is_suspended,
             ),
         )
 
@@ -179,6 +184,12 @@
     def _on_client_left(self, now: float, event: ClientLeft) -> None:
         self._drop(now, event.request.number, "left")
 
+    def _on_client_away(self, now: float, event: ClientAway) -> None:
+        self._notify_policy(now, policy.RequestSuspended(event.request.number))
+
+    def _on_client_returned(self, now: float, event: ClientReturned) -> None:
+        self._notify_policy(now, policy.RequestResumed(event.request.number))
+
     def _on_deadline_passed(self, now: float, event: DeadlinePassed) -> None:
         # The decision module responds before the deadline; should it not have, the ledger still owes a response.
         entry = self._ledger.entries.get(event.number)
--- a/frostspindle/core/interfaces.py
+++ b/frostspindle/core/interfaces.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import Protocol
 
 from frostspindle.core.attempts import Attempt
@@ -52,6 +52,9 @@
     def client_disconnected(self, request: ClientRequest) -> bool:
         """Drop a request whose client has disconnected; False: it did not take this one."""
 
+    def subrequests(self, request: ClientRequest) -> Sequence[ClientRequest]:
+        """Return what it has submitted on behalf of a request and is not answered yet; empty if it did not take it."""
+
 
 class EventObserver(Protocol):
     """Publishes responses and changes of engines; it only records them."""
--- a/frostspindle/core/messages.py
+++ b/frostspindle/core/messages.py
@@ -86,6 +86,20 @@
     request: ClientRequest
 
 
+@dataclass(slots=True, frozen=True)
+class ClientAway:
+    """The client of a request is away and may return."""
+
+    request: ClientRequest
+
+
+@dataclass(slots=True, frozen=True)
+class ClientReturned:
+    """The client of a request that was away has returned."""
+
+    request: ClientRequest
+
+
 class DeadlinePassed(NamedTuple):
     """A request's time is up. It has only the number, so that a pending timer keeps no request alive."""
 
--- a/frostspindle/core/requests.py
+++ b/frostspindle/core/requests.py
@@ -71,3 +71,5 @@
     is_client_connected: Callable[[], bool] = _always_connected  # asked right before bytes are sent to an engine
     # Answered, or its client disconnected. Set at once, so that nothing is sent before the core's next turn.
     is_finished: bool = False
+    # Its client is away and may return; nothing is sent meanwhile. Set at once, as above.
+    is_suspended: bool = False
--- a/frostspindle/cores/mesh.py
+++ b/frostspindle/cores/mesh.py
@@ -17,12 +17,13 @@
 import msgspec
 
 from frostspindle.net.fields import CallRejectedError
-from frostspindle.net.http.calls import PendingCall
+from frostspindle.net.http.calls import OpenRequest, PendingCall
 from frostspindle.net.platform import HttpFront
 
 MAX_FRAME_BYTES = 1 << 20  # a result page with its frame is far shorter
 MAX_PENDING_CALLS = 512  # of one worker at another
 CALL_TIMEOUT_S = 1.5  # the owner holds a call (long poll) for 1 s
+ABANDON = b"ABANDON"  # in place of a method: the client of an earlier call has gone
 _ENCODE = msgspec.msgpack.Encoder().encode
 _CALL = msgspec.msgpack.Decoder(tuple[int, bytes, bytes])  # number, method, URL
 _REPLY = msgspec.msgpack.Decoder(tuple[int, int, Any, str, bool])
@@ -93,19 +94,35 @@
             self.transport.write(len(data).to_bytes(4, "little") + data)
 
 
-class _NoConnection:
-    """Takes the place of a pending call's client connection, which is at another worker."""
+class _RemoteClient:
+    """Takes the place of a relayed call's client connection, which is at another worker; it lasts as long as the call.
+
+    Once the call has its reply the client is away, as far as this worker can tell, until its next call comes.
+    """
 
     line: tuple[()] = ()
 
+    def __init__(self) -> None:
+        self.requests: dict[OpenRequest, None] = {}
+        self.is_waiting = True
+
+    def present(self) -> bool:
+        """Return whether the call still waits for its reply."""
+        return self.is_waiting
+
+    def flush(self) -> None:
+        """Do nothing: the reply is passed on as it is given."""
+
 
 class _RemoteCall(PendingCall):
     """A call of another worker's client."""
 
-    __slots__ = ("on_reply",)
+    __slots__ = ("front", "on_reply", "remote_client")
 
-    def __init__(self, on_reply: Callable[[RelayedReply], None]) -> None:
-        super().__init__(_NoConnection())  # type: ignore[arg-type]
+    def __init__(self, front: HttpFront, on_reply: Callable[[RelayedReply], None]) -> None:
+        self.remote_client = _RemoteClient()
+        super().__init__(self.remote_client)
+        self.front = front
         self.on_reply = on_reply
 
     def reply(self, status: int, body: Any = None, extra: str = "", last: bool = False) -> None:
@@ -113,6 +130,17 @@
         if self.data is None:
             self.data = b""
             self.on_reply(RelayedReply(status, body, extra, last))
+            self._end()
+
+    def abandon(self) -> None:
+        """End the call without a reply: its client has gone, or the worker that it called."""
+        self.data = b""
+        self.front.gone(self)
+        self._end()
+
+    def _end(self) -> None:
+        self.remote_client.is_waiting = False
+        self.front.connection_ended(self.remote_client)
 
 
 class _OwnerConnection(_FrameProtocol):
@@ -124,7 +152,7 @@
         super().__init__()
         self.front = front
         self.connections = connections  # all of the mesh
-        self.pending_calls: set[_RemoteCall] = set()
+        self.pending_calls: dict[int, _RemoteCall] = {}  # by number
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Keep the connection, unless a process of another user opened it."""
@@ -144,11 +172,16 @@
     def frame_received(self, message: Any) -> None:
         """Hand another worker's call to this worker's front; beyond MAX_PENDING_CALLS it is rejected."""
         number, method, url = message
-        call = _RemoteCall(lambda reply: self._send_reply(number, call, reply))
+        if method == ABANDON:
+            abandoned = self.pending_calls.pop(number, None)
+            if abandoned is not None:
+                abandoned.abandon()
+            return
+        call = _RemoteCall(self.front, lambda reply: self._send_reply(number, reply))
         if len(self.pending_calls) >= MAX_PENDING_CALLS:
             call.reply(503, {"failure": "Busy"})
             return
-        self.pending_calls.add(call)
+        self.pending_calls[number] = call
         self.front.telemetry.count("relayed_in", "http")
         try:
             self.front.call(call, method, url, {}, b"")
@@ -159,17 +192,17 @@
             self.front.telemetry.log("exception_caught", error=repr(error), of="relayed call")
             call.reply(500, {"failure": "Failed"}, last=True)
 
-    def _send_reply(self, number: int, call: _RemoteCall, reply: RelayedReply) -> None:
-        self.pending_calls.discard(call)
+    def _send_reply(self, number: int, reply: RelayedReply) -> None:
+        self.pending_calls.pop(number, None)
         self.send((number, *reply))
 
     def connection_lost(self, error: Exception | None) -> None:
         """Drop the calls that wait for a response."""
         self.connections.discard(self)
-        for call in self.pending_calls:
-            call.data = b""
-            self.front.gone(call)
+        calls = list(self.pending_calls.values())
         self.pending_calls.clear()
+        for call in calls:
+            call.abandon()
 
 
 class _CallerConnection(_FrameProtocol):
@@ -197,7 +230,10 @@
         self.pending.clear()
 
     async def call(self, method: bytes, url: bytes) -> RelayedReply:
-        """Send a call and return its response; WorkerGoneError if none can be had in time."""
+        """Send a call and return its response; WorkerGoneError if none can be had in time.
+
+        If it is cancelled, the owner is told that nobody waits for the response any more.
+        """
         if len(self.pending) >= MAX_PENDING_CALLS:
             raise WorkerGoneError("too many calls wait there")
         self.last_number += 1
@@ -210,6 +246,9 @@
                 return await future
         except TimeoutError:
             raise WorkerGoneError("the owner does not answer") from None
+        except asyncio.CancelledError:
+            self.send((number, ABANDON, url))
+            raise
         finally:
             self.pending.pop(number, None)
 
--- a/frostspindle/cores/request_relay.py
+++ b/frostspindle/cores/request_relay.py
@@ -43,6 +43,7 @@
         self._front = front
         self._telemetry = telemetry
         self._tasks: set[asyncio.Task[None]] = set()
+        self._relayed_calls: dict[PendingCall, asyncio.Task[None]] = {}
 
     def start(self) -> None:
         """Begin to accept the other workers' connections."""
@@ -54,10 +55,11 @@
             task.cancel()
         self._mesh.close()
 
-    def _create_task(self, work: Coroutine[None, None, None]) -> None:
+    def _create_task(self, work: Coroutine[None, None, None]) -> asyncio.Task[None]:
         task = asyncio.get_running_loop().create_task(work)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
+        return task
 
     def accepts(self) -> bool:
         """Return whether to accept a new connection now, by the connections of the other workers that serve."""
@@ -120,9 +122,18 @@
             case Route.RELAY:
                 owner = ownership.owner_of(path)
                 assert owner is not None
-                self._create_task(self._relay(slot, owner.slot, method, url))
+                task = self._create_task(self._relay(slot, owner.slot, method, url))
+                if method == b"GET":  # a DELETE is carried out whether its client waits or not
+                    self._relayed_calls[slot] = task
+                    task.add_done_callback(lambda _: self._relayed_calls.pop(slot, None))
         return True
 
+    def abandon(self, slot: PendingCall) -> None:
+        """Stop waiting for the owner's reply to a call whose client has gone; the owner is told."""
+        task = self._relayed_calls.get(slot)
+        if task is not None:
+            task.cancel()
+
     def _reply_for_ended_owner(self, call: PendingCall, method: bytes) -> None:
         if method == b"DELETE":
             call.reply(204)
--- a/frostspindle/net/http/calls.py
+++ b/frostspindle/net/http/calls.py
@@ -24,6 +24,8 @@
 class CallConnection(Protocol):
     """The connection that a call came on."""
 
+    requests: dict[OpenRequest, None]  # the open ones, in order, whose client made its last call on this connection
+
     def flush(self) -> None:
         """Write the responses that are due, in the order of the calls."""
 
@@ -34,7 +36,20 @@
 class OpenRequest:
     """One request at this front: its answer, and the path under which its result is fetched."""
 
-    __slots__ = ("settled", "ticket", "path", "request", "answer", "pages", "size", "told", "slots", "timer")
+    __slots__ = (
+        "answer",
+        "connection",
+        "pages",
+        "path",
+        "request",
+        "return_timer",
+        "settled",
+        "size",
+        "slots",
+        "ticket",
+        "timer",
+        "told",
+    )
 
     def __init__(self, settled: Callable[[OpenRequest], None], ticket: str, path: str) -> None:
         self.settled, self.ticket, self.path = settled, ticket, path
@@ -44,6 +59,8 @@
         self.size, self.told = 0, False  # told: the client has had the last answer
         self.slots: list[PendingCall] = []  # the calls that wait for its answer
         self.timer: asyncio.TimerHandle | None = None
+        self.connection: CallConnection | None = None  # its client's last one; None: that has ended
+        self.return_timer: asyncio.TimerHandle | None = None  # runs while the client is away
 
     def on_response(self, answer: Response) -> None:
         """Take the one answer; later ones are dropped."""
--- a/frostspindle/net/http/clients.py
+++ b/frostspindle/net/http/clients.py
@@ -14,7 +14,6 @@
 
 import asyncio
 import math
-import select
 from collections import deque
 from typing import Protocol
 
@@ -22,8 +21,9 @@
 
 from frostspindle.net import fields as read
 from frostspindle.net.fields import CallRejectedError
+from frostspindle.net.hangup import SocketWatch
 from frostspindle.net.http.arrival_clock import ArrivalClock
-from frostspindle.net.http.calls import FRONT, PendingCall
+from frostspindle.net.http.calls import FRONT, OpenRequest, PendingCall
 from frostspindle.net.http.connection_limits import BUSY, CLOSING, IDLE, NEW, RECEIVING
 from frostspindle.telemetry import Telemetry
 
@@ -33,7 +33,6 @@
 REQUEST = BODY + 128 * 1024  # the most bytes that one request may take on the wire, its head and chunks included
 LINGER_BYTES = 64 << 20  # so much of what a refused client still sends is read and dropped
 AHEAD = 16  # calls of one connection that are taken while earlier ones are not yet answered
-_UNREAD, _GONE = select.POLLIN, select.POLLRDHUP | select.POLLHUP | select.POLLERR
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 _SINGLE = read.SINGLE | {b"host", b"content-encoding"}
 
@@ -63,6 +62,9 @@
     def gone(self, slot: PendingCall) -> None:
         """Note that the connection of a call has ended."""
 
+    def connection_ended(self, client: ClientConnection) -> None:
+        """Note that a client's connection has ended."""
+
 
 class _ParsingStoppedError(Exception):
     """Nothing more of this connection is parsed."""
@@ -79,6 +81,7 @@
         self.parser = HttpRequestParser(self)
         self.transport: asyncio.Transport = None  # type: ignore[assignment]  # set before anything else is called
         self.line: deque[PendingCall] = deque()
+        self.requests: dict[OpenRequest, None] = {}  # the open ones, in order, whose client is on this connection
         self.since = self.now()
         self.spoken = self.leaving = self.deaf = self.partial = self.headed = False
         self.feeding = self.expects = False  # the parser is at work; the client waits for a 100 before its body
@@ -86,7 +89,7 @@
         self.extra = False  # beyond the bound on connections: it has a place once it asks and another one gives way
         self.unseen_ms = self.came_ms = unseen_ms  # since when bytes may lie unread; the earliest that the last came
         self.watched = 0  # the looks of the loop that were over when reading began
-        self.poll = select.poll()
+        self.watch: SocketWatch = None  # type: ignore[assignment]  # set with the transport
         self.awaited = False  # it was given a `next`, which only this process knows, and has not called it yet
         self.stuck_at = math.inf
         self.heard = self.since  # when bytes last came
@@ -112,7 +115,7 @@
         """Keep the transport, watch the socket for unread bytes and hang-up, and register with the front."""
         self.transport = transport  # type: ignore[assignment]
         self.transport.set_write_buffer_limits(0)  # it is told of each answer that the system does not take whole
-        self.poll.register(transport.get_extra_info("socket").fileno(), _UNREAD | select.POLLRDHUP)
+        self.watch = SocketWatch(transport)
         self.watched = self.front.arrival_clock.count
         self.front.joined(self)
 
@@ -133,12 +136,13 @@
         line, self.line = self.line, deque()
         for slot in line:
             self.front.gone(slot)
+        self.front.connection_ended(self)
 
     def present(self) -> bool:
         """Return whether the client is connected, by polling the socket: its end may lie behind unread bytes."""
         if self.transport.is_closing():
             return False
-        if any(events & _GONE for _, events in self.poll.poll(0)):
+        if self.watch.has_hung_up():
             self._gone()
             self.transport.close()
             return False
@@ -146,7 +150,7 @@
 
     def unread(self) -> bool:
         """Return whether bytes lie unread in the socket."""
-        return not self.transport.is_closing() and any(events & _UNREAD for _, events in self.poll.poll(0))
+        return self.watch.has_unread()
 
     def pause_writing(self) -> None:
         """Stop reading while the client does not take its responses, and note since when."""
--- a/frostspindle/net/http/request_registry.py
+++ b/frostspindle/net/http/request_registry.py
@@ -14,12 +14,13 @@
 from typing import Any
 
 from frostspindle.core import Core, Response, ResponseStatus
-from frostspindle.net.http.calls import OpenRequest, PendingCall
+from frostspindle.net.http.calls import CallConnection, OpenRequest, PendingCall
 
 HOLD_S = 1.0  # a call is held this long for its answer, then the client is given a path to ask again
 PAGE_BYTES = 48 * 1024  # rows in one answer
 LEAST_WAIT_MS = 1  # a refusal always says how long to stay away
 KEEP_S = 5.0  # how long answers are kept for a repeated GET
+RETURN_TIMEOUT_S = 2.0  # how long a client whose connection has ended may take to call its path again
 
 
 class DepartureReason(StrEnum):
@@ -27,6 +28,7 @@
 
     CONNECTION_ENDED = "connection ended"  # before the client was given a path
     DELETED = "deleted"
+    NOT_RETURNED = "not returned"  # within RETURN_TIMEOUT_S
 
 
 class RequestRegistry:
@@ -53,6 +55,7 @@
         return OpenRequest(self._settled, ticket, f"{before}{self._numbers:x}-{ticket}")
 
     def _settled(self, opened: OpenRequest) -> None:
+        self._unbind(opened)
         self.ids.discard(opened.ticket)
         self.released(opened.ticket)
         slots, opened.slots = opened.slots, []
@@ -66,6 +69,7 @@
         if slot.opened.answer is not None:
             self.give(slot)
         else:
+            self._bind(slot.opened, slot.client)
             slot.opened.slots.append(slot)
             until = self._holds[slot] = self.loop.time() + HOLD_S
             if self._alarm is None:
@@ -149,25 +153,70 @@
             if opened.timer is not None:
                 opened.timer.cancel()
 
+    # Whether the client is there.
+
+    def _bind(self, opened: OpenRequest, connection: CallConnection) -> None:
+        """Note on which connection the client of an open request is; one that was away has returned."""
+        if opened.connection is connection:
+            return
+        self._unbind(opened)
+        opened.connection = connection
+        connection.requests[opened] = None
+        if opened.request is not None and opened.request.is_suspended:
+            self.core.telemetry.log("client_returned", ticket=opened.ticket)
+            self.core.resume_request(opened.request)
+
+    @staticmethod
+    def _unbind(opened: OpenRequest) -> None:
+        if opened.connection is not None:
+            opened.connection.requests.pop(opened, None)
+            opened.connection = None
+        if opened.return_timer is not None:
+            opened.return_timer.cancel()
+            opened.return_timer = None
+
     def gone(self, slot: PendingCall) -> None:
-        """Note that the connection of a call has ended; a request without a path is given up with it."""
+        """Note that the connection of a call has ended, and nobody waits for its answer."""
         self._holds.pop(slot, None)
         opened = slot.opened
-        if opened is None or slot.data is not None:
-            return
-        if slot in opened.slots:
+        if opened is not None and slot in opened.slots:
             opened.slots.remove(slot)
-        if slot.page < 0:
-            # The client has no path yet: its connection was the request.
-            self.leave(opened, DepartureReason.CONNECTION_ENDED)
 
-    def present(self, opened: OpenRequest, slot: PendingCall) -> bool:
-        """Return whether a client waits for the request; it is bound to the call's connection until it has a path."""
-        return opened.answer is None and (opened.path in self.open or slot.client.present())
+    def connection_ended(self, connection: CallConnection) -> None:
+        """Note that a client's connection has ended: its requests without a path are over, the others suspended."""
+        for opened in list(connection.requests):
+            if opened.path in self.open:
+                self._suspend(opened)
+            else:
+                # The client has no path yet: its connection was the request.
+                self.leave(opened, DepartureReason.CONNECTION_ENDED)
+
+    def _suspend(self, opened: OpenRequest) -> None:
+        """Send nothing for a request whose client has no connection, and give it up if none comes in time."""
+        self._unbind(opened)
+        if opened.request is None:
+            return
+        self.core.telemetry.log("client_away", ticket=opened.ticket)
+        self.core.suspend_request(opened.request)
+        opened.return_timer = self.loop.call_later(RETURN_TIMEOUT_S, self.leave, opened, DepartureReason.NOT_RETURNED)
+
+    def present(self, opened: OpenRequest) -> bool:
+        """Return whether the client of a request is connected, by a look at its connection.
+
+        Where it is not, the request is suspended or given up, as it would be once the end is read.
+        """
+        connection = opened.connection
+        if opened.answer is not None or connection is None:
+            return False
+        if connection.present():
+            return True
+        self.connection_ended(connection)
+        return False
 
     def leave(self, opened: OpenRequest, reason: DepartureReason) -> None:
         """Drop a request whose client has stopped waiting, and free the engine's work."""
         self._drop(opened)
+        self._unbind(opened)
         if opened.answer is None and opened.request is not None:
             self.core.telemetry.log("client_left", ticket=opened.ticket, reason=reason)
             self.core.client_disconnected(opened.request)
--- a/frostspindle/net/platform.py
+++ b/frostspindle/net/platform.py
@@ -47,6 +47,9 @@
     def passes(self, slot: PendingCall, method: bytes, path: str, url: bytes) -> bool:
         """Pass a call on a path unknown here to the worker that has it; return whether one answers it."""
 
+    def abandon(self, slot: PendingCall) -> None:
+        """Note that the client of a call that was passed on has gone."""
+
     def accepts(self) -> bool:
         """Return whether this worker should accept a new connection before the others do."""
 
@@ -71,7 +74,7 @@
         self.clients: set[ClientConnection] = set()
         self.listener = Listener(self.loop, telemetry, lambda since_ms: ClientConnection(self, since_ms), self._room)
         self.paths = RequestRegistry(core, self.loop, int(config.limits.memory_mb * 2**20 / 24), self._released)
-        self.gone = self.paths.gone
+        self.connection_ended = self.paths.connection_ended
         self._sweeper: asyncio.TimerHandle | None = None
         self._drained_at = math.inf
         most_ms = core.settings.max_retry_after_ms
@@ -230,6 +233,12 @@
                     self.telemetry.count("silent_clients", FRONT)
                 client.end()
 
+    def gone(self, slot: PendingCall) -> None:
+        """Note that the connection of a call has ended."""
+        self.paths.gone(slot)
+        if self.relay is not None:
+            self.relay.abandon(slot)
+
     # One call.
 
     def call(self, slot: PendingCall, method: bytes, url: bytes, fields: dict[bytes, bytes], body: bytes) -> None:
@@ -323,7 +332,7 @@
             tenant=tenant,
             key=said.key,
             idempotency_key=said.idempotency_key,
-            is_client_connected=lambda: self.paths.present(opened, slot),
+            is_client_connected=lambda: self.paths.present(opened),
         )
         if self.marks is not None:
             try:
--- a/frostspindle/net/tds/front.py
+++ b/frostspindle/net/tds/front.py
@@ -18,6 +18,7 @@
 
 from frostspindle.config import Address, TdsLogin, TdsSection
 from frostspindle.core import ClientRequest, Core, Response, ResponseStatus, clock
+from frostspindle.net.hangup import SocketWatch
 from frostspindle.net.tds import codec
 from frostspindle.telemetry import Telemetry
 
@@ -50,6 +51,7 @@
         self.login: codec.Login | None = None
         self.since = asyncio.get_running_loop().time()  # when it began to wait for its client
         self.busy = False  # a batch runs
+        self.watch = SocketWatch(writer.transport)
 
     async def message(self) -> codec.Message | None:
         """The next message, or None at the end of the stream."""
@@ -71,6 +73,15 @@
                 raise codec.ProtocolError("too many messages ahead of their answers")
         return self.messages.pop(0)
 
+    def waits_for_answer(self) -> bool:
+        """Return whether the client still waits for the answer to its batch.
+
+        It has hung up or sent an Attention otherwise, which may lie unread; nothing else may come behind a batch.
+        """
+        if self.writer.is_closing() or self.watch.has_hung_up():
+            return False
+        return not (self.messages or self.splitter.partial or self.watch.has_unread())
+
     async def send(self, tokens: bytes) -> None:
         self.writer.write(codec.packets(codec.RESULT, tokens, self.packet))
         async with asyncio.timeout(30.0):  # a client that does not read gives up its session
@@ -182,6 +193,7 @@
             profile.memory_mb,
             front.group(statement),
             place=self.database,
+            is_client_connected=self.waits_for_answer,
         )
         if front.tenant is not None and self.login is not None:
             peer = self.writer.get_extra_info("peername") or ("",)
--- a/frostspindle/policy/completion.py
+++ b/frostspindle/policy/completion.py
@@ -48,6 +48,8 @@
         request.finished = True
         if request.waiting:
             self._waiting.remove(request)
+        if request.deferred:
+            self._waiting.forget_deferred(request)
         del state.requests[request.number]
         if state.settings.may_cancel:
             state.actions.extend(CancelAttempt(request.number, a.number) for a in request.running_attempts)
--- a/frostspindle/policy/controller.py
+++ b/frostspindle/policy/controller.py
@@ -88,6 +88,8 @@
             events.ProgressReported: self._on_progress,
             events.AttemptEnded: self._on_attempt_ended,
             events.ClientDisconnected: self._on_client_disconnected,
+            events.RequestSuspended: self._on_request_suspended,
+            events.RequestResumed: self._on_request_resumed,
             events.KeyOrderReached: self._on_key_order_reached,
             events.TimerFired: self._on_timer,
             events.HealthCheckCompleted: self._on_health_check,
@@ -258,6 +260,18 @@
             self.completion.finish(request, now)
             self.dispatcher.release(now)
 
+    def _on_request_suspended(self, now: float, event: events.RequestSuspended) -> None:
+        request = self.state.requests.get(event.request)
+        if request is not None:
+            self.waiting.suspend(request)
+            self.dispatcher.release(now)
+
+    def _on_request_resumed(self, now: float, event: events.RequestResumed) -> None:
+        request = self.state.requests.get(event.request)
+        if request is not None:
+            self.waiting.resume(request, now)
+            self.dispatcher.release(now)
+
     def _on_key_order_reached(self, now: float, event: events.KeyOrderReached) -> None:
         request = self.state.requests.get(event.request)
         if request is not None:
--- a/frostspindle/policy/events.py
+++ b/frostspindle/policy/events.py
@@ -86,6 +86,7 @@
     group: float  # of tables, by number; -1: none
     over_quota: bool = False  # as all coordinators together count the tenant's requests
     key_order_reached: bool = True  # False: it waits for an earlier one of its key elsewhere, until KeyOrderReached
+    suspended: bool = False  # its client is away: nothing is sent for it until RequestResumed
 
 
 class ResponseStarted(NamedTuple):
@@ -130,6 +131,18 @@
     request: int
 
 
+class RequestSuspended(NamedTuple):
+    """Event: the client of a request is away and may return; no attempt may start for it until RequestResumed."""
+
+    request: int
+
+
+class RequestResumed(NamedTuple):
+    """Event: the client of a suspended request has returned."""
+
+    request: int
+
+
 class KeyOrderReached(NamedTuple):
     """Event: a request that had to wait for an earlier one of its key elsewhere may now be sent."""
 
@@ -179,6 +192,8 @@
     | ProgressReported
     | AttemptEnded
     | ClientDisconnected
+    | RequestSuspended
+    | RequestResumed
     | KeyOrderReached
     | TimerFired
     | HealthCheckCompleted
--- a/frostspindle/policy/key_order.py
+++ b/frostspindle/policy/key_order.py
@@ -40,7 +40,7 @@
         head = line[0]
         if not head.key_order_reached or self.cooldowns.get(key, 0.0) > now:
             return
-        if not (head.waiting or head.attempts or head.finished):
+        if not (head.waiting or head.deferred or head.attempts or head.finished):
             self._waiting.add(head, now)
 
     def start_cooldown(self, request: RequestState, outcome: int, now: float) -> None:
--- a/frostspindle/policy/policy_state.py
+++ b/frostspindle/policy/policy_state.py
@@ -33,6 +33,7 @@
     actions: list[Action] = field(default_factory=list)
     engines: dict[int, EngineState] = field(default_factory=dict)
     requests: dict[int, RequestState] = field(default_factory=dict)
+    deferred_requests: dict[int, RequestState] = field(default_factory=dict)  # suspended, and to wait once resumed
     waiting_queue: WaitingQueue = field(default_factory=WaitingQueue)
     max_open_requests: float = math.inf
 
--- a/frostspindle/policy/request_state.py
+++ b/frostspindle/policy/request_state.py
@@ -57,6 +57,7 @@
         "cost_estimate_ms",
         "cost_ms",
         "deadline_at_ms",
+        "deferred",
         "done_ratio",
         "finished",
         "grant_mb",
@@ -73,6 +74,7 @@
         "rank",
         "relocated",
         "streaming",
+        "suspended",
         "tenant",
         "waiting",
     )
@@ -102,6 +104,8 @@
 
         self.over_quota = False
         self.waiting = False
+        self.suspended = event.suspended  # its client is away
+        self.deferred = False  # it will wait for an engine once it is no longer suspended
         self.streaming = False
         self.relocated = False  # an attempt far over its estimate was dealt with, once
         self.finished = False
--- a/frostspindle/policy/retries.py
+++ b/frostspindle/policy/retries.py
@@ -83,7 +83,7 @@
 
     def retry_or_end(self, request: RequestState, engine: EngineState, outcome: int, now: float) -> None:
         """Let the request of an attempt that ended without a response wait again, or end it."""
-        if request.running_attempts or request.waiting:
+        if request.running_attempts or request.waiting or request.deferred:
             return
         if outcome != AttemptOutcome.NOT_SENT:  # one that sheds, as while it shuts down, sheds the next send too
             request.avoided_engines.add(engine.id)
@@ -100,9 +100,12 @@
             self._waiting.add(request, now)
 
     def relocate(self, request: RequestState, attempt: AttemptState, now: float) -> bool:
-        """Cancel an attempt so that the request can go elsewhere, where its class and its time allow; tell whether."""
+        """Cancel an attempt so that the request can go elsewhere, where its class and its time allow; tell whether.
+
+        A suspended request could not be sent again, so its attempt stays.
+        """
         settings = self._state.settings
-        if not settings.may_cancel or request.finished:
+        if not settings.may_cancel or request.finished or request.suspended:
             return False
         time_left_ms = request.deadline_at_ms - now - DEADLINE_MARGIN_MS
         if not time_left_ms > RELOCATION_TIME_RATIO * request.cost_ms / request.class_settings.threads:
--- a/frostspindle/policy/shedding.py
+++ b/frostspindle/policy/shedding.py
@@ -30,8 +30,13 @@
         self._completion = completion
 
     def shed_excess(self, now: float) -> None:
-        """While more requests are open than may be, end the waiting one of the lowest value for its work."""
+        """While more requests are open than may be, end the waiting one of the lowest value for its work.
+
+        Those whose clients are away go first, the longest deferred before the others.
+        """
         state = self._state
+        while state.deferred_requests and len(state.requests) > state.max_open_requests:
+            self._completion.end_unserved(next(iter(state.deferred_requests.values())), now)
         while state.waiting_queue and len(state.requests) > state.max_open_requests:
             request = self._waiting.pop_lowest_value(now)
             if request is not None:
--- a/frostspindle/policy/waiting_requests.py
+++ b/frostspindle/policy/waiting_requests.py
@@ -19,7 +19,13 @@
         self._by_value = LowestValueQueue()
 
     def add(self, request: RequestState, now: float) -> None:
-        """Let a request wait: least remaining work first, those over a tenant's quota after the others."""
+        """Let a request wait: least remaining work first, those over a tenant's quota after the others.
+
+        A suspended one is deferred until it is resumed.
+        """
+        if request.suspended:
+            self.add_deferred(request)
+            return
         class_settings = request.class_settings
         request.waiting = True
         request.rank = (int(request.over_quota), request.cost_ms * (1.0 - request.done_ratio), request.number)
@@ -37,6 +43,30 @@
         self._state.waiting_queue.drop(request.rank, request.lane, request.cost_ms)
         self.expiry.discard(request.number)
 
+    def suspend(self, request: RequestState) -> None:
+        """Keep a request from being sent until `resume`; its attempts that run go on."""
+        request.suspended = True
+        if request.waiting:
+            self.remove(request)
+            self.add_deferred(request)
+
+    def resume(self, request: RequestState, now: float) -> None:
+        """Let a suspended request wait again, if it did or would have."""
+        request.suspended = False
+        if request.deferred:
+            self.forget_deferred(request)
+            self.add(request, now)
+
+    def add_deferred(self, request: RequestState) -> None:
+        """Note that a suspended request is to wait once it is resumed."""
+        request.deferred = True
+        self._state.deferred_requests[request.number] = request
+
+    def forget_deferred(self, request: RequestState) -> None:
+        """Take a request out of those that wait to be resumed."""
+        request.deferred = False
+        self._state.deferred_requests.pop(request.number, None)
+
     def value(self, request: RequestState, now: float) -> float:
         """Return the priority weight still to be had from the request, for each ms of its work."""
         class_settings = request.class_settings
--- a/frostspindle/scatter/service.py
+++ b/frostspindle/scatter/service.py
@@ -224,6 +224,19 @@
         self.telemetry.count("left", request.front, self.core.classes[request.cls][1])
         return True
 
+    def subrequests(self, request: ClientRequest) -> Sequence[ClientRequest]:
+        """Return the parts of a request that are submitted and not answered yet."""
+        if (query := self.queries.get(request)) is not None:
+            return [query.parts[site] for site in query.gather.open if site in query.parts]
+        turn = self.turns.get(request)
+        return [turn.part] if turn is not None and turn.part is not None else []
+
+    def _submit_part(self, request: ClientRequest, part: ClientRequest) -> bool:
+        """Submit a part of a client's request: nothing is sent for it while that client is away or has gone."""
+        part.is_client_connected = request.is_client_connected
+        part.is_suspended = request.is_suspended
+        return self.core.submit(part)
+
     def _soon(self, request: ClientRequest, answer: Response) -> None:
         """Not before the front has noted that the request is taken."""
         asyncio.get_running_loop().call_soon(self._settle, request, answer)
@@ -280,7 +293,7 @@
                 request.tenant,
             )
         for site, part in query.parts.items():
-            if not self.core.submit(part):
+            if not self._submit_part(request, part):
                 asyncio.get_running_loop().call_soon(self._part, query, site, Response(ResponseStatus.REJECTED))
 
     def _skips(self, group: int, sites: Sequence[str], predicate: Any) -> tuple[set[str], dict[str, int]]:
@@ -404,7 +417,7 @@
                 request.key,
             )
             turn.timer = asyncio.get_running_loop().call_later(max(0.0, left_ms) / 1000.0, self._late, turn)
-            if not self.core.submit(turn.part):
+            if not self._submit_part(request, turn.part):
                 asyncio.get_running_loop().call_soon(self._ran, turn, Response(ResponseStatus.REJECTED))
             self._next(turn)
 
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -85,6 +85,7 @@
         self.answers: dict[int, str] = {}
         self.answered_at: dict[int, float] = {}
         self.stopped: dict[int, float] = {}
+        self.suspended: set[int] = set()  # requests whose clients are away
         self.terms: dict[int, policy.UpdatePriority] = {}
         self.cancels: list[tuple[int, int]] = []
         self.logs: list[str] = []
@@ -128,6 +129,7 @@
         cls = self.settings.classes[request.cls]
         earlier = self.attempts[a.request]
         assert a.request not in self.answers, "nothing goes out after the answer"
+        assert a.request not in self.suspended, "nothing goes out while the client is away"
         alone = all(t["verdict"] is not None for t in earlier)
         assert alone or self.settings.hedged_requests, "no two attempts at once"
         assert len(earlier) < self.settings.max_attempts
@@ -199,6 +201,14 @@
         self.requests[number], self.taken_at[number], self.attempts[number] = event, self.now, []
         self.feed(event)
 
+    def suspend(self, request: int) -> None:
+        self.suspended.add(request)
+        self.feed(policy.RequestSuspended(request))
+
+    def resume(self, request: int) -> None:
+        self.suspended.discard(request)
+        self.feed(policy.RequestResumed(request))
+
     def end(self, request: int, verdict: int = AttemptOutcome.OK, cost: float = 0.0, memory: float = 0.0) -> None:
         number = len(self.attempts[request]) - 1
         engine = self.open.pop((request, number))
--- a/tests/test_client_departure.py
+++ b/tests/test_client_departure.py
@@ -7,6 +7,7 @@
 import asyncio
 import json
 import socket
+import struct
 from contextlib import asynccontextmanager
 
 import pytest
@@ -121,6 +122,22 @@
     plain.close()
 
 
+async def reset_unread(site):
+    """The same, by a client or a network that resets the connection."""
+    plain = socket.socket()
+    plain.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    plain.setblocking(False)
+    loop = asyncio.get_running_loop()
+    await loop.sock_connect(plain, ("127.0.0.1", site.process.http))
+    await loop.sock_sendall(plain, post(LEFT))
+    arrived = asyncio.Event()
+    loop.add_reader(plain, arrived.set)
+    async with asyncio.timeout(PATH_GIVEN_S):
+        await arrived.wait()
+    loop.remove_reader(plain)
+    plain.close()
+
+
 async def take_path(site):
     reader, writer = await site.open()
     writer.write(post(LEFT))
@@ -136,6 +153,34 @@
     await writer.wait_closed()
 
 
+async def shut_after_path(site):
+    """It has read its path and shuts its side of the connection."""
+    _, writer, _ = await take_path(site)
+    writer.write_eof()
+
+
+async def close_under_call(site):
+    """It waits under its path and closes that connection."""
+    _, writer, path = await take_path(site)
+    writer.write(get(path))
+    await writer.drain()
+    await asyncio.sleep(LEFT_SLACK_S)  # the call has come, and is held
+    writer.close()
+    await writer.wait_closed()
+
+
+async def close_other_connection(site):
+    """It calls its path on a second connection and closes both."""
+    _, first, path = await take_path(site)
+    _, second = await site.open()
+    second.write(get(path))
+    await second.drain()
+    await asyncio.sleep(LEFT_SLACK_S)
+    for writer in (first, second):
+        writer.close()
+        await writer.wait_closed()
+
+
 async def delete_path(site):
     """It gives up by DELETE on a new connection."""
     _, writer, path = await take_path(site)
@@ -146,7 +191,15 @@
         one.close()
 
 
-DEPARTURES = [close_unread, close_after_path, delete_path]
+DEPARTURES = [
+    close_unread,
+    reset_unread,
+    close_after_path,
+    shut_after_path,
+    close_under_call,
+    close_other_connection,
+    delete_path,
+]
 
 
 # Guards against: a request with a path was sent on 4.8 s after its client had closed its connection.
@@ -163,7 +216,7 @@
 
 
 # Guards against the same at a worker whose client called the path at another worker.
-@pytest.mark.parametrize("leave", [close_after_path])
+@pytest.mark.parametrize("leave", [close_after_path, close_other_connection])
 def test_nothing_is_sent_for_a_client_that_left_over_several_workers(tmp_path, leave):
     async def play():
         async with running_site(tmp_path, WORKERS_FILE) as site:
@@ -173,3 +226,41 @@
             assert site.sent() == [STAYS]
 
     asyncio.run(play())
+
+
+# Guards against: a client whose connection broke and that calls its path again is not served any more.
+@pytest.mark.parametrize("operator", ["", WORKERS_FILE])
+def test_a_client_that_calls_its_path_on_a_new_connection_is_served(tmp_path, operator):
+    async def play():
+        async with running_site(tmp_path, operator) as site:
+            _, first, path = await take_path(site)
+            first.transport.abort()
+            await site.process.until(lambda: site.process.events("client_away", ticket=LEFT))
+            reader, second = await site.open()
+            second.write(get(path))
+            await site.process.until(lambda: site.process.events("client_returned", ticket=LEFT))
+            await site.join_engine()
+            async with asyncio.timeout(8.0):
+                status, body = await follow(reader, second)
+            assert (status, len(body["rows"]), site.sent()) == (200, 1, [LEFT])
+            second.close()
+
+    asyncio.run(play())
+
+
+# Guards against: a client that returned after its engine had joined found its request forgotten.
+def test_a_request_is_sent_when_its_client_returns(tmp_path):
+    async def play():
+        async with running_site(tmp_path) as site:
+            _, first, path = await take_path(site)
+            first.transport.abort()
+            await site.process.until(lambda: site.process.events("client_away", ticket=LEFT))
+            assert (await serve_another(site))[0] == 200
+            assert site.sent() == [STAYS]
+            reader, second = await site.open()
+            async with asyncio.timeout(8.0):
+                status, body = await follow(reader, second, path)
+            assert (status, len(body["rows"]), site.sent()) == (200, 1, [STAYS, LEFT])
+            second.close()
+
+    asyncio.run(play())
--- a/tests/test_endings_clients.py
+++ b/tests/test_endings_clients.py
@@ -387,18 +387,41 @@
                 await self.until(lambda: not self.front.clients)
                 self.assertEqual((left, self.front.paths.ids), (asks, set()))
 
-    async def test_a_client_with_a_path_is_present_without_its_connection_until_it_deletes(self):
+    async def test_a_client_with_a_path_is_away_without_its_connection_until_it_calls_or_deletes(self):
         await self.start()
-        asks = self.submitted()
+        asks, left = self.submitted(), []
+        self.program.core.client_disconnected = left.append
         with unittest.mock.patch("frostspindle.net.http.request_registry.HOLD_S", 0.05):
             reader, writer = await self.open()
             writer.write(post(1))
             ((_, _, body),) = await self.answers(reader, 1)
-        writer.transport.abort()
-        await self.until(lambda: not self.front.clients)
-        self.assertTrue(asks[0].is_client_connected())
+            (ask,), path = asks, json.loads(body)["next"]
+            self.assertEqual((ask.is_client_connected(), ask.is_suspended), (True, False))
+            writer.transport.abort()
+            await self.until(lambda: not self.front.clients)
+            self.assertEqual((ask.is_client_connected(), ask.is_suspended, left), (False, True, []))
+            reader, writer = await self.open()
+            writer.write(f"GET {path} HTTP/1.1\r\nHost: t\r\n\r\n".encode())
+            ((_, _, body),) = await self.answers(reader, 1)
+        self.assertEqual((ask.is_client_connected(), ask.is_suspended, left), (True, False, []))
         self.assertEqual((await self.call("DELETE", json.loads(body)["next"]))[0], 204)
-        self.assertFalse(asks[0].is_client_connected())
+        self.assertEqual((ask.is_client_connected(), left), (False, [ask]))
+
+    async def test_a_client_that_does_not_call_its_path_again_has_left(self):
+        await self.start()
+        asks, left = self.submitted(), []
+        self.program.core.client_disconnected = left.append
+        with (
+            unittest.mock.patch("frostspindle.net.http.request_registry.HOLD_S", 0.05),
+            unittest.mock.patch("frostspindle.net.http.request_registry.RETURN_TIMEOUT_S", 0.05),
+        ):
+            reader, writer = await self.open()
+            writer.write(post(1))
+            ((_, _, body),) = await self.answers(reader, 1)
+            writer.transport.abort()
+            await self.until(lambda: left)
+        self.assertEqual((left, self.front.paths.open, self.front.paths.ids), (asks, {}, set()))
+        self.assertEqual((await self.call("GET", json.loads(body)["next"]))[0], 404)
 
     async def test_a_client_that_went_before_it_was_given_a_path_has_left(self):
         await self.start()
--- a/tests/test_module.py
+++ b/tests/test_module.py
@@ -134,6 +134,7 @@
         strategies.just("list"), strategies.integers(1, 4), strategies.integers(0, 2), strategies.booleans()
     ),
     strategies.tuples(strategies.just("left"), strategies.integers(0, 50)),
+    strategies.tuples(strategies.just("away or back"), strategies.integers(0, 50)),
 )
 
 
@@ -154,6 +155,9 @@
         elif step[0] == "list":
             since = k.now if step[3] else k.entries[step[1]].since_ms
             k.list(k.entries[step[1]]._replace(health=step[2], since_ms=since))
+        elif step[0] == "away or back" and k.requests:
+            request = list(k.requests)[step[1] % len(k.requests)]
+            k.resume(request) if request in k.suspended else k.suspend(request)
         elif k.open:
             request, attempt = list(k.open)[step[1] % len(k.open)]
             if step[0] == "end":
@@ -173,6 +177,73 @@
     assert set(k.answers) == set(k.requests), "every request is answered once"
 
 
+# Guards against: a request was sent while its client was away, or never again once it was back.
+def test_suspended_request_is_sent_once_it_is_resumed_and_not_before():
+    k = ControllerHarness(settings(), engines=0)
+    k.request(1)
+    k.request(2)
+    k.suspend(1)
+    k.list(entry(1), entry(2), how=EndpointListKind.FULL)
+    k.wait(500)
+    assert [request for request, _, _ in k.sent] == [2]
+    k.resume(1)
+    assert [request for request, _, _ in k.sent] == [2, 1]
+    # While its attempt runs it may be suspended: the attempt stays, and what follows it waits.
+    k.suspend(1)
+    k.wait(200)
+    assert k.cancels == [] and (1, 0) in k.open
+    k.end(1, AttemptOutcome.RESET)
+    k.wait(200)
+    assert len(k.sent) == 2
+    k.resume(1)
+    assert [request for request, _, _ in k.sent] == [2, 1, 1]
+
+
+# Guards against: a request taken while its client is away was sent at once.
+def test_request_that_arrives_suspended_waits():
+    k = ControllerHarness(settings())
+    event = policy.RequestArrived(1, 0, 0, 0, 5000.0, 200.0, 100.0, 0.0, suspended=True)
+    k.requests[1], k.taken_at[1], k.attempts[1] = event, k.now, []
+    k.suspended.add(1)
+    k.feed(event)
+    k.wait(500)
+    assert k.sent == []
+    k.resume(1)
+    assert len(k.sent) == 1
+
+
+# Guards against: suspended requests took the places of those whose clients wait, or were never answered.
+def test_suspended_requests_are_shed_first_and_end_at_their_deadline():
+    k = ControllerHarness(settings(), engines=0)
+    k.controller.max_open_requests = 3
+    for number in (1, 2, 3):
+        k.request(number)
+    k.suspend(1)
+    k.suspend(2)
+    k.request(4)
+    assert k.answers == {1: "RejectRequest"}
+    k.wait(5000)
+    assert set(k.answers) == {1, 2, 3, 4}
+    assert not k.controller.state.deferred_requests
+
+
+# Guards against: a suspended request at the head of its key's line let the next one pass it.
+def test_suspended_request_keeps_its_place_in_the_line_of_its_key():
+    k = ControllerHarness(settings())
+    k.request(1, 2, key=7)
+    k.request(2, 2, key=7)
+    k.end(1, AttemptOutcome.CONNECT_FAILED)
+    k.end(1, AttemptOutcome.CONNECT_FAILED)
+    k.suspend(1)
+    if (1, 2) in k.open:
+        k.end(1, AttemptOutcome.NOT_SENT)
+    k.wait(300)
+    assert all(request == 1 for request, _, _ in k.sent)
+    k.resume(1)
+    k.end(1)
+    assert k.sent[-1][0] == 2
+
+
 def test_times_of_requests_are_kept_for_the_retry_span_only():
     # A long day without retries: every request's time was kept for ever (0.1 MB an hour per request a second).
     for span in (0.0, 1000.0):
--- a/tests/test_scatter_program.py
+++ b/tests/test_scatter_program.py
@@ -75,6 +75,9 @@
     def client_disconnected(self, ask):
         self.gone.append(ask)
 
+    def suspend_request(self, ask):
+        ask.is_suspended = True
+
 
 class ServiceCase(unittest.IsolatedAsyncioTestCase):
     read = test_fleet_program.ConfigCase.read
@@ -156,6 +159,21 @@
         self.core.open = 9
         self.assertIs(self.scatter.try_take(ClientRequest("http", 0, "", "", 0.0, 1.0, print, group=17)), False)
 
+    # Guards against: parts were sent for a client that had left, as nobody looked at its connection for them.
+    async def test_parts_are_sent_only_while_the_client_of_the_whole_request_is_there(self):
+        await self.begin(learnt=False)
+        present = [True]
+        ask = self.ask("SELECT note FROM calls_17.notes", is_client_connected=lambda: present[0])
+        parts = self.core.asks
+        self.assertEqual([part.is_client_connected() for part in parts], [True] * len(parts))
+        self.assertEqual([*self.scatter.subrequests(ask)], parts)
+        present[0] = False
+        self.assertEqual([part.is_client_connected() for part in parts], [False] * len(parts))
+        parts[0].on_response(Response(ResponseStatus.SERVED, ([["5"]], 2)))
+        self.assertEqual([*self.scatter.subrequests(ask)], parts[1:])
+        away = self.ask("SELECT note FROM calls_17.notes", number=2, is_suspended=True)
+        self.assertTrue(all(part.is_suspended for part in self.scatter.subrequests(away)))
+
     async def test_without_a_lease_all_are_asked_ranked_alike_and_a_lost_part_ends_the_others(self):
         for number, partial in ((1, False), (2, True)):
             self.ask("SELECT note FROM calls_17.notes WHERE agent = 'b'", number=number, partial=partial)
--- a/tests/test_tds.py
+++ b/tests/test_tds.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+import socket
 import unittest
 import unittest.mock
 
@@ -154,6 +155,30 @@
         self.assertEqual((await client.query("INSERT")).tokens, ROWS, "the session lives on")
         self.assertEqual((self.count("left"), self.count("failed"), self.count("served")), (1, 1, 1))
 
+    # Guards against: a batch was sent on though the end of its session, or its Attention, lay unread in the socket.
+    async def test_a_client_that_has_gone_or_sent_an_attention_is_found_before_it_is_read(self):
+        for how in ("close", "reset", "attention"):
+            with self.subTest(how):
+                (engine,) = await self.start()
+                submitted = []
+                self.program.core.submit = lambda ask, to=submitted: to.append(ask) or True
+                client = await self.client()
+                client.ask("SELECT 1")
+                await self.until(lambda of=submitted: of)
+                self.assertTrue(submitted[0].is_client_connected())
+                (session,) = self.program.tds.sessions.values()
+                session.writer.transport.pause_reading()
+                plain = client.writer.get_extra_info("socket")
+                if how == "attention":
+                    client.writer.write(codec.packets(codec.ATTENTION, b""))
+                else:
+                    linger = b"\1\0\0\0\0\0\0\0" if how == "reset" else b"\0\0\0\0\0\0\0\0"
+                    plain.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+                    client.writer.transport.abort()
+                    await asyncio.sleep(0)  # it is closed in the loop's next turn
+                self.assertFalse(submitted[0].is_client_connected())
+                session.writer.transport.resume_reading()
+
     async def test_a_load_cut_mid_stream_is_failed_once_and_never_replayed(self):
         engines = await self.start(2)
         for engine in engines:
