--- a/frostspindle/lab/soak/clients.py
+++ b/frostspindle/lab/soak/clients.py
@@ -16,13 +16,17 @@
 LATE_ANSWER_S = 3.0  # so long after its time an answer is still read, to tell late from never
 KEY_SPACING_S = 0.06  # between two requests of one key
 KEY_SPACING_AFTER_NEW_S = 0.25  # behind one that arrived on a new connection
-LEAVING_RATE = 0.12
+LEAVING_RATE = 0.2
 SPLIT_RATE = 0.25
 KEYED_RATE = 0.6  # of loads
 NEW_CONNECTION_RATE = 0.1
 MAX_SPLIT_DELAY_S = 0.02
 MAX_PAUSE_S = 0.15
-MAX_LEAVING_S = 0.5
+MAX_LEAVING_S = 1.6
+HOLD_S = 1.0  # after which a request without an answer is given a path
+CROSSING_RATE = 0.3  # of those that leave: at the moment in which the path is under way
+MAX_CROSSING_OFFSET_S = 0.01
+SILENT_LEAVING_RATE = 0.3  # of those that leave and have a path: without a DELETE
 MIN_TIMEOUT_S = 0.4
 IDLE_CLOSE_S = 4.0  # clients close connections that were idle for so long
 
@@ -180,9 +184,14 @@
         self.requests.append(request)
         return request
 
+    def _draw_leaving_s(self) -> float:
+        if self._rng.random() < CROSSING_RATE:
+            return HOLD_S + self._rng.uniform(-MAX_CROSSING_OFFSET_S, MAX_CROSSING_OFFSET_S)
+        return self._rng.uniform(0.0, MAX_LEAVING_S)
+
     async def _one_request(self, connection: Connection) -> None:
         request = self._draw_request()
-        leaves_after_s = self._rng.uniform(0.0, MAX_LEAVING_S) if self._rng.random() < LEAVING_RATE else None
+        leaves_after_s = self._draw_leaving_s() if self._rng.random() < LEAVING_RATE else None
         work = asyncio.create_task(self._converse(request, connection))
         if leaves_after_s is not None:
             await asyncio.wait([work], timeout=leaves_after_s)
@@ -293,13 +302,24 @@
         return True
 
     async def _leave(self, request: Request) -> None:
-        """Give a request up: DELETE on its path over a new connection, or the close of its connection."""
-        path = request.path
-        if path:
-            other = await self._door.open()
-            if other is None:
-                return
-            other.writer.write(f"DELETE {path} HTTP/1.1\r\nHost: s\r\n\r\n".encode())
+        """Give a request up: by DELETE on its path over a new connection, or by the close of its connection alone."""
+        if request.path and self._rng.random() >= SILENT_LEAVING_RATE:
+            await self._delete(request)
+        else:
+            self._drop_connection()
+            request.left_at = time.time()
+            request.note(request.left_at, "left, " + ("has a path" if request.path else "has no path"))
+
+    async def _delete(self, request: Request) -> None:
+        """Give a request up by DELETE; its own connection is closed before or after that."""
+        closes_first = self._rng.random() < 0.5
+        if closes_first:
+            self._drop_connection()
+            request.left_at = time.time()
+        other = await self._door.open()
+        if other is not None:
+            request.left_at = request.left_at or time.time()
+            other.writer.write(f"DELETE {request.path} HTTP/1.1\r\nHost: s\r\n\r\n".encode())
             try:
                 async with asyncio.timeout(LATE_ANSWER_S):
                     await other.answer()
@@ -307,8 +327,8 @@
                 pass
             other.close()
         self._drop_connection()
-        request.left_at = time.time()
-        request.note(request.left_at, "left" + (" by DELETE" if path else ""))
+        request.left_at = request.left_at or time.time()  # nobody took its DELETE: the close is all that tells
+        request.note(request.left_at, "left by DELETE" + (" behind a close" if closes_first else ""))
 
 
 class IdleClient:
--- a/tests/compatibility/mesh.py
+++ b/tests/compatibility/mesh.py
@@ -39,7 +39,7 @@
     """Return the frame of the reply to the first call on a connection."""
     owner = mesh._OwnerConnection(None, set())
     owner.transport = written = Written()
-    owner._send_reply(1, mesh._RemoteCall(print), reply)
+    owner._send_reply(1, reply)
     return written.data
 
 
--- a/tests/contracts/transports.py
+++ b/tests/contracts/transports.py
@@ -279,6 +279,9 @@
     def __init__(self, heard: Callable[[bytes], None]) -> None:
         self.heard, self.telemetry, self.held, self.holds = heard, Telemetry(sink=BytesIO()), [], False
 
+    def connection_ended(self, connection: Any) -> None:
+        pass
+
     def call(self, slot: Any, method: bytes, url: bytes, headers: dict[str, str], body: bytes) -> None:
         self.heard(url)
         if self.holds:
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -109,7 +109,7 @@
     "frostspindle.core": "actions attempts core dispatcher drivers endpoints event_handlers figures interfaces ledger "
     "messages requests wall_clock",
     "frostspindle.ledger": "rule_index tenant_rules tenants",
-    "frostspindle.net": "discovery engines fields http operator platform",
+    "frostspindle.net": "discovery engines fields hangup http operator platform",
     "frostspindle.net.http": "arrival_clock attempts calls clients connection_limits connection_pool "
     "duplicate_responses engine_connection "
     "listener load_reports replies request_registry statements",
