Let the soak's clients leave as their path is under way, and all engines go for a while

Cause: no seed of the soak had a client that leaves without a DELETE once it has a path, nor requests that wait for longer than a POST is held. Change: a quarter of the clients leave; of these four in ten close their connection within 10 ms of the moment in which the path is given, the others send DELETE before or behind the close, or nothing. One seed in four has an outage: all engines drain and successors come 1.1 to 1.8 s later.

--- a/frostspindle/lab/soak/clients.py
+++ b/frostspindle/lab/soak/clients.py
@@ -16,7 +16,7 @@
 LATE_ANSWER_S = 3.0  # so long after its time an answer is still read, to tell late from never
 KEY_SPACING_S = 0.06  # between two requests of one key
 KEY_SPACING_AFTER_NEW_S = 0.25  # behind one that arrived on a new connection
-LEAVING_RATE = 0.2
+LEAVING_RATE = 0.25
 SPLIT_RATE = 0.25
 KEYED_RATE = 0.6  # of loads
 NEW_CONNECTION_RATE = 0.1
@@ -24,7 +24,7 @@
 MAX_PAUSE_S = 0.15
 MAX_LEAVING_S = 1.6
 HOLD_S = 1.0  # after which a request without an answer is given a path
-CROSSING_RATE = 0.3  # of those that leave: at the moment in which the path is under way
+CROSSING_RATE = 0.4  # of those that leave: without a DELETE, at the moment in which the path is under way
 MAX_CROSSING_OFFSET_S = 0.01
 SILENT_LEAVING_RATE = 0.3  # of those that leave and have a path: without a DELETE
 MIN_TIMEOUT_S = 0.4
@@ -48,6 +48,14 @@
     closes: bool
 
 
+@dataclass(frozen=True, slots=True)
+class Departure:
+    """How a client leaves before its answer."""
+
+    after_s: float  # from the writing of its request
+    sends_delete: bool  # if it has a path by then
+
+
 class Connection:
     """One connection to the coordinator."""
 
@@ -184,18 +192,19 @@
         self.requests.append(request)
         return request
 
-    def _draw_leaving_s(self) -> float:
+    def _draw_departure(self) -> Departure:
         if self._rng.random() < CROSSING_RATE:
-            return HOLD_S + self._rng.uniform(-MAX_CROSSING_OFFSET_S, MAX_CROSSING_OFFSET_S)
-        return self._rng.uniform(0.0, MAX_LEAVING_S)
+            offset_s = self._rng.uniform(-MAX_CROSSING_OFFSET_S, MAX_CROSSING_OFFSET_S)
+            return Departure(HOLD_S + offset_s, sends_delete=False)
+        return Departure(self._rng.uniform(0.0, MAX_LEAVING_S), self._rng.random() >= SILENT_LEAVING_RATE)
 
     async def _one_request(self, connection: Connection) -> None:
         request = self._draw_request()
-        leaves_after_s = self._draw_leaving_s() if self._rng.random() < LEAVING_RATE else None
+        departure = self._draw_departure() if self._rng.random() < LEAVING_RATE else None
         work = asyncio.create_task(self._converse(request, connection))
-        if leaves_after_s is not None:
-            await asyncio.wait([work], timeout=leaves_after_s)
-        if leaves_after_s is None or work.done():
+        if departure is not None:
+            await asyncio.wait([work], timeout=departure.after_s)
+        if departure is None or work.done():
             await work
             return
         work.cancel()
@@ -203,7 +212,7 @@
         if not request.written_at:
             self._drop_connection()  # half of it may be written
         elif not request.answers and not request.lost_reason:
-            await self._leave(request)
+            await self._leave(request, departure.sends_delete)
 
     async def _converse(self, request: Request, connection: Connection) -> None:
         """Write a request and follow its paths to the last answer."""
@@ -301,9 +310,9 @@
             await self._write_post(request, connection)
         return True
 
-    async def _leave(self, request: Request) -> None:
+    async def _leave(self, request: Request, sends_delete: bool) -> None:
         """Give a request up: by DELETE on its path over a new connection, or by the close of its connection alone."""
-        if request.path and self._rng.random() >= SILENT_LEAVING_RATE:
+        if request.path and sends_delete:
             await self._delete(request)
         else:
             self._drop_connection()
--- a/frostspindle/lab/soak/plan.py
+++ b/frostspindle/lab/soak/plan.py
@@ -17,6 +17,9 @@
 START_SIGNALS = (signal.SIGHUP, signal.SIGUSR1)
 MIN_SERVING_S = 2.5
 MAX_SERVING_S = 3.5
+OUTAGE_PERIOD = 4  # one in so many seeds has an outage
+MIN_OUTAGE_S = 1.1  # longer than a request is held without a path
+MAX_OUTAGE_S = 1.8
 
 
 class Topology(StrEnum):
@@ -52,6 +55,14 @@
     kind: FaultKind
 
 
+@dataclass(frozen=True, slots=True)
+class Outage:
+    """All engines drain `at_s` after readiness, and successors come `length_s` later: requests wait meanwhile."""
+
+    at_s: float
+    length_s: float
+
+
 @dataclass(frozen=True, slots=True)
 class TimedSignal:
     """A signal to the coordinator, `at_s` after the event that it follows."""
@@ -69,6 +80,7 @@
     has_crowd: bool
     serving_s: float  # from readiness to the SIGTERM that ends the coordinator, or the older process of an upgrade
     faults: tuple[EngineFault, ...]
+    outage: Outage | None
     start_signals: tuple[TimedSignal, ...]  # after the process was started
     serving_signals: tuple[TimedSignal, ...]  # after it was ready
     drain_signals: tuple[TimedSignal, ...]  # after SIGTERM
@@ -79,12 +91,14 @@
     rng = random.Random(f"soak {seed}")
     topology = (Topology.SINGLE, Topology.UPGRADE, Topology.WORKERS)[seed % 3]
     serving_s = rng.uniform(MIN_SERVING_S, MAX_SERVING_S)
+    outage = _draw_outage(seed, serving_s)
     return SoakPlan(
         seed=seed,
         topology=topology,
         has_crowd=seed // 3 % 3 == 1,
         serving_s=serving_s,
-        faults=_draw_faults(rng, serving_s),
+        faults=_without_absences_in(outage, _draw_faults(rng, serving_s)),
+        outage=outage,
         start_signals=_draw_signals(rng, START_SIGNALS, 3, 0.3),
         serving_signals=_draw_signals(rng, START_SIGNALS, 4, serving_s),
         drain_signals=_draw_signals(rng, (*START_SIGNALS, signal.SIGTERM), 4, 1.5),
@@ -104,6 +118,25 @@
     return tuple(sorted(faults, key=lambda fault: fault.at_s))
 
 
+def _draw_outage(seed: int, serving_s: float) -> Outage | None:
+    if seed % OUTAGE_PERIOD != OUTAGE_PERIOD - 1:
+        return None
+    rng = random.Random(f"soak outage {seed}")
+    return Outage(rng.uniform(0.2, serving_s - 1.0), rng.uniform(MIN_OUTAGE_S, MAX_OUTAGE_S))
+
+
+def _without_absences_in(outage: Outage | None, faults: tuple[EngineFault, ...]) -> tuple[EngineFault, ...]:
+    """Leave out the faults that take an engine away which the outage takes away too: one's end would end the other."""
+    if outage is None:
+        return faults
+    ends_at_s = outage.at_s + outage.length_s
+    return tuple(
+        fault
+        for fault in faults
+        if fault.kind not in ABSENCES or fault.at_s > ends_at_s or fault.at_s + fault.length_s < outage.at_s
+    )
+
+
 def _are_one_absence(one: EngineFault, other: EngineFault) -> bool:
     """Return whether both take the same engine away at a time: the end of one would bring it back within the other."""
     if one.engine != other.engine or not {one.kind, other.kind} <= ABSENCES:
--- a/frostspindle/lab/soak/report.py
+++ b/frostspindle/lab/soak/report.py
@@ -13,9 +13,10 @@
     """Return one line on a run."""
     plan = make_plan(result.seed)
     crowd = ", crowd" if plan.has_crowd else ""
+    outage = ", outage" if plan.outage is not None else ""
     counts = ", ".join(f"{name} {count}" for name, count in sorted(result.counts.items()))
     verdict = f"{len(result.violations)} rules broken" if result.violations else "passed"
-    return f"seed {result.seed} ({plan.topology}{crowd}): {verdict}; {counts}; lag {result.lag_s:.3f} s"
+    return f"seed {result.seed} ({plan.topology}{crowd}{outage}): {verdict}; {counts}; lag {result.lag_s:.3f} s"
 
 
 def details(result: SoakResult) -> str:
@@ -23,7 +24,10 @@
     if not result.violations:
         return ""
     lines = [COMMAND.format(seed=result.seed)]
-    lines += [f"  {fault}" for fault in make_plan(result.seed).faults]
+    plan = make_plan(result.seed)
+    lines += [f"  {fault}" for fault in plan.faults]
+    if plan.outage is not None:
+        lines.append(f"  {plan.outage}")
     for violation in result.violations[:MAX_TOLD]:
         lines.append(f"{violation.rule}: {violation.ticket} {violation.text}")
         lines += [f"  {line}" for line in violation.story]
--- a/frostspindle/lab/soak/run.py
+++ b/frostspindle/lab/soak/run.py
@@ -23,6 +23,7 @@
     SOCKETS,
     EngineFault,
     FaultKind,
+    Outage,
     SoakPlan,
     TimedSignal,
     Topology,
@@ -74,6 +75,8 @@
             door = Door(process.http)
             self._start_clients(door)
             self._tasks += [asyncio.create_task(self._play_fault(fault)) for fault in self.plan.faults]
+            if self.plan.outage is not None:
+                self._tasks += self._start_outage(self.plan.outage)
             await self._serve_and_end(process, door)
             await self._await_clients()
         finally:
@@ -143,6 +146,10 @@
 
     # Engine faults.
 
+    def _start_outage(self, outage: Outage) -> list[asyncio.Task[None]]:
+        faults = [EngineFault(outage.at_s, outage.length_s, number, FaultKind.DRAIN) for number in range(ENGINES)]
+        return [asyncio.create_task(self._play_fault(fault)) for fault in faults]
+
     async def _play_fault(self, fault: EngineFault) -> None:
         engine = self.engines[fault.engine]
         await asyncio.sleep(fault.at_s)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -26,6 +26,7 @@
     plans = [make_plan(seed) for seed in CI_SEEDS]
     assert {(plan.topology, plan.has_crowd) for plan in plans} >= {(one, True) for one in Topology}
     assert {fault.kind for plan in plans for fault in plan.faults} == set(FaultKind)
+    assert any(plan.outage for plan in plans)
     assert make_plan(7) == make_plan(7)
 
 
