Read what came while the process did not run before anything is sent

Cause: a new connection takes four polls of the event loop until its call is read (accept, set-up, watch, read), while an engine list, a freed place or a timer leads to a send in the second one. Change: the arrival clock, now in the core, tells that a poll began or returned over 20 ms late; the core's task then lets the loop poll six times before it decides, and drivers do before they ask may_send.

--- a/frostspindle/core/__init__.py
+++ b/frostspindle/core/__init__.py
@@ -5,6 +5,7 @@
 frostspindle/policy, and actions.py, which carries out what the controller asks for.
 """
 
+from frostspindle.core.arrival_clock import ArrivalClock
 from frostspindle.core.attempts import Attempt, Cancellable
 from frostspindle.core.core import Core
 from frostspindle.core.drivers import Driver, EngineState
@@ -25,6 +26,7 @@
     "SUBREQUEST_FRONT",
     "UNKNOWN_COST",
     "AdmissionGate",
+    "ArrivalClock",
     "Attempt",
     "Cancellable",
     "ClientRequest",
--- a/frostspindle/net/http/arrival_clock.py
+++ b/frostspindle/core/arrival_clock.py
@@ -1,4 +1,4 @@
-"""Tells the earliest time at which the bytes that are read now can have arrived.
+"""Tells the earliest time at which the bytes that are read now can have arrived, and whether the loop is behind them.
 
 A client's time counts from its last byte, which may have waited in the system while the event loop was busy: what one
 poll of the sockets returns arrived after the poll before it. The time given is never later than the arrival, but for
@@ -8,10 +8,15 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from typing import Any
 from weakref import WeakKeyDictionary
 
-from frostspindle.core import clock
+from frostspindle.core.wall_clock import clock
+
+LATE_S = 0.02  # a poll that begins or returns later than this found the process busy, starved or stopped
+# Polls behind a late one until all that came meanwhile is read: a new connection is accepted, set up, watched and read.
+CATCH_UP_POLLS = 6
 
 
 class ArrivalClock:
@@ -24,6 +29,8 @@
         self.now_ms = clock()  # when the last poll returned
         self.asked_ms = self.now_ms  # when it began
         self.before_ms = self.now_ms  # when the poll before it returned
+        self._returned_at_s = time.monotonic()
+        self._caught_up_at = 0  # the number of the poll by which the loop is no longer behind
         selector = getattr(loop, "_selector", None)  # a loop of another kind has none: bytes count from when it reads
         if selector is not None:
             self._select, selector.select = selector.select, self._poll
@@ -38,11 +45,29 @@
     def _poll(self, timeout: float | None = None) -> Any:
         self.before_ms = self.now_ms
         self.asked_ms = clock()
+        asked_at_s = time.monotonic()
         ready = self._select(timeout)
         self.now_ms = clock()
         self.count += 1
+        busy_s = asked_at_s - self._returned_at_s
+        self._returned_at_s = time.monotonic()
+        overslept_s = self._returned_at_s - asked_at_s - timeout if timeout is not None else 0.0
+        if busy_s > LATE_S or overslept_s > LATE_S:
+            self._caught_up_at = self.count + CATCH_UP_POLLS
         return ready
 
+    @property
+    def is_behind(self) -> bool:
+        """Whether bytes and connections that came while the process did not run may still have to be read."""
+        return self.count < self._caught_up_at
+
+    async def catch_up(self) -> None:
+        """Let the loop read what came while the process did not run, for CATCH_UP_POLLS polls at most."""
+        for _ in range(CATCH_UP_POLLS):
+            if not self.is_behind:
+                return
+            await asyncio.sleep(0)
+
     def earliest_ms(self, watched: int, unseen_ms: float) -> float:
         """Return the earliest time at which bytes read now can have come, in Unix ms.
 
--- a/frostspindle/core/core.py
+++ b/frostspindle/core/core.py
@@ -9,12 +9,14 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Iterable, Sequence
 from typing import Any
 
 from frostspindle import policy
 from frostspindle.core import figures
 from frostspindle.core.actions import ActionExecutor
+from frostspindle.core.arrival_clock import ArrivalClock
 from frostspindle.core.attempts import Attempt, WithheldReason
 from frostspindle.core.dispatcher import EventDispatcher
 from frostspindle.core.drivers import Driver, EngineState
@@ -132,6 +134,10 @@
         """Take a driver's engine list, complete or as changes; it is applied before all client work."""
         self.dispatcher.enqueue_urgent(EndpointsListed(driver, tuple(engines), kind, version))
 
+    async def catch_up(self) -> None:
+        """Let the event loop read what came while the process did not run; drivers wait for it before `may_send`."""
+        await ArrivalClock.of(asyncio.get_running_loop()).catch_up()
+
     def may_send(self, attempt: Attempt) -> bool:
         """Return whether an attempt may be sent; drivers ask once, right before its first byte.
 
--- a/frostspindle/core/dispatcher.py
+++ b/frostspindle/core/dispatcher.py
@@ -8,6 +8,7 @@
 from typing import Any, Protocol
 
 from frostspindle import policy
+from frostspindle.core.arrival_clock import ArrivalClock
 from frostspindle.core.wall_clock import clock
 from frostspindle.telemetry import Telemetry
 from frostspindle.timers import Timer, TimerWheel
@@ -64,11 +65,13 @@
     async def run(self, handler: EventHandler) -> None:
         """Process events and timers with `handler` until cancelled."""
         loop = asyncio.get_running_loop()
+        arrivals = ArrivalClock.of(loop)
         while True:
             if not self.urgent and not self.inbox:
                 self._sleeper = loop.create_future()
                 self._set_alarm(loop)
                 await self._sleeper
+            await arrivals.catch_up()  # nothing is sent for a client whose leaving is still unread
             now = clock()
             if now < self._last_turn_ms - CLOCK_STEP_MS:
                 self._on_clock_set_back(now)
--- a/frostspindle/net/http/clients.py
+++ b/frostspindle/net/http/clients.py
@@ -19,10 +19,10 @@
 
 from httptools import HttpParserError, HttpParserUpgrade, HttpRequestParser
 
+from frostspindle.core import ArrivalClock
 from frostspindle.net import fields as read
 from frostspindle.net.fields import CallRejectedError
 from frostspindle.net.hangup import SocketWatch
-from frostspindle.net.http.arrival_clock import ArrivalClock
 from frostspindle.net.http.calls import FRONT, OpenRequest, PendingCall
 from frostspindle.net.http.connection_limits import BUSY, CLOSING, IDLE, NEW, RECEIVING
 from frostspindle.telemetry import Telemetry
--- a/frostspindle/net/http/connection_pool.py
+++ b/frostspindle/net/http/connection_pool.py
@@ -213,9 +213,8 @@
         `within_s`.
         """
         connection = await self.acquire(fresh, eldest, stay)
-        if sending is not None and not self.driver.core.may_send(sending):
-            self.release(connection)
-            raise EngineDrainedError("the engine drains")
+        if sending is not None:
+            await self._check_sending(sending, connection)
         if wired is not None:
             wired[0] = True
         waiter: asyncio.Future[EngineReply] = self.driver.loop.create_future()
@@ -240,6 +239,18 @@
             if connection.waiter is None:  # else an answer is still to come
                 self.release(connection)
 
+    async def _check_sending(self, attempt: Attempt, connection: EngineConnection) -> None:
+        """Release the connection again and raise EngineDrainedError unless the attempt may be sent now."""
+        may_send = False
+        try:
+            await self.driver.core.catch_up()
+            may_send = self.driver.core.may_send(attempt)
+        finally:
+            if not may_send:
+                self.release(connection)
+        if not may_send:
+            raise EngineDrainedError("the engine drains")
+
     def request(
         self,
         connection: EngineConnection,
--- a/frostspindle/net/http/listener.py
+++ b/frostspindle/net/http/listener.py
@@ -12,8 +12,7 @@
 from typing import Any
 
 from frostspindle.config import Config
-from frostspindle.core import clock
-from frostspindle.net.http.arrival_clock import ArrivalClock
+from frostspindle.core import ArrivalClock, clock
 from frostspindle.telemetry import Telemetry
 
 MAX_ACCEPTS_PER_TURN = 16  # connections accepted in one turn of the event loop
--- a/frostspindle/net/platform.py
+++ b/frostspindle/net/platform.py
@@ -14,13 +14,12 @@
 from typing import Protocol
 
 from frostspindle.config import Config
-from frostspindle.core import ClientRequest, Core
+from frostspindle.core import ArrivalClock, ClientRequest, Core
 from frostspindle.ledger.tenant_rules import RequestAttributes
 from frostspindle.ledger.tenants import UnknownTenantError
 from frostspindle.net import fields as read
 from frostspindle.net.fields import CallRejectedError
 from frostspindle.net.http import connection_limits
-from frostspindle.net.http.arrival_clock import ArrivalClock
 from frostspindle.net.http.calls import FRONT, PendingCall
 from frostspindle.net.http.clients import AHEAD, ClientConnection
 from frostspindle.net.http.connection_limits import RECEIVING, ConnectionStep
--- a/frostspindle/net/tds/driver.py
+++ b/frostspindle/net/tds/driver.py
@@ -257,6 +257,7 @@
         try:
             async with asyncio.timeout(self.left_s(attempt)):
                 connection = await self._connect(attempt)
+                await self.core.catch_up()
                 # A wait for a connection may have been long: the engine may have begun to drain meanwhile.
                 if connection is not None and not self.core.may_send(attempt):
                     outcome = attempt.unsent_outcome
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -106,11 +106,11 @@
     "frostspindle.config": "addresses agreed_settings cores document errors fleet operator_calls operator_file "
     "ownership reader recovery replica tds tenants",
     "frostspindle.components": "base http_requests operator_port registry",
-    "frostspindle.core": "actions attempts core dispatcher drivers endpoints event_handlers figures interfaces ledger "
-    "messages requests wall_clock",
+    "frostspindle.core": "actions arrival_clock attempts core dispatcher drivers endpoints event_handlers figures "
+    "interfaces ledger messages requests wall_clock",
     "frostspindle.ledger": "rule_index tenant_rules tenants",
     "frostspindle.net": "discovery engines fields hangup http operator platform",
-    "frostspindle.net.http": "arrival_clock attempts calls clients connection_limits connection_pool "
+    "frostspindle.net.http": "attempts calls clients connection_limits connection_pool "
     "duplicate_responses engine_connection "
     "listener load_reports replies request_registry statements",
     "frostspindle.order": "key_queue service shared_cells",  # only where a class keeps order
--- a/tests/test_client_departure.py
+++ b/tests/test_client_departure.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import json
+import signal
 import socket
 import struct
 from contextlib import asynccontextmanager
@@ -17,7 +18,7 @@
 
 PATH_GIVEN_S = 3.0  # within which a held POST is answered with a path
 LEFT_SLACK_S = 0.1  # an attempt may begin so long after its client left
-LEFT, STAYS = "00000000000000a1", "00000000000000b2"
+LEFT, STAYS, FIRST = "00000000000000a1", "00000000000000b2", "00000000000000c3"
 WORKERS_FILE = "[cores]\nworkers = 2\n"
 
 
@@ -264,3 +265,41 @@
             second.close()
 
     asyncio.run(play())
+
+
+async def idle_connection(site):
+    """Leave the coordinator with an idle connection to its engine, which then takes nothing for a while."""
+    site.bus.say(host(site.engine.name, site.engine.port))
+    reader, writer = await site.open()
+    writer.write(post(FIRST))
+    assert (await follow(reader, writer))[0] == 200
+    writer.close()
+    site.bus.say(host(site.engine.name, site.engine.port, "leaving"))
+    await asyncio.sleep(2.0 * LEFT_SLACK_S)
+
+
+# Guards against: a process that stood still sent a request on before it read the DELETE that had come meanwhile.
+@pytest.mark.parametrize("stopped_s", [0.15, 0.25, 0.6])
+def test_a_delete_that_came_while_the_process_stood_still_is_read_before_anything_is_sent(tmp_path, stopped_s):
+    async def play():
+        async with running_site(tmp_path) as site:
+            await idle_connection(site)
+            reader, writer, path = await take_path(site)
+            writer.write(get(path))
+            other_reader, other = await site.open()
+            other.write(post(STAYS))
+            await site.process.until(lambda: site.process.events("response_path_given", ticket=STAYS))
+            _, body = await read_answer(other_reader)
+            site.process.send_signal(signal.SIGSTOP)
+            _, leaving = await site.open()
+            leaving.write(f"DELETE {path} HTTP/1.1\r\nHost: t\r\n\r\n".encode())
+            site.bus.say(host(site.engine.name, site.engine.port))
+            await asyncio.sleep(stopped_s)
+            site.process.send_signal(signal.SIGCONT)
+            async with asyncio.timeout(8.0):
+                status, body = await follow(other_reader, other, body["next"])
+            assert (status, site.sent()) == (200, [FIRST, STAYS])
+            for one in (writer, other, leaving):
+                one.close()
+
+    asyncio.run(play())
