Answer calls that came while the process did not run also where no time is left

Cause: HttpFront.close looked at the time before it looked at the connections: where its time was over it closed them at once, over calls that lay unread or had no answer yet. Change: behind the wait, connections with an open or unread call get up to five more passes, 50 ms in all. Evidence: test_calls_that_lie_unread_when_no_time_is_left_are_refused_and_not_cut_off fails on the code before (ConnectionResetError) and passes now.

--- a/frostspindle/net/http/clients.py
+++ b/frostspindle/net/http/clients.py
@@ -234,6 +234,10 @@
         else:
             self.leave()
 
+    def is_owed_an_answer(self) -> bool:
+        """Return whether a call is open here or may lie unread, on a connection that was not shut down."""
+        return not self.leaving and (bool(self.line) or self.unread())
+
     def rests(self, since: float) -> bool:
         """Return whether it was shut down before `since` (loop time), all responses left, and nothing came after."""
         return self.leaving and max(self.heard, self.since) < since and self.stuck_at == math.inf and not self.unread()
--- a/frostspindle/net/platform.py
+++ b/frostspindle/net/platform.py
@@ -32,6 +32,7 @@
 SWEEP_S = 0.2
 ADVISED_MS = 200  # so long a client that finds the program full stays away
 LAST_S, SILENT_S = 0.3, 0.04  # the end waits so long for clients that still send; and for them to be silent
+LAST_PASSES = 5  # over the connections, to answer what came late, where no time is left
 
 
 class WorkerRelay(Protocol):
@@ -126,19 +127,27 @@
     async def close(self, until_s: float = math.inf) -> None:
         """Stop accepting, give clients time to take responses and fall silent, then close all connections.
 
-        They have LAST_S, or until `until_s` of the event loop's time if that is sooner.
+        They have LAST_S, or until `until_s` of the event loop's time if that is sooner. Calls that came while the
+        process did not run are answered all the same.
         """
         if self._sweeper is not None:
             self._sweeper.cancel()
         self.leave()
         last = min(self.loop.time() + LAST_S, until_s)
         while (now := self.loop.time()) < last and not all(client.rests(now - SILENT_S) for client in self.clients):
-            for client in list(self.clients):
-                client.finish()
-            await asyncio.sleep(SILENT_S / 4.0)
+            await self._finish_clients()
+        for _ in range(LAST_PASSES):
+            if not any(client.is_owed_an_answer() for client in self.clients):
+                break
+            await self._finish_clients()
         for client in list(self.clients):
             client.transport.close()
 
+    async def _finish_clients(self) -> None:
+        for client in list(self.clients):
+            client.finish()
+        await asyncio.sleep(SILENT_S / 4.0)
+
     def share_descriptors(self, is_sharing: bool) -> None:
         """Set the bounds on connections; while another process serves too, both must fit into the descriptors."""
         self.most_clients = connection_limits.max_connections(self.sockets, is_sharing)
--- a/tests/test_endings_clients.py
+++ b/tests/test_endings_clients.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import os
 import socket
 import time
 import unittest.mock
@@ -174,6 +175,20 @@
         ((status, head, body),) = await self.answers(reader)
         self.assertEqual((status, b"Retry-After-Ms: " in head, body, engine.calls), (503, True, BUSY, []))
 
+    # Guards against: a process that stood still until its end closed over calls that had come meanwhile.
+    async def test_calls_that_lie_unread_when_no_time_is_left_are_refused_and_not_cut_off(self):
+        (engine,) = await self.start()
+        connections = [await self.open() for _ in range(3)]
+        self.front.finish()
+        plain = [writer.get_extra_info("socket") for _, writer in connections]
+        for number, connected in enumerate(plain, 1):
+            os.write(connected.fileno(), post(number))  # it is in the socket before the loop runs again
+        await self.front.close(asyncio.get_running_loop().time() - 1.0)
+        for reader, _ in connections:
+            ((status, _, body),) = await self.answers(reader)
+            self.assertEqual((status, body), (503, BUSY))
+        self.assertEqual(engine.calls, [])
+
     async def test_the_end_waits_for_clients_that_still_send_and_not_for_others(self):
         await self.start()
         reader, writer = await self.open()
