Measure all spans of the core by a steady clock in place of the wall clock

Callers saw: after a step of the wall clock answers late, lost or given up early, and engines told up to an hour too much. Cause: core/wall_clock.py, time.time(), was the clock of all deadlines, timers and waits. Change: core/steady_clock.py carries the Unix time of the start on by the monotonic clock; an engine's start is converted once; workers and the processes of an upgrade use one offset. A test lists who may read the wall clock. Stand-ins follow: an engine's state has born_unix_ms; test_operator told a start by the steady clock, now by the wall clock as a list does, and holds it within 2 ms, as the two drift apart while a process runs.

--- a/frostspindle/core/__init__.py
+++ b/frostspindle/core/__init__.py
@@ -19,7 +19,7 @@
     Response,
     ResponseStatus,
 )
-from frostspindle.core.wall_clock import clock
+from frostspindle.core.steady_clock import clock, from_unix_ms, unix_ms
 
 __all__ = [
     "CLASS_FIGURES",
@@ -40,4 +40,6 @@
     "Response",
     "ResponseStatus",
     "clock",
+    "from_unix_ms",
+    "unix_ms",
 ]
--- a/frostspindle/core/arrival_clock.py
+++ b/frostspindle/core/arrival_clock.py
@@ -12,7 +12,7 @@
 from typing import Any
 from weakref import WeakKeyDictionary
 
-from frostspindle.core.wall_clock import clock
+from frostspindle.core.steady_clock import clock
 
 LATE_S = 0.02  # a poll that begins or returns later than this found the process busy, starved or stopped
 # Polls behind a late one until all that came meanwhile is read: a new connection is accepted, set up, watched and read.
--- a/frostspindle/core/attempts.py
+++ b/frostspindle/core/attempts.py
@@ -8,7 +8,7 @@
 from typing import Any, Protocol
 
 from frostspindle.core.requests import ClientRequest
-from frostspindle.core.wall_clock import clock
+from frostspindle.core.steady_clock import clock
 from frostspindle.policy import AttemptOutcome
 
 MIN_REMAINING_MS = 1.0  # the shortest timeout that an engine can be given; with less left nothing is sent
--- a/frostspindle/core/core.py
+++ b/frostspindle/core/core.py
@@ -39,7 +39,7 @@
     ShutdownStarted,
 )
 from frostspindle.core.requests import UNKNOWN_COST, ClientRequest, MeasuredCost, Response, ResponseStatus
-from frostspindle.core.wall_clock import clock
+from frostspindle.core.steady_clock import clock
 from frostspindle.policy.controller import Controller
 from frostspindle.telemetry import Telemetry
 
--- a/frostspindle/core/dispatcher.py
+++ b/frostspindle/core/dispatcher.py
@@ -9,7 +9,7 @@
 
 from frostspindle import policy
 from frostspindle.core.arrival_clock import ArrivalClock
-from frostspindle.core.wall_clock import clock
+from frostspindle.core.steady_clock import clock
 from frostspindle.telemetry import Telemetry
 from frostspindle.timers import Timer, TimerWheel
 
--- a/frostspindle/core/endpoints.py
+++ b/frostspindle/core/endpoints.py
@@ -9,7 +9,7 @@
 from frostspindle.core.drivers import EngineState
 from frostspindle.core.interfaces import CoreHooks
 from frostspindle.core.messages import BansChanged, EndpointsListed, EngineDraining, EngineExpired, EnginesRestarted
-from frostspindle.core.wall_clock import clock
+from frostspindle.core.steady_clock import clock
 from frostspindle.policy import EndpointListKind, Health
 from frostspindle.telemetry import Telemetry
 from frostspindle.timers import TimerWheel
@@ -194,6 +194,7 @@
             address=engine.address,
             driver=engine.driver,
             listed_entry=listed,
+            born_unix_ms=engine.born_unix_ms,
             version=engine.version,
         )
 
--- a/frostspindle/core/figures.py
+++ b/frostspindle/core/figures.py
@@ -13,7 +13,7 @@
 from frostspindle.core.endpoints import EndpointRegistry
 from frostspindle.core.ledger import RequestLedger
 from frostspindle.core.requests import SUBREQUEST_FRONT
-from frostspindle.core.wall_clock import clock
+from frostspindle.core.steady_clock import clock
 from frostspindle.policy import Health
 from frostspindle.policy.controller import Controller
 from frostspindle.telemetry import Telemetry
--- a/frostspindle/core/ledger.py
+++ b/frostspindle/core/ledger.py
@@ -10,7 +10,7 @@
 from frostspindle.core.interfaces import CoreHooks
 from frostspindle.core.messages import DeadlinePassed
 from frostspindle.core.requests import ClientRequest, Response, ResponseStatus
-from frostspindle.core.wall_clock import clock
+from frostspindle.core.steady_clock import clock
 from frostspindle.telemetry import Telemetry
 from frostspindle.timers import Timer, TimerWheel
 
--- a/frostspindle/cores/bootstrap.py
+++ b/frostspindle/cores/bootstrap.py
@@ -7,6 +7,7 @@
 import msgspec
 
 BOOTSTRAP_VARIABLE = "FROSTSPINDLE_WORKER"
+CLOCK_OFFSET_VARIABLE = "FROSTSPINDLE_CLOCK_OFFSET_MS"  # of the steady clock, the same in all processes
 
 
 class WorkerBootstrap(msgspec.Struct):
--- a/frostspindle/cores/status.py
+++ b/frostspindle/cores/status.py
@@ -69,6 +69,10 @@
         """Start of the supervisor, in Unix seconds."""
         return self._telemetry.started
 
+    def up_s(self) -> float:
+        """Return how long the supervisor has run, in s."""
+        return self._telemetry.up_s()
+
     @property
     def counts(self) -> Counter[totals.CounterKey]:
         """Sums of all counters: the supervisor's own, of running workers and of those that have ended."""
@@ -150,7 +154,7 @@
             time.time(),
             "counters_reported",
             {
-                "up_s": round(time.time() - self.started, 1),
+                "up_s": round(self.up_s(), 1),
                 "counters": counters,
                 "clients": self.sessions(),
                 "figures": self.figures(),
--- a/frostspindle/cores/worker.py
+++ b/frostspindle/cores/worker.py
@@ -17,8 +17,9 @@
 from frostspindle import config as configuration
 from frostspindle import division, signals
 from frostspindle.config import Config, ConfigError
+from frostspindle.core import steady_clock
 from frostspindle.cores import limits
-from frostspindle.cores.bootstrap import BOOTSTRAP_VARIABLE, WorkerBootstrap
+from frostspindle.cores.bootstrap import BOOTSTRAP_VARIABLE, CLOCK_OFFSET_VARIABLE, WorkerBootstrap
 from frostspindle.cores.layout import IncompatibleMemoryError
 from frostspindle.cores.link import SharedMemoryLink
 from frostspindle.cores.shared_memory import SharedMemoryBoard
@@ -80,6 +81,7 @@
     signals.hold()
     try:
         bootstrap = msgspec.json.decode(os.environ[BOOTSTRAP_VARIABLE], type=WorkerBootstrap)
+        steady_clock.set_offset_ms(float(os.environ.get(CLOCK_OFFSET_VARIABLE, steady_clock.offset_ms())))
         board = SharedMemoryBoard.attach(bootstrap.board, bootstrap.nonce)
         config = worker_config(configuration.read(), bootstrap)
     except (KeyError, msgspec.DecodeError):
--- a/frostspindle/cores/worker_processes.py
+++ b/frostspindle/cores/worker_processes.py
@@ -18,9 +18,14 @@
 import msgspec
 
 from frostspindle.config import Config
-from frostspindle.core import clock
+from frostspindle.core import clock, steady_clock
 from frostspindle.cores import peer_workers, totals
-from frostspindle.cores.bootstrap import BOOTSTRAP_VARIABLE, WorkerBootstrap, monotonic_ms
+from frostspindle.cores.bootstrap import (
+    BOOTSTRAP_VARIABLE,
+    CLOCK_OFFSET_VARIABLE,
+    WorkerBootstrap,
+    monotonic_ms,
+)
 from frostspindle.cores.control_publisher import ControlPublisher
 from frostspindle.cores.layout import WorkerState
 from frostspindle.cores.listening_sockets import ListeningSockets
@@ -118,7 +123,11 @@
         worker.process = subprocess.Popen(
             [sys.executable, "-m", "frostspindle.cores.worker"],
             pass_fds=[fd for fd in inherited if fd is not None],
-            env={**self._config.environ, BOOTSTRAP_VARIABLE: msgspec.json.encode(bootstrap).decode()},
+            env={
+                **self._config.environ,
+                BOOTSTRAP_VARIABLE: msgspec.json.encode(bootstrap).decode(),
+                CLOCK_OFFSET_VARIABLE: repr(steady_clock.offset_ms()),
+            },
         )
         self._restart_policy.worker_started(worker.slot, monotonic_ms())
         worker.pidfd = os.pidfd_open(worker.process.pid)
--- a/frostspindle/fleet/service.py
+++ b/frostspindle/fleet/service.py
@@ -16,6 +16,7 @@
 from typing import TYPE_CHECKING, Any, Protocol
 
 from frostspindle import policy
+from frostspindle.core.steady_clock import clock
 from frostspindle.fleet import engine_verdicts, wire
 from frostspindle.fleet.engine_verdicts import EngineKind, Evidence
 from frostspindle.fleet.member_table import Address
@@ -79,7 +80,7 @@
         self._timer: asyncio.TimerHandle | None = None
         self._task: asyncio.Task[None] | None = None
         self._spent: Counter[str] = Counter()  # by budget, since the last log event
-        self._spent_since = time.time()
+        self._spent_since = clock() / 1000.0
         self._agreed_sick: set[str] = set()  # engines that a quorum of others reports as sick, as the module knows it
 
     async def start(self) -> None:
@@ -148,7 +149,7 @@
 
     def _tick(self) -> None:
         assert self.node is not None
-        self._send(self.node.tick(monotonic(), time.time() * 1000.0))
+        self._send(self.node.tick(monotonic(), clock()))
         self._schedule()
 
     def _schedule(self) -> None:
@@ -182,7 +183,7 @@
         budget = self.tenants.get(tenant)
         if budget is None:
             return True
-        if self.node is None or not self.node.spend(monotonic(), time.time() * 1000.0, budget):
+        if self.node is None or not self.node.spend(monotonic(), clock(), budget):
             self.telemetry.count("fleet_over", budget)
             return False
         self._spent[budget] += 1
@@ -193,7 +194,7 @@
     def _update(self) -> None:
         """Log what was spent, publish the own verdicts, and tell the module what a quorum of others reports."""
         assert self.node is not None
-        unix_s = time.time()
+        unix_s = clock() / 1000.0
         self._log_spent(unix_s)
         now = monotonic()
         self.node.set_verdicts(now, self._own_verdicts(unix_s * 1000.0))
@@ -213,7 +214,7 @@
                 until=round(until, 4),
             )
         self._spent.clear()
-        self._spent_since = time.time()
+        self._spent_since = clock() / 1000.0
 
     def _report_agreed(self, changed_names: set[str]) -> None:
         """Tell the module about the engines on which the others' agreement has changed."""
@@ -258,7 +259,7 @@
         """Return the figures for the operators' port."""
         if self.node is None:
             return {"name": self.name, "state": "waits for its port"}
-        return self.node.figures(monotonic(), time.time() * 1000.0)
+        return self.node.figures(monotonic(), clock())
 
     def close(self) -> None:
         """Return what is borrowed, announce the departure and close the socket; no budget is spent afterwards."""
--- a/frostspindle/lab/soak/plan.py
+++ b/frostspindle/lab/soak/plan.py
@@ -19,6 +19,10 @@
 START_SIGNALS = (signal.SIGHUP, signal.SIGUSR1)
 MIN_SERVING_S = 2.5
 MAX_SERVING_S = 3.5
+CLOCK_STEPS_S = (3.0, -3.0, 60.0, -60.0, 3600.0, -3600.0)
+CLOCK_STEP_PERIOD = 2  # one in so many seeds has steps of the wall clock
+MAX_CLOCK_STEPS = 3
+DRAIN_SPAN_S = 2.0  # within which behind the SIGTERM a step may come
 OUTAGE_PERIOD = 4  # one in so many seeds has an outage
 MIN_OUTAGE_S = 1.1  # longer than a request is held without a path
 MAX_OUTAGE_S = 1.8
@@ -65,6 +69,14 @@
     length_s: float
 
 
+@dataclass(frozen=True, slots=True)
+class ClockStep:
+    """A step of the processes' wall clock, `at_s` after readiness."""
+
+    at_s: float
+    seconds: float
+
+
 @dataclass(frozen=True, slots=True)
 class TimedSignal:
     """A signal to the coordinator, `at_s` after the event that it follows."""
@@ -84,6 +96,7 @@
     serving_s: float  # from readiness to the SIGTERM that ends the coordinator, or the older process of an upgrade
     faults: tuple[EngineFault, ...]
     outage: Outage | None
+    clock_steps: tuple[ClockStep, ...]
     start_signals: tuple[TimedSignal, ...]  # after the process was started
     serving_signals: tuple[TimedSignal, ...]  # after it was ready
     drain_signals: tuple[TimedSignal, ...]  # after SIGTERM
@@ -108,6 +121,7 @@
         serving_s=serving_s,
         faults=_without_absences_in(outage, _draw_faults(rng, serving_s)),
         outage=outage,
+        clock_steps=_draw_clock_steps(seed, serving_s),
         start_signals=_draw_signals(rng, START_SIGNALS, 3, 0.3),
         serving_signals=_draw_signals(rng, START_SIGNALS, 4, serving_s),
         drain_signals=_draw_signals(rng, (*START_SIGNALS, signal.SIGTERM), 4, 1.5),
@@ -133,6 +147,17 @@
     return round(random.Random(f"soak deadline {seed}").uniform(shortest_s, longest_s), 3)
 
 
+def _draw_clock_steps(seed: int, serving_s: float) -> tuple[ClockStep, ...]:
+    if seed % CLOCK_STEP_PERIOD:
+        return ()
+    rng = random.Random(f"soak clock {seed}")
+    steps = [
+        ClockStep(rng.uniform(0.0, serving_s + DRAIN_SPAN_S), rng.choice(CLOCK_STEPS_S))
+        for _ in range(rng.randint(1, MAX_CLOCK_STEPS))
+    ]
+    return tuple(sorted(steps, key=lambda step: step.at_s))
+
+
 def _draw_outage(seed: int, serving_s: float) -> Outage | None:
     if seed % OUTAGE_PERIOD != OUTAGE_PERIOD - 1:
         return None
--- a/frostspindle/net/discovery.py
+++ b/frostspindle/net/discovery.py
@@ -16,7 +16,7 @@
 import msgspec
 
 from frostspindle.config import STATES, Address, BusEvent, Config, Host, address
-from frostspindle.core import Core, Driver, EngineState
+from frostspindle.core import Core, Driver, EngineState, from_unix_ms
 from frostspindle.policy import EndpointListKind, EngineEntry, Health
 from frostspindle.reserved_descriptor import NO_DESCRIPTOR_ERRORS, ReservedDescriptor
 from frostspindle.telemetry import Telemetry
@@ -117,6 +117,7 @@
         self._invalid_lines = 0  # since the last event
         self._ids: dict[str, int] = {}  # by name, of the engines that are not gone
         self._used_ids: set[int] = set()
+        self._starts: dict[int, tuple[float, float]] = {}  # by id: as the list tells it, and on the steady clock
 
     def start(self) -> None:
         """Apply the events that the configuration already has; `run` follows the bus from there on."""
@@ -277,7 +278,8 @@
             if not at[1]:
                 known = self.core.engines.get(number)
                 at = known.address if known else at
-            yield EngineState(self._entry(number, host, has_address=bool(at[1])), host.host, at, self.driver)
+            entry = self._entry(number, host, has_address=bool(at[1]))
+            yield EngineState(entry, host.host, at, self.driver, born_unix_ms=host.born_ms)
 
     def _entry(self, number: int, host: Host, has_address: bool) -> EngineEntry:
         return EngineEntry(
@@ -287,9 +289,17 @@
             cell=host.block,
             health=STATES[host.health] if has_address else Health.GONE,
             weight=host.share,
-            since_ms=host.born_ms,
+            since_ms=self._started_ms(number, host.born_ms),
         )
 
+    def _started_ms(self, number: int, born_unix_ms: float) -> float:
+        """Return a start on the steady clock: the time that was found when the endpoint list first told of it."""
+        if number in self._starts and self._starts[number][0] == born_unix_ms:
+            return self._starts[number][1]
+        started_ms = from_unix_ms(born_unix_ms)
+        self._starts[number] = (born_unix_ms, started_ms)
+        return started_ms
+
     def _reject(self, host: Host, **why: str) -> None:
         self.telemetry.count("bus_bad_hosts")
         self.telemetry.log("endpoint_rejected", name=host.host, **why)
@@ -317,4 +327,6 @@
     def _release_ids(self, names: Iterable[str]) -> None:
         """Forget engines that are gone: new ones come under new names for ever."""
         for name in names:
-            self._used_ids.discard(self._ids.pop(name, -1))
+            number = self._ids.pop(name, -1)
+            self._used_ids.discard(number)
+            self._starts.pop(number, None)
--- a/frostspindle/net/snmp.py
+++ b/frostspindle/net/snmp.py
@@ -48,7 +48,7 @@
             return self._values
         telemetry, counts, out = self.telemetry, self.telemetry.counts, {}
         figures = self.core.figures()
-        up = int((time.time() - telemetry.started) * 100) & 0xFFFFFFFF
+        up = int(telemetry.up_s() * 100) & 0xFFFFFFFF
         for number, value in enumerate(
             (
                 rfc1902.OctetString(telemetry.name.encode()),
--- a/frostspindle/serving.py
+++ b/frostspindle/serving.py
@@ -15,7 +15,9 @@
 
 from frostspindle import config as configuration
 from frostspindle import signals
+from frostspindle.clock_file import share_offset
 from frostspindle.config import ConfigError
+from frostspindle.shared import shared_folder
 
 
 def serve(environ: Mapping[str, str] = os.environ) -> int:
@@ -26,6 +28,7 @@
     except ConfigError as error:
         print(f"frostspindle: {error}", file=sys.stderr)
         return 2
+    share_offset(shared_folder(config.environ, config.name))
     several = config.operator.cores.workers > 1
     if several:
         from frostspindle.cores.probe import worker_start_refusal
--- a/frostspindle/shared.py
+++ b/frostspindle/shared.py
@@ -24,13 +24,18 @@
 OPEN_FIGURE_DIGITS = 8  # of the figure in a process's marker
 
 
+def shared_folder(environ: Mapping[str, str], name: str) -> Path | None:
+    """Return the folder that the processes of a coordinator share; None where $TMPDIR is unset."""
+    at = environ.get("TMPDIR", "")
+    return Path(at, f"frostspindle-{quote(name, safe='')}") if at else None
+
+
 class Shared:
     """The shared folder, or, where $TMPDIR is unset or not writable, the memory of this one process."""
 
     def __init__(self, environ: Mapping[str, str], name: str, telemetry: Telemetry) -> None:
         self.telemetry = telemetry
-        at = environ.get("TMPDIR", "")
-        self.folder = Path(at, f"frostspindle-{quote(name, safe='')}") if at else None
+        self.folder = shared_folder(environ, name)
         self.banned: frozenset[str] = frozenset()
         self.is_sharing = False  # another process of this coordinator runs too
         # Requests that the others have open, at most REREAD_INTERVAL_S ago; None: one of them tells not.
--- a/frostspindle/telemetry.py
+++ b/frostspindle/telemetry.py
@@ -84,11 +84,16 @@
     def __init__(self, name: str = "", sink: BinaryIO | None = None, worker: int | None = None) -> None:
         self.name = name  # of this node
         self.started = time.time()  # Unix seconds
+        self._started_monotonic_s = time.monotonic()
         self.counts: Counter[CounterKey] = Counter()
         self.on_count_changed: Callable[[CounterKey, int], None] | None = None  # called with the new total
         self._logger = _json_logger(sink or sys.stderr.buffer, name, worker)
         self._rate_limiter = LogRateLimiter(MAX_LINES_PER_S)
 
+    def up_s(self) -> float:
+        """Return how long this process has run, in s, whatever became of the wall clock."""
+        return time.monotonic() - self._started_monotonic_s
+
     def count(self, counter: str, front: str = "", class_name: str = "", amount: int = 1) -> None:
         """Add `amount` to a counter, by front and class where these are given."""
         key = (counter, front, class_name)
@@ -116,7 +121,7 @@
             for (counter, front, class_name), count in sorted(self.counts.items())
         ]
         now_s = time.time()
-        self._write(now_s, "counters_reported", {"up_s": round(now_s - self.started, 1), "counters": rows, **fields})
+        self._write(now_s, "counters_reported", {"up_s": round(self.up_s(), 1), "counters": rows, **fields})
 
     def _write(self, now_s: float, event: str, fields: dict[str, Any]) -> None:
         try:
