Let the other process of the test of open limits really stop telling its figure

Cause, by its traceback (line 292) and the code: the test set other._open, which Shared has named _open_here since it was renamed; the other process went on writing its figure each 0.1 s, so that the test passed only where this process read within the moment in which the file was empty. Change: the attribute's name. No bound is changed.

--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -287,7 +287,7 @@
         await most(237)  # the one that ends keeps what it has, but for the new one's fifth
         theirs[0] = 200
         await most(96)
-        other._open = None  # one that does not tell: fixed parts
+        other._open_here = None  # one that does not tell: fixed parts
         os.ftruncate(other._lock.fileno(), 0)
         await most(118)
         other.close()
