Take the disk's room for all cells of the order by key at the start

Callers would see (found by reading, not in a run): a process killed by SIGBUS, with all its open requests, when a load of a key is the first to touch a page of its cell file after the disk has become full. Cause: the file was made by truncate, so that its blocks were taken only as cells were written, through a mapping, where ENOSPC is a signal. Change: posix_fallocate at the creation; ENOSPC there is an OSError, which is handled and logged as before (key_order_disabled). Result: both new tests fail on the code before and pass now. Not mended: a folder that fails at the start leaves the order off for the process's life.

--- a/frostspindle/order/shared_cells.py
+++ b/frostspindle/order/shared_cells.py
@@ -40,7 +40,8 @@
         self._file: BinaryIO = open(unpublished, "w+b")
         try:
             fcntl.flock(self._file, fcntl.LOCK_EX)
-            self._file.truncate(FILE_BYTES)
+            # Room for all of it: a write to a mapped page that the disk has no room for kills the process (SIGBUS).
+            os.posix_fallocate(self._file.fileno(), 0, FILE_BYTES)
             self._map = mmap.mmap(self._file.fileno(), FILE_BYTES)
             self._words = memoryview(self._map).cast("Q")
             self._words[0] = MAGIC
--- a/tests/test_order.py
+++ b/tests/test_order.py
@@ -491,6 +491,22 @@
             yield sum(key > 0 for key in words[::2].tolist())
 
 
+# Guards against: a process was killed by SIGBUS as it wrote a cell after its disk had become full.
+def test_cell_file_has_room_on_the_disk_for_all_its_cells(tmp_path):
+    folder = SharedCellFolder(tmp_path, lambda: 0.0, 2100.0)
+    status = folder.own.path.stat()
+    assert status.st_size == shared_cells.FILE_BYTES <= status.st_blocks * 512
+    folder.close(clean=True)
+
+
+# Guards against: a full disk at the start left a file behind, or ended in anything but an OSError.
+def test_cell_file_without_room_is_an_error_and_leaves_nothing(tmp_path):
+    full = OSError(28, "no space left on device")
+    with unittest.mock.patch("os.posix_fallocate", side_effect=full), pytest.raises(OSError):
+        SharedCellFolder(tmp_path, lambda: 0.0, 2100.0)
+    assert list(tmp_path.iterdir()) == []
+
+
 class Edge(EdgeCase):
     async def test_silent_engine_holds_the_key_until_its_query_can_not_run_any_more(self):
         classes = settings()["categories"]
