Use the shared folder once it works, where it failed at the start

Callers would see (found by reading, shown by tests): where the lasting folder fails for a moment as a process starts (ENOSPC, EIO), the order of keys and the presence of processes stay off for its life, so that in a later upgrade two loads of one key may run at once, and bans of that time end with it. Change: the folder is tried again each 0.5 s; bans made meanwhile are written to it, and open requests of a key draw their positions then. Left: until the folder works keyed loads are taken without an order among processes.

--- a/frostspindle/order/service.py
+++ b/frostspindle/order/service.py
@@ -51,6 +51,16 @@
             self.telemetry.count("turns_full")
         return at_head
 
+    def enter_open_requests(self) -> None:
+        """Draw positions for requests that were taken while there was no order, so that other processes see them."""
+        for number, entry in self.core.ledger.entries.items():
+            request = entry.request
+            if not request.key:
+                continue
+            at_head = self.queue.enter(number, request.key, int(request.received_ms * 1000.0))
+            if at_head is False and self._poll_timer is None:
+                self._schedule_poll()
+
     def on_request_finished(self, number: int) -> None:
         """Free the position, but not while its key rests here: other processes would not know of that pause."""
         if number in self._pause_timers:
--- a/frostspindle/shared.py
+++ b/frostspindle/shared.py
@@ -18,6 +18,7 @@
 
 from frostspindle.telemetry import Telemetry
 
+RETRY_INTERVAL_S = 0.5  # between attempts at a folder that could not be used at the start
 REREAD_INTERVAL_S = 0.1  # the other process's word must reach engines' gates within 250 ms
 BAN_PREFIX = "ban-"  # of the markers of bans
 RUN_PREFIX = "run-"  # of the markers of running processes
@@ -35,7 +36,8 @@
 
     def __init__(self, environ: Mapping[str, str], name: str, telemetry: Telemetry) -> None:
         self.telemetry = telemetry
-        self.folder = shared_folder(environ, name)
+        self.configured_folder = shared_folder(environ, name)
+        self.folder = self.configured_folder
         self.banned: frozenset[str] = frozenset()
         self.is_sharing = False  # another process of this coordinator runs too
         # Requests that the others have open, at most REREAD_INTERVAL_S ago; None: one of them tells not.
@@ -61,15 +63,33 @@
         """
         self._on_bans_changed = on_bans_changed
         self._on_sharing_changed = on_sharing_changed
-        if self.folder is not None:
+        if self.configured_folder is not None:
             try:
-                self.folder.mkdir(mode=0o700, parents=True, exist_ok=True)
-                self._lock = self._mark(self.folder / f"{RUN_PREFIX}{os.getpid()}-{id(self):x}")
+                self._attach(self.configured_folder)
             except OSError as error:
                 self.telemetry.log("shared_folder_failed", folder=str(self.folder), error=repr(error))
                 self.folder = None  # serving goes before what an upgrade needs
         self._read()
 
+    def _attach(self, folder: Path) -> None:
+        """Mark this process as running in the folder, with the bans that are known here; OSError if that fails."""
+        folder.mkdir(mode=0o700, parents=True, exist_ok=True)
+        for name in self.banned:
+            (folder / (BAN_PREFIX + quote(name, safe=""))).touch()
+        self._lock = self._mark(folder / f"{RUN_PREFIX}{os.getpid()}-{id(self):x}")
+        self.folder = folder
+
+    def _retry(self) -> None:
+        """Use the folder if that is possible now, else try again later."""
+        assert self.configured_folder is not None
+        try:
+            self._attach(self.configured_folder)
+        except OSError:
+            self._timer = asyncio.get_running_loop().call_later(RETRY_INTERVAL_S, self._retry)
+            return
+        self.telemetry.log("shared_folder_restored", folder=str(self.folder))
+        self._read()
+
     def follow(self, open_here: Callable[[], int], on_open_elsewhere_changed: Callable[[], None]) -> None:
         """Tell the others how many requests are open here, and call the second function whenever theirs has changed."""
         self._open_here = open_here
@@ -106,10 +126,12 @@
         self._read()
 
     def _read(self) -> None:
-        if self.folder is None:
-            return
         if self._timer is not None:
             self._timer.cancel()
+        if self.folder is None:
+            if self.configured_folder is not None:
+                self._timer = asyncio.get_running_loop().call_later(RETRY_INTERVAL_S, self._retry)
+            return
         self._timer = asyncio.get_running_loop().call_later(REREAD_INTERVAL_S, self._read)
         try:
             names = [path.name for path in self.folder.iterdir()]
--- a/tests/test_order.py
+++ b/tests/test_order.py
@@ -541,6 +541,36 @@
             self.assertGreater(asked[-1] - asked[-2], 1.5)
             self.assertLess(asked[-1] - asked[-2], 2.1)
 
+    # Guards against: a folder that failed at the start left the keys of an upgrade without an order for ever.
+    async def test_order_begins_once_its_folder_can_be_used_with_the_requests_that_are_open(self):
+        classes = settings()["categories"]
+        classes[1] = classes[1] | {"inOrder": True}
+        real, failures = os.posix_fallocate, [OSError(28, "no space"), OSError(5, "input/output error")]
+
+        def fallocate(*arguments):
+            if failures:
+                raise failures.pop()
+            return real(*arguments)
+
+        (engine,) = await self.engines()
+        go = asyncio.Event()
+        engine.script = at_work(go)
+        with (
+            unittest.mock.patch("os.posix_fallocate", fallocate),
+            unittest.mock.patch("frostspindle.components.http_requests.RETRY_INTERVAL_S", 0.3),
+        ):
+            await self.coordinator([host("s-00000000", engine.port)], categories=classes)
+            self.assertIsNone(self.program.order)
+            asked = asyncio.create_task(self.ask(LOAD_CLASS, 1, **{"X-Object": "k"}))
+            await engine.seen("POST")
+            await self.until(lambda: self.program.order is not None, 3.0)
+        other = SharedCellFolder(self.program.shared.order, lambda: 0.0, 2100.0)
+        self.addCleanup(other.close, True)
+        self.assertEqual(len(other.positions(key_number(1, b"k"))), 1)
+        go.set()
+        self.assertEqual((await asked)[0], 200)
+        await self.until(lambda: not other.positions(key_number(1, b"k")))
+
     async def test_position_exists_exactly_while_its_request_may_run(self):
         classes = settings()["categories"]
         classes[1] = classes[1] | {"inOrder": True}
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -321,6 +321,30 @@
 
 
 class Presence(unittest.IsolatedAsyncioTestCase):
+    # Guards against: a folder that failed at the start was never used, and a ban of that time ended with the process.
+    async def test_a_folder_is_used_once_it_can_be_with_the_bans_of_the_time_before(self):
+        with tempfile.TemporaryDirectory() as parent:
+            at = Path(parent, "tmp")
+            at.write_text("")  # not a folder
+            shared = Shared({"TMPDIR": str(at)}, "n", Telemetry(sink=io.BytesIO()))
+            self.addCleanup(shared.close)
+            shared.start(lambda names: None, lambda crowded: None)
+            self.assertIsNone(shared.folder)
+            shared.ban("s-1", True)
+            at.unlink()
+            at.mkdir()
+            async with asyncio.timeout(5.0):
+                while shared.folder is None:
+                    await asyncio.sleep(0.01)
+            self.assertEqual(shared.banned, frozenset({"s-1"}))
+            told = []
+            other = Shared({"TMPDIR": str(at)}, "n", Telemetry(sink=io.BytesIO()))
+            other.start(told.append, lambda crowded: None)
+            self.assertEqual(told, [frozenset({"s-1"})])
+            self.assertTrue(other.is_sharing)
+            other.close()
+            shared.close()
+
     async def test_without_a_folder_that_can_be_written_bans_are_kept_in_memory(self):
         with tempfile.NamedTemporaryFile() as file:
             for environ in ({}, {"TMPDIR": file.name}):
