Cut the front's handling of a POST into steps with one job each

platform.py held one function of 75 lines with packed statements under names of the earlier house style.

--- a/frostspindle/net/platform.py
+++ b/frostspindle/net/platform.py
@@ -1,9 +1,8 @@
 """The platform's front: clients that speak HTTP/1.1.
 
-Owns the way of a call from its path to an `Ask`, the refusals that are the front's own, and the connections of all
-clients together. It must never forward what it could not check, never answer a request from its own judgement other
-than by a refusal when the program is full, and never keep more than it has bounds for. Its parts are in net/http/:
-door (who is let in), clients (one connection), places (whose connection ends), calls and paths (answers).
+Routes each call by its path, checks a request and submits it to the core, rejects what goes beyond its limits, and owns
+the connections of all clients together. Its parts are in net/http/: `listener` accepts, `clients` is one connection,
+`connection_limits` decides whose connection ends, `calls` and `request_registry` hold calls, paths and responses.
 """
 
 from __future__ import annotations
@@ -20,7 +19,7 @@
 from frostspindle.net import fields as read
 from frostspindle.net.fields import CallRejectedError
 from frostspindle.net.http import connection_limits
-from frostspindle.net.http.calls import FRONT, PendingCall
+from frostspindle.net.http.calls import FRONT, OpenRequest, PendingCall
 from frostspindle.net.http.clients import AHEAD, ClientConnection
 from frostspindle.net.http.connection_limits import RECEIVING, ConnectionStep
 from frostspindle.net.http.listener import Listener
@@ -31,7 +30,8 @@
 
 SWEEP_S = 0.2
 ADVISED_MS = 200  # so long a client that finds the program full stays away
-LAST_S, SILENT_S = 0.3, 0.04  # the end waits so long for clients that still send; and for them to be silent
+LAST_S = 0.3  # the end waits so long for clients that still send
+SILENT_S = 0.04  # and for them to be silent
 LAST_PASSES = 5  # over the connections, to answer what came late, where no time is left
 
 
@@ -286,80 +286,115 @@
             slot.opened, slot.page = opened, int(page)
             self.paths.wait(slot)
 
-    def _post(self, slot: PendingCall, cls: bytes, fields: dict[bytes, bytes], body: bytes) -> None:
-        if cls not in self.classes:
+    def _post(self, slot: PendingCall, class_name: bytes, fields: dict[bytes, bytes], body: bytes) -> None:
+        """Check a request, and submit it to the core where there is capacity for it."""
+        if class_name not in self.classes:
             raise CallRejectedError(404, "no such class")
-        number = self.classes[cls]
-        terms = self.core.settings.classes[number]
-        by_key = terms.idempotency == Idempotency.WITH_KEY
-        said = read.read(fields, number, terms.deadline_ms, self.most_memory, terms.in_order, by_key)
-        try:
-            statement = body.decode()
-        except UnicodeDecodeError:
-            raise CallRejectedError(400, "the statement is not UTF-8") from None
-        if not statement.strip():
-            raise CallRejectedError(400, "the statement is empty")
-        name, tenant = said.ticket, 0
-        if self.tenant is not None:
-            peer = slot.client.transport.get_extra_info("peername") or ("",)
-            try:
-                tenant = self.tenant(RequestAttributes(FRONT, peer[0], fields, schema=schema(statement)), said.tenant)
-            except UnknownTenantError as unknown:
-                raise CallRejectedError(400, f"X-Tenant: {unknown}") from None
-        if name in self.paths.ids:
+        number = self.classes[class_name]
+        class_settings = self.core.settings.classes[number]
+        has_idempotency_key = class_settings.idempotency == Idempotency.WITH_KEY
+        described = read.read(
+            fields,
+            number,
+            class_settings.deadline_ms,
+            self.most_memory,
+            class_settings.in_order,
+            has_idempotency_key,
+        )
+        statement = _read_statement(body)
+        tenant = self._tenant_of(slot, fields, statement, described.tenant)
+        if described.ticket in self.paths.ids:
             raise CallRejectedError(409, "X-Request-Id: this request is already open")
-        client = slot.client
-        if not client.present():
-            return
-        client.extra = client.extra and not self._make_room(client, connection_limits.RECLAIM_FOR_REQUEST)
-        if client.extra:
-            self.telemetry.count("full", FRONT, self.core.classes[number][1])
-            slot.reply(503, {"failure": "Busy"}, self.advice, last=True)
-            return
-        if len(client.line) > AHEAD or not connection_limits.accepts_requests(self.loop.time() - self._drained_at):
-            self.telemetry.count("full", FRONT, self.core.classes[number][1])
-            slot.reply(503, {"failure": "Busy"}, self.advice)
+        if not slot.client.present():
             return
-        if self.relay is not None and (refusal := self.relay.claim(name)) is not None:
-            if refusal.status < 500:
-                raise refusal
-            slot.reply(refusal.status, {"failure": refusal.text}, self.advice if refusal.status == 503 else "")
+        if not self._has_capacity(slot, number) or not self._claim_id(slot, described.ticket):
             return
-        opened = self.paths.new(name, f"/call/{cls.decode()}/{self.prefix}")
+        opened = self.paths.new(described.ticket, f"/call/{class_name.decode()}/{self.prefix}")
         request = ClientRequest(
             FRONT,
             number,
-            name,
+            described.ticket,
             statement,
-            client.came_ms,
-            said.left_ms,
+            slot.client.came_ms,
+            described.left_ms,
             opened.on_response,
-            said.cost_ms,
-            said.memory_mb,
+            described.cost_ms,
+            described.memory_mb,
             table_group(statement),
             tenant=tenant,
-            key=said.key,
-            idempotency_key=said.idempotency_key,
+            key=described.key,
+            idempotency_key=described.idempotency_key,
             is_client_connected=lambda: self.paths.present(opened),
         )
-        if self.marks is not None:
-            try:
-                self.marks(request, fields)
-            except CallRejectedError:
-                if self.relay is not None:
-                    self.relay.release(name)
-                raise
-        if said.retry:
+        self._mark(request, fields)
+        if described.retry:
             self.telemetry.count("client_retries", FRONT, self.core.classes[number][1])
+        self._submit(slot, opened, request)
+
+    def _tenant_of(self, slot: PendingCall, fields: dict[bytes, bytes], statement: str, named: bytes | None) -> int:
+        """Return the number of the request's tenant; CallRejectedError if it names one that is unknown."""
+        if self.tenant is None:
+            return 0
+        peer = slot.client.transport.get_extra_info("peername") or ("",)
+        attributes = RequestAttributes(FRONT, peer[0], fields, schema=schema(statement))
+        try:
+            return self.tenant(attributes, named)
+        except UnknownTenantError as unknown:
+            raise CallRejectedError(400, f"X-Tenant: {unknown}") from None
+
+    def _has_capacity(self, slot: PendingCall, number: int) -> bool:
+        """Return whether one more request may be submitted; if not, the call is answered."""
+        client = slot.client
+        client.extra = client.extra and not self._make_room(client, connection_limits.RECLAIM_FOR_REQUEST)
+        draining_s = self.loop.time() - self._drained_at
+        if not client.extra and len(client.line) <= AHEAD and connection_limits.accepts_requests(draining_s):
+            return True
+        self.telemetry.count("full", FRONT, self.core.classes[number][1])
+        slot.reply(503, {"failure": "Busy"}, self.advice, last=client.extra)
+        return False
+
+    def _claim_id(self, slot: PendingCall, ticket: str) -> bool:
+        """Reserve the request's id among the workers; if it can't be had, the call is answered or rejected."""
+        rejection = self.relay.claim(ticket) if self.relay is not None else None
+        if rejection is None:
+            return True
+        if rejection.status < 500:
+            raise rejection
+        slot.reply(rejection.status, {"failure": rejection.text}, self.advice if rejection.status == 503 else "")
+        return False
+
+    def _mark(self, request: ClientRequest, fields: dict[bytes, bytes]) -> None:
+        """Add what optional parts read from the head; CallRejectedError if that can't be used."""
+        if self.marks is None:
+            return
+        try:
+            self.marks(request, fields)
+        except CallRejectedError:
+            self._released(request.ticket)
+            raise
+
+    def _submit(self, slot: PendingCall, opened: OpenRequest, request: ClientRequest) -> None:
         if not self.core.submit(request):
-            if self.relay is not None:
-                self.relay.release(name)
+            self._released(request.ticket)
             slot.reply(503, {"failure": "Busy"}, self.advice)
             return
-        opened.request, slot.opened, slot.page = request, opened, -1
-        self.paths.ids.add(name)
+        opened.request = request
+        slot.opened = opened
+        slot.page = -1
+        self.paths.ids.add(request.ticket)
         self.paths.wait(slot)
 
     def _released(self, ticket: str) -> None:
         if self.relay is not None:
             self.relay.release(ticket)
+
+
+def _read_statement(body: bytes) -> str:
+    """Return the statement of a body; CallRejectedError if there is none."""
+    try:
+        statement = body.decode()
+    except UnicodeDecodeError:
+        raise CallRejectedError(400, "the statement is not UTF-8") from None
+    if not statement.strip():
+        raise CallRejectedError(400, "the statement is empty")
+    return statement
