Let system calls on sockets fail for a moment in one of four seeds of the soak

Cause: accept, connect, reads and writes that fail or are short were tried by hand only. Not covered: socket() itself, EINTR, UDP.

--- a/frostspindle/lab/soak/plan.py
+++ b/frostspindle/lab/soak/plan.py
@@ -22,6 +22,7 @@
 CLOCK_STEPS_S = (3.0, -3.0, 60.0, -60.0, 3600.0, -3600.0)
 CLOCK_STEP_PERIOD = 2  # one in so many seeds has steps of the wall clock
 MAX_CLOCK_STEPS = 3
+SOCKET_FAULT_PERIOD = 4  # in one of so many seeds system calls on sockets fail
 DRAIN_SPAN_S = 2.0  # within which behind the SIGTERM a step may come
 OUTAGE_PERIOD = 4  # one in so many seeds has an outage
 MIN_OUTAGE_S = 1.1  # longer than a request is held without a path
@@ -97,6 +98,7 @@
     faults: tuple[EngineFault, ...]
     outage: Outage | None
     clock_steps: tuple[ClockStep, ...]
+    has_socket_faults: bool
     start_signals: tuple[TimedSignal, ...]  # after the process was started
     serving_signals: tuple[TimedSignal, ...]  # after it was ready
     drain_signals: tuple[TimedSignal, ...]  # after SIGTERM
@@ -122,6 +124,7 @@
         faults=_without_absences_in(outage, _draw_faults(rng, serving_s)),
         outage=outage,
         clock_steps=_draw_clock_steps(seed, serving_s),
+        has_socket_faults=seed % SOCKET_FAULT_PERIOD == 1,
         start_signals=_draw_signals(rng, START_SIGNALS, 3, 0.3),
         serving_signals=_draw_signals(rng, START_SIGNALS, 4, serving_s),
         drain_signals=_draw_signals(rng, (*START_SIGNALS, signal.SIGTERM), 4, 1.5),
--- a/frostspindle/lab/soak/processes.py
+++ b/frostspindle/lab/soak/processes.py
@@ -27,10 +27,18 @@
 class SoakProcess(Process):
     """One process, or one supervisor with its workers, at an address of its own or at an inherited socket."""
 
-    def __init__(self, number: int, folder: Path, listening: socket.socket | None, clock: SteppedClock) -> None:
+    def __init__(
+        self,
+        number: int,
+        folder: Path,
+        listening: socket.socket | None,
+        clock: SteppedClock,
+        socket_fault_seed: str = "",
+    ) -> None:
         super().__init__(number, folder)
         self._listening: socket.socket | None = listening
         self._clock = clock
+        self._socket_fault_seed = socket_fault_seed  # "": no faults
         self.terminated_at: float | None = None
         self.exited_at: float | None = None
         self.exit_code: int | None = None
@@ -48,6 +56,8 @@
     def process_environment(self) -> dict[str, str]:
         """Return the environment; both processes of an upgrade have the same name."""
         environment = {**super().process_environment(), **self._clock.environment(), "LB_NAME": "soak"}
+        if self._socket_fault_seed:
+            environment["SOCKET_FAULTS"] = self._socket_fault_seed
         if self._listening is not None:
             environment["LB_INHERITED_FD"] = str(self._listening.fileno())
         return environment
--- a/frostspindle/lab/soak/report.py
+++ b/frostspindle/lab/soak/report.py
@@ -15,11 +15,12 @@
     crowd = ", crowd" if plan.has_crowd else ""
     outage = ", outage" if plan.outage is not None else ""
     steps = ", clock steps " + " ".join(f"{step.seconds:+.0f}" for step in plan.clock_steps) if plan.clock_steps else ""
+    faults = ", socket faults" if plan.has_socket_faults else ""
     deadline = f", deadline {plan.class_deadline_s} s"
     counts = ", ".join(f"{name} {count}" for name, count in sorted(result.counts.items()))
     verdict = f"{len(result.violations)} rules broken" if result.violations else "passed"
     return (
-        f"seed {result.seed} ({plan.topology}{crowd}{outage}{steps}{deadline}): "
+        f"seed {result.seed} ({plan.topology}{crowd}{outage}{steps}{faults}{deadline}): "
         f"{verdict}; {counts}; lag {result.lag_s:.3f} s"
     )
 
--- a/frostspindle/lab/soak/run.py
+++ b/frostspindle/lab/soak/run.py
@@ -97,7 +97,8 @@
 
     async def _start_process(self, signals: tuple[TimedSignal, ...]) -> SoakProcess:
         write_files(self._folder, self.plan, self.bus.events, self.bus.port)
-        process = SoakProcess(len(self.processes), self._folder, self._listening, self.clock)
+        fault_seed = f"{self.plan.seed}-{len(self.processes)}" if self.plan.has_socket_faults else ""
+        process = SoakProcess(len(self.processes), self._folder, self._listening, self.clock, fault_seed)
         self.processes.append(process)
         await process.start()
         sending = asyncio.create_task(process.signal_in_turn(signals))
--- a/frostspindle/lab/soak/clock_shim/sitecustomize.py
+++ b/frostspindle/lab/soak/shims/sitecustomize.py
@@ -1,8 +1,8 @@
-"""Steps the wall clock of a process of the soak, as an operator or a time service may step that of its machine.
+"""Faults of the machine for a process of the soak; loaded by the interpreter where this folder is on PYTHONPATH.
 
-Loaded by the interpreter at its start where this folder is on PYTHONPATH. The offset, in seconds, is a double in the
-file that CLOCK_OFFSET_FILE names; whoever writes it steps the clocks of all processes that were started with it.
-The monotonic clocks run on.
+CLOCK_OFFSET_FILE names a file with a double, the offset of the wall clock in seconds: whoever writes it steps the
+clocks of all processes that were started with it. The monotonic clocks run on. SOCKET_FAULTS is the seed of failing
+system calls on sockets; without it none fail.
 """
 
 import mmap
@@ -32,3 +32,7 @@
 
 if "CLOCK_OFFSET_FILE" in os.environ:
     install(os.environ["CLOCK_OFFSET_FILE"])
+if "SOCKET_FAULTS" in os.environ:
+    from socket_faults import SocketFaults  # this folder is on the path
+
+    SocketFaults(os.environ["SOCKET_FAULTS"]).install()
--- a/frostspindle/lab/soak/stepped_clock.py
+++ b/frostspindle/lab/soak/stepped_clock.py
@@ -5,9 +5,9 @@
 import time
 from pathlib import Path
 
-from frostspindle.lab.soak.clock_shim.sitecustomize import OFFSET
+from frostspindle.lab.soak.shims.sitecustomize import OFFSET
 
-SHIM_FOLDER = Path(__file__).parent / "clock_shim"
+SHIM_FOLDER = Path(__file__).parent / "shims"
 
 
 class SteppedClock:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -27,6 +27,7 @@
     assert {(plan.topology, plan.has_crowd) for plan in plans} >= {(one, True) for one in Topology}
     assert {fault.kind for plan in plans for fault in plan.faults} == set(FaultKind)
     assert any(plan.outage for plan in plans)
+    assert any(plan.has_socket_faults for plan in plans)
     assert {step.seconds > 0.0 for plan in plans for step in plan.clock_steps} == {True, False}
     # Deadlines below and above the 3 s that count for the kill at most, the shortest below a second.
     assert min(plan.class_deadline_s for plan in plans) < 1.0 < 3.0 < max(plan.class_deadline_s for plan in plans)
