Let bytes that are read after a late poll have come at its begin

Cause: the arrival clock takes a poll that waited to have been ended by the bytes that it found. A process that is starved or stopped while it waits returns late, whatever came before; and a stop interrupts the poll, so that it is the next one that finds the bytes. Change: a poll that returns over 20 ms later than it was asked to counts from its begin, also for the next one if it found nothing.

--- a/frostspindle/core/arrival_clock.py
+++ b/frostspindle/core/arrival_clock.py
@@ -30,6 +30,8 @@
         self.asked_ms = self.now_ms  # when it began
         self.before_ms = self.now_ms  # when the poll before it returned
         self._returned_at_s = time.monotonic()
+        self._unseen_wait_ms = 0.0  # of the last poll, if it returned too late to tell when in it bytes came
+        self._found_any = True  # the last poll did
         self._caught_up_at = 0  # the number of the poll by which the loop is no longer behind
         selector = getattr(loop, "_selector", None)  # a loop of another kind has none: bytes count from when it reads
         if selector is not None:
@@ -54,6 +56,11 @@
         overslept_s = self._returned_at_s - asked_at_s - timeout if timeout is not None else 0.0
         if busy_s > LATE_S or overslept_s > LATE_S:
             self._caught_up_at = self.count + CATCH_UP_POLLS
+        # A poll that a stop of the process interrupts returns nothing, though bytes may lie there: the next finds them.
+        carried_ms = 0.0 if self._found_any else self._unseen_wait_ms
+        late_wait_ms = 1000.0 * (self._returned_at_s - asked_at_s) if overslept_s > LATE_S else 0.0
+        self._unseen_wait_ms = late_wait_ms + carried_ms if late_wait_ms or ready else 0.0
+        self._found_any = bool(ready)
         return ready
 
     @property
@@ -73,9 +80,9 @@
 
         `watched` is how many polls were over when the socket was first watched, `unseen_ms` since when bytes may have
         lain unread on it. A poll that finds something returns at once: if the loop waited in it, the bytes ended that
-        wait.
+        wait. If it returned later than it was asked to, they may have come at its begin.
         """
         if not self.count:
             return clock()
         since_ms = self.before_ms if self.count - watched > 1 else unseen_ms
-        return self.now_ms - max(0.0, self.asked_ms - since_ms)
+        return self.now_ms - self._unseen_wait_ms - max(0.0, self.asked_ms - since_ms)
