--- a/scripts/known_red.py
+++ b/scripts/known_red.py
@@ -3,6 +3,9 @@
 Each line reads `test id | cause | issue`. A listed test that passes, does not exist or did not run fails the run,
 and so does a malformed list. A run over selected files asks only for listed tests of these, and one with a selection
 by name or mark asks for none.
+
+A line that begins with a command of the program, `frostspindle lab soak --seed N | what was seen | issue`, names a run
+that has broken a rule and is not mended. It is printed and lets no test fail.
 """
 
 from __future__ import annotations
@@ -12,10 +15,11 @@
 import pytest
 
 FILE, MOST = "KNOWN-RED.txt", 3
+RUN_PREFIX = "frostspindle "
 
 
 def read(path: Path) -> dict[str, str]:
-    """Return the cause and issue of each listed test, by test id; empty if there is no list.
+    """Return the cause and issue of each listed test or run, by test id or command; empty if there is no list.
 
     Raise UsageError, which ends the run, for a malformed line, a test listed twice, or more than MOST tests.
     """
@@ -26,8 +30,9 @@
         if len(parts) != 3 or not all(parts) or parts[0] in listed:
             raise pytest.UsageError(f"{FILE}:{number}: not one new `test id | cause | issue`: {line!r}")
         listed[parts[0]] = f"{parts[1]} ({parts[2]})"
-    if len(listed) > MOST:
-        raise pytest.UsageError(f"{FILE}: {len(listed)} tests, {MOST} at most")
+    tests = [name for name in listed if not name.startswith(RUN_PREFIX)]
+    if len(tests) > MOST:
+        raise pytest.UsageError(f"{FILE}: {len(tests)} tests, {MOST} at most")
     return listed
 
 
@@ -36,7 +41,9 @@
 
     def __init__(self, config: pytest.Config) -> None:
         self.config = config
-        self.listed = read(config.rootpath / FILE)
+        entries = read(config.rootpath / FILE)
+        self.runs = {name: cause for name, cause in entries.items() if name.startswith(RUN_PREFIX)}
+        self.listed = {name: cause for name, cause in entries.items() if name not in self.runs}
         self.failed: set[str] = set()  # tests that failed in their body, as listed
 
     def wrong(self) -> list[str]:
@@ -82,6 +89,8 @@
         for test, cause in self.listed.items():
             if test in self.failed:
                 terminalreporter.write_line(f"KNOWN RED: {test}: {cause}")
+        for command, cause in self.runs.items():
+            terminalreporter.write_line(f"KNOWN RED RUN: {command}: {cause}")
         for test in self.wrong():
             terminalreporter.write_line(f"{FILE}: {test} did not run and fail as listed", red=True)
 
--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -8,6 +8,7 @@
 import pytest
 
 ROOT = Path(__file__).parent.parent
+RUN = "frostspindle lab soak --seed 5"
 BAD, GOOD = "tests/test_a.py::test_bad", "tests/test_b.py::test_good"
 FILES = {
     "test_a.py": "def test_bad():\n    assert False\n",
@@ -35,6 +36,9 @@
         ([BAD + "_gone"], "ab", ("tests/test_b.py", "tests"), 1, "did not run and fail as listed"),
         ([BAD], "ab", ("-k", "good"), 0, "1 passed"),
         ([f"tests/test_a.py::test_{n}" for n in range(4)], "b", (), 4, "4 tests, 3 at most"),
+        ([f"{RUN} | a rule | issue 7"], "b", (), 0, f"KNOWN RED RUN: {RUN}: a rule (issue 7)"),
+        ([f"{RUN} | a rule | issue 7"], "ab", (), 1, "1 failed, 1 passed"),
+        ([f"{RUN} | a rule"], "b", (), 4, "KNOWN-RED.txt:1"),
         ([BAD, BAD], "ab", (), 4, "KNOWN-RED.txt:2"),
         ([f"{BAD} | no issue"], "ab", (), 4, "KNOWN-RED.txt:1"),
     ],
