--- a/frostspindle/core/core.py
+++ b/frostspindle/core/core.py
@@ -69,6 +69,7 @@
         self.endpoints = EndpointRegistry(self, telemetry, self.dispatcher.timers)
         self.engines: dict[int, EngineState] = self.endpoints.engines
         self.ledger = RequestLedger(self, classes, telemetry, self.engines, self.dispatcher.timers)
+        self.dispatcher.holds_requests = lambda: bool(self.ledger.entries)
         executor = ActionExecutor(self, classes, telemetry, self.engines, self.ledger, self.dispatcher)
         self.event_handlers = EventHandlers(
             self, classes, telemetry, self.controller, self.ledger, self.endpoints, self.dispatcher, executor
--- a/frostspindle/core/dispatcher.py
+++ b/frostspindle/core/dispatcher.py
@@ -5,6 +5,7 @@
 import asyncio
 import math
 from collections import deque
+from collections.abc import Callable
 from typing import Any, Protocol
 
 from frostspindle import policy
@@ -37,6 +38,7 @@
         self.timers = TimerWheel(clock())  # the value of each is the event for its due time
         self.urgent: deque[Any] = deque()
         self.inbox: deque[Any] = deque()
+        self.holds_requests: Callable[[], bool] = lambda: False  # whether any request is open
         self._telemetry = telemetry
         self._policy_timers: dict[int, Timer] = {}  # the decision module's last timer for each token
         self._sleeper: asyncio.Future[None] | None = None  # what the task awaits while there is nothing to do
@@ -71,7 +73,8 @@
                 self._sleeper = loop.create_future()
                 self._set_alarm(loop)
                 await self._sleeper
-            await arrivals.catch_up()  # nothing is sent for a client whose leaving is still unread
+            if self.holds_requests():
+                await arrivals.catch_up()  # nothing is sent for a client whose leaving is still unread
             now = clock()
             if now < self._last_turn_ms - CLOCK_STEP_MS:
                 self._on_clock_set_back(now)
