Log the end of the open requests at a shutdown, and TDS batches that are cut off by it

Change: the log event open_requests_ended names how many requests were open and how many were still queued in the core; tds_batch_cut (counter batches_cut) names each batch that runs when its session is closed.

--- a/frostspindle/core/event_handlers.py
+++ b/frostspindle/core/event_handlers.py
@@ -208,6 +208,8 @@
         self._ledger.remove_if_complete(entry)
 
     def _on_shutdown_started(self, now: float, event: ShutdownStarted) -> None:
+        queued = sum(isinstance(queued_event, ClientRequest) for queued_event in self._dispatcher.inbox)
+        self._telemetry.log("open_requests_ended", open=len(self._ledger.unsettled), queued=queued)
         self._executor.execute(now, self._controller.end_all_requests(now))
         if self._hooks.admission_gate is None:
             return
--- a/frostspindle/core/ledger.py
+++ b/frostspindle/core/ledger.py
@@ -55,6 +55,11 @@
         self._engines = engines
         self._timers = timers
 
+    @property
+    def unsettled(self) -> list[int]:
+        """Numbers of the requests that have an entry and no final response."""
+        return [number for number, entry in self.entries.items() if not entry.final_state]
+
     def add(self, request: ClientRequest) -> None:
         """Create the entry of a request, assign its number and start its deadline timer."""
         self._last_number += 1
--- a/frostspindle/net/tds/front.py
+++ b/frostspindle/net/tds/front.py
@@ -50,6 +50,7 @@
         self.login: codec.Login | None = None
         self.waiting_since_s = asyncio.get_running_loop().time()  # loop time since which it waits for its client
         self.busy = False  # a batch is running
+        self.ticket = ""  # of the last batch
         self.socket_watch = SocketWatch(writer.transport)
 
     async def message(self) -> codec.Message | None:
@@ -180,10 +181,11 @@
                 answered.set_result(answer)
 
         front.last_ticket += 1
+        self.ticket = f"{front.seed ^ front.last_ticket:016x}"
         request = ClientRequest(
             FRONT,
             front.classes[profile.cls],
-            f"{front.seed ^ front.last_ticket:016x}",
+            self.ticket,
             statement,
             clock(),
             profile.deadline_ms,
@@ -323,7 +325,10 @@
         """Stop accepting, cancel all sessions and wait until they have ended."""
         self.resume()
         self.leave()
-        for task in list(self.sessions):
+        for task, session in list(self.sessions.items()):
+            if session.busy:
+                self.telemetry.count("batches_cut", FRONT)
+                self.telemetry.log("tds_batch_cut", ticket=session.ticket)
             task.cancel()
         await asyncio.gather(*self.sessions, return_exceptions=True)
 
