Reject requests that reach the controller after a shutdown has ended the open ones

What callers saw: near the end of a process some requests got no final answer (a path of a process that exits, or a closed TDS session), and some of them had been sent to engines.

Cause: fail_open_requests queues an urgent event, which overtakes requests and admissions that are still in the core's queue; these were then admitted, as was everything submitted later. Nothing told the controller or the core that the end had been.

Change: Controller.end_all_requests is final and later arrivals are rejected; the core passes late requests to the controller without key order, gate and interceptor, and rejects those whose admission is queued. It works because every front and every part that submits requests goes through this one event handler.

--- a/frostspindle/core/core.py
+++ b/frostspindle/core/core.py
@@ -65,6 +65,7 @@
         self.classes = classes  # (front, name) of each class
         self.telemetry = telemetry
         self.max_open_requests = max_open_requests  # `submit` rejects requests beyond this
+        self.is_shutting_down = False  # the open requests were ended, and all later ones are rejected
         self.controller = Controller(settings, seed)
         self.dispatcher = EventDispatcher(telemetry)
         self.endpoints = EndpointRegistry(self, telemetry, self.dispatcher.timers)
@@ -88,8 +89,11 @@
         return self.ledger.open_count + (self.interceptor.open if self.interceptor is not None else 0)
 
     def submit(self, request: ClientRequest) -> bool:
-        """Queue a request. Return False if too many are open: the front must reject it, without the decision module."""
-        if self.interceptor is not None:
+        """Queue a request. Return False if too many are open: the front must reject it, without the decision module.
+
+        During shutdown the interceptor takes no requests, as it would answer them later than the decision module.
+        """
+        if self.interceptor is not None and not self.is_shutting_down:
             is_accepted = self.interceptor.try_take(request)
             if is_accepted is not None:
                 return is_accepted
@@ -272,7 +276,11 @@
         self.dispatcher.enqueue_urgent(SettingsChanged(settings))
 
     def fail_open_requests(self) -> None:
-        """Make the decision module end all open requests at shutdown, as none would get a response later."""
+        """Make the decision module end all open requests at shutdown, and reject all that it gets later.
+
+        This includes requests that are queued now: the event overtakes them.
+        """
+        self.is_shutting_down = True
         self.dispatcher.enqueue_urgent(ShutdownStarted())
 
     # Figures.
--- a/frostspindle/core/event_handlers.py
+++ b/frostspindle/core/event_handlers.py
@@ -134,6 +134,10 @@
 
     def _on_request(self, now: float, request: ClientRequest) -> None:
         self._ledger.add(request)
+        if not self._controller.accepts_requests:
+            # The controller rejects it at once, so it must not wait for its key or at the admission gate.
+            self._admit(now, request, is_head_of_key=True)
+            return
         is_head_of_key: bool | None = True
         if request.key and self._hooks.key_order is not None:
             is_head_of_key = self._hooks.key_order.enter(request.number, request.key)
@@ -211,9 +215,11 @@
         queued = sum(isinstance(queued_event, ClientRequest) for queued_event in self._dispatcher.inbox)
         self._telemetry.log("open_requests_ended", open=len(self._ledger.unsettled), queued=queued)
         self._executor.execute(now, self._controller.end_all_requests(now))
-        if self._hooks.admission_gate is None:
-            return
-        for number in self._hooks.admission_gate.close():
+        if self._hooks.admission_gate is not None:
+            for number in self._hooks.admission_gate.close():
+                self._ledger.respond(number, Response(ResponseStatus.REJECTED))
+        # The rest were never passed to the controller: the gate has admitted them, but that event is still queued.
+        for number in self._ledger.unsettled:
             self._ledger.respond(number, Response(ResponseStatus.REJECTED))
 
     # Attempts.
--- a/frostspindle/policy/completion.py
+++ b/frostspindle/policy/completion.py
@@ -35,7 +35,7 @@
     def end_unserved(self, request: RequestState, now: float) -> None:
         """End a request without a response: reject it if it is safe to retry, else fail it."""
         if request.client_may_retry():
-            self._state.actions.append(RejectRequest(request.number, self._retry_after_ms()))
+            self._state.actions.append(RejectRequest(request.number, self.retry_after_ms()))
         else:
             self._state.actions.append(FailRequest(request.number))
         self.finish(request, now)
@@ -55,7 +55,7 @@
             state.actions.extend(CancelAttempt(request.number, a.number) for a in request.running_attempts)
         self._key_order.advance(request.key, now)
 
-    def _retry_after_ms(self) -> float:
+    def retry_after_ms(self) -> float:
         """Return the estimated time to work off the current queue, up to the configured maximum."""
         state = self._state
         backlog_ms = state.waiting_queue.total / max(1.0, state.thread_limit_sum)
--- a/frostspindle/policy/controller.py
+++ b/frostspindle/policy/controller.py
@@ -76,6 +76,7 @@
             self.waiting,
         )
 
+        self.accepts_requests = True  # False from `end_all_requests` on
         self.last_event_at_ms = math.inf
         self._examined_at_ms = -math.inf
         self._subscribe_at_ms = math.inf
@@ -152,7 +153,11 @@
         return state.actions
 
     def end_all_requests(self, now_ms: float) -> list[actions.Action]:
-        """Reject or fail all open requests because the process is shutting down; return the actions."""
+        """Reject or fail all open requests because the process is shutting down; return the actions.
+
+        Requests that arrive afterwards are rejected: no engine could answer them before the process exits.
+        """
+        self.accepts_requests = False
         self.state.actions = []
         for request in list(self.state.requests.values()):
             self.completion.end_unserved(request, now_ms)
@@ -183,6 +188,9 @@
         state = self.state
         if event.request in state.requests:
             return
+        if not self.accepts_requests:
+            state.actions.append(actions.RejectRequest(event.request, self.completion.retry_after_ms()))
+            return
         request = RequestState(event, state.settings.classes[event.cls], now)
         state.requests[event.request] = request
         self.retries.record_arrival(now)
--- a/tests/test_module.py
+++ b/tests/test_module.py
@@ -250,6 +250,21 @@
     assert k.sent[-1][0] == 2
 
 
+# Guards against: requests that arrived after the open ones had been ended at a shutdown were sent to engines.
+@pytest.mark.parametrize("cls", range(4))
+def test_request_that_arrives_after_all_were_ended_is_rejected_and_not_sent(cls):
+    harness = ControllerHarness(settings())
+    harness.request(1)
+    for action in harness.controller.end_all_requests(harness.now):
+        harness.check(action)
+    harness.settle()
+    sent_count = len(harness.sent)
+    harness.request(2, cls, key=5)
+    harness.wait(500.0)
+    assert (harness.answers[2], len(harness.sent)) == ("RejectRequest", sent_count)
+    assert harness.controller.requests == {}
+
+
 def test_arrival_times_are_kept_only_for_the_retry_budget_window():
     # Without retries, arrival times were never pruned: 0.1 MB per hour for each request per second.
     for window_ms in (0.0, 1000.0):
