Submit no load on spread tables when a shutdown gives up the one before it

A load that waited for an earlier one of its key could be sent to an engine after the open requests were ended.

Cause: ScatterService.give_up answers the loads without a part, and the end of a load submits the next of its key if that is announced. The second load then has a part and is not given up.

Evidence: the new test, with a first load that is not announced and a second that is, failed before: one part submitted, the second load unanswered.

Change: give_up empties the queues of the keys first; all loads without a part are answered in the same call, so none waits for its turn.

--- a/frostspindle/scatter/service.py
+++ b/frostspindle/scatter/service.py
@@ -613,6 +613,7 @@
 
     def give_up(self) -> None:
         """Answer the loads without a part in flight, at shutdown; the core answers the parts."""
+        self.key_queues.clear()  # the end of a load would submit the next one of its key
         for load in list(self.loads.values()):
             if load.part is None or load.result is not None:
                 self._finish_load(
--- a/tests/test_scatter_program.py
+++ b/tests/test_scatter_program.py
@@ -262,6 +262,19 @@
         self.scatter.client_disconnected(second)
         self.assertEqual(self.core.cancelled, self.core.submitted)
 
+    # Guards against: at a shutdown, the answer of a load submitted the next one of its key, which was sent to an engine.
+    async def test_giving_up_the_loads_at_shutdown_submits_none_of_them(self):
+        await self.begin()
+        with unittest.mock.patch.object(leases.SummaryHome, "on_load_announced", lambda *args: None):
+            self.submit(INSERT.format("x"), "load", 1, site="floor-1", key=5)
+            await self.run_callbacks()
+        self.submit(INSERT.format("x"), "load", 2, site="b", key=5)
+        await self.run_callbacks()
+        self.scatter.give_up()
+        statuses = {number: answer.status for number, answer in self.answers.items()}
+        self.assertEqual(statuses, {1: ResponseStatus.REJECTED, 2: ResponseStatus.REJECTED})
+        self.assertEqual((self.core.submitted, self.scatter.loads), ([], {}))
+
     async def test_without_the_home_no_load_is_sent_or_answered_unconfirmed(self):
         request = self.submit(INSERT.format("x"), "load", 1, site="b")
         await self.run_callbacks()
