Move the TDS client session out of the front into a module of its own

Change: net/tds/session.py has the session and its protocol, the front is reached by the interface SessionContext.

--- a/tests/test_scatter_program.py
+++ b/tests/test_scatter_program.py
@@ -262,7 +262,7 @@
         self.scatter.client_disconnected(second)
         self.assertEqual(self.core.cancelled, self.core.submitted)
 
-    # Guards against: at a shutdown, the answer of a load submitted the next one of its key, which was sent to an engine.
+    # Guards against: at a shutdown, the answer of a load submitted the next one of its key, which was then sent.
     async def test_giving_up_the_loads_at_shutdown_submits_none_of_them(self):
         await self.begin()
         with unittest.mock.patch.object(leases.SummaryHome, "on_load_announced", lambda *args: None):
--- a/tests/test_tds.py
+++ b/tests/test_tds.py
@@ -9,7 +9,7 @@
 import pytds
 from peers import LOAD, EdgeCase, TdsClient, TdsEngine, settings
 
-from frostspindle.net.tds import codec, driver, front
+from frostspindle.net.tds import codec, driver, session
 from frostspindle.policy import Health
 
 ROWS = codec.text_result(("name",), [("a",), ("b",)])
@@ -49,14 +49,14 @@
         for _, writer in silent:
             self.addCleanup(writer.close)
         await self.until(lambda: len(self.program.tds.sessions) == 2)
-        for session in self.program.tds.sessions.values():
-            session.waiting_since_s -= 1.0
+        for silent_session in self.program.tds.sessions.values():
+            silent_session.waiting_since_s -= 1.0
         client = await self.client()
         self.assertEqual((await client.query("SELECT 1")).tokens, ROWS)
         self.assertEqual((self.count("places_cleared"), self.count("sessions_refused")), (1, 0))
-        with unittest.mock.patch.object(front, "MESSAGE_TIMEOUT_S", 0.1):
+        with unittest.mock.patch.object(session, "MESSAGE_TIMEOUT_S", 0.1):
             client.writer.write(codec.packets(codec.BATCH, codec.batch("SELECT 2"))[:-3])
-            self.assertEqual(self.faults(codec.read_result((await client.message()).body)), [front.BAD_STREAM])
+            self.assertEqual(self.faults(codec.read_result((await client.message()).body)), [session.BAD_STREAM])
 
     async def test_idle_sessions_for_client_chosen_databases_are_removed(self):
         (engine,) = await self.start(1, '[[tds.login]]\nclass = "lookup"\n')
@@ -128,14 +128,14 @@
         (engine,) = await self.start()
         client = await self.client("loads")
         engine.script = lambda statement: codec.error(701, "no memory", 17) + codec.done(codec.DONE_ERROR)
-        self.assertEqual(self.faults(await client.query("INSERT")), [front.FAILED])
+        self.assertEqual(self.faults(await client.query("INSERT")), [session.FAILED])
         self.assertEqual(len(engine.statements), 1)
         engine.server.close()
         for connections in self.program.tds_driver._idle.values():
             while connections:
                 connections.pop().close()
         result = await client.query("INSERT")  # no connection: nothing ran, so a rejection is safe
-        self.assertEqual(self.faults(result), [front.REFUSED])
+        self.assertEqual(self.faults(result), [session.REFUSED])
         self.assertRegex(result.errors[0].text, r"Retry the request after [0-9.]+ seconds")
         self.assertEqual((self.count("failed"), self.count("refused")), (1, 1))
 
@@ -143,7 +143,7 @@
         (engine,) = await self.start()
         engine.script = lambda statement: "hang"
         client = await self.client("loads")
-        self.assertEqual(self.faults(await client.query("INSERT slow")), [front.FAILED])
+        self.assertEqual(self.faults(await client.query("INSERT slow")), [session.FAILED])
         await engine.until(lambda: engine.attentions == 1)
         client.ask("INSERT again")
         await engine.until(lambda: len(engine.statements) == 2)
@@ -184,7 +184,7 @@
         for engine in engines:
             engine.script = lambda statement: "cut"
         client = await self.client("loads")
-        self.assertEqual(self.faults(await client.query("INSERT")), [front.FAILED])
+        self.assertEqual(self.faults(await client.query("INSERT")), [session.FAILED])
         self.assertEqual(sum(len(e.statements) for e in engines), 1)
         self.assertEqual((self.count("failed"), self.count("sent")), (1, 1))
 
@@ -233,8 +233,8 @@
         for number in range(0, 60, 3):
             self.assertLessEqual(sent.count(f"-- {number}"), 1, "a load is sent at most once")
         served = sum(answer == "rows" for answer in answers.values())
-        refused = sum(answer == [front.REFUSED] for answer in answers.values())
-        failed = sum(answer == [front.FAILED] for answer in answers.values())
+        refused = sum(answer == [session.REFUSED] for answer in answers.values())
+        failed = sum(answer == [session.FAILED] for answer in answers.values())
         self.assertEqual(served + refused + failed, 60)
         self.assertGreater(min(served, failed), 0, "some requests failed, but not all")
         self.assertEqual(
@@ -256,7 +256,7 @@
             client = await self.client()
             client.writer.write(bad)
             result = codec.read_result((await client.message()).body)
-            self.assertEqual(self.faults(result), [front.BAD_STREAM])
+            self.assertEqual(self.faults(result), [session.BAD_STREAM])
             with self.assertRaises(EOFError):
                 await client.message()
         self.assertEqual((await good.query("SELECT 1")).tokens, ROWS)
@@ -271,24 +271,24 @@
         client = await self.client()
         for kind in (codec.RPC, codec.BULK, codec.MANAGER):
             client.writer.write(codec.packets(kind, b"\x00" * 20))
-            self.assertEqual(self.faults(codec.read_result((await client.message()).body)), [front.UNSUPPORTED])
+            self.assertEqual(self.faults(codec.read_result((await client.message()).body)), [session.UNSUPPORTED])
         self.assertEqual((await client.query("SELECT 1")).tokens, ROWS)
         second = TdsClient(self.program.tds.port)
         second.reader, second.writer = await asyncio.open_connection("127.0.0.1", second.port)
-        self.assertEqual(self.faults(codec.read_result((await second.message()).body)), [front.TOO_MANY])
+        self.assertEqual(self.faults(codec.read_result((await second.message()).body)), [session.TOO_MANY])
         client.writer.close()
         async with asyncio.timeout(30.0):
             while self.program.tds.sessions:
                 await asyncio.sleep(0)
         stranger = await TdsClient(self.program.tds.port).open("elsewhere")
-        self.assertEqual(self.faults(stranger.result), [front.LOGIN_FAILED])
+        self.assertEqual(self.faults(stranger.result), [session.LOGIN_FAILED])
 
     async def test_malformed_responses_and_too_long_results_fail(self):
         (engine,) = await self.start(1, "max_result_bytes = 2000")
         client = await self.client("loads")
         for answer in (b"\x00garbage", ROWS[:-3], b"\xd1" + ROWS, ROWS + b"\xaa"):
             engine.script = lambda statement, a=answer: a
-            self.assertEqual(self.faults(await client.query("INSERT")), [front.FAILED])
+            self.assertEqual(self.faults(await client.query("INSERT")), [session.FAILED])
         self.assertEqual(self.count("engine_bad_replies"), 4)
         engine.script = lambda statement: codec.text_result(("a",), [("x" * 100,)] * 30)
         self.assertEqual(self.faults(await client.query("INSERT")), [50003])
