Refuse TDS batches at the end of a shutdown, and close their sessions without losing one

Cause: the TDS front had no counterpart of HttpFront.finish. It went on reading and submitting batches after the open requests had been ended, and its close cancelled all sessions 0.1 to 0.4 s later, also those with a batch that was partly read or unread.

Change: the front refuses log-ins and batches from the end of the accept period on and ends their sessions; the shutdown waits for running and partly read batches; sessions are closed in three steps, beside HTTP's connections. It works because what is read late is answered at once and never submitted, and what is not read before the sending side is shut down never reaches the core.

--- a/frostspindle/components/base.py
+++ b/frostspindle/components/base.py
@@ -71,8 +71,22 @@
     def on_stopping(self) -> None:
         """Start releasing leases and tasks; requests are still accepted and answered for a short time."""
 
+    def stop_accepting(self) -> None:
+        """Reject requests from now on, at shutdown; the open ones are still answered."""
+
+    @property
+    def has_unfinished_work(self) -> bool:
+        """Return whether the part's clients still send requests or are sent responses; the shutdown waits for them."""
+        return False
+
+    def finish(self) -> None:
+        """Reject partly received requests; the core is about to fail the open ones."""
+
     def abandon_requests(self) -> None:
         """Abandon the part's work for open requests, just before the core fails them."""
 
+    async def close_clients(self, until_s: float) -> None:
+        """Let the part's clients read their responses, until `until_s` (loop time) at most, then close them."""
+
     async def stop(self) -> None:
         """Release all resources of the part."""
--- a/frostspindle/components/tds.py
+++ b/frostspindle/components/tds.py
@@ -82,6 +82,23 @@
         """Stop listening, as a successor accepts."""
         self.front.leave()
 
+    def stop_accepting(self) -> None:
+        """Refuse log-ins and batches: TDS has no other way to tell clients of the end."""
+        self.front.stop_accepting()
+
+    @property
+    def has_unfinished_work(self) -> bool:
+        """Return whether a batch runs or is partly received, or a response is not sent completely."""
+        return self.front.has_unfinished_work
+
+    def finish(self) -> None:
+        """Refuse partly received batches."""
+        self.front.finish()
+
+    async def close_clients(self, until_s: float) -> None:
+        """Close all sessions, once their clients have read their responses."""
+        await self.front.close(until_s)
+
     async def stop(self) -> None:
         """Close the front, then the driver."""
         await self.front.close()
--- a/frostspindle/net/tds/session.py
+++ b/frostspindle/net/tds/session.py
@@ -3,6 +3,10 @@
 Retries and routing are decided by the core. Each batch gets exactly one final response. Encryption is not supported,
 which the PRELOGIN response states.
 
+A session is closed in three steps, so that no response is lost and no batch that was read stays unanswered: the sending
+side is shut down, only while no message is queued, partly received or unread and no batch runs; further input is read
+and discarded; then the connection is closed.
+
 Numbers of the ERROR tokens: REFUSED is the documented transient error of a busy service, with the delay in its text;
 FAILED means that the batch may have run; the others name unsupported or invalid input.
 """
@@ -25,6 +29,8 @@
 READ_BYTES = 16 * 1024
 MESSAGE_TIMEOUT_S = 2.4  # from a message's first byte until it is complete, as for HTTP clients
 SEND_TIMEOUT_S = 30.0  # the session of a client that does not read is closed
+LINGER_TIMEOUT_S = 1.0  # how long input is read and discarded after the sending side was shut down
+UNREAD_RESPONSE_TIMEOUT_S = 5.0  # the same while the client has not read its last response
 MAX_QUEUED_MESSAGES = 16  # ahead of their responses
 DEFAULT_RETRY_AFTER_MS = 100.0  # in a rejection for which the core has no delay
 _UNSUPPORTED_MESSAGES = {
@@ -48,46 +54,166 @@
     def profile(self, login: codec.Login) -> TdsLogin | None:
         """Return the entry of the operator's file that matches a log-in, or None."""
 
+    @property
+    def accepts_requests(self) -> bool:
+        """Whether log-ins and batches are accepted; not at the end of a shutdown."""
+
     def next_ticket(self) -> str:
         """Return the ticket of a new request."""
 
 
+class ClientReader(asyncio.StreamReader):
+    """A stream reader that knows whether it holds bytes that its session has not read yet."""
+
+    def __init__(self) -> None:
+        super().__init__(limit=READ_BYTES)
+        self._unread_bytes = 0
+
+    @property
+    def has_unread(self) -> bool:
+        """Whether bytes were received and not read."""
+        return self._unread_bytes > 0
+
+    def feed_data(self, data: bytes) -> None:
+        """Add bytes from the socket."""
+        self._unread_bytes += len(data)
+        super().feed_data(data)
+
+    async def read(self, n: int = -1) -> bytes:
+        """Return up to `n` bytes; empty at the end of the stream."""
+        data = await super().read(n)
+        self._unread_bytes -= len(data)
+        return data
+
+
 class ClientSession:
     """One client's connection: its log-in, and its batches, one at a time."""
 
-    def __init__(self, front: SessionContext, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    def __init__(self, front: SessionContext, reader: ClientReader, writer: asyncio.StreamWriter) -> None:
         self.front, self.reader, self.writer = front, reader, writer
+        self.loop = asyncio.get_running_loop()
         self.splitter = codec.PacketReassembler(front.tds.max_batch_bytes)
         self.messages: list[codec.Message] = []
         self.packet = codec.DEFAULT_PACKET_BYTES
         self.profile: TdsLogin | None = None
         self.database = ""
         self.login: codec.Login | None = None
-        self.waiting_since_s = asyncio.get_running_loop().time()  # loop time since which it waits for its client
+        self.waiting_since_s = self.loop.time()  # loop time since which it waits for its client
         self.busy = False  # a batch is running
         self.ticket = ""  # of the last batch
+        self.is_ending = False  # the sending side was shut down; input is discarded
         self.socket_watch = SocketWatch(writer.transport)
+        self._message_began_s: float | None = None  # loop time at which a partial message was first seen
+        self._last_active_s = self.waiting_since_s  # loop time of the shutdown of the sending side, or of later input
+        self._linger_timer: asyncio.TimerHandle | None = None
 
     async def message(self) -> codec.Message | None:
-        """Return the next message, or None at the end of the stream."""
-        began_s: float | None = None
+        """Return the next message, or None at the end of the stream or after the sending side was shut down."""
         while not self.messages:
-            if self.splitter.is_partial and began_s is None:
-                began_s = asyncio.get_running_loop().time()
-            try:
-                async with asyncio.timeout_at(began_s + MESSAGE_TIMEOUT_S if began_s is not None else None) as limit:
-                    data = await self.reader.read(READ_BYTES)
-            except TimeoutError:
-                if limit.expired():
-                    raise codec.ProtocolError("a message did not come in time") from None
-                raise
-            if not data:
+            data = await self._read()
+            if not data or self.is_ending:
                 return None
             self.messages += self.splitter.feed(data)
             if len(self.messages) > MAX_QUEUED_MESSAGES:
                 raise codec.ProtocolError("too many messages ahead of their answers")
+        self._message_began_s = None
         return self.messages.pop(0)
 
+    async def _read(self) -> bytes:
+        """Return the next bytes; raise ProtocolError if a partial message is not completed in time."""
+        if not self.splitter.is_partial:
+            self._message_began_s = None
+        elif self._message_began_s is None:
+            self._message_began_s = self.loop.time()
+        began_s = self._message_began_s
+        try:
+            async with asyncio.timeout_at(began_s + MESSAGE_TIMEOUT_S if began_s is not None else None) as limit:
+                return await self.reader.read(READ_BYTES)
+        except TimeoutError:
+            if limit.expired():
+                raise codec.ProtocolError("a message did not come in time") from None
+            raise
+
+    # What the session waits for, and its end.
+
+    def has_unread(self) -> bool:
+        """Return whether bytes from the client are unread, here or in the socket."""
+        return self.reader.has_unread or self.socket_watch.has_unread()
+
+    def has_input(self) -> bool:
+        """Return whether a message is queued, partly received or unread."""
+        return bool(self.messages) or self.splitter.is_partial or self.has_unread()
+
+    def has_unsent(self) -> bool:
+        """Return whether a response for a slow client is still buffered."""
+        return self.writer.transport.get_write_buffer_size() > 0
+
+    def has_batch_pending(self) -> bool:
+        """Return whether a batch runs or may be unread, in a session that was not ended."""
+        return not self.is_ending and (self.busy or self.has_input())
+
+    def is_quiescent(self, before_s: float) -> bool:
+        """Return whether it was ended before `before_s` (loop time), its responses sent, and no input came after."""
+        return self.is_ending and self._last_active_s < before_s and not self.has_unsent() and not self.has_unread()
+
+    def end(self) -> None:
+        """Shut down the sending side; input is read and discarded until the client closes, or for the linger time.
+
+        Closing with unread bytes would reset the connection and could lose the last response.
+        """
+        if self.is_ending:
+            return
+        self.is_ending = True
+        self._last_active_s = self.loop.time()
+        self._linger_timer = self.loop.call_later(LINGER_TIMEOUT_S, self._on_linger_timeout, self._last_active_s)
+        try:
+            self.writer.write_eof()
+        except OSError:  # the client has already closed
+            self.writer.transport.abort()
+
+    def refuse(self, number: int, text: str, severity: int = 16) -> None:
+        """Write an ERROR token as the session's last response, and end the session."""
+        if self.is_ending:
+            return
+        self.writer.write(self._error_packets(number, text, severity))
+        self.end()
+
+    def finish(self) -> None:
+        """End the session at shutdown, unless a batch runs or input is unread; these come first."""
+        if self.is_ending or self.busy or self.messages or self.has_unread():
+            return
+        if self.splitter.is_partial:
+            self.refuse_late()
+        else:
+            self.end()
+
+    def refuse_late(self) -> None:
+        """Refuse a log-in or a batch that comes too late, and end the session."""
+        if self.profile is None:
+            self.refuse(TOO_MANY, "The service takes no new sessions now", 20)
+            return
+        self.front.telemetry.count("full", FRONT, self.profile.cls)
+        self.refuse(REFUSED, _busy(DEFAULT_RETRY_AFTER_MS))
+
+    def _on_linger_timeout(self, ended_s: float) -> None:
+        if self.has_unsent() and self.loop.time() < ended_s + UNREAD_RESPONSE_TIMEOUT_S:
+            self._linger_timer = self.loop.call_later(LINGER_TIMEOUT_S, self._on_linger_timeout, ended_s)
+            return
+        self.writer.transport.abort()
+
+    async def linger(self) -> None:
+        """Read and discard input until the client closes or the linger time is over."""
+        while await self.reader.read(READ_BYTES):
+            self._last_active_s = self.loop.time()
+
+    def close(self) -> None:
+        """Close the connection."""
+        if self._linger_timer is not None:
+            self._linger_timer.cancel()
+        self.writer.close()
+
+    # Messages.
+
     def waits_for_answer(self) -> bool:
         """Return whether the client still waits for the response to its batch.
 
@@ -103,9 +229,13 @@
         async with asyncio.timeout(SEND_TIMEOUT_S):
             await self.writer.drain()
 
-    async def fail(self, number: int, text: str, severity: int = 16) -> None:
+    async def fail(self, number: int, text: str) -> None:
         """Send an ERROR token as the whole response."""
-        await self.send(codec.error(number, text, severity) + codec.done(codec.DONE_ERROR))
+        await self.send(codec.error(number, text) + codec.done(codec.DONE_ERROR))
+
+    def _error_packets(self, number: int, text: str, severity: int) -> bytes:
+        tokens = codec.error(number, text, severity) + codec.done(codec.DONE_ERROR)
+        return codec.packets(codec.RESULT, tokens, self.packet)
 
     async def run(self) -> None:
         """Log the client in and answer its messages until the session ends."""
@@ -117,27 +247,32 @@
         except TimeoutError:
             front.telemetry.count("login_timeouts", FRONT)
             return
-        while True:
-            try:
-                async with asyncio.timeout(front.tds.idle_ms / 1000.0):
-                    message = await self.message()
-            except TimeoutError:
-                front.telemetry.count("idle_sessions", FRONT)
-                return
-            if message is None:
-                return
-            if message.kind == codec.ATTENTION:
-                await self.send(codec.done(codec.DONE_ATTN))
-            elif message.status & codec.IGNORE:
-                await self.send(codec.done())  # the client cancelled the message while sending it
-            elif message.kind == codec.BATCH:
-                if not await self._batch(codec.read_batch(message.body)):
-                    return
-            elif message.kind in _UNSUPPORTED_MESSAGES:
-                front.telemetry.count("not_taken", FRONT)
-                await self.fail(UNSUPPORTED, _UNSUPPORTED_MESSAGES[message.kind])
-            else:
-                raise codec.ProtocolError(f"a message of type {message.kind} after the log-in")
+        while (message := await self._next_message()) is not None:
+            await self._handle(message)
+
+    async def _next_message(self) -> codec.Message | None:
+        """Return the next message; None at the end of the stream, and once the session was idle for too long."""
+        try:
+            async with asyncio.timeout(self.front.tds.idle_ms / 1000.0):
+                return await self.message()
+        except TimeoutError:
+            self.front.telemetry.count("idle_sessions", FRONT)
+            self.end()
+            return None
+
+    async def _handle(self, message: codec.Message) -> None:
+        """Answer one message after the log-in; raise ProtocolError for one that may not come there."""
+        if message.kind == codec.ATTENTION:
+            await self.send(codec.done(codec.DONE_ATTN))
+        elif message.status & codec.IGNORE:
+            await self.send(codec.done())  # the client cancelled the message while sending it
+        elif message.kind == codec.BATCH:
+            await self._batch(codec.read_batch(message.body))
+        elif message.kind in _UNSUPPORTED_MESSAGES:
+            self.front.telemetry.count("not_taken", FRONT)
+            await self.fail(UNSUPPORTED, _UNSUPPORTED_MESSAGES[message.kind])
+        else:
+            raise codec.ProtocolError(f"a message of type {message.kind} after the log-in")
 
     async def _log_in(self) -> bool:
         message = await self.message()
@@ -160,11 +295,14 @@
             return False
         if message.kind != codec.LOGIN7:
             raise codec.ProtocolError(f"a message of type {message.kind} in place of a log-in")
+        if not self.front.accepts_requests:
+            self.refuse_late()
+            return False
         login = codec.read_login(message.body)
         self.profile = self.front.profile(login)
         if self.profile is None:
             self.front.telemetry.count("logins_refused", FRONT)
-            await self.fail(
+            self.refuse(
                 LOGIN_FAILED,
                 f"Login failed for user '{login.user}': no entry for application "
                 f"'{login.application}' and database '{login.database}'",
@@ -178,21 +316,24 @@
         self.packet = login.packet  # applies from the next message on
         return True
 
-    async def _batch(self, statement: str) -> bool:
-        """Run one batch and send its final response; return False if the client has disconnected."""
+    async def _batch(self, statement: str) -> None:
+        """Run one batch and send its final response, unless the client disconnects."""
+        if not self.front.accepts_requests:
+            self.refuse_late()
+            return
+        if not statement.strip():
+            await self.send(codec.done())
+            return
         self.busy = True
         try:
-            return await self._run_batch(statement)
+            await self._run_batch(statement)
         finally:
-            self.busy, self.waiting_since_s = False, asyncio.get_running_loop().time()
+            self.busy, self.waiting_since_s = False, self.loop.time()
 
-    async def _run_batch(self, statement: str) -> bool:
+    async def _run_batch(self, statement: str) -> None:
         front, profile = self.front, self.profile
         assert profile is not None
-        if not statement.strip():
-            await self.send(codec.done())
-            return True
-        answered: asyncio.Future[Response] = asyncio.get_running_loop().create_future()
+        answered: asyncio.Future[Response] = self.loop.create_future()
 
         def on_response(answer: Response) -> None:
             if not answered.done():
@@ -218,7 +359,7 @@
             request.tenant = front.tenant(self.login, peer[0], statement)
         if not front.core.submit(request):
             await self.fail(REFUSED, _busy(DEFAULT_RETRY_AFTER_MS))
-            return True
+            return
         next_message = asyncio.ensure_future(self.message())  # an Attention, or the end of the stream
         try:
             await asyncio.wait((answered, next_message), return_when=asyncio.FIRST_COMPLETED)
@@ -226,19 +367,15 @@
                 front.core.client_disconnected(request)
                 message = next_message.result()
                 if message is None:
-                    return False
+                    return
                 if message.kind != codec.ATTENTION:
                     raise codec.ProtocolError("a message before the answer to the one ahead; MARS is not spoken")
                 await self.send(codec.done(codec.DONE_ATTN))
-                return True
+                return
             # The next message, if there is one, is handled after this response.
             await self._answer(answered.result())
-            if next_message.done():
-                message = next_message.result()
-                if message is None:
-                    return False
+            if next_message.done() and (message := next_message.result()) is not None:
                 self.messages.insert(0, message)
-            return True
         except BaseException:
             if not answered.done():
                 front.core.client_disconnected(request)
--- a/frostspindle/program.py
+++ b/frostspindle/program.py
@@ -293,6 +293,8 @@
         for component in self.components:
             component.on_stopping()
         await asyncio.sleep(started_s + plan.accept_until_s - clock())
+        for component in self.components:
+            component.stop_accepting()
         while clock() < started_s + plan.answer_by_s and self._has_unfinished_work:
             await asyncio.sleep(DRAIN_POLL_INTERVAL_S)
         await self._finish_requests()
@@ -318,6 +320,7 @@
             or self.platform.unfetched_responses
             or self.platform.is_receiving_request
             or self._has_unsent_responses
+            or any(component.has_unfinished_work for component in self.components)
         )
 
     @property
@@ -328,6 +331,8 @@
     async def _finish_requests(self) -> None:
         """Answer the requests that are still open, and give the responses time to be sent."""
         self.platform.finish()
+        for component in self.components:
+            component.finish()
         await asyncio.sleep(DRAIN_POLL_INTERVAL_S)  # the core handles the requests received so far
         for component in self.components:
             component.abandon_requests()
@@ -335,7 +340,9 @@
         await asyncio.sleep(RESPONSE_FLUSH_S)
 
     async def _close(self, exit_at_s: float) -> None:
-        await self.platform.close(exit_at_s)
+        await asyncio.gather(
+            self.platform.close(exit_at_s), *(component.close_clients(exit_at_s) for component in self.components)
+        )
         await self.components.stop(Phase.WITH_CORE)
         await self.driver.close()
         await self.components.stop(Phase.WITH_ENGINES)
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import inspect
 import json
 import math
 import tempfile
@@ -16,7 +17,7 @@
 from aiohttp import web
 
 from frostspindle import config as configuration
-from frostspindle.net.tds import codec
+from frostspindle.net.tds import codec, session
 from frostspindle.program import Program
 
 LOOKUP, LOAD = "lookup", "load"
@@ -207,7 +208,7 @@
 
 
 class TdsEngine:
-    """A scripted TDS engine; `script(statement)` returns tokens, "hang", "cut" (mid-stream) or "kill"."""
+    """A scripted TDS engine; `script(statement)` returns tokens, "hang", "cut" (mid-stream), "kill", or awaits one."""
 
     def __init__(self) -> None:
         self.statements: list[str] = []
@@ -237,6 +238,8 @@
                     else:
                         self.statements.append(codec.read_batch(message.body))
                         out = self.script(self.statements[-1])
+                        if inspect.isawaitable(out):
+                            out = await out
                     self.news.set()
                     if out == "cut":
                         whole = codec.packets(codec.RESULT, codec.text_result(("name",), [("x" * 50,)] * 9))
@@ -389,3 +392,37 @@
 
     def count(self, counter: str) -> int:
         return sum(n for (name, _, _), n in self.program.telemetry.counts.items() if name == counter)
+
+
+class TdsCase(EdgeCase):
+    """A coordinator with TDS engines and clients."""
+
+    async def start(self, count: int = 1, more: str = "", **kw):
+        self.peers = [await TdsEngine().start() for _ in range(count)]
+        for peer in self.peers:
+            self.addCleanup(peer.server.close)
+        await self.coordinator(operator=self.file(more), **kw)
+        return self.peers
+
+    def file(self, more: str = "", *states: str) -> str:
+        engines = "".join(
+            f'[[tds.engine]]\nname = "t{i}"\ndial = "127.0.0.1:{peer.port}"\n'
+            f'state = "{states[i] if states else "active"}"\n'
+            for i, peer in enumerate(self.peers)
+        )
+        return (
+            f'[tds]\nlisten = "127.0.0.1:0"\n{more}\n'
+            '[[tds.login]]\ndatabase = "loads"\nclass = "load"\ndeadline_ms = 900\ncost_ms = 50\n'
+            '[[tds.login]]\ndatabase = "calls"\nclass = "lookup"\ndeadline_ms = 3000\ncost_ms = 50\n' + engines
+        )
+
+    async def client(self, database: str = "calls") -> TdsClient:
+        client = await TdsClient(self.program.tds.port).open(database)
+        self.addCleanup(client.writer.close)
+        return client
+
+    async def assert_refused_and_ended(self, client: TdsClient) -> None:
+        """Check that the client's next message is the error that allows a retry, and the session's last one."""
+        result = codec.read_result((await client.message()).body)
+        self.assertEqual([fault.number for fault in result.errors], [session.REFUSED])
+        self.assertEqual(await asyncio.wait_for(client.reader.read(), 5.0), b"")
--- a/tests/test_tds.py
+++ b/tests/test_tds.py
@@ -7,7 +7,7 @@
 import unittest.mock
 
 import pytds
-from peers import LOAD, EdgeCase, TdsClient, TdsEngine, settings
+from peers import LOAD, TdsCase, TdsClient, settings
 
 from frostspindle.net.tds import codec, driver, session
 from frostspindle.policy import Health
@@ -15,31 +15,7 @@
 ROWS = codec.text_result(("name",), [("a",), ("b",)])
 
 
-class TdsSessions(EdgeCase):
-    async def start(self, count: int = 1, more: str = "", **kw):
-        self.peers = [await TdsEngine().start() for _ in range(count)]
-        for peer in self.peers:
-            self.addCleanup(peer.server.close)
-        await self.coordinator(operator=self.file(more), **kw)
-        return self.peers
-
-    def file(self, more: str = "", *states: str) -> str:
-        engines = "".join(
-            f'[[tds.engine]]\nname = "t{i}"\ndial = "127.0.0.1:{peer.port}"\n'
-            f'state = "{states[i] if states else "active"}"\n'
-            for i, peer in enumerate(self.peers)
-        )
-        return (
-            f'[tds]\nlisten = "127.0.0.1:0"\n{more}\n'
-            '[[tds.login]]\ndatabase = "loads"\nclass = "load"\ndeadline_ms = 900\ncost_ms = 50\n'
-            '[[tds.login]]\ndatabase = "calls"\nclass = "lookup"\ndeadline_ms = 3000\ncost_ms = 50\n' + engines
-        )
-
-    async def client(self, database: str = "calls") -> TdsClient:
-        client = await TdsClient(self.program.tds.port).open(database)
-        self.addCleanup(client.writer.close)
-        return client
-
+class TdsSessions(TdsCase):
     def faults(self, result: codec.Result) -> list[int]:
         return [fault.number for fault in result.errors]
 
