Refuse TDS batches late in a drain, and cut off no batch that is partly read

A TDS session that never rests for 0.3 s stayed through a whole drain, upgrade or restart of a worker; a client whose batch was partly read or unread had its session closed without an answer, by a drain, by the idle time or for a new session.

Cause: a drain looked only for sessions that had rested for 0.3 s, counted from the last answer, whatever had come since; the same measure decided which session is closed for a new one, and the idle time ran on within a batch.

Change: log-ins and batches are refused 1.8 s after the drain began, as docs/draining.md says, and their sessions ended; one definition of a resting session, with nothing at work, queued, partly read or unread, serves all three places.

--- a/frostspindle/net/tds/front.py
+++ b/frostspindle/net/tds/front.py
@@ -1,7 +1,7 @@
 """The TDS front: its listening socket, the sessions of its clients, their logins and limits, drains and shutdown.
 
-A drain ends sessions that rest, and after DRAIN_ACCEPT_S refuses new ones. At a shutdown log-ins and batches are
-refused from `stop_accepting` on, and `close` ends all sessions.
+A drain ends sessions that rest, and after DRAIN_ACCEPT_S refuses log-ins and batches, which ends the sessions that
+never rest. At a shutdown they are refused from `stop_accepting` on, and `close` ends all sessions.
 """
 
 from __future__ import annotations
@@ -19,7 +19,7 @@
 from frostspindle.telemetry import Telemetry
 
 DRAIN_IDLE_S = 0.3  # how long a session may rest while draining
-DRAIN_ACCEPT_S = 1.8  # how long new sessions are accepted while draining
+DRAIN_ACCEPT_S = 1.8  # how long log-ins and batches are accepted while draining
 CLOSE_GRACE_S = 0.3  # at shutdown, how long to wait for clients that still send
 QUIET_S = 0.04  # a client that sent nothing for this long has finished
 FINAL_PASSES = 5  # over the sessions after the grace period, to answer late batches
@@ -95,7 +95,7 @@
     @property
     def accepts_requests(self) -> bool:
         """Whether log-ins and batches are accepted."""
-        return not self._is_stopping
+        return not self._is_stopping and asyncio.get_running_loop().time() - self._drained_at_s <= DRAIN_ACCEPT_S
 
     @property
     def has_unfinished_work(self) -> bool:
@@ -103,12 +103,12 @@
         return any(session.has_batch_pending() or session.has_unsent() for session in self.sessions.values())
 
     def drain(self) -> None:
-        """Begin a drain: end sessions between batches, and refuse new ones after DRAIN_ACCEPT_S."""
+        """Begin a drain: end sessions between batches, and refuse log-ins and batches after DRAIN_ACCEPT_S."""
         self._drained_at_s = min(self._drained_at_s, asyncio.get_running_loop().time())
         self._sweep()
 
     def resume(self) -> None:
-        """End a drain: keep resting sessions and accept new ones again."""
+        """End a drain: keep resting sessions and accept log-ins and batches again."""
         self._drained_at_s = math.inf
 
     def stop_accepting(self) -> None:
@@ -126,7 +126,7 @@
         loop = asyncio.get_running_loop()
         self._sweep_timer = loop.call_later(DRAIN_IDLE_S, self._sweep)
         for session in list(self.sessions.values()):
-            if not session.busy and not session.is_ending and loop.time() - session.waiting_since_s > DRAIN_IDLE_S:
+            if session.is_resting() and loop.time() - session.waiting_since_s > DRAIN_IDLE_S:
                 session.end()
 
     def leave(self) -> None:
@@ -183,7 +183,7 @@
         session = ClientSession(self, reader, writer)
         self.sessions[task] = session
         try:
-            if not self.accepts_requests or session.waiting_since_s - self._drained_at_s > DRAIN_ACCEPT_S:
+            if not self.accepts_requests:
                 session.refuse_late()
             elif len(self.sessions) > self.tds.max_sessions and not self._make_room(session):
                 self.telemetry.count("sessions_refused", FRONT)
@@ -220,8 +220,10 @@
         """Return whether a session may be closed for a new one."""
         if session.is_ending:
             return not session.has_unsent()
-        least_idle_s = CLEAR_BEFORE_LOGIN_S if session.profile is None else CLEAR_IDLE_S
-        return not session.busy and now_s - session.waiting_since_s > least_idle_s
+        rested_s = now_s - session.waiting_since_s
+        if session.profile is None:
+            return rested_s > CLEAR_BEFORE_LOGIN_S
+        return session.is_resting() and rested_s > CLEAR_IDLE_S
 
     async def _run_guarded(self, session: ClientSession) -> None:
         """Run a session; a fault ends it, with an ERROR token if one can still be written."""
--- a/frostspindle/net/tds/session.py
+++ b/frostspindle/net/tds/session.py
@@ -56,7 +56,7 @@
 
     @property
     def accepts_requests(self) -> bool:
-        """Whether log-ins and batches are accepted; not at the end of a shutdown."""
+        """Whether log-ins and batches are accepted; not late in a drain, and not at the end of a shutdown."""
 
     def next_ticket(self) -> str:
         """Return the ticket of a new request."""
@@ -144,6 +144,10 @@
         """Return whether a message is queued, partly received or unread."""
         return bool(self.messages) or self.splitter.is_partial or self.has_unread()
 
+    def is_resting(self) -> bool:
+        """Return whether the session waits for its client, which has sent nothing since its last response."""
+        return not self.busy and not self.is_ending and not self.has_input()
+
     def has_unsent(self) -> bool:
         """Return whether a response for a slow client is still buffered."""
         return self.writer.transport.get_write_buffer_size() > 0
@@ -188,7 +192,7 @@
             self.end()
 
     def refuse_late(self) -> None:
-        """Refuse a log-in or a batch that comes too late, and end the session."""
+        """Refuse a log-in or a batch that comes too late in a drain or a shutdown, and end the session."""
         if self.profile is None:
             self.refuse(TOO_MANY, "The service takes no new sessions now", 20)
             return
@@ -252,13 +256,16 @@
 
     async def _next_message(self) -> codec.Message | None:
         """Return the next message; None at the end of the stream, and once the session was idle for too long."""
-        try:
-            async with asyncio.timeout(self.front.tds.idle_ms / 1000.0):
-                return await self.message()
-        except TimeoutError:
-            self.front.telemetry.count("idle_sessions", FRONT)
-            self.end()
-            return None
+        while True:
+            try:
+                async with asyncio.timeout(self.front.tds.idle_ms / 1000.0):
+                    return await self.message()
+            except TimeoutError:
+                if self.has_input():
+                    continue  # a message is being received, for which MESSAGE_TIMEOUT_S applies
+                self.front.telemetry.count("idle_sessions", FRONT)
+                self.end()
+                return None
 
     async def _handle(self, message: codec.Message) -> None:
         """Answer one message after the log-in; raise ProtocolError for one that may not come there."""
