Refuse an operator's resume once the program ends

After resume in a shutdown the HTTP front accepted requests and kept its connections again, even after it had been told to finish, and an old process of an upgrade no longer sent its clients to the new one.

Cause: a shutdown uses the fronts' drain, and resume ended a drain whoever had begun it; a supervisor passed it on to workers that were ending.

Evidence: two new tests, which failed before (ACK, and the drain was over).

Change: from SIGTERM on resume is answered NAK by process and supervisor, and a worker that ends ignores the page's. Measured: test_shutdown_requests, test_cores and test_operator pass.

--- a/frostspindle/cores/link.py
+++ b/frostspindle/cores/link.py
@@ -189,7 +189,7 @@
     def _apply_draining(self, draining: bool) -> None:
         if draining:
             self.program.drain()
-        else:
+        elif not self.program.stopping.is_set():
             self.program.resume()
 
     # Callbacks of the core.
--- a/frostspindle/cores/operator_commands.py
+++ b/frostspindle/cores/operator_commands.py
@@ -71,6 +71,8 @@
         self._control.publish()
 
     def resume(self) -> None:
-        """End a drain: all workers accept and keep client connections again."""
+        """End a drain: all workers accept and keep client connections again. Raise OperatorError during shutdown."""
+        if self._is_stopping():
+            raise OperatorError("the program ends")
         self._control.page.draining = False
         self._control.publish()
--- a/frostspindle/program.py
+++ b/frostspindle/program.py
@@ -247,7 +247,9 @@
             component.drain()
 
     def resume(self) -> None:
-        """Stop draining the HTTP and TDS fronts."""
+        """Stop draining the HTTP and TDS fronts. Raise OperatorError during shutdown, which sends clients away."""
+        if self.stopping.is_set():
+            raise OperatorError("the program ends")
         self.platform.resume()
         for component in self.components:
             component.resume()
--- a/tests/test_shutdown_requests.py
+++ b/tests/test_shutdown_requests.py
@@ -5,11 +5,15 @@
 """
 
 import asyncio
+from types import SimpleNamespace
 
 from peers import LOAD, LOOKUP, SQL, EdgeCase, host
 
 from frostspindle.core import ClientRequest, ResponseStatus, clock
+from frostspindle.cores.link import SharedMemoryLink
+from frostspindle.cores.operator_commands import OperatorCommands
 from frostspindle.net.http.calls import FRONT
+from frostspindle.net.operator import OperatorError
 
 REQUESTS = 5
 
@@ -90,6 +94,26 @@
         self.core.fail_open_requests()
         await self.assert_all_rejected(2 * REQUESTS)
 
+    # Guards against: an operator's `resume` in a shutdown made the fronts keep clients and accept requests again.
+    async def test_resume_in_a_shutdown_is_refused_and_changes_nothing(self):
+        self.assertEqual((await self.call("GET", "/ping"))[0], 200)  # its connection serves the request below, too
+        self.program.stopping.set()
+        self.program.drain()
+        self.program.platform.finish()
+        self.assertEqual(await self.operate("resume"), ["NAK the program ends"])
+        SharedMemoryLink._apply_draining(SimpleNamespace(program=self.program), False)  # as by a supervisor's page
+        self.assertTrue(self.program.platform.draining)
+        self.assertEqual((await self.ask())[0], 503)
+        self.assertEqual((self.count("taken"), self.engine.of("POST")), (0, []))
+
+    # Guards against: the same with workers, to which the supervisor passes `resume` on.
+    async def test_supervisor_refuses_resume_in_a_shutdown(self):
+        control = SimpleNamespace(page=SimpleNamespace(draining=True), publish=lambda: None)
+        commands = OperatorCommands(None, control, None, None, lambda: True)
+        with self.assertRaisesRegex(OperatorError, "the program ends"):
+            commands.resume()
+        self.assertTrue(control.page.draining)
+
     # Guards against: requests submitted after the open ones were ended were sent, and cut off by the exit.
     async def test_requests_submitted_after_the_open_ones_were_ended_are_rejected_and_not_sent(self):
         self.core.fail_open_requests()
