Answer a poll finally if a worker that ends can't relay it any more

With workers, a poll that could not be relayed within the last tenths of a second of the coordinator was answered with its path, and the connection was closed.

Cause: the answer to a poll whose owner is not reachable counts on a next poll, which is not possible any more once this worker finishes.

Evidence: the new test failed before with 200 and the path.

Change: once the HTTP front was told to finish, such a poll is answered 502, as the request may have run.

--- a/frostspindle/cores/request_relay.py
+++ b/frostspindle/cores/request_relay.py
@@ -139,7 +139,10 @@
             call.reply(502, {"failure": "Failed"})
 
     async def _relay(self, call: PendingCall, owner_slot: int, method: bytes, url: bytes) -> None:
-        """Relay a call to its owner and pass on the reply; if there is none, have the client retry."""
+        """Relay a call to its owner and pass on the reply; if there is none, have the client retry.
+
+        Late in a shutdown the client could not retry, so its request counts as failed: it may have run.
+        """
         self._telemetry.count("relayed", FRONT)
         try:
             reply = await self._mesh.call(owner_slot, method, url)
@@ -147,6 +150,8 @@
             self._telemetry.log("worker_relay_failed", owner=owner_slot, error=str(error))
             if method == b"DELETE":
                 call.reply(503, {"failure": "Busy"})
+            elif self._front.is_finishing:
+                call.reply(502, {"failure": "Failed"})
             else:  # the next poll gets the owner's reply, or finds that the owner has died
                 call.reply(200, {"next": url.decode("latin-1")})
             return
--- a/frostspindle/net/platform.py
+++ b/frostspindle/net/platform.py
@@ -80,6 +80,7 @@
         self.connection_ended = self.registry.connection_ended
         self._sweeper: asyncio.TimerHandle | None = None
         self._drained_at = math.inf
+        self.is_finishing = False  # the open requests are about to be ended, and no path can be polled for long
         max_ms = core.settings.max_retry_after_ms
         self.retry_after_header = (
             f"Retry-After-Ms: {min(DEFAULT_RETRY_MS, max(1, int(max_ms))) if max_ms > 0 else DEFAULT_RETRY_MS}\r\n"
@@ -125,6 +126,7 @@
         """Accept nothing more, at shutdown; reject partly received requests."""
         self.listener.accept_queued()
         self._drained_at = -math.inf
+        self.is_finishing = True
         for client in list(self.clients):
             if client.state() == RECEIVING:
                 client.finish()
--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -4,8 +4,12 @@
 import secrets
 import socket
 from io import BytesIO
+from types import SimpleNamespace
 
-from frostspindle.cores.mesh import WorkerMesh
+import pytest
+
+from frostspindle.cores.mesh import WorkerMesh, WorkerUnavailableError
+from frostspindle.cores.request_relay import RequestRelay
 from frostspindle.telemetry import Telemetry
 
 
@@ -37,6 +41,28 @@
                 await self.changed.wait()
 
 
+class UnavailableMesh:
+    """A mesh whose other workers have all closed their connections."""
+
+    async def call(self, slot, method, url):
+        raise WorkerUnavailableError("closed")
+
+
+# Guards against: in a shutdown, a worker gave a path to poll to a client whose call it could not relay to a worker that
+# had ended before it, and closed the connection.
+@pytest.mark.parametrize(
+    ("is_finishing", "reply"),
+    [(False, (200, {"next": "/call/x/1"})), (True, (502, {"failure": "Failed"}))],
+)
+def test_get_that_cannot_be_relayed_gets_a_final_answer_once_the_worker_finishes(is_finishing, reply):
+    front = SimpleNamespace(is_finishing=is_finishing)
+    relay = RequestRelay(None, None, {}, None, UnavailableMesh(), front, Telemetry(sink=BytesIO()))
+    replies = []
+    call = SimpleNamespace(reply=lambda *answer: replies.append(answer))
+    asyncio.run(relay._relay(call, 1, b"GET", b"/call/x/1"))
+    assert replies == [reply]
+
+
 # Guards against: the owner of a request assumed that its client was connected, although the client had closed its
 # connection to another worker.
 def test_the_owner_abandons_a_relayed_call_whose_client_disconnects():
