Send no attempt once the end of the open requests is queued

A load that waited for a connection could be sent to an engine, and its client told at once that it may have run.

Cause: fail_open_requests queues its event, and until the core's task processes it, up to six polls later after a stall, drivers asked may_send and were allowed.

Evidence: the new test, which holds an attempt before its first byte, failed before.

Change: may_send withholds every attempt from fail_open_requests on, with a reason of its own in attempt_withheld.

--- a/frostspindle/core/attempts.py
+++ b/frostspindle/core/attempts.py
@@ -22,6 +22,7 @@
     WINDOW_OVER = "idempotency window over"
     CLIENT_LEFT = "client left"
     CLIENT_AWAY = "client away"  # may return
+    SHUTTING_DOWN = "shutting down"  # its request is about to be ended
     WORKER_LIMIT = "worker limit"  # imposed by other workers: a lease, a ban or a drain
 
 
--- a/frostspindle/core/core.py
+++ b/frostspindle/core/core.py
@@ -168,6 +168,8 @@
         engine = self.engines.get(attempt.engine)
         if attempt.is_finished or attempt.is_abandoned:
             return WithheldReason.ABANDONED
+        if self.is_shutting_down:
+            return WithheldReason.SHUTTING_DOWN
         if engine is None or not self.endpoints.accepts_attempts(engine):
             return WithheldReason.ENGINE_UNAVAILABLE
         if clock() > attempt.begin_by_ms:
--- a/tests/test_shutdown_requests.py
+++ b/tests/test_shutdown_requests.py
@@ -122,6 +122,19 @@
         self.submit(LOAD)
         await self.assert_all_rejected(2)
 
+    # Guards against: an attempt that waited for its connection was sent after its request's end had been queued.
+    async def test_attempt_is_not_sent_once_the_end_of_the_open_requests_is_queued(self):
+        release = asyncio.Event()
+        self.core.catch_up = release.wait  # drivers wait for it between the connection and the first byte
+        self.submit(LOAD)
+        await self.until(lambda: self.count("sent"))
+        self.core.fail_open_requests()
+        (entry,) = self.core.ledger.entries.values()
+        self.assertFalse(self.core.may_send(entry.attempts[0]))
+        release.set()
+        await self.until(lambda: self.responses and not self.core.ledger.entries)
+        self.assertEqual(self.engine.of("POST"), [])
+
     # Guards against: the end of the open requests overtook the gate's admission of a request, which was then sent.
     async def test_request_whose_admission_is_queued_when_the_open_ones_are_ended_is_rejected(self):
         gate = self.core.admission_gate = AdmissionGateStub()
