Log the end of open requests only if there are any; cut a TDS batch into steps

The test is right: an idle end has nothing to tell.

Change: the event is logged only with a request open or queued. ClientSession._run_batch, 60 lines, is cut into making the request, waiting, and confirming an Attention; no behaviour changed by that.

--- a/frostspindle/core/event_handlers.py
+++ b/frostspindle/core/event_handlers.py
@@ -212,8 +212,7 @@
         self._ledger.remove_if_complete(entry)
 
     def _on_shutdown_started(self, now: float, event: ShutdownStarted) -> None:
-        queued = sum(isinstance(queued_event, ClientRequest) for queued_event in self._dispatcher.inbox)
-        self._telemetry.log("open_requests_ended", open=len(self._ledger.unsettled), queued=queued)
+        self._log_shutdown()
         self._executor.execute(now, self._controller.end_all_requests(now))
         if self._hooks.admission_gate is not None:
             for number in self._hooks.admission_gate.close():
@@ -222,6 +221,13 @@
         for number in self._ledger.unsettled:
             self._ledger.respond(number, Response(ResponseStatus.REJECTED))
 
+    def _log_shutdown(self) -> None:
+        """Log how many requests are open, and how many are still queued here, unless there are none."""
+        unsettled_count = len(self._ledger.unsettled)
+        queued_count = sum(isinstance(event, ClientRequest) for event in self._dispatcher.inbox)
+        if unsettled_count or queued_count:
+            self._telemetry.log("open_requests_ended", open=unsettled_count, queued=queued_count)
+
     # Attempts.
 
     def _on_attempt_completed(self, now: float, event: AttemptCompleted) -> None:
--- a/frostspindle/net/tds/session.py
+++ b/frostspindle/net/tds/session.py
@@ -338,13 +338,39 @@
             self.busy, self.waiting_since_s = False, self.loop.time()
 
     async def _run_batch(self, statement: str) -> None:
+        answered: asyncio.Future[Response] = self.loop.create_future()
+        request = self._make_request(statement, answered)
+        if not self.front.core.submit(request):
+            await self.fail(REFUSED, _busy(DEFAULT_RETRY_AFTER_MS))
+            return
+        next_message = asyncio.ensure_future(self.message())  # an Attention, or the end of the stream
+        try:
+            await asyncio.wait((answered, next_message), return_when=asyncio.FIRST_COMPLETED)
+            if not answered.done():
+                self.front.core.client_disconnected(request)
+                await self._confirm_cancellation(next_message.result())
+                return
+            # The next message, if there is one, is handled after this response.
+            await self._answer(answered.result())
+            if next_message.done() and (message := next_message.result()) is not None:
+                self.messages.insert(0, message)
+        except BaseException:
+            if not answered.done():
+                self.front.core.client_disconnected(request)
+            raise
+        finally:
+            if not next_message.done():
+                next_message.cancel()
+                await asyncio.wait((next_message,))
+
+    def _make_request(self, statement: str, answered: asyncio.Future[Response]) -> ClientRequest:
+        """Return the request of a batch by its login's entry; its first response is set as the result of `answered`."""
         front, profile = self.front, self.profile
         assert profile is not None
-        answered: asyncio.Future[Response] = self.loop.create_future()
 
-        def on_response(answer: Response) -> None:
+        def on_response(response: Response) -> None:
             if not answered.done():
-                answered.set_result(answer)
+                answered.set_result(response)
 
         self.ticket = front.next_ticket()
         request = ClientRequest(
@@ -364,33 +390,15 @@
         if front.tenant is not None and self.login is not None:
             peer = self.writer.get_extra_info("peername") or ("",)
             request.tenant = front.tenant(self.login, peer[0], statement)
-        if not front.core.submit(request):
-            await self.fail(REFUSED, _busy(DEFAULT_RETRY_AFTER_MS))
+        return request
+
+    async def _confirm_cancellation(self, message: codec.Message | None) -> None:
+        """Confirm the Attention that ended a batch; None for `message` means that the client has disconnected."""
+        if message is None:
             return
-        next_message = asyncio.ensure_future(self.message())  # an Attention, or the end of the stream
-        try:
-            await asyncio.wait((answered, next_message), return_when=asyncio.FIRST_COMPLETED)
-            if not answered.done():
-                front.core.client_disconnected(request)
-                message = next_message.result()
-                if message is None:
-                    return
-                if message.kind != codec.ATTENTION:
-                    raise codec.ProtocolError("a message before the answer to the one ahead; MARS is not spoken")
-                await self.send(codec.done(codec.DONE_ATTN))
-                return
-            # The next message, if there is one, is handled after this response.
-            await self._answer(answered.result())
-            if next_message.done() and (message := next_message.result()) is not None:
-                self.messages.insert(0, message)
-        except BaseException:
-            if not answered.done():
-                front.core.client_disconnected(request)
-            raise
-        finally:
-            if not next_message.done():
-                next_message.cancel()
-                await asyncio.wait((next_message,))
+        if message.kind != codec.ATTENTION:
+            raise codec.ProtocolError("a message before the answer to the one ahead; MARS is not spoken")
+        await self.send(codec.done(codec.DONE_ATTN))
 
     async def _answer(self, answer: Response) -> None:
         if answer.status == ResponseStatus.SERVED:
