Close no connection of a slow client as the open requests are about to be ended

What callers saw: a client with a path that took over a second for its next poll found its connection closed without a byte at the end of a shutdown. The listed test test_requests_that_hang_at_an_engine_are_answered_before_the_kill failed at times for it.

Its limits are longer than what is left of the process, so that no time limit is lost.

--- a/frostspindle/net/platform.py
+++ b/frostspindle/net/platform.py
@@ -230,7 +230,12 @@
         return self.open_connections < self.max_clients + self.reserved_connections
 
     def _sweep(self) -> None:
-        """Close connections that timed out; clients get a response or a close within 3 s of connecting."""
+        """Close connections that timed out; clients get a response or a close within 3 s of connecting.
+
+        Once the front finishes, `close` ends the connections: clients that are slow to poll get their answers first.
+        """
+        if self.is_finishing:
+            return
         self._sweeper = self.loop.call_later(SWEEP_INTERVAL_S, self._sweep)
         now = self.loop.time()
         for client in list(self.clients):
--- a/tests/test_shutdown_requests.py
+++ b/tests/test_shutdown_requests.py
@@ -5,13 +5,15 @@
 """
 
 import asyncio
+import unittest.mock
 from types import SimpleNamespace
 
-from peers import LOAD, LOOKUP, SQL, EdgeCase, host
+from peers import LOAD, LOOKUP, SQL, EdgeCase, at_work, host
 
 from frostspindle.core import ClientRequest, ResponseStatus, clock
 from frostspindle.cores.link import SharedMemoryLink
 from frostspindle.cores.operator_commands import OperatorCommands
+from frostspindle.net.http import connection_limits, request_registry
 from frostspindle.net.http.calls import FRONT
 from frostspindle.net.operator import OperatorError
 
@@ -94,6 +96,20 @@
         self.core.fail_open_requests()
         await self.assert_all_rejected(2 * REQUESTS)
 
+    # Guards against: as the open requests were about to be ended, connections of clients that were slow to poll their
+    # path were closed, and these got no answer (test_requests_that_hang_at_an_engine_are_answered_before_the_kill).
+    async def test_client_that_is_slow_to_poll_gets_its_answer_at_the_end_of_a_shutdown(self):
+        self.engine.script = at_work(asyncio.Event())
+        with unittest.mock.patch.object(request_registry, "POLL_HOLD_S", 0.05):
+            _, body, _ = await self.ask()
+        (connection,) = self.program.platform.clients
+        connection.state_since -= connection_limits.DRAIN_POLL_GRACE_S + 1.0
+        self.program.platform.finish()
+        self.program.platform._sweep()  # it may be due at any time
+        self.core.fail_open_requests()
+        status, body, _ = await self.call("GET", body["next"])
+        self.assertEqual((status, body), (503, {"failure": "Busy"}))
+
     # Guards against: an operator's `resume` in a shutdown made the fronts keep clients and accept requests again.
     async def test_resume_in_a_shutdown_is_refused_and_changes_nothing(self):
         self.assertEqual((await self.call("GET", "/ping"))[0], 200)  # its connection serves the request below, too
