Hold results as text, and bound all that is held for clients by its size in memory

Cause: a result was counted only when it was first sent, and by its text, while it was kept as lists of strings, about 35 times as much. Change: results stay the engine's text; open requests reserve room for their results; the sum is bounded by 3/16 of limits.memory_mb, and at that bound new requests are refused before anything ran, as no client within its time may lose rows. Results whose clients no longer wait go first.

--- a/frostspindle/core/core.py
+++ b/frostspindle/core/core.py
@@ -41,6 +41,7 @@
 )
 from frostspindle.core.requests import UNKNOWN_COST, ClientRequest, MeasuredCost, Response, ResponseStatus
 from frostspindle.core.steady_clock import clock
+from frostspindle.held_memory import HeldMemory
 from frostspindle.policy.controller import Controller
 from frostspindle.telemetry import Telemetry
 
@@ -59,12 +60,14 @@
         seed: int,
         telemetry: Telemetry,
         max_open_requests: int = 512,
+        memory_mb: float = 192.0,
     ) -> None:
         super().__init__()
         self.settings = settings  # those at startup; `apply_settings` doesn't change them
         self.classes = classes  # (front, name) of each class
         self.telemetry = telemetry
         self.max_open_requests = max_open_requests  # `submit` rejects requests beyond this
+        self.held_memory = HeldMemory(memory_mb)
         self.is_shutting_down = False  # the open requests were ended, and all later ones are rejected
         self.controller = Controller(settings, seed)
         self.dispatcher = EventDispatcher(telemetry)
@@ -89,7 +92,9 @@
         return self.ledger.open_count + (self.interceptor.open if self.interceptor is not None else 0)
 
     def submit(self, request: ClientRequest) -> bool:
-        """Queue a request. Return False if too many are open: the front must reject it, without the decision module.
+        """Queue a request. Return False if too many are open, or too much memory is held for others.
+
+        The front must reject such a request, without the decision module.
 
         During shutdown the interceptor takes no requests, as it would answer them later than the decision module.
         """
@@ -98,14 +103,22 @@
             if is_accepted is not None:
                 return is_accepted
         if self.ledger.open_count >= self.max_open_requests:
-            self.telemetry.count("full", request.front, self.classes[request.cls][1])
-            if self.observer is not None:
-                self.observer.on_response(request, ResponseStatus.REJECTED, "")
+            self._count_refused(request)
+            return False
+        request.charge = self.held_memory.admit(request.statement)
+        if request.charge is None:
+            self.telemetry.count("refused_for_memory", request.front, self.classes[request.cls][1])
+            self._count_refused(request)
             return False
         self.ledger.open_count += 1
         self.dispatcher.enqueue(request)
         return True
 
+    def _count_refused(self, request: ClientRequest) -> None:
+        self.telemetry.count("full", request.front, self.classes[request.cls][1])
+        if self.observer is not None:
+            self.observer.on_response(request, ResponseStatus.REJECTED, "")
+
     def client_disconnected(self, request: ClientRequest) -> None:
         """Drop a request whose client has disconnected. It gets no response."""
         if self.interceptor is not None and self.interceptor.client_disconnected(request):
@@ -293,8 +306,10 @@
 
     def snapshot(self) -> dict[str, Any]:
         """Return the current state of requests and engines, to compare with the traffic on the sockets."""
-        return figures.snapshot(self.ledger, self.endpoints, self.controller, self.dispatcher)
+        return figures.snapshot(self.ledger, self.endpoints, self.controller, self.dispatcher, self.held_memory)
 
     def figures(self) -> dict[str, Any]:
         """Return the figures for operators, SIGUSR1 and SNMP, from the counters and the ledger."""
-        return figures.operator_figures(self.classes, self.telemetry, self.ledger, self.endpoints, self.controller)
+        return figures.operator_figures(
+            self.classes, self.telemetry, self.ledger, self.endpoints, self.controller, self.held_memory
+        )
--- a/frostspindle/core/figures.py
+++ b/frostspindle/core/figures.py
@@ -14,6 +14,7 @@
 from frostspindle.core.ledger import RequestLedger
 from frostspindle.core.requests import SUBREQUEST_FRONT
 from frostspindle.core.steady_clock import clock
+from frostspindle.held_memory import HeldMemory
 from frostspindle.policy import Health
 from frostspindle.policy.controller import Controller
 from frostspindle.telemetry import Telemetry
@@ -38,7 +39,11 @@
 
 
 def snapshot(
-    ledger: RequestLedger, endpoints: EndpointRegistry, controller: Controller, dispatcher: EventDispatcher
+    ledger: RequestLedger,
+    endpoints: EndpointRegistry,
+    controller: Controller,
+    dispatcher: EventDispatcher,
+    held_memory: HeldMemory,
 ) -> dict[str, Any]:
     """Return the current state of requests and engines, to compare with the traffic on the sockets."""
     return {
@@ -46,6 +51,7 @@
         "held": len(controller.waiting_queue),
         "records": len(ledger.entries),
         "timers": len(dispatcher.timers),
+        "held_bytes": held_memory.by_purpose(),
         "engines": _engine_rows(ledger, endpoints, controller),
     }
 
@@ -83,6 +89,7 @@
     ledger: RequestLedger,
     endpoints: EndpointRegistry,
     controller: Controller,
+    held_memory: HeldMemory,
 ) -> dict[str, Any]:
     """Return the figures for operators, SIGUSR1 and SNMP, from the counters and the ledger."""
     listed = [number for number, engine in endpoints.engines.items() if engine.entry.health != Health.GONE]
@@ -93,6 +100,8 @@
         "inflight": ledger.open_count,
         "hosts_listed": len(listed),
         "hosts_down": len(down),
+        "held_bytes": held_memory.total,
+        "held_limit": held_memory.limit,
     }
 
 
--- a/frostspindle/core/ledger.py
+++ b/frostspindle/core/ledger.py
@@ -82,6 +82,7 @@
         if self._hooks.admission_gate is not None:
             may_have_run = bool(entry.attempts) and response.status != ResponseStatus.REJECTED
             self._hooks.admission_gate.on_request_finished(number, may_have_run)
+        request.release_memory()  # from here on the front is charged for the result
         try:
             request.on_response(response)
             request.statement = ""  # free its memory: the entry may remain until an attempt has ended
@@ -128,6 +129,7 @@
             return
         self.respond(number, Response(ResponseStatus.FAILED))
         self.entries.pop(number, None)
+        entry.request.release_memory()
         for attempt in entry.attempts:
             if not attempt.is_finished:
                 self._engines[attempt.engine].driver.cancel_attempt(attempt)
@@ -138,6 +140,7 @@
         """Remove the entry of a request if it is settled and has no attempt in flight."""
         if entry.final_state and not entry.has_attempt_in_flight:
             self.entries.pop(entry.request.number, None)
+            entry.request.release_memory()
             self.release_key(entry.request)
 
     def release_key(self, request: ClientRequest) -> None:
--- a/frostspindle/core/requests.py
+++ b/frostspindle/core/requests.py
@@ -7,6 +7,8 @@
 from enum import StrEnum
 from typing import Any, NamedTuple
 
+from frostspindle.held_memory import MemoryCharge
+
 # Front of subrequests, which are submitted on behalf of a client's request; excluded from the figures of clients.
 SUBREQUEST_FRONT = "part"
 
@@ -74,3 +76,9 @@
     is_finished: bool = False
     # The client is away and may return; nothing is sent until then. Set directly, as above.
     is_suspended: bool = False
+    charge: MemoryCharge | None = None  # of its statement and its result, from `Core.submit` until it is answered
+
+    def release_memory(self) -> None:
+        """Charge no memory for this request any more; has no effect if repeated."""
+        if self.charge is not None:
+            self.charge.release()
--- a/frostspindle/cores/layout.py
+++ b/frostspindle/cores/layout.py
@@ -64,6 +64,8 @@
     CONTROL_VERSION = 10  # the newest control page that the worker has applied
     TDS_SESSIONS = 11
     HEARTBEAT = 12  # ms of CLOCK_MONOTONIC
+    HELD_BYTES = 13  # memory held for clients
+    HELD_LIMIT = 14  # bytes
 
 
 class WorkerState(IntEnum):
--- a/frostspindle/cores/mesh.py
+++ b/frostspindle/cores/mesh.py
@@ -26,16 +26,17 @@
 ABANDON = b"ABANDON"  # sent in place of a method: the client of this call has disconnected
 _ENCODE = msgspec.msgpack.Encoder().encode
 _CALL = msgspec.msgpack.Decoder(tuple[int, bytes, bytes])  # number, method, URL
-_REPLY = msgspec.msgpack.Decoder(tuple[int, int, Any, str, bool])
+_REPLY = msgspec.msgpack.Decoder(tuple[int, int, bytes, str, bool, bool])
 
 
 class RelayedReply(NamedTuple):
     """An owner's reply to a relayed call; its fields follow the call's number in the frame."""
 
     status: int
-    body: Any
+    data: bytes  # the body, encoded as JSON
     extra_headers: str
     last: bool  # whether to close the client's connection after it
+    has_next: bool  # whether it names a path for the client's next call
 
 
 class MeshError(Exception):
@@ -104,6 +105,7 @@
 
     def __init__(self) -> None:
         self.requests: dict[OpenRequest, None] = {}
+        self.last_result: OpenRequest | None = None
         self.is_waiting = True
 
     def is_connected(self) -> bool:
@@ -125,11 +127,13 @@
         self.front = front
         self.on_reply = on_reply
 
-    def reply(self, status: int, body: Any = None, extra: str = "", last: bool = False) -> None:
+    def reply_encoded(
+        self, status: int, data: bytes, extra: str = "", last: bool = False, has_next: bool = False
+    ) -> None:
         """Return the reply to the calling worker; later replies are ignored."""
         if self.data is None:
             self.data = b""
-            self.on_reply(RelayedReply(status, body, extra, last))
+            self.on_reply(RelayedReply(status, data, extra, last, has_next))
             self._finish()
 
     def abandon(self) -> None:
@@ -217,10 +221,10 @@
 
     def frame_received(self, message: Any) -> None:
         """Resolve the pending call to which the reply belongs."""
-        call_number, status, body, extra, last = message
+        call_number, *reply = message
         future = self.pending.pop(call_number, None)
         if future is not None and not future.done():
-            future.set_result(RelayedReply(status, body, extra, last))
+            future.set_result(RelayedReply(*reply))
 
     def connection_lost(self, error: Exception | None) -> None:
         """Fail all pending calls with WorkerUnavailableError."""
--- a/frostspindle/cores/status.py
+++ b/frostspindle/cores/status.py
@@ -127,6 +127,8 @@
     def figures(self) -> dict[str, Any]:
         """Return the figures of `show-stat`: those of a single process, and under `workers` each worker's state."""
         figures = totals.figures(self.classes, self.counts, self.inflight, self.engine_summaries(), self._shared.banned)
+        for key, cell in (("held_bytes", HeadCell.HELD_BYTES), ("held_limit", HeadCell.HELD_LIMIT)):
+            figures[key] = sum(worker.region.read_cell(cell) for worker in self._workers.slots if worker.process)
         figures["workers"] = [self._worker_figures(worker) for worker in self._workers.slots]
         return figures
 
@@ -141,6 +143,7 @@
             "inflight": region.read_cell(HeadCell.OPEN_REQUESTS) if process else 0,
             "clients": region.read_cell(HeadCell.CLIENT_CONNECTIONS) if process else 0,
             "sockets": self._control.page.sockets.get(worker.slot, 0),
+            "held_bytes": region.read_cell(HeadCell.HELD_BYTES) if process else 0,
             "taken": _requests_taken(worker.past_counts) + _requests_taken(worker.current_counts),
         }
 
--- a/frostspindle/memory_log.py
+++ b/frostspindle/memory_log.py
@@ -28,6 +28,7 @@
             open=core.open,
             clients=front.connections,
             **core.sizes(),
+            held_bytes=core.held_memory.by_purpose(),
         )
 
 
--- a/frostspindle/net/http/attempts.py
+++ b/frostspindle/net/http/attempts.py
@@ -23,7 +23,8 @@
 from frostspindle.net.http.duplicate_responses import confirmation_time_s
 from frostspindle.net.http.engine_connection import ConnectionBrokenError, EngineConnection, RequestNotWrittenError
 from frostspindle.net.http.load_reports import LoadReportParser
-from frostspindle.net.http.replies import MAX_RESULT_BYTES, EngineReply, InvalidReplyError, Rows
+from frostspindle.net.http.replies import MAX_RESULT_BYTES, EngineReply, InvalidReplyError
+from frostspindle.net.http.results import ResultText
 from frostspindle.policy import AttemptOutcome, Health, Idempotency
 from frostspindle.pools import AttemptProgress
 from frostspindle.telemetry import Telemetry
@@ -42,7 +43,7 @@
 
     outcome: int  # an AttemptOutcome
     report: tuple[float, ...] = ()  # the engine's load
-    result: tuple[Rows, int] | None = None  # rows, and their size in bytes
+    result: ResultText | None = None
     cost: MeasuredCost = UNKNOWN_COST
 
 
@@ -148,9 +149,9 @@
             return AttemptEnd(AttemptOutcome.CANCELLED, report)
         if reply.status != OK_STATUS:
             return AttemptEnd(self._failure_outcome(reply), report)
-        rows = await self._fetch_pages(pool, attempt, path, reply, progress)
-        outcome = AttemptOutcome.OK if rows is not None else AttemptOutcome.ERROR
-        return AttemptEnd(outcome, report, rows, self.load_reports.needed(reply))
+        result = await self._fetch_pages(pool, attempt, path, reply, progress)
+        outcome = AttemptOutcome.OK if result is not None else AttemptOutcome.ERROR
+        return AttemptEnd(outcome, report, result, self.load_reports.needed(reply))
 
     async def _post(self, pool: ConnectionPool, attempt: Attempt, progress: AttemptProgress) -> EngineReply:
         """Send the query; raise the exceptions of `ConnectionPool.call`."""
@@ -188,8 +189,7 @@
         report = self.load_reports.report(reply)
         if reply.status != OK_STATUS:
             return AttemptEnd(self._failure_outcome(reply), report)
-        result = (reply.rows, len(reply.body))
-        return AttemptEnd(AttemptOutcome.OK, report, result, self.load_reports.needed(reply))
+        return AttemptEnd(AttemptOutcome.OK, report, ResultText([reply.body]), self.load_reports.needed(reply))
 
     def _record_failure(self, pool: ConnectionPool, attempt: Attempt, error: Exception) -> None:
         if isinstance(error, InvalidReplyError):
@@ -246,9 +246,10 @@
 
     async def _fetch_pages(
         self, pool: ConnectionPool, attempt: Attempt, path: str, first: EngineReply, progress: AttemptProgress
-    ) -> tuple[Rows, int] | None:
-        """Return all rows of the result, in order, and their size; None if a page is lost."""
-        rows, size = first.rows, len(first.body)
+    ) -> ResultText | None:
+        """Return all rows of the result, in order; None if a page is lost."""
+        pages = [first.body]
+        size = len(first.body)
         for number in range(1, first.pages):
             reply = await self.poll(pool, attempt, path, number, progress)
             if reply is None or reply.status != 200:
@@ -256,8 +257,8 @@
             size += len(reply.body)
             if size > MAX_RESULT_BYTES:
                 raise InvalidReplyError("the result is too long")
-            rows += reply.rows
-        return rows, size
+            pages.append(reply.body)
+        return ResultText(pages)
 
     async def give_up(self, pool: ConnectionPool, attempt: Attempt, progress: AttemptProgress) -> None:
         """Cancel the query at the engine and return once it can no longer be running.
--- a/frostspindle/net/http/calls.py
+++ b/frostspindle/net/http/calls.py
@@ -7,12 +7,15 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections.abc import Callable
 from typing import Any, Protocol
 
 import msgspec
 
 from frostspindle.core import ClientRequest, Response
+from frostspindle.held_memory import HeldMemory, HeldPurpose
+from frostspindle.net.http.results import encode_page
 
 FRONT = "http"
 _ENCODE = msgspec.json.Encoder().encode
@@ -24,6 +27,7 @@
     """The connection of a call."""
 
     requests: dict[OpenRequest, None]  # open, in order; their client last called on this connection
+    last_result: OpenRequest | None  # whose last rows were sent here, until the client's next call
 
     def flush(self) -> None:
         """Write the responses that are ready, in the order of the calls."""
@@ -37,25 +41,34 @@
 
     __slots__ = (
         "response",
+        "charge",
+        "client_until_s",
         "connection",
         "pages",
         "path",
         "request",
         "return_timer",
         "on_settled",
-        "result_bytes",
+        "is_read",
         "waiting_calls",
         "ticket",
         "timer",
         "is_fetched",
     )
 
-    def __init__(self, on_settled: Callable[[OpenRequest], None], ticket: str, path: str) -> None:
-        self.on_settled, self.ticket, self.path = on_settled, ticket, path
+    def __init__(
+        self, on_settled: Callable[[OpenRequest], None], ticket: str, path: str, held_memory: HeldMemory
+    ) -> None:
+        self.on_settled = on_settled
+        self.ticket = ticket
+        self.path = path
+        self.charge = held_memory.charge(HeldPurpose.RESULTS, 0)  # while it has a path
         self.request: ClientRequest | None = None
-        self.response: Response | None = None
-        self.pages: list[list[Any]] | None = None
-        self.result_bytes, self.is_fetched = 0, False  # is_fetched: the last response was sent
+        self.response: Response | None = None  # without its result, which is in `pages`
+        self.pages: list[bytes] = []  # text of the rows that the client gets at once
+        self.client_until_s = math.inf  # loop time until which the client waits; set at its submission
+        self.is_fetched = False  # the last response was sent
+        self.is_read = False  # the client has made another call since
         self.waiting_calls: list[PendingCall] = []  # calls that wait for the response
         self.timer: asyncio.TimerHandle | None = None
         self.connection: CallConnection | None = None  # the client's last connection; None after its end
@@ -64,7 +77,10 @@
     def on_response(self, response: Response) -> None:
         """Take the response; later ones are ignored."""
         if self.response is None:
-            self.response, self.request = response, None
+            if response.result is not None:
+                self.pages = response.result.client_pages()
+            self.response = response._replace(result=None)
+            self.request = None
             self.on_settled(self)
 
 
@@ -85,9 +101,19 @@
         `body` is encoded as JSON; `extra` is further header lines, each with its CRLF; `last` asks to close the
         connection after it.
         """
-        self.has_next = isinstance(body, dict) and "next" in body
+        has_next = isinstance(body, dict) and "next" in body
+        self.reply_encoded(status, b"" if body is None else _ENCODE(body), extra, last, has_next)
+
+    def reply_page(self, page: bytes, next_path: str) -> None:
+        """Set the response with a page of rows, given as text; `next_path` is empty for the last page."""
+        self.reply_encoded(200, encode_page(page, next_path), has_next=bool(next_path))
+
+    def reply_encoded(
+        self, status: int, data: bytes, extra: str = "", last: bool = False, has_next: bool = False
+    ) -> None:
+        """Set the response, as in `reply`, with a body that is encoded already; `has_next`: it has a `next` path."""
+        self.has_next = has_next
         self.last = self.last or last
-        data = b"" if body is None else _ENCODE(body)
         length = "" if status == 204 else f"Content-Length: {len(data)}\r\n"
         self.head = (
             f"HTTP/1.1 {status} {_REASONS.get(status, 'Refused')}\r\nContent-Type: application/json\r\n{length}{extra}"
--- a/frostspindle/net/http/clients.py
+++ b/frostspindle/net/http/clients.py
@@ -82,6 +82,7 @@
         self.transport: asyncio.Transport = None  # type: ignore[assignment]  # set in connection_made
         self.pending_calls: deque[PendingCall] = deque()
         self.requests: dict[OpenRequest, None] = {}  # open, in order; their client last called on this connection
+        self.last_result: OpenRequest | None = None
         self.state_since = self.loop_time()
         self.has_called = self.is_closing = self.ignores_input = self.is_receiving = self.is_head_complete = False
         self.is_parsing = self.expects_continue = False  # expects_continue: the client waits for a 100
@@ -376,6 +377,9 @@
         """
         self.request_bytes, self.is_receiving, self.has_called, self.expects_continue = 0, False, True, False
         self.has_pipelined = self.has_pipelined or bool(self.pending_calls)
+        if self.last_result is not None:
+            self.last_result.is_read = not self.has_pipelined  # a call that was sent ahead proves nothing
+            self.last_result = None
         call = PendingCall(self)
         call.last = self.ignores_input = not self.parser.should_keep_alive()
         self.pending_calls.append(call)
--- a/frostspindle/net/http/replies.py
+++ b/frostspindle/net/http/replies.py
@@ -13,7 +13,6 @@
 )  # the protocol has pages of 48,000 bytes
 MAX_RESPONSE_BYTES = MAX_PAGE_BYTES + 16 * 1024  # of one response on the wire: head, page, and 1xx responses before it
 MAX_HEADERS, MAX_HEADER_BYTES = 64, 4096  # of one response
-Rows = list[list[str]]
 
 
 class InvalidReplyError(Exception):
@@ -21,20 +20,17 @@
 
 
 class EngineReply:
-    """One complete response of an engine; `check_page` validates it as a page and sets `pages` and `rows`."""
+    """One complete response of an engine; `check_page` validates it as a page and sets `pages`."""
 
-    __slots__ = ("status", "headers", "body", "pages", "rows", "connection_opened_ms")
+    __slots__ = ("status", "headers", "body", "pages", "connection_opened_ms")
 
     def __init__(self, status: int, headers: dict[bytes, bytes], body: bytes) -> None:
         self.status, self.headers, self.body = status, headers, body
-        self.pages, self.rows, self.connection_opened_ms = (
-            0,
-            list[list[str]](),
-            0.0,
-        )
+        self.pages = 0
+        self.connection_opened_ms = 0.0
 
     def check_page(self, number: int) -> None:
-        """Validate it as the response to a poll for page `number` and set `rows`; else raise InvalidReplyError.
+        """Validate it as the response to a poll for page `number`; else raise InvalidReplyError.
 
         Page 0 is also the poll for progress.
         """
@@ -49,21 +45,21 @@
             self.pages = int(text)
         elif self.text(b"x-page") != str(number):
             raise InvalidReplyError(f"got page {self.text(b'x-page')!r}, expected {number}")
-        self.rows = parse_rows(self.body)
+        check_rows(self.body)
 
     def text(self, name: bytes) -> str:
         """Return a header's value as Latin-1 text, empty if it is absent; `name` in lower case."""
         return self.headers.get(name, b"").decode("latin-1")
 
 
-def parse_rows(page: bytes) -> Rows:
-    """Return a page's rows, of columns separated by tabs; raise InvalidReplyError if truncated or not UTF-8."""
+def check_rows(page: bytes) -> None:
+    """Check the rows of a page; raise InvalidReplyError if it is truncated or not UTF-8."""
     if not page:
-        return []
-    try:
-        text = page.decode()
-    except UnicodeDecodeError:
-        raise InvalidReplyError("the page is not UTF-8") from None
-    if not text.endswith("\n"):
+        return
+    if not page.isascii():
+        try:
+            page.decode()
+        except UnicodeDecodeError:
+            raise InvalidReplyError("the page is not UTF-8") from None
+    if not page.endswith(b"\n"):
         raise InvalidReplyError("the page ends within a row")
-    return [line.split("\t") for line in text[:-1].split("\n")]
--- a/frostspindle/net/http/request_registry.py
+++ b/frostspindle/net/http/request_registry.py
@@ -9,15 +9,15 @@
 
 import asyncio
 import math
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from enum import StrEnum
-from typing import Any
 
 from frostspindle.core import Core, Response, ResponseStatus
-from frostspindle.net.http.calls import CallConnection, OpenRequest, PendingCall
+from frostspindle.held_memory import RESULT_OVERHEAD_BYTES, ReclaimOrder
+from frostspindle.net.http.calls import FRONT, CallConnection, OpenRequest, PendingCall
+from frostspindle.net.http.results import held_bytes
 
 POLL_HOLD_S = 1.0  # a call waits this long for its response, then the client gets a path to poll
-MAX_PAGE_BYTES = 48 * 1024  # of the rows in one response
 MIN_RETRY_AFTER_MS = 1  # a rejection always names a delay
 RESULT_RETENTION_S = 5.0  # how long results are kept for a repeated GET
 RETURN_TIMEOUT_S = 2.0  # how long a client without a connection may take to poll its path
@@ -34,13 +34,17 @@
 class RequestRegistry:
     """The open requests of this front, by id and by path, and their results."""
 
-    def __init__(
-        self, core: Core, loop: asyncio.AbstractEventLoop, max_kept_bytes: int, on_released: Callable[[str], None]
-    ) -> None:
-        self.core, self.loop, self.max_kept_bytes, self.on_released = core, loop, max_kept_bytes, on_released
+    def __init__(self, core: Core, loop: asyncio.AbstractEventLoop, on_released: Callable[[str], None]) -> None:
+        self.core = core
+        self.loop = loop
+        self.on_released = on_released
+        self.held_memory = core.held_memory
+        self.held_memory.reclaim = self._reclaim
         self.ids: set[str] = set()  # of open requests
         self.open: dict[str, OpenRequest] = {}  # by path
-        self._kept_bytes = self._last_number = 0
+        self._time_over: dict[OpenRequest, None] = {}  # with a path and a response; their clients' time is over
+        self._fetched: dict[OpenRequest, None] = {}  # with a path, kept for a repeated GET; the oldest first
+        self._last_number = 0
         self._hold_until: dict[PendingCall, float] = {}  # in the order of expiry, as all calls wait equally long
         self._hold_timer: asyncio.TimerHandle | None = None
 
@@ -52,10 +56,13 @@
     def new(self, ticket: str, prefix: str) -> OpenRequest:
         """Return a new request with a unique path that starts with `prefix`."""
         self._last_number += 1
-        return OpenRequest(self._settled, ticket, f"{prefix}{self._last_number:x}-{ticket}")
+        path = f"{prefix}{self._last_number:x}-{ticket}"
+        return OpenRequest(self._settled, ticket, path, self.held_memory)
 
     def _settled(self, opened: OpenRequest) -> None:
         self._unbind(opened)
+        if opened.path in self.open:
+            self._charge(opened)
         self.ids.discard(opened.ticket)
         self.on_released(opened.ticket)
         calls, opened.waiting_calls = opened.waiting_calls, []
@@ -100,8 +107,16 @@
     def _assign_path(self, opened: OpenRequest) -> None:
         """Register the path; from now on the request outlives its connection."""
         self.open[opened.path] = opened
-        left_ms = opened.request.timeout_ms if opened.request is not None else 0.0
-        opened.timer = self.loop.call_later(left_ms / 1000.0 + RESULT_RETENTION_S, self._drop, opened)
+        self._charge(opened)
+        opened.timer = self.loop.call_at(opened.client_until_s, self._on_client_time_over, opened)
+
+    def _on_client_time_over(self, opened: OpenRequest) -> None:
+        self._time_over[opened] = None
+        opened.timer = self.loop.call_later(RESULT_RETENTION_S, self._drop, opened)
+
+    def _charge(self, opened: OpenRequest) -> None:
+        """Charge a request with a path for the rows that are kept for its client."""
+        opened.charge.resize(RESULT_OVERHEAD_BYTES + held_bytes(opened.pages))
 
     def send_response(self, call: PendingCall) -> None:
         """Answer a call whose request has completed."""
@@ -116,40 +131,47 @@
             else:
                 call.reply(502, {"failure": "Failed"})
             return
-        if opened.pages is None:
-            opened.pages, opened.result_bytes = _split_into_pages(*response.result)
-            if call.page < 0 and len(opened.pages) > 1:
-                self._assign_path(opened)
-            if opened.path in self.open:
-                self._retain(opened)
+        if call.page < 0 and len(opened.pages) > 1 and opened.path not in self.open:
+            self._assign_path(opened)
         if page >= len(opened.pages):
             call.reply(404, {"failure": "no such page"}, last=True)
             return
-        body: dict[str, Any] = {"rows": opened.pages[page]}
-        if page + 1 < len(opened.pages):
-            body["next"] = f"{opened.path}/{page + 1}"
-        else:
+        next_path = f"{opened.path}/{page + 1}" if page + 1 < len(opened.pages) else ""
+        if not next_path:
             self._mark_fetched(opened)
-        call.reply(200, body)
+            call.client.last_result = opened
+        call.reply_page(opened.pages[page], next_path)
 
     def _mark_fetched(self, opened: OpenRequest) -> None:
         """Mark the result as fetched; the path is kept a little longer in case the response was lost."""
         opened.is_fetched = True
         if opened.timer is not None:
+            self._fetched[opened] = None
             opened.timer.cancel()
             opened.timer = self.loop.call_later(RESULT_RETENTION_S, self._drop, opened)
 
-    def _retain(self, opened: OpenRequest) -> None:
-        self._kept_bytes += opened.result_bytes
-        for other in list(self.open.values()) if self._kept_bytes > self.max_kept_bytes else ():
-            if self._kept_bytes <= self.max_kept_bytes:
+    def _reclaim(self, needed_bytes: int) -> None:
+        """Drop results that nobody waits for, in the order of ReclaimOrder, until so many bytes are free."""
+        for opened in list(self._reclaimable()):
+            if needed_bytes <= 0:
                 return
-            if other is not opened and other.pages is not None:
-                self._drop(other)
+            needed_bytes -= opened.charge.size
+            self.core.telemetry.count("results_reclaimed", FRONT)
+            self._drop(opened)
+
+    def _reclaimable(self) -> Iterator[OpenRequest]:
+        now_s = self.loop.time()
+        fetched = [(reclaim_order(opened, now_s), opened) for opened in self._fetched]
+        yield from (opened for opened in self._time_over if opened.response is not None)
+        yield from (opened for order, opened in fetched if order == ReclaimOrder.CLIENT_TIME_OVER)
+        yield from (opened for order, opened in fetched if order == ReclaimOrder.CLIENT_HAS_READ)
 
     def _drop(self, opened: OpenRequest) -> None:
         if self.open.pop(opened.path, None) is not None:
-            self._kept_bytes -= opened.result_bytes
+            self._time_over.pop(opened, None)
+            self._fetched.pop(opened, None)
+            opened.charge.release()
+            opened.pages = []
             if opened.timer is not None:
                 opened.timer.cancel()
 
@@ -223,18 +245,8 @@
             opened.on_response(Response(ResponseStatus.FAILED))
 
 
-def _split_into_pages(rows: list[list[str]], size: int) -> tuple[list[list[Any]], int]:
-    """Split rows into pages, once, so that a path always returns the same rows."""
-    if size <= MAX_PAGE_BYTES:
-        return [rows], size
-    pages: list[list[Any]] = []
-    page: list[Any] = []
-    length = 0
-    for row in rows:
-        row_bytes = sum(map(len, row)) + 4 * len(row)
-        if page and length + row_bytes > MAX_PAGE_BYTES:
-            pages.append(page)
-            page, length = [], 0
-        page.append(row)
-        length += row_bytes
-    return [*pages, page], size
+def reclaim_order(opened: OpenRequest, now_s: float) -> ReclaimOrder:
+    """Return when the result of a request with a path may be dropped for others, at loop time `now_s`."""
+    if now_s >= opened.client_until_s:
+        return ReclaimOrder.CLIENT_TIME_OVER
+    return ReclaimOrder.CLIENT_HAS_READ if opened.is_read else ReclaimOrder.CLIENT_MAY_WAIT
--- a/frostspindle/net/metrics.py
+++ b/frostspindle/net/metrics.py
@@ -19,6 +19,8 @@
     ("inflight", False, "inflight", "Requests taken and not yet ended."),
     ("hosts_listed", False, "hosts_listed", "Engines in the list."),
     ("hosts_down", False, "hosts_down", "Listed engines that get no work now."),
+    ("held_bytes", False, "held_bytes", "Memory held for clients: open requests and results."),
+    ("held_limit", False, "held_limit_bytes", "Memory that may be held for clients; beyond it requests are refused."),
 )
 WORKER_METRICS = (
     ("restarts", True, "worker_restarts", "Times that the worker was started again."),
@@ -26,6 +28,7 @@
     ("inflight", False, "worker_inflight", "Requests of the worker that have not yet ended."),
     ("clients", False, "worker_clients", "Connections that clients hold to the worker."),
     ("sockets", False, "worker_sockets", "Descriptors that are the worker's share."),
+    ("held_bytes", False, "worker_held_bytes", "Memory that the worker holds for clients."),
 )
 
 
--- a/frostspindle/net/platform.py
+++ b/frostspindle/net/platform.py
@@ -76,7 +76,7 @@
         self.listener = Listener(
             self.loop, telemetry, lambda since_ms: ClientConnection(self, since_ms), self._has_room
         )
-        self.registry = RequestRegistry(core, self.loop, int(config.limits.memory_mb * 2**20 / 24), self._released)
+        self.registry = RequestRegistry(core, self.loop, self._released)
         self.connection_ended = self.registry.connection_ended
         self._sweeper: asyncio.TimerHandle | None = None
         self._drained_at = math.inf
@@ -417,6 +417,7 @@
             call.reply(503, {"failure": "Busy"}, self.retry_after_header)
             return
         opened.request = request
+        opened.client_until_s = self.loop.time() + request.timeout_ms / 1000.0
         call.opened = opened
         call.page = -1
         self.registry.ids.add(request.ticket)
--- a/frostspindle/program.py
+++ b/frostspindle/program.py
@@ -73,7 +73,12 @@
         self.link = link
         self.telemetry = Telemetry(config.name, worker=config.worker)
         self.core = Core(
-            config.settings, request_classes(config), config.seed, self.telemetry, config.limits.sockets // 2
+            config.settings,
+            request_classes(config),
+            config.seed,
+            self.telemetry,
+            config.limits.sockets // 2,
+            config.limits.memory_mb,
         )
         self.driver = HttpEngines(config, self.core, self.telemetry)
         self.bus = EndpointWatcher(config, self.core, self.driver, self.telemetry)
@@ -179,6 +184,7 @@
     def on_sharing_changed(self, is_sharing: bool) -> None:
         """Divide the limits again: during an upgrade another process of this coordinator started or ended."""
         self.descriptors.limit_connections(is_sharing)
+        self.core.held_memory.share(is_sharing)
         self._limit_open_requests(is_sharing)
         self.telemetry.log("descriptors_divided", crowded=is_sharing)
 
--- a/frostspindle/scatter/service.py
+++ b/frostspindle/scatter/service.py
@@ -19,6 +19,7 @@
 
 from frostspindle.catalogue import CELL_SUFFIX, FLOAT, TEXT, Catalogue, Column, home_of, key_of, site_of
 from frostspindle.core import SUBREQUEST_FRONT, ClientRequest, Core, Response, ResponseStatus, clock
+from frostspindle.net.http.results import ResultText
 from frostspindle.predicates import may_match
 from frostspindle.predicates.values import KINDS, canonical
 from frostspindle.scatter import wire
@@ -341,7 +342,7 @@
 
     def _on_part_response(self, query: _ScatteredQuery, site: str, response: Response) -> None:
         if response.status == ResponseStatus.SERVED:
-            gathered = query.gather.on_part_rows(site, response.result[0])
+            gathered = query.gather.on_part_rows(site, response.result.rows())
         else:
             gathered = query.gather.on_part_failed(site, response.status, response.retry_after_ms)
         if gathered is None or self.queries.pop(query.request, None) is None:
@@ -353,10 +354,11 @@
     def _to_response(self, gathered: GatheredResponse) -> Response:
         if gathered.status != ResponseStatus.SERVED:
             return Response(gathered.status, None, gathered.retry_after_ms, gathered.reason)
-        size = sum(len(text) + 1 for row in gathered.rows for text in row) + len(gathered.rows)
         if gathered.missing:
             self.telemetry.count("scatter_partial")
-        return Response(ResponseStatus.SERVED, (gathered.rows, size), missing_parts=",".join(gathered.missing))
+        return Response(
+            ResponseStatus.SERVED, ResultText.from_rows(gathered.rows), missing_parts=",".join(gathered.missing)
+        )
 
     # Loads.
 
@@ -560,8 +562,8 @@
         response = await response_future
         if response.status != ResponseStatus.SERVED:
             raise _SummaryQueryError(response.status)
-        rows: list[list[str]] = response.result[0]
-        return rows
+        result: ResultText = response.result
+        return result.rows()
 
     def _to_cells(self, column: Column, rows: list[list[str]]) -> list[tuple[int, str]]:
         """Return a column's distinct values as cells; a text that equals the null text counts as both."""
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -308,7 +308,12 @@
         return engines
 
     async def coordinator(
-        self, hosts: list[dict[str, Any]] = (), bus: int = 0, operator: str = "", **changes: Any
+        self,
+        hosts: list[dict[str, Any]] = (),
+        bus: int = 0,
+        operator: str = "",
+        limits: dict[str, Any] | None = None,
+        **changes: Any,
     ) -> Program:
         folder = tempfile.mkdtemp(
             dir=self.scratch
@@ -321,6 +326,7 @@
             "bus": f"127.0.0.1:{bus}" if bus else "",
             "operator": "127.0.0.1:0",
             "known": {"offset": 1, "batch": [change(1, *hosts, whole=True)]},
+            **({"limits": limits} if limits else {}),
         }
         path = self.config_file = Path(folder, "config.json")
         path.write_text(json.dumps(document))
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -101,8 +101,9 @@
 # Modules that a serving process without optional parts may load besides the standard library. Imports cost CPU time at
 # each start, and all coordinators of a fleet may start together.
 ALLOWED_MODULES = {
-    "frostspindle": "__main__ clock_file components config core descriptor_sharing handover ledger memory_log net "
-    "order policy pools program reload reserved_descriptor serving shared shutdown_plan signals telemetry timers",
+    "frostspindle": "__main__ clock_file components config core descriptor_sharing handover held_memory ledger "
+    "memory_log net order policy pools program reload reserved_descriptor serving shared shutdown_plan signals "
+    "telemetry timers",
     "frostspindle.config": "addresses agreed_settings cores document errors fleet operator_calls operator_file "
     "ownership reader recovery replica tds tenants",
     "frostspindle.components": "base http_requests operator_port registry",
@@ -112,7 +113,7 @@
     "frostspindle.net": "discovery engines fields hangup http operator platform",
     "frostspindle.net.http": "attempts calls clients connection_limits connection_pool "
     "duplicate_responses engine_connection "
-    "listener load_reports replies request_registry statements",
+    "listener load_reports replies request_registry results statements",
     "frostspindle.order": "key_queue service shared_cells",  # only if a class is in order
     "frostspindle.policy": "actions admission completion controller deadlines dispatch engine_registry engine_state "
     "estimates events indexes key_order outlier_detection policy_state queues request_state retries selection settings "
--- /dev/null
+++ b/tests/test_held_memory.py
@@ -0,0 +1,137 @@
+"""What a process holds for its clients: its bound, who is refused there, and whose result is dropped first."""
+
+import asyncio
+import gc
+import json
+import tracemalloc
+import unittest
+import unittest.mock
+from pathlib import Path
+
+from peers import EdgeCase, page
+
+import frostspindle
+from frostspindle.held_memory import HeldMemory, HeldPurpose
+
+MAX_RESULT_BYTES = 48_000  # of the platform's protocol
+ROW = "17\t42\tok\n"  # a row of few letters, which takes many times its text as a Python list
+ROWS = ROW * (MAX_RESULT_BYTES // len(ROW))
+ROW_LISTS = [["17", "42", "ok"]] * (MAX_RESULT_BYTES // len(ROW))
+HELD_SHARE = 3 / 16  # of limits.memory_mb, as docs/operators.md states
+SOURCES = str(Path(frostspindle.__file__).parent / "*")
+
+
+def traced_bytes():
+    """Return the memory that is in use and was allocated by the program's own code."""
+    gc.collect()
+    snapshot = tracemalloc.take_snapshot().filter_traces([tracemalloc.Filter(True, SOURCES)])
+    return sum(trace.size for trace in snapshot.traces)
+
+
+class HeldMemoryCase(EdgeCase):
+    """Clients that are given a path, and engines that answer with a long result after that."""
+
+    async def start(self, memory_mb):
+        engines = await super().start(limits={"memory_mb": memory_mb, "cores": 1.0, "sockets": 2048})
+        self.engine, self.memory = engines[0], self.program.core.held_memory
+        self.engine.script = self.answer
+        holding = unittest.mock.patch("frostspindle.net.http.request_registry.POLL_HOLD_S", 0.01)
+        holding.start()
+        self.addCleanup(holding.stop)
+
+    def answer(self, request, body):
+        async def answer_late():
+            await asyncio.sleep(0.03)
+            return page(ROWS)
+
+        return answer_late() if request.method == "POST" else None
+
+    async def path_of(self, number, timeout_ms=3000.0):
+        """Return the path that a client gets, which walks away then; None if it is refused."""
+        status, body, headers = await self.ask(number=number, timeout=timeout_ms)
+        if status == 503:
+            self.assertEqual(body, {"failure": "Busy"})
+            self.assertGreaterEqual(int(headers["Retry-After-Ms"]), 1)
+            return None
+        return body["next"]
+
+    async def answered(self):
+        """Wait until no request is open."""
+        await self.until(lambda: not self.program.core.open)
+
+
+# Guards against: results that nobody fetched were not counted, and those that were fetched in the bytes of their text.
+class UnfetchedResults(HeldMemoryCase):
+    async def test_memory_stays_within_its_share(self):
+        await self.start(memory_mb=32.0)
+        tracemalloc.start()
+        self.addCleanup(tracemalloc.stop)
+        before = traced_bytes()
+        paths = await asyncio.gather(*(self.path_of(number, 3900.0) for number in range(1, 151)))
+        await self.answered()
+        self.assertGreater(len([path for path in paths if path is not None]), 20)
+        self.assertLess(traced_bytes() - before, 32.0 * 2**20 * HELD_SHARE)
+
+    async def test_new_requests_are_refused_before_anything_ran_and_no_rows_are_lost(self):
+        await self.start(memory_mb=8.0)
+        late_path = await self.path_of(1)
+        paths = [late_path]
+        while (path := await self.path_of(len(paths) + 1, 3900.0)) is not None:
+            paths.append(path)
+            self.assertLess(len(paths), 100)
+        await self.answered()
+        self.assertEqual(len(self.engine.of("POST")), len(paths))
+        self.assertEqual((self.count("refused_for_memory"), self.count("results_reclaimed")), (1, 0))
+        self.assertLessEqual(self.memory.total, 8 * 2**20 * HELD_SHARE)
+        for path in paths:  # each client returns late, within its time
+            status, body, _ = await self.call("GET", path)
+            self.assertEqual((status, body), (200, {"rows": ROW_LISTS}))
+        status, body, _ = await self.call("GET", late_path)  # its last answer was lost, and is asked for again
+        self.assertEqual((status, body), (200, {"rows": ROW_LISTS}))
+
+    async def test_results_whose_clients_no_longer_wait_make_room_in_order(self):
+        await self.start(memory_mb=16.0)
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.program.platform.port)
+        self.addCleanup(writer.close)
+        waited_for = await self.path_of(1)
+        read = await self.path_of(2)
+        over = await self.path_of(3, timeout_ms=200.0)
+        await self.answered()
+        for path in (read, "/ping"):  # the second call on the connection shows that the answer to the first was read
+            writer.write(f"GET {path} HTTP/1.1\r\nHost: t\r\n\r\n".encode())
+            head = await reader.readuntil(b"\r\n\r\n")
+            length = int(head.lower().split(b"content-length: ")[1].split(b"\r\n")[0])
+            await reader.readexactly(length)
+        await self.until(lambda: self.program.platform.registry._time_over)
+        kept = []
+        for number, dropped in ((4, over), (5, read)):
+            self.memory.limit = self.memory.total + 2**15  # room for half of a request
+            kept.append(await self.path_of(number))
+            await self.answered()
+            self.assertEqual((await self.call("GET", dropped))[0], 404)
+        self.memory.limit = self.memory.total + 2**15
+        self.assertIsNone(await self.path_of(6))
+        for path in (waited_for, *kept):
+            self.assertEqual((await self.call("GET", path))[1], {"rows": ROW_LISTS})
+
+    async def test_nothing_is_charged_once_all_requests_are_over(self):
+        await self.start(memory_mb=32.0)
+        with unittest.mock.patch("frostspindle.net.http.request_registry.RESULT_RETENTION_S", 0.05):
+            paths = [await self.path_of(number, 1500.0) for number in range(1, 9)]
+            self.assertEqual((await self.call("DELETE", paths[0]))[0], 204)
+            await self.answered()
+            self.assertEqual((await self.call("GET", paths[1]))[0], 200)
+            self.assertGreater(self.memory.used[HeldPurpose.RESULTS], 6 * MAX_RESULT_BYTES)
+            figures = json.loads((await self.operate("show-stat"))[0])
+            self.assertEqual((figures["held_bytes"], figures["held_limit"]), (self.memory.total, self.memory.limit))
+            await self.until(lambda: not self.program.platform.registry.open)
+        self.assertEqual((self.memory.total, set(self.memory.used.values())), (0, {0}))
+
+
+def test_two_processes_of_an_upgrade_share_the_limit():
+    memory = HeldMemory(64.0)
+    assert memory.limit == 64 * 2**20 * HELD_SHARE
+    memory.share(True)
+    assert memory.limit == 32 * 2**20 * HELD_SHARE
+    memory.share(False)
+    assert memory.limit == 64 * 2**20 * HELD_SHARE
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -17,6 +17,8 @@
     "inflight": 3,
     "hosts_listed": 4,
     "hosts_down": 1,
+    "held_bytes": 70_000,
+    "held_limit": 37_748_736,
     "workers": [
         {
             "worker": 0,
@@ -26,6 +28,7 @@
             "inflight": 1,
             "clients": 9,
             "sockets": 50,
+            "held_bytes": 65_000,
             "taken": 6,
         }
     ],
@@ -54,11 +57,14 @@
         ("inflight",): 3,
         ("hosts_listed",): 4,
         ("hosts_down",): 1,
+        ("held_bytes",): 70_000,
+        ("held_limit_bytes",): 37_748_736,
         ("worker_restarts_total", "0"): 2,
         ("worker_taken_total", "0"): 6,
         ("worker_inflight", "0"): 1,
         ("worker_clients", "0"): 9,
         ("worker_sockets", "0"): 50,
+        ("worker_held_bytes", "0"): 65_000,
     }
 
 
--- a/tests/test_scatter_program.py
+++ b/tests/test_scatter_program.py
@@ -21,6 +21,7 @@
 from frostspindle.core import SUBREQUEST_FRONT, ClientRequest, Response, ResponseStatus, clock
 from frostspindle.lab import scatter as emulator
 from frostspindle.net.fields import CallRejectedError
+from frostspindle.net.http.results import ResultText
 from frostspindle.scatter import leases, wiring
 from frostspindle.scatter.leases import LoadIntent
 from frostspindle.scatter.service import ScatterService, monotonic
@@ -148,12 +149,12 @@
         self.submit("SELECT note FROM calls_17.notes WHERE agent = 'b'")
         submitted = [(part.front, self.core.classes[part.cls][1], part.group) for part in self.core.submitted]
         self.assertEqual(submitted, [(SUBREQUEST_FRONT, "lookup", 17)])
-        self.core.submitted[0].on_response(Response(ResponseStatus.SERVED, ([["5"]], 2)))
-        self.assertEqual(self.answers[1].result[0], [["5"]])
+        self.core.submitted[0].on_response(Response(ResponseStatus.SERVED, ResultText([b"5\n"])))
+        self.assertEqual(self.answers[1].result.rows(), [["5"]])
         self.submit("SELECT COUNT(*) FROM calls_17.notes WHERE agent = 'nobody'", number=2)
         self.assertNotIn(2, self.answers)  # the response follows once the front has recorded the request
         await self.run_callbacks()
-        self.assertEqual((self.answers[2].result[0], len(self.core.submitted)), ([["0"]], 1))
+        self.assertEqual((self.answers[2].result.rows(), len(self.core.submitted)), ([["0"]], 1))
         self.submit("SELECT AVG(note) FROM calls_17.notes", number=3)
         await self.run_callbacks()
         self.assertEqual((self.answers[3].status, len(self.core.submitted)), (ResponseStatus.REJECTED, 1))
@@ -172,7 +173,7 @@
         self.assertEqual([*self.scatter.subrequests(request)], parts)
         present[0] = False
         self.assertEqual([part.is_client_connected() for part in parts], [False] * len(parts))
-        parts[0].on_response(Response(ResponseStatus.SERVED, ([["5"]], 2)))
+        parts[0].on_response(Response(ResponseStatus.SERVED, ResultText([b"5\n"])))
         self.assertEqual([*self.scatter.subrequests(request)], parts[1:])
         away = self.submit("SELECT note FROM calls_17.notes", number=2, is_suspended=True)
         self.assertTrue(all(part.is_suspended for part in self.scatter.subrequests(away)))
@@ -188,12 +189,12 @@
         self.assertEqual(self.core.cancelled, [parts[1]])
         parts[2].on_response(Response(ResponseStatus.FAILED))
         self.assertNotIn(2, self.answers)
-        parts[3].on_response(Response(ResponseStatus.SERVED, ([["5"]], 2)))
-        self.assertEqual((self.answers[2].result[0], self.answers[2].missing_parts), ([["5"]], "floor-1"))
+        parts[3].on_response(Response(ResponseStatus.SERVED, ResultText([b"5\n"])))
+        self.assertEqual((self.answers[2].result.rows(), self.answers[2].missing_parts), ([["5"]], "floor-1"))
         request = self.submit("SELECT note FROM calls_17.notes", number=3)
         self.assertTrue(self.scatter.client_disconnected(request))
         self.assertEqual(self.core.cancelled[1:], self.core.submitted[4:])
-        self.core.submitted[4].on_response(Response(ResponseStatus.SERVED, ([], 0)))
+        self.core.submitted[4].on_response(Response(ResponseStatus.SERVED, ResultText([b""])))
         self.assertNotIn(3, self.answers)
 
     async def test_site_with_foreign_loads_is_always_queried_and_its_loads_are_not_announced(self):
@@ -204,7 +205,7 @@
         self.submit("SELECT note FROM calls_17.notes WHERE agent = 'nobody'")
         self.assertEqual([part.cls for part in self.core.submitted], [self.config.scatter.classes[0, "b"]])
         self.submit(INSERT.format("x"), "load", 2, site="b")
-        self.core.submitted[1].on_response(Response(ResponseStatus.SERVED, ([], 0)))
+        self.core.submitted[1].on_response(Response(ResponseStatus.SERVED, ResultText([b""])))
         self.assertEqual((self.answers[2].status, self.scatter.holder.loads), (ResponseStatus.SERVED, {}))
 
     async def test_lease_that_expires_while_the_process_is_stopped_skips_no_site(self):
@@ -231,7 +232,7 @@
         self.submit(INSERT.format("x"), "load", 2, site="b", key=5)
         await self.run_callbacks()
         self.assertEqual([part.key for part in self.core.submitted], [5, 5])
-        self.core.submitted[0].on_response(Response(ResponseStatus.SERVED, ([], 0)))
+        self.core.submitted[0].on_response(Response(ResponseStatus.SERVED, ResultText([b""])))
         await self.run_callbacks()
         self.assertEqual(self.answers[1].status, ResponseStatus.SERVED)
         self.core.submitted[1].on_response(Response(ResponseStatus.FAILED))
@@ -285,7 +286,7 @@
         request = self.submit(INSERT.format("x"), "load", 2, site="b")
         await self.run_callbacks()
         with unittest.mock.patch.object(leases.SummaryHome, "on_load_ended", lambda *args: None):
-            self.core.submitted[0].on_response(Response(ResponseStatus.SERVED, ([], 0)))
+            self.core.submitted[0].on_response(Response(ResponseStatus.SERVED, ResultText([b""])))
             await self.run_callbacks()
             self.assertNotIn(2, self.answers)
             self.scatter._on_load_timeout(self.scatter.loads[request])
