Keep no body and no headers of the last message on resting connections

Callers saw: uncounted memory, up to 64 KB for each resting connection of a client or an engine; not seen in operation, found by a test of the counting. Cause: the parsers dropped a message's body only as the next one began. Evidence: 60 resting clients after statements of 60 KB: 7.2 MB more in use. Change: a message is handed over whole and not kept; a connection remembers its last result only where that has a path. Test: test_resting_connections_keep_nothing_of_their_last_message failed before with 7.2 MB of 3.1 MB.

--- a/frostspindle/net/http/clients.py
+++ b/frostspindle/net/http/clients.py
@@ -383,8 +383,11 @@
         call = PendingCall(self)
         call.last = self.ignores_input = not self.parser.should_keep_alive()
         self.pending_calls.append(call)
+        fields, body = self.fields, b"".join(self.body)
+        self.fields = {}  # a resting connection keeps nothing of its last request
+        self.body = []
         try:
-            self.front.call(call, self.parser.get_method(), self.url, self.fields, b"".join(self.body))
+            self.front.call(call, self.parser.get_method(), self.url, fields, body)
         except CallRejectedError as rejection:
             self.pending_calls.remove(call)
             self._stop_parsing(rejection.status, rejection.text)
--- a/frostspindle/net/http/engine_connection.py
+++ b/frostspindle/net/http/engine_connection.py
@@ -156,12 +156,19 @@
             if self.has_unwritten:
                 self._fail(InvalidReplyError("a response before the call was written completely"))
             elif not self.waiter.done():
-                self._deliver(EngineReply(self.status, self.headers, b"".join(self.body)))
+                self._deliver(self._take_reply())
         elif self.response_bytes > MAX_RESPONSE_BYTES:
             self._fail(InvalidReplyError("the response is too long"))
         if not self.is_reusable:
             self.drop()
 
+    def _take_reply(self) -> EngineReply:
+        """Return the response that was received last; the connection, which may rest now, does not keep it."""
+        reply = EngineReply(self.status, self.headers, b"".join(self.body))
+        self.headers = {}
+        self.body = []
+        return reply
+
     def _deliver(self, reply: EngineReply) -> None:
         """Pass a response to the waiter as that of the call."""
         if self._is_checked:
@@ -198,6 +205,8 @@
             return
         self.pool.confirmations.record_genuine(reply.status, now_s)
         self.is_complete = True
+        self.headers = {}
+        self.body = []
         self.idle_since_s = now_s
         self._deliver(reply)
 
--- a/frostspindle/net/http/request_registry.py
+++ b/frostspindle/net/http/request_registry.py
@@ -139,7 +139,8 @@
         next_path = f"{opened.path}/{page + 1}" if page + 1 < len(opened.pages) else ""
         if not next_path:
             self._mark_fetched(opened)
-            call.client.last_result = opened
+            if opened.path in self.open:  # else nothing is kept of it
+                call.client.last_result = opened
         call.reply_page(opened.pages[page], next_path)
 
     def _mark_fetched(self, opened: OpenRequest) -> None:
--- a/tests/test_held_memory.py
+++ b/tests/test_held_memory.py
@@ -128,6 +128,29 @@
         self.assertEqual((self.memory.total, set(self.memory.used.values())), (0, {0}))
 
 
+# Guards against: each resting connection kept its last statement or page, which nothing counted.
+class RestingConnections(HeldMemoryCase):
+    async def test_resting_connections_keep_nothing_of_their_last_message(self):
+        await self.start(memory_mb=16.0)
+        self.engine.script = lambda request, body: page(ROWS)
+        statement = b"SELECT '" + b"x" * 60_000 + b"' FROM calls_17.notes"
+        tracemalloc.start()
+        self.addCleanup(tracemalloc.stop)
+        before = traced_bytes()
+        for number in range(1, 61):
+            reader, writer = await asyncio.open_connection("127.0.0.1", self.program.platform.port)
+            self.addCleanup(writer.close)
+            writer.write(
+                b"POST /call/lookup HTTP/1.1\r\nHost: t\r\nX-Request-Id: %016x\r\nX-Timeout-Ms: 3000\r\n"
+                b"X-Cost-Ms: 50\r\nX-Memory: 64\r\nContent-Length: %d\r\n\r\n%b" % (number, len(statement), statement)
+            )
+            self.assertIn(b" 200 ", await reader.readline())
+        self.assertEqual(self.program.platform.connections, 60)
+        self.assertLess(traced_bytes() - before, 16.0 * 2**20 * HELD_SHARE)
+        connections = [one for pool in self.program.driver.pools.values() for one in pool.established]
+        self.assertEqual([(one.headers, one.body) for one in connections], [({}, [])] * len(connections))
+
+
 def test_two_processes_of_an_upgrade_share_the_limit():
     memory = HeldMemory(64.0)
     assert memory.limit == 64 * 2**20 * HELD_SHARE
