Reserve memory for results that outgrow their room before fetching their pages

Callers saw: nothing in operation; found while counting what is held. Cause: pages were fetched whatever they came to, up to 256 KB for each request. Evidence: ten results of 240 KB at a time held 2.4 MB of a limit of 1.0 MB. Change: a result that outgrows its 64 KB first reserves room for the longest, all at once; without room it waits at its engine, which is polled to keep it, and new requests are refused meanwhile. Tests: both of LongResults failed with the driver of before.

--- a/frostspindle/held_memory.py
+++ b/frostspindle/held_memory.py
@@ -45,22 +45,25 @@
 class MemoryCharge:
     """The bytes that one request, result or connection is charged for."""
 
-    __slots__ = ("_memory", "purpose", "size")
+    __slots__ = ("_memory", "purpose", "size", "_is_released")
 
     def __init__(self, memory: HeldMemory, purpose: HeldPurpose) -> None:
         self._memory = memory
         self.purpose = purpose
         self.size = 0
+        self._is_released = False
 
     def resize(self, size: int) -> None:
-        """Set the bytes charged, whether or not there is room."""
+        """Set the bytes charged, whether or not there is room; has no effect after `release`."""
+        if self._is_released:
+            return
         self._memory.count(self.purpose, size - self.size)
         self.size = size
 
     def release(self) -> None:
-        """Charge nothing any more; has no effect if repeated."""
-        if self.size:
-            self.resize(0)
+        """Charge nothing any more, for good."""
+        self.resize(0)
+        self._is_released = True
 
 
 class HeldMemory:
@@ -73,6 +76,7 @@
         self.unsent_limit = self._full_unsent_limit
         self.total = 0  # for all purposes but UNSENT, which has a limit of its own
         self.used: dict[HeldPurpose, int] = dict.fromkeys(HeldPurpose, 0)
+        self.waiting_extensions = 0  # results that wait for more room than was reserved for them
         self.reclaim: Callable[[int], None] | None = None  # drops results that nobody waits for, of so many bytes
 
     def share(self, is_sharing: bool) -> None:
@@ -109,19 +113,37 @@
         return charge
 
     def admit(self, statement: str) -> MemoryCharge | None:
-        """Reserve memory for a new request and its result; None if the request has to be refused."""
+        """Reserve memory for a new request and its result; None if the request has to be refused.
+
+        It is also refused while results that are there wait for room, as these come first.
+        """
+        if self.waiting_extensions:
+            return None
         size = RESERVED_RESULT_BYTES + REQUEST_OVERHEAD_BYTES + STATEMENT_COPIES * sys.getsizeof(statement)
         if not self._make_room(size):
             return None
         return self.charge(HeldPurpose.REQUESTS, size)
 
-    def _make_room(self, size: int) -> bool:
-        """Return whether `size` more bytes may be held, if necessary by dropping results that nobody waits for."""
+    def try_extend(self, charge: MemoryCharge, size: int) -> bool:
+        """Reserve `size` more bytes for a result that is longer than usual; return whether there is room.
+
+        All that it can still need is to be reserved at once: if several got a part each, none could be completed.
+        """
+        if not self._make_room(size, charge.size):
+            return False
+        charge.resize(charge.size + size)
+        return True
+
+    def _make_room(self, size: int, own_size: int = 0) -> bool:
+        """Return whether `size` more bytes may be held, if necessary by dropping results that nobody waits for.
+
+        `own_size`: the bytes that whoever asks is charged for already.
+        """
         excess = self.total + size - self.limit
         if excess > 0 and self.reclaim is not None:
             self.reclaim(excess)
         # A single request is always admitted, so that a process with little memory serves at all.
-        return self.total + size <= self.limit or self.total == 0
+        return self.total + size <= self.limit or self.total == own_size
 
     def by_purpose(self) -> dict[str, int]:
         """Return the bytes held for each purpose."""
--- a/frostspindle/net/http/attempts.py
+++ b/frostspindle/net/http/attempts.py
@@ -13,6 +13,7 @@
 from typing import NamedTuple
 
 from frostspindle.core import UNKNOWN_COST, Attempt, Core, MeasuredCost, clock
+from frostspindle.held_memory import RESERVED_RESULT_BYTES
 from frostspindle.net.http.connection_pool import (
     MAX_BROKEN_RESPONSES,
     RESPONSE_TIMEOUT_S,
@@ -23,8 +24,9 @@
 from frostspindle.net.http.duplicate_responses import confirmation_time_s
 from frostspindle.net.http.engine_connection import ConnectionBrokenError, EngineConnection, RequestNotWrittenError
 from frostspindle.net.http.load_reports import LoadReportParser
-from frostspindle.net.http.replies import MAX_RESULT_BYTES, EngineReply, InvalidReplyError
+from frostspindle.net.http.replies import MAX_PAGE_BYTES, MAX_RESULT_BYTES, EngineReply, InvalidReplyError
 from frostspindle.net.http.results import ResultText
+from frostspindle.net.result_room import wait_for_room
 from frostspindle.policy import AttemptOutcome, Health, Idempotency
 from frostspindle.pools import AttemptProgress
 from frostspindle.telemetry import Telemetry
@@ -35,6 +37,8 @@
 SHED_STATUSES = (503, 504)
 MAX_DELETE_ATTEMPTS = 2
 CANCEL_TIMEOUT_S = 0.3  # of one DELETE
+LONGER_RESULT_BYTES = MAX_RESULT_BYTES + MAX_PAGE_BYTES - RESERVED_RESULT_BYTES  # beyond what each request has
+KEEP_RESULT_S = 1.0  # interval of polls while a result waits at its engine; engines keep it for 2 s
 CANCEL_POLL_S = 0.05  # interval at which older connections are checked for responses
 
 
@@ -250,7 +254,13 @@
         """Return all rows of the result, in order; None if a page is lost."""
         pages = [first.body]
         size = len(first.body)
+        longest_page = size
+        has_room = False
         for number in range(1, first.pages):
+            if not has_room and size + longest_page > RESERVED_RESULT_BYTES:
+                if not await self._reserve_longest_result(pool, attempt, path, progress):
+                    return None
+                has_room = True
             reply = await self.poll(pool, attempt, path, number, progress)
             if reply is None or reply.status != 200:
                 return None
@@ -258,8 +268,28 @@
             if size > MAX_RESULT_BYTES:
                 raise InvalidReplyError("the result is too long")
             pages.append(reply.body)
+            longest_page = max(longest_page, len(reply.body))
         return ResultText(pages)
 
+    async def _reserve_longest_result(
+        self, pool: ConnectionPool, attempt: Attempt, path: str, progress: AttemptProgress
+    ) -> bool:
+        """Wait for room for the longest result, and meanwhile poll the engine, which keeps the pages only so long.
+
+        Return False if the engine has lost the result.
+        """
+        while True:
+            try:
+                async with asyncio.timeout(KEEP_RESULT_S) as limit:
+                    await wait_for_room(self.core.held_memory, attempt.request, LONGER_RESULT_BYTES)
+                return True
+            except TimeoutError:
+                if not limit.expired():
+                    raise
+            reply = await self.poll(pool, attempt, path, 0, progress)
+            if reply is None or reply.status != OK_STATUS:
+                return False
+
     async def give_up(self, pool: ConnectionPool, attempt: Attempt, progress: AttemptProgress) -> None:
         """Cancel the query at the engine and return once it can no longer be running.
 
--- a/frostspindle/net/http/clients.py
+++ b/frostspindle/net/http/clients.py
@@ -182,7 +182,7 @@
 
     def _release_unsent(self) -> None:
         if self._unsent.size:
-            self._unsent.release()
+            self._unsent.resize(0)
             self.front.write_waiting_answers()
 
     def _pause_reading(self, unread_since_ms: float) -> None:
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -110,7 +110,7 @@
     "frostspindle.core": "actions arrival_clock attempts core dispatcher drivers endpoints event_handlers figures "
     "interfaces ledger messages requests steady_clock",
     "frostspindle.ledger": "rule_index tenant_rules tenants",
-    "frostspindle.net": "discovery engines fields hangup http operator platform",
+    "frostspindle.net": "discovery engines fields hangup http operator platform result_room",
     "frostspindle.net.http": "attempts calls clients connection_limits connection_pool "
     "duplicate_responses engine_connection "
     "listener load_reports replies request_registry results statements",
--- a/tests/test_held_memory.py
+++ b/tests/test_held_memory.py
@@ -172,6 +172,48 @@
         await self.until(lambda: not self.memory.used[HeldPurpose.UNSENT])
 
 
+# Guards against: pages of long results that come in from engines were not counted.
+class LongResults(HeldMemoryCase):
+    PAGE = ROW * (60_000 // len(ROW))
+
+    def answer(self, request, body):
+        number = int(request.path.rpartition("/")[2]) if request.method == "GET" else 0
+        return page(self.PAGE, 4, X_Page=str(number)) if request.method in ("GET", "POST") else None
+
+    async def rows_of(self, number):
+        """Return the number of rows that a client is given on all pages."""
+        status, body, _ = await self.ask(number=number, timeout=3900.0)
+        count = 0
+        while True:
+            self.assertEqual(status, 200)
+            count += len(body.get("rows", ()))
+            if "next" not in body:
+                return count
+            status, body, _ = await self.call("GET", body["next"])
+
+    async def test_a_long_result_waits_at_its_engine_and_new_requests_are_refused_meanwhile(self):
+        await self.start(memory_mb=32.0)
+        self.memory.limit = 2**19
+        other = self.memory.charge(HeldPurpose.RESULTS, 2**18)  # for others; what is left is too little
+        waiting = asyncio.create_task(self.rows_of(1))
+        await self.until(lambda: self.memory.waiting_extensions == 1)
+        self.assertLessEqual(self.memory.total, self.memory.limit)
+        self.assertEqual((await self.ask(number=2))[0], 503)
+        self.assertEqual(len(self.engine.of("POST")), 1)
+        other.release()
+        self.assertEqual(await waiting, 4 * self.PAGE.count("\n"))
+
+    async def test_long_results_of_many_clients_stay_within_the_limit(self):
+        await self.start(memory_mb=32.0)
+        self.memory.limit = 2**20
+        peaks = []
+        count = self.memory.count
+        self.memory.count = lambda purpose, change: (count(purpose, change), peaks.append(self.memory.total))
+        results = await asyncio.gather(*(self.rows_of(number) for number in range(1, 11)))
+        self.assertEqual(set(results), {4 * self.PAGE.count("\n")})
+        self.assertLessEqual(max(peaks), 2**20)
+
+
 # Guards against: each resting connection kept its last statement or page, which nothing counted.
 class RestingConnections(HeldMemoryCase):
     async def test_resting_connections_keep_nothing_of_their_last_message(self):
