Count results of TDS engines, and leave room to complete long results

Callers saw: nothing in operation; found while counting what is held. Cause: TDS results were bounded by static limits beside all else that is held, and counted nowhere, though they are in memory up to three times. Evidence: while a result of 183 KB was held, 0.07 MB were charged. Change: a response is charged until the client has taken it; a result that outgrows its room reserves the rest first, and its engine waits meanwhile. New requests leave 512 KB free, as requests that all waited for more room kept each other from it until their deadlines, which a test of this change showed.

--- a/frostspindle/held_memory.py
+++ b/frostspindle/held_memory.py
@@ -21,6 +21,7 @@
 UNSENT_SHARE = 1 / 16  # of limits.memory_mb, beside HELD_SHARE: answers that their clients do not read yet
 # A result has at most 48,000 bytes by the platform's protocol; a longer one reserves more before it is fetched.
 RESERVED_RESULT_BYTES = 64 * 1024
+EXTENSION_ROOM_BYTES = 512 * 1024  # that new requests leave free, so that a longer result can always be completed
 REQUEST_OVERHEAD_BYTES = 4096  # the objects of an open request and its attempts
 RESULT_OVERHEAD_BYTES = 1024  # the objects of a result, whatever its length
 STATEMENT_COPIES = 2  # the statement itself, and its bytes while they are written to an engine
@@ -120,7 +121,7 @@
         if self.waiting_extensions:
             return None
         size = RESERVED_RESULT_BYTES + REQUEST_OVERHEAD_BYTES + STATEMENT_COPIES * sys.getsizeof(statement)
-        if not self._make_room(size):
+        if not self._make_room(size, self.limit - min(EXTENSION_ROOM_BYTES, self.limit // 2)):
             return None
         return self.charge(HeldPurpose.REQUESTS, size)
 
@@ -129,21 +130,21 @@
 
         All that it can still need is to be reserved at once: if several got a part each, none could be completed.
         """
-        if not self._make_room(size, charge.size):
+        if not self._make_room(size, self.limit, charge.size):
             return False
         charge.resize(charge.size + size)
         return True
 
-    def _make_room(self, size: int, own_size: int = 0) -> bool:
-        """Return whether `size` more bytes may be held, if necessary by dropping results that nobody waits for.
+    def _make_room(self, size: int, limit: int, own_size: int = 0) -> bool:
+        """Return whether `size` more bytes are within a limit, if necessary by dropping results nobody waits for.
 
         `own_size`: the bytes that whoever asks is charged for already.
         """
-        excess = self.total + size - self.limit
+        excess = self.total + size - limit
         if excess > 0 and self.reclaim is not None:
             self.reclaim(excess)
         # A single request is always admitted, so that a process with little memory serves at all.
-        return self.total + size <= self.limit or self.total == own_size
+        return self.total + size <= limit or self.total == own_size
 
     def by_purpose(self) -> dict[str, int]:
         """Return the bytes held for each purpose."""
--- a/frostspindle/net/tds/codec.py
+++ b/frostspindle/net/tds/codec.py
@@ -76,6 +76,11 @@
         """Whether a message is partly received."""
         return bool(self._data or self._body)
 
+    @property
+    def held_bytes(self) -> int:
+        """Bytes of the message that is partly received."""
+        return len(self._data) + len(self._body)
+
     def feed(self, data: bytes) -> Iterator[Message]:
         """Add bytes from the stream and yield the messages that are now complete.
 
--- a/frostspindle/net/tds/driver.py
+++ b/frostspindle/net/tds/driver.py
@@ -10,11 +10,13 @@
 import asyncio
 import zlib
 from collections import deque
-from collections.abc import Iterable
+from collections.abc import Awaitable, Callable, Iterable
 
 from frostspindle.config import HEALTH_CODES, TdsEngine, TdsSection, address
 from frostspindle.core import Attempt, Core, EngineState, clock
+from frostspindle.held_memory import RESERVED_RESULT_BYTES
 from frostspindle.net import TaskDriver
+from frostspindle.net.result_room import wait_for_room
 from frostspindle.net.tds import codec
 from frostspindle.net.tds.codec import MessageTooLongError
 from frostspindle.policy import AttemptOutcome, EndpointListKind, EngineEntry, Health
@@ -23,6 +25,9 @@
 SHUTTING_DOWN = {6005, 6006, 17142, 17147, 18401}  # error numbers of a server that stops or pauses
 MAX_STATEMENT_SEVERITY = 16  # errors up to this severity are caused by the statement and returned to the client
 DEADLOCK, RESULT_TOO_LONG = 1205, 50003
+READ_BYTES = 16 * 1024
+RESULT_COPIES = 2  # of a result while it is parsed: the message and its tokens
+UNRESERVED_RESULT_BYTES = RESERVED_RESULT_BYTES // 4  # with its copy, and what the reader has buffered
 ATTENTION_TIMEOUT_S = 1.0  # then the connection is closed
 IDLE_TIMEOUT_S, MAX_IDLE_SESSIONS = 30.0, 16  # of one engine and database
 RECONNECT_INTERVAL_S = 0.5  # login attempts at an engine that shut down
@@ -48,7 +53,7 @@
     @classmethod
     async def open(cls, engine_address: tuple[str, int], tds: TdsSection, database: str, max_bytes: int) -> _Connection:
         try:
-            reader, writer = await asyncio.open_connection(*engine_address, limit=64 * 1024)
+            reader, writer = await asyncio.open_connection(*engine_address, limit=READ_BYTES)
         except OSError as error:
             raise SessionUnavailableError(repr(error)) from None
         connection = cls(reader, writer, max_bytes)
@@ -90,10 +95,13 @@
                 [token.number for token in result.errors],
             )
 
-    async def read_message(self) -> bytes:
-        """Read the next complete message."""
+    async def read_message(self, make_room: Callable[[], Awaitable[None]] | None = None) -> bytes:
+        """Read the next complete message; before it outgrows the room that each request has, await `make_room`."""
         while True:
-            data = await self.reader.read(64 * 1024)
+            if make_room is not None and self.splitter.held_bytes > UNRESERVED_RESULT_BYTES:
+                await make_room()
+                make_room = None
+            data = await self.reader.read(READ_BYTES)
             if not data:
                 raise EOFError("the engine ended its connection")
             for message in self.splitter.feed(data):
@@ -271,7 +279,8 @@
                     outcome = AttemptOutcome.RESET
                     connection.request(attempt.request.statement)
                     self.core.count_written(attempt)
-                    outcome, tokens = self._interpret(attempt, await connection.read_message())
+                    body = await connection.read_message(lambda: self._reserve_longest_result(attempt))
+                    outcome, tokens = self._interpret(attempt, body)
                     self._return_to_pool(attempt, connection)
                     connection = None
         except (OSError, EOFError) as error:
@@ -302,6 +311,11 @@
             connection.close()
         self.core.attempt_ended(attempt, outcome, (), tokens)
 
+    async def _reserve_longest_result(self, attempt: Attempt) -> None:
+        """Wait for room for the longest result; the engine waits meanwhile, as nothing more is read."""
+        size = RESULT_COPIES * self.tds.max_result_bytes
+        await wait_for_room(self.core.held_memory, attempt.request, size)
+
     async def _connect(self, attempt: Attempt) -> _Connection | None:
         """Return an idle session for the engine and database, or a new one; None if neither is available."""
         key = (attempt.engine, attempt.request.database)
--- a/frostspindle/net/tds/session.py
+++ b/frostspindle/net/tds/session.py
@@ -19,6 +19,7 @@
 
 from frostspindle.config import TdsLogin, TdsSection
 from frostspindle.core import ClientRequest, Core, Response, ResponseStatus, clock
+from frostspindle.held_memory import HeldPurpose, MemoryCharge
 from frostspindle.net.hangup import SocketWatch
 from frostspindle.net.tds import codec
 from frostspindle.telemetry import Telemetry
@@ -31,6 +32,7 @@
 SEND_TIMEOUT_S = 30.0  # the session of a client that does not read is closed
 LINGER_TIMEOUT_S = 1.0  # how long input is read and discarded after the sending side was shut down
 UNREAD_RESPONSE_TIMEOUT_S = 5.0  # the same while the client has not read its last response
+RESPONSE_COPIES = 2  # its tokens, and its packets while they are written
 MAX_QUEUED_MESSAGES = 16  # ahead of their responses
 DEFAULT_RETRY_AFTER_MS = 100.0  # in a rejection for which the core has no delay
 _UNSUPPORTED_MESSAGES = {
@@ -106,6 +108,7 @@
         self._message_began_s: float | None = None  # loop time at which a partial message was first seen
         self._last_active_s = self.waiting_since_s  # loop time of the shutdown of the sending side, or of later input
         self._linger_timer: asyncio.TimerHandle | None = None
+        self._charge = MemoryCharge(front.core.held_memory, HeldPurpose.RESULTS)  # of the response being sent
 
     async def message(self) -> codec.Message | None:
         """Return the next message, or None at the end of the stream or after the sending side was shut down."""
@@ -214,6 +217,7 @@
         """Close the connection."""
         if self._linger_timer is not None:
             self._linger_timer.cancel()
+        self._charge.release()
         self.writer.close()
 
     # Messages.
@@ -336,6 +340,7 @@
             await self._run_batch(statement)
         finally:
             self.busy, self.waiting_since_s = False, self.loop.time()
+            self._charge.resize(self.writer.transport.get_write_buffer_size())
 
     async def _run_batch(self, statement: str) -> None:
         answered: asyncio.Future[Response] = self.loop.create_future()
@@ -370,6 +375,7 @@
 
         def on_response(response: Response) -> None:
             if not answered.done():
+                self._charge.resize(RESPONSE_COPIES * len(response.result or b""))
                 answered.set_result(response)
 
         self.ticket = front.next_ticket()
