Divide the unread events of all subscribers within a share of the memory

Callers saw: nothing in operation; found while counting what is held. Cause: 64 KB were buffered for each subscriber that does not read, whatever their number: 64 MB with the 1,000 of the default, 640 MB with the 10,000 of the most. Change: all together have 1/64 of limits.memory_mb, divided by their number. Test: test_unread_events_of_all_subscribers_stay_within_their_share failed before at the 49th subscriber.

--- a/frostspindle/components/operator_port.py
+++ b/frostspindle/components/operator_port.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING, Any
 
 from frostspindle.components.base import Component
-from frostspindle.net.operator import OperatorServer
+from frostspindle.net.operator import UNREAD_SHARE, OperatorServer
 
 if TYPE_CHECKING:
     from frostspindle.host import ProgramContext
@@ -19,6 +19,7 @@
         super().__init__(program)
         assert program.config.operator_address is not None
         self.server = OperatorServer(program.config.operator_address, program.operator_calls(), program.telemetry)
+        self.server.max_unread_total = int(program.config.limits.memory_mb * 2**20 * UNREAD_SHARE)
         program.operator_server = self.server
 
     async def start(self) -> None:
--- a/frostspindle/net/operator.py
+++ b/frostspindle/net/operator.py
@@ -20,6 +20,9 @@
 MAX_STREAM_CALL_BYTES = 65_536  # of a call that opens a stream
 MAX_STREAMS = 10_000
 MAX_UNREAD_BYTES = 65_536  # buffered for a stream before its caller counts as not reading
+MIN_UNREAD_BYTES = 1024  # the same, however many streams there are
+DEFAULT_UNREAD_TOTAL_BYTES = 2 * 2**20  # buffered for all streams together
+UNREAD_SHARE = 1 / 64  # of limits.memory_mb, the same
 CALL_TIMEOUT_S = 5.0  # from connecting until a call must be complete
 MAX_WORDS = 5  # of a call, with its name; further words are ignored
 _NAME_BYTES = 32  # at the start of a call's line; contain its name
@@ -131,6 +134,8 @@
         self.long_calls: set[str] = set()  # calls that may be as long as those that open a stream
         self.callers: dict[_OperatorConnection, None] = {}  # in the order of connecting
         self.streams: set[_OperatorConnection] = set()
+        self.max_unread_total = DEFAULT_UNREAD_TOTAL_BYTES
+        self._max_unread = MAX_UNREAD_BYTES  # of one stream
         self._server: asyncio.Server | None = None
 
     async def start(self) -> None:
@@ -190,12 +195,21 @@
         except Exception as error:  # noqa: BLE001 - a fault ends this call only
             return self._log_exception(name, error)
         caller.timer.cancel()
-        caller.transport.set_write_buffer_limits(MAX_UNREAD_BYTES)
         self.callers.pop(caller, None)
         self.streams.add(caller)
+        self._divide_unread(caller)
         self.telemetry.log("operator_called", call=name)
         return None
 
+    def _divide_unread(self, newest: _OperatorConnection) -> None:
+        """Divide the bytes that may be buffered among the streams; a new division only as their number doubles."""
+        places = 1 << len(self.streams).bit_length()
+        max_unread = max(MIN_UNREAD_BYTES, min(MAX_UNREAD_BYTES, self.max_unread_total // places))
+        changed = [newest] if max_unread == self._max_unread else list(self.streams)
+        self._max_unread = max_unread
+        for caller in changed:
+            caller.transport.set_write_buffer_limits(max_unread)
+
     def answer(self, line: bytes) -> bytes:
         """Run one call and return its response; exceptions are logged and answered with a `NAK` line."""
         name, *arguments = line.decode("utf-8", "replace").split()[:MAX_WORDS] or [""]
--- a/tests/test_held_memory.py
+++ b/tests/test_held_memory.py
@@ -13,7 +13,9 @@
 
 import frostspindle
 from frostspindle.held_memory import HeldMemory, HeldPurpose
+from frostspindle.net.operator import OperatorServer
 from frostspindle.net.tds import codec, session
+from frostspindle.telemetry import Telemetry
 
 MAX_RESULT_BYTES = 48_000  # of the platform's protocol
 ROW = "17\t42\tok\n"  # a row of few letters, which takes many times its text as a Python list
@@ -283,6 +285,20 @@
         self.assertEqual([(one.headers, one.body) for one in connections], [({}, [])] * len(connections))
 
 
+# Guards against: up to 64 KB were buffered for each of a thousand subscribers that did not read.
+def test_unread_events_of_all_subscribers_stay_within_their_share():
+    server = OperatorServer(("127.0.0.1", 0), {}, Telemetry("t0"))
+    server.telemetry._write = lambda now, event, fields: None
+    server.max_unread_total = 192 * 2**20 // 64
+    callers = [unittest.mock.Mock() for _ in range(1000)]
+    for caller in callers:
+        server.open_stream(caller, lambda text, caller: unittest.mock.Mock(), b"subscribe")
+        limits = [one.transport.set_write_buffer_limits.call_args.args[0] for one in server.streams]
+        assert sum(limits) <= 192 * 2**20 / 64
+        assert min(limits) >= 2**10
+    assert len(server.streams) == 1000
+
+
 def test_two_processes_of_an_upgrade_share_the_limit():
     memory = HeldMemory(64.0)
     assert memory.limit == 64 * 2**20 * HELD_SHARE
