Bound the rows that are buffered for a worker that does not read

Callers saw: nothing in operation; found while counting what is held. Cause: connections between workers bounded pending calls, but not bytes: up to 512 replies with rows for a worker that stands still. Change: over 256 KB unread, a reply with rows is replaced by one that has the client ask again; its rows are kept. Rows are relayed as JSON, not decoded again. Test: test_rows_for_a_worker_that_does_not_read_are_bounded_and_not_lost fails without the change with 36.3 MB.

--- a/frostspindle/cores/mesh.py
+++ b/frostspindle/cores/mesh.py
@@ -17,15 +17,18 @@
 import msgspec
 
 from frostspindle.net.fields import CallRejectedError
-from frostspindle.net.http.calls import OpenRequest, PendingCall
+from frostspindle.net.http.calls import FRONT, OpenRequest, PendingCall
 from frostspindle.net.http.results import encode_page
 from frostspindle.net.platform import HttpFront
 
 MAX_FRAME_BYTES = 1 << 20  # far more than a result page with its frame
 MAX_PENDING_CALLS = 512  # on one connection
+MAX_UNSENT_REPLY_BYTES = 256 * 1024  # buffered for a worker that does not read, before replies with rows are withheld
 CALL_TIMEOUT_S = 1.5  # the owner holds a long poll for 1 s
 ABANDON = b"ABANDON"  # sent in place of a method: the client of this call has disconnected
+ROWS_STATUS = 200
 _ENCODE = msgspec.msgpack.Encoder().encode
+_ENCODE_JSON = msgspec.json.Encoder().encode
 _CALL = msgspec.msgpack.Decoder(tuple[int, bytes, bytes])  # number, method, URL
 _REPLY = msgspec.msgpack.Decoder(tuple[int, int, bytes, str, bool, bool])
 
@@ -186,7 +189,7 @@
             if abandoned_call is not None:
                 abandoned_call.abandon()
             return
-        call = _RemoteCall(self.front, lambda reply: self._send_reply(call_number, reply))
+        call = _RemoteCall(self.front, lambda reply: self._send_reply(call_number, url, reply))
         if len(self.pending_calls) >= MAX_PENDING_CALLS:
             call.reply(503, {"failure": "Busy"})
             return
@@ -201,8 +204,13 @@
             self.front.telemetry.log("exception_caught", error=repr(error), of="relayed call")
             call.reply(500, {"failure": "Failed"}, last=True)
 
-    def _send_reply(self, call_number: int, reply: RelayedReply) -> None:
+    def _send_reply(self, call_number: int, url: bytes, reply: RelayedReply) -> None:
+        """Send a reply; if the calling worker is slow to read, its client is to ask for the rows again."""
         self.pending_calls.pop(call_number, None)
+        has_rows = reply.status == ROWS_STATUS and len(reply.data) > MAX_UNSENT_REPLY_BYTES // MAX_PENDING_CALLS
+        if has_rows and self.transport.get_write_buffer_size() > MAX_UNSENT_REPLY_BYTES:
+            self.front.telemetry.count("relayed_again", FRONT)
+            reply = RelayedReply(ROWS_STATUS, _ENCODE_JSON({"next": url.decode("latin-1")}), "", False, True)
         self.send((call_number, *reply))
 
     def connection_lost(self, error: Exception | None) -> None:
--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -1,6 +1,7 @@
 """Calls relayed between workers: the owner is notified when the client of a relayed call disconnects."""
 
 import asyncio
+import json
 import secrets
 import socket
 from io import BytesIO
@@ -8,7 +9,13 @@
 
 import pytest
 
-from frostspindle.cores.mesh import WorkerMesh, WorkerUnavailableError
+from frostspindle.cores.mesh import (
+    _REPLY,
+    MAX_UNSENT_REPLY_BYTES,
+    WorkerMesh,
+    WorkerUnavailableError,
+    _OwnerConnection,
+)
 from frostspindle.cores.request_relay import RequestRelay
 from frostspindle.telemetry import Telemetry
 
@@ -92,3 +99,47 @@
             mesh.close()
 
     asyncio.run(run())
+
+
+class UnreadTransport:
+    """The transport of a connection whose peer reads nothing."""
+
+    def __init__(self):
+        self.buffer = bytearray()
+
+    def is_closing(self):
+        return False
+
+    def write(self, data):
+        self.buffer += data
+
+    def get_write_buffer_size(self):
+        return len(self.buffer)
+
+
+# Guards against: rows for a worker that did not read were buffered without a bound, up to 512 calls of 256 KB.
+def test_rows_for_a_worker_that_does_not_read_are_bounded_and_not_lost():
+    rows = b"17\t42\tok\n" * 5333
+
+    async def run():
+        front = HoldingFront()
+        owner = _OwnerConnection(front, set())
+        owner.transport = UnreadTransport()
+        for number in range(400):
+            owner.frame_received((number, b"GET", b"/call/lookup/%d/0" % number))
+        for call in front.calls:
+            call.reply_page(rows, "")
+        assert len(owner.transport.buffer) < MAX_UNSENT_REPLY_BYTES + 2 * len(rows) + 400 * 100
+        frames, position, bodies = owner.transport.buffer, 0, []
+        while position < len(frames):
+            length = int.from_bytes(frames[position : position + 4], "little")
+            number, status, body, _, _, has_next = _REPLY.decode(frames[position + 4 : position + 4 + length])
+            position += 4 + length
+            bodies.append((number, status, json.loads(body), has_next))
+        whole = [reply for reply in bodies if not reply[3]]
+        assert len(bodies) == 400 and 1 <= len(whole) < 10
+        assert all(len(body["rows"]) == 5333 for _, _, body, _ in whole)
+        for number, status, body, has_next in bodies:  # the others ask again, and their rows are kept
+            assert status == 200 and (not has_next or body == {"next": f"/call/lookup/{number}/0"})
+
+    asyncio.run(run())
