Keep the rows of spread tables as text while they wait, and count them

Callers saw: nothing in operation; found while counting what is held. Cause: rows of a part were lists while they waited for other sites, and counted nowhere. Change: they wait as text, charged until the request is answered or given up. Test: test_rows_that_wait_for_other_sites_are_counted_and_kept_as_text failed before: nothing was charged. Tests of scatter pass.

--- a/frostspindle/net/http/results.py
+++ b/frostspindle/net/http/results.py
@@ -8,7 +8,8 @@
 
 import re
 import sys
-from collections.abc import Sequence
+from collections.abc import Iterator, Sequence
+from typing import overload
 
 import msgspec
 
@@ -58,6 +59,27 @@
         return pages
 
 
+class LazyRows(Sequence[list[str]]):
+    """The rows of a result, which are made from its text anew each time that they are read."""
+
+    def __init__(self, result: ResultText) -> None:
+        self._result = result
+
+    def __len__(self) -> int:
+        return sum(page.count(b"\n") for page in self._result.pages)
+
+    def __iter__(self) -> Iterator[list[str]]:
+        for page in self._result.pages:
+            yield from parse_rows(page)
+
+    @overload
+    def __getitem__(self, index: int) -> list[str]: ...
+    @overload
+    def __getitem__(self, index: slice) -> Rows: ...
+    def __getitem__(self, index: int | slice) -> list[str] | Rows:
+        return self._result.rows()[index]
+
+
 def held_bytes(pages: Sequence[bytes]) -> int:
     """Return the memory that pages of text take, with their object headers."""
     return sum(map(sys.getsizeof, pages))
--- a/frostspindle/scatter/gather.py
+++ b/frostspindle/scatter/gather.py
@@ -34,7 +34,7 @@
     null: str
     allows_missing: bool
     max_rows: int
-    part_rows: dict[str, list[Row]] = field(default_factory=dict)
+    part_rows: dict[str, Sequence[Row]] = field(default_factory=dict)
     failed_parts: dict[str, tuple[ResponseStatus, float]] = field(default_factory=dict)  # status, retry_after_ms
     row_count: int = 0
     is_finished: bool = False
@@ -48,7 +48,7 @@
         """Return the response if there is no site to query, else None."""
         return self._merge_parts() if not self.sites else None
 
-    def on_part_rows(self, site: str, rows: list[Row]) -> GatheredResponse | None:
+    def on_part_rows(self, site: str, rows: Sequence[Row]) -> GatheredResponse | None:
         """Take a part's rows; return the response if it was the last part or there are too many rows, else None.
 
         Repeats are ignored.
--- a/frostspindle/scatter/service.py
+++ b/frostspindle/scatter/service.py
@@ -19,7 +19,8 @@
 
 from frostspindle.catalogue import CELL_SUFFIX, FLOAT, TEXT, Catalogue, Column, home_of, key_of, site_of
 from frostspindle.core import SUBREQUEST_FRONT, ClientRequest, Core, Response, ResponseStatus, clock
-from frostspindle.net.http.results import ResultText
+from frostspindle.held_memory import HeldPurpose, MemoryCharge
+from frostspindle.net.http.results import LazyRows, ResultText, held_bytes
 from frostspindle.predicates import may_match
 from frostspindle.predicates.values import KINDS, canonical
 from frostspindle.scatter import wire
@@ -59,6 +60,7 @@
     request: ClientRequest
     gather: Gather
     parts: dict[str, ClientRequest]
+    charge: MemoryCharge  # of the rows that wait for those of other sites
 
 
 @dataclass(slots=True, eq=False)
@@ -225,6 +227,7 @@
         """
         if (query := self.queries.pop(request, None)) is not None:
             query.gather.on_client_disconnected()
+            query.charge.release()
             for site in query.gather.open:
                 if site in query.parts:
                     self.core.client_disconnected(query.parts[site])
@@ -290,6 +293,7 @@
                 self.catalogue.settings.most_rows,
             ),
             {},
+            self.core.held_memory.charge(HeldPurpose.RESULTS, 0),
         )
         if (gathered := query.gather.start()) is not None:
             self._respond_later(request, self._to_response(gathered))
@@ -342,9 +346,12 @@
 
     def _on_part_response(self, query: _ScatteredQuery, site: str, response: Response) -> None:
         if response.status == ResponseStatus.SERVED:
-            gathered = query.gather.on_part_rows(site, response.result.rows())
+            query.charge.resize(query.charge.size + held_bytes(response.result.pages))
+            gathered = query.gather.on_part_rows(site, LazyRows(response.result))
         else:
             gathered = query.gather.on_part_failed(site, response.status, response.retry_after_ms)
+        if query.gather.is_finished:
+            query.charge.release()
         if gathered is None or self.queries.pop(query.request, None) is None:
             return
         for other in query.gather.open:
--- a/tests/test_scatter_program.py
+++ b/tests/test_scatter_program.py
@@ -4,6 +4,7 @@
 import json
 import subprocess
 import sys
+import tracemalloc
 import unittest
 import unittest.mock
 from io import BytesIO
@@ -19,6 +20,7 @@
 from frostspindle.cli import cli
 from frostspindle.config import ConfigError
 from frostspindle.core import SUBREQUEST_FRONT, ClientRequest, Response, ResponseStatus, clock
+from frostspindle.held_memory import HeldMemory, HeldPurpose
 from frostspindle.lab import scatter as emulator
 from frostspindle.net.fields import CallRejectedError
 from frostspindle.net.http.results import ResultText
@@ -68,6 +70,7 @@
         self.classes = classes + [(SUBREQUEST_FRONT, config.classes[cls]) for cls, _ in config.scatter.classes]
         self.settings, self.max_open_requests, self.open = config.settings, 9, 0
         self.submitted, self.cancelled = [], []
+        self.held_memory = HeldMemory(192.0)
 
     def submit(self, request):
         self.submitted.append(request)
@@ -178,6 +181,26 @@
         away = self.submit("SELECT note FROM calls_17.notes", number=2, is_suspended=True)
         self.assertTrue(all(part.is_suspended for part in self.scatter.subrequests(away)))
 
+    # Guards against: rows that waited for those of other sites were lists, many times their text, and not counted.
+    async def test_rows_that_wait_for_other_sites_are_counted_and_kept_as_text(self):
+        page = b"".join(b"%d\n" % (number % 90) for number in range(16_000))
+        memory = self.core.held_memory
+        for number in (1, 2):
+            self.submit("SELECT note FROM calls_17.notes", number=number)
+        tracemalloc.start()
+        self.addCleanup(tracemalloc.stop)
+        before = tracemalloc.get_traced_memory()[0]
+        for part in self.core.submitted[::2]:
+            part.on_response(Response(ResponseStatus.SERVED, ResultText([page + b"91\n"])))
+        taken = tracemalloc.get_traced_memory()[0] - before
+        self.assertGreaterEqual(memory.used[HeldPurpose.RESULTS], 2 * len(page))
+        self.assertLess(taken, memory.used[HeldPurpose.RESULTS] + 2**15)
+        self.core.submitted[1].on_response(Response(ResponseStatus.SERVED, ResultText([page])))
+        self.assertEqual(len(self.answers[1].result.rows()), 32_001)
+        self.assertTrue(self.scatter.client_disconnected(next(iter(self.scatter.queries))))
+        self.core.submitted[3].on_response(Response(ResponseStatus.SERVED, ResultText([page])))
+        self.assertEqual(memory.total, 0)
+
     async def test_without_leases_all_sites_are_queried_with_one_rank_and_a_failed_part_cancels_the_others(self):
         for number, partial in ((1, False), (2, True)):
             self.submit("SELECT note FROM calls_17.notes WHERE agent = 'b'", number=number, partial=partial)
