--- a/frostspindle/cores/mesh.py
+++ b/frostspindle/cores/mesh.py
@@ -18,7 +18,7 @@
 
 from frostspindle.net.fields import CallRejectedError
 from frostspindle.net.http.calls import FRONT, OpenRequest, PendingCall
-from frostspindle.net.http.results import encode_page
+from frostspindle.net.http.results import parse_rows
 from frostspindle.net.platform import HttpFront
 
 MAX_FRAME_BYTES = 1 << 20  # far more than a result page with its frame
@@ -28,19 +28,17 @@
 ABANDON = b"ABANDON"  # sent in place of a method: the client of this call has disconnected
 ROWS_STATUS = 200
 _ENCODE = msgspec.msgpack.Encoder().encode
-_ENCODE_JSON = msgspec.json.Encoder().encode
 _CALL = msgspec.msgpack.Decoder(tuple[int, bytes, bytes])  # number, method, URL
-_REPLY = msgspec.msgpack.Decoder(tuple[int, int, bytes, str, bool, bool])
+_REPLY = msgspec.msgpack.Decoder(tuple[int, int, Any, str, bool])
 
 
 class RelayedReply(NamedTuple):
     """An owner's reply to a relayed call; its fields follow the call's number in the frame."""
 
     status: int
-    data: bytes  # the body, encoded as JSON
+    body: Any
     extra_headers: str
     last: bool  # whether to close the client's connection after it
-    has_next: bool  # whether it names a path for the client's next call
 
 
 class MeshError(Exception):
@@ -133,15 +131,16 @@
 
     def reply_page(self, rows: bytes, next_path: str) -> None:
         """Return a page of rows, given as text, to the calling worker."""
-        self.reply_encoded(200, encode_page(rows, next_path), has_next=bool(next_path))
+        body: dict[str, Any] = {"rows": parse_rows(rows)}
+        if next_path:
+            body["next"] = next_path
+        self.reply(ROWS_STATUS, body)
 
-    def reply_encoded(
-        self, status: int, data: bytes, extra: str = "", last: bool = False, has_next: bool = False
-    ) -> None:
+    def reply(self, status: int, body: Any = None, extra: str = "", last: bool = False) -> None:
         """Return the reply to the calling worker; later replies are ignored."""
         if self.data is None:
             self.data = b""
-            self.on_reply(RelayedReply(status, data, extra, last, has_next))
+            self.on_reply(RelayedReply(status, body, extra, last))
             self._finish()
 
     def abandon(self) -> None:
@@ -189,7 +188,7 @@
             if abandoned_call is not None:
                 abandoned_call.abandon()
             return
-        call = _RemoteCall(self.front, lambda reply: self._send_reply(call_number, url, reply))
+        call = _RemoteCall(self.front, lambda reply: self._send_reply(call_number, self._bounded(reply, url)))
         if len(self.pending_calls) >= MAX_PENDING_CALLS:
             call.reply(503, {"failure": "Busy"})
             return
@@ -204,13 +203,16 @@
             self.front.telemetry.log("exception_caught", error=repr(error), of="relayed call")
             call.reply(500, {"failure": "Failed"}, last=True)
 
-    def _send_reply(self, call_number: int, url: bytes, reply: RelayedReply) -> None:
-        """Send a reply; if the calling worker is slow to read, its client is to ask for the rows again."""
+    def _bounded(self, reply: RelayedReply, url: bytes) -> RelayedReply:
+        """Return the reply; if the calling worker is slow to read, one by which the client asks for the rows again."""
+        has_rows = isinstance(reply.body, dict) and "rows" in reply.body
+        if not has_rows or self.transport.get_write_buffer_size() <= MAX_UNSENT_REPLY_BYTES:
+            return reply
+        self.front.telemetry.count("relayed_again", FRONT)
+        return RelayedReply(ROWS_STATUS, {"next": url.decode("latin-1")}, "", False)
+
+    def _send_reply(self, call_number: int, reply: RelayedReply) -> None:
         self.pending_calls.pop(call_number, None)
-        has_rows = reply.status == ROWS_STATUS and len(reply.data) > MAX_UNSENT_REPLY_BYTES // MAX_PENDING_CALLS
-        if has_rows and self.transport.get_write_buffer_size() > MAX_UNSENT_REPLY_BYTES:
-            self.front.telemetry.count("relayed_again", FRONT)
-            reply = RelayedReply(ROWS_STATUS, _ENCODE_JSON({"next": url.decode("latin-1")}), "", False, True)
         self.send((call_number, *reply))
 
     def connection_lost(self, error: Exception | None) -> None:
@@ -234,10 +236,10 @@
 
     def frame_received(self, message: Any) -> None:
         """Resolve the pending call to which the reply belongs."""
-        call_number, *reply = message
+        call_number, status, body, extra, last = message
         future = self.pending.pop(call_number, None)
         if future is not None and not future.done():
-            future.set_result(RelayedReply(*reply))
+            future.set_result(RelayedReply(status, body, extra, last))
 
     def connection_lost(self, error: Exception | None) -> None:
         """Fail all pending calls with WorkerUnavailableError."""
--- a/frostspindle/cores/request_relay.py
+++ b/frostspindle/cores/request_relay.py
@@ -155,4 +155,4 @@
             else:  # the next poll gets the owner's reply, or finds that the owner has died
                 call.reply(200, {"next": url.decode("latin-1")})
             return
-        call.reply_encoded(*reply)
+        call.reply(*reply)
--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -1,7 +1,6 @@
 """Calls relayed between workers: the owner is notified when the client of a relayed call disconnects."""
 
 import asyncio
-import json
 import secrets
 import socket
 from io import BytesIO
@@ -133,9 +132,9 @@
         frames, position, bodies = owner.transport.buffer, 0, []
         while position < len(frames):
             length = int.from_bytes(frames[position : position + 4], "little")
-            number, status, body, _, _, has_next = _REPLY.decode(frames[position + 4 : position + 4 + length])
+            number, status, body, _, _ = _REPLY.decode(frames[position + 4 : position + 4 + length])
             position += 4 + length
-            bodies.append((number, status, json.loads(body), has_next))
+            bodies.append((number, status, body, "next" in body))
         whole = [reply for reply in bodies if not reply[3]]
         assert len(bodies) == 400 and 1 <= len(whole) < 10
         assert all(len(body["rows"]) == 5333 for _, _, body, _ in whole)
