Publish a worker's engines before it serves

Cause: engines are published up to 5 ms after a change, or later under load, and the coordinator was ready before that. Evidence: by the code; that answer is given only for an engine that no worker has published. Change: engines are published before the worker tells that it serves. Test: test_a_worker_publishes_its_engines_before_it_serves failed before.

--- a/frostspindle/cores/link.py
+++ b/frostspindle/cores/link.py
@@ -109,7 +109,11 @@
         self.relay.start()
 
     def serving(self) -> None:
-        """Publish that this worker accepts clients; the coordinator is ready once all workers do."""
+        """Publish that this worker accepts clients; the coordinator is ready once all workers do.
+
+        The engines come first, as an operator may name one as soon as the coordinator is ready.
+        """
+        self.publisher.flush()
         self.region.write_cell(HeadCell.STATE, WorkerState.SERVING)
 
     def leaving(self) -> None:
--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -5,9 +5,12 @@
 import socket
 from io import BytesIO
 from types import SimpleNamespace
+from unittest import mock
 
 import pytest
 
+from frostspindle.cores.layout import HeadCell, WorkerState
+from frostspindle.cores.link import SharedMemoryLink
 from frostspindle.cores.mesh import (
     _REPLY,
     MAX_UNSENT_REPLY_BYTES,
@@ -100,6 +103,18 @@
     asyncio.run(run())
 
 
+# Guards against: a coordinator with workers was ready up to 5 ms before it knew its engines, and refused to ban one.
+def test_a_worker_publishes_its_engines_before_it_serves():
+    steps = mock.Mock()
+    link = SharedMemoryLink.__new__(SharedMemoryLink)
+    link.region, link.publisher = steps.region, steps.publisher
+    link.serving()
+    assert steps.mock_calls == [
+        mock.call.publisher.flush(),
+        mock.call.region.write_cell(HeadCell.STATE, WorkerState.SERVING),
+    ]
+
+
 class UnreadTransport:
     """The transport of a connection whose peer reads nothing."""
 
