Log and count why calls are rejected or refused and connections closed, and steps of memory

Cause: the incident's log shows neither the memory before the kill nor why 503 were answered, and 200 lines a second of one event hide all others. Change: call_rejected, call_refused and connection_ended carry a reason, 10 lines a second and reason with the number left out; counters calls_rejected_*, calls_refused_*, connections_ended_*. memory_measured also comes when the resident memory has changed by an eighth of the limit.

--- a/frostspindle/net/http/clients.py
+++ b/frostspindle/net/http/clients.py
@@ -24,8 +24,9 @@
 from frostspindle.net import fields as request_fields
 from frostspindle.net.fields import CallRejectedError
 from frostspindle.net.hangup import SocketWatch
-from frostspindle.net.http.calls import FRONT, OpenRequest, PendingCall
+from frostspindle.net.http.calls import OpenRequest, PendingCall
 from frostspindle.net.http.connection_limits import BUSY, CLOSING, IDLE, NEW, RECEIVING
+from frostspindle.net.http.connection_log import CloseReason, ConnectionLog
 from frostspindle.telemetry import Telemetry
 
 MAX_BODY_BYTES = 64 * 1024  # of a statement
@@ -44,6 +45,7 @@
 
     loop: asyncio.AbstractEventLoop
     telemetry: Telemetry
+    connection_log: ConnectionLog
     arrival_clock: ArrivalClock
     clients: set[ClientConnection]
     held_memory: HeldMemory
@@ -256,7 +258,7 @@
         if self.is_closing or self.pending_calls or self.has_unread():
             return
         if self.is_receiving:
-            self.reject(CallRejectedError(503, "Busy"))
+            self.reject(CallRejectedError(503, "Busy"), CloseReason.SHUTTING_DOWN)
         else:
             self.leave()
 
@@ -278,7 +280,7 @@
         if self.pending_calls or self.write_paused_at < math.inf or self.has_unread():
             return False
         if self.is_receiving:
-            self.reject(CallRejectedError(503, "Busy"))
+            self.reject(CallRejectedError(503, "Busy"), CloseReason.TOO_MANY_CONNECTIONS)
         elif self.has_pipelined:
             self.leave()  # more calls may be in flight
         else:
@@ -286,11 +288,10 @@
             self.transport.close()
         return True
 
-    def reject(self, rejection: CallRejectedError) -> None:
+    def reject(self, rejection: CallRejectedError, reason: CloseReason = CloseReason.INVALID_CALL) -> None:
         """Queue an error as the connection's last response and stop parsing."""
         self.ignores_input, self.is_receiving, self.expects_continue = True, False, False
-        self.front.telemetry.count("bad_calls", FRONT)
-        self.front.telemetry.log("call_rejected", status=rejection.status)  # the text may contain client input
+        self.front.connection_log.call_rejected(rejection.status, reason)  # the text may contain client input
         call = PendingCall(self)
         self.pending_calls.append(call)
         call.reply(
--- a/frostspindle/net/platform.py
+++ b/frostspindle/net/platform.py
@@ -23,6 +23,7 @@
 from frostspindle.net.http.calls import FRONT, OpenRequest, PendingCall
 from frostspindle.net.http.clients import MAX_PIPELINED_CALLS, ClientConnection
 from frostspindle.net.http.connection_limits import RECEIVING, ConnectionStep
+from frostspindle.net.http.connection_log import CloseReason, ConnectionLog
 from frostspindle.net.http.listener import Listener
 from frostspindle.net.http.request_registry import DepartureReason, RequestRegistry
 from frostspindle.net.http.statements import schema, table_group
@@ -73,6 +74,7 @@
         self.max_memory_mb = max((*core.settings.kind_memory_mb, 1.0))
         self.classes = {name.encode(): number for number, name in enumerate(config.classes)}
         self.clients: set[ClientConnection] = set()
+        self.connection_log = ConnectionLog(telemetry, self.loop.time)
         self.held_memory = core.held_memory
         self.unsent_answers: dict[ClientConnection, None] = {}
         self.listener = Listener(
@@ -212,6 +214,9 @@
                 break
             if score >= min_score and client.reclaim():
                 self.telemetry.count("places_cleared", FRONT)
+                self.connection_log.connection_ended(
+                    CloseReason.TOO_MANY_CONNECTIONS, connections=len(self.clients), receiving=client.is_receiving
+                )
                 excess -= 1
         return excess <= 0
 
@@ -253,9 +258,8 @@
             )
             if step is ConnectionStep.KEEP:
                 continue
-            self.telemetry.count(f"connections_ended_{step.name.lower()}", FRONT)
-            if client.expects_poll:
-                self.telemetry.log("connection_ended", reason=step.name.lower(), path_awaited=True)
+            reason = CloseReason(step.name.lower())
+            self.connection_log.connection_ended(reason, path_awaited=client.expects_poll)
             if step is ConnectionStep.ABORT:
                 client.transport.abort()
             elif step is ConnectionStep.REQUEST_TOO_SLOW:
@@ -265,9 +269,9 @@
                 ):
                     continue  # the rest of the request may be unread
                 self.telemetry.count("slow_clients", FRONT)
-                client.reject(CallRejectedError(408, "the request did not come in time"))
+                client.reject(CallRejectedError(408, "the request did not come in time"), reason)
             elif step is ConnectionStep.REJECT_IN_DRAIN:
-                client.reject(CallRejectedError(503, "Busy"))
+                client.reject(CallRejectedError(503, "Busy"), reason)
             else:
                 if step is ConnectionStep.CLOSE_SILENT:
                     self.telemetry.count("silent_clients", FRONT)
@@ -387,17 +391,24 @@
         client.is_over_limit = client.is_over_limit and not self._make_room(
             client, connection_limits.RECLAIM_FOR_REQUEST
         )
-        draining_s = self.loop.time() - self._drained_at
-        if (
-            not client.is_over_limit
-            and len(client.pending_calls) <= MAX_PIPELINED_CALLS
-            and connection_limits.accepts_requests(draining_s)
-        ):
+        reason = self._refusal_reason(client)
+        if reason is None:
             return True
+        self.connection_log.call_refused(reason)
         self.telemetry.count("full", FRONT, self.core.classes[number][1])
         call.reply(503, {"failure": "Busy"}, self.retry_after_header, last=client.is_over_limit)
         return False
 
+    def _refusal_reason(self, client: ClientConnection) -> CloseReason | None:
+        """Return why the front accepts no request on a connection now, or None if it does."""
+        if client.is_over_limit:
+            return CloseReason.TOO_MANY_CONNECTIONS
+        if len(client.pending_calls) > MAX_PIPELINED_CALLS:
+            return CloseReason.TOO_MANY_CALLS
+        if not connection_limits.accepts_requests(self.loop.time() - self._drained_at):
+            return CloseReason.REJECTED_IN_DRAIN
+        return None
+
     def _claim_id(self, call: PendingCall, ticket: str) -> bool:
         """Reserve the request's id among the workers; if that fails, answer or reject the call."""
         rejection = self.relay.claim(ticket) if self.relay is not None else None
@@ -423,6 +434,7 @@
     def _submit(self, call: PendingCall, opened: OpenRequest, request: ClientRequest) -> None:
         if not self.core.submit(request):
             self._released(request.ticket)
+            self.connection_log.call_refused(CloseReason.OPEN_REQUESTS)
             call.reply(503, {"failure": "Busy"}, self.retry_after_header)
             return
         opened.request = request
--- a/frostspindle/program.py
+++ b/frostspindle/program.py
@@ -139,7 +139,9 @@
             task = asyncio.create_task(work)
             task.add_done_callback(self._on_task_done)
             self.tasks.append(task)
-        self.tasks.append(asyncio.create_task(log_memory(self.core, self.platform, self.telemetry)))
+        self.tasks.append(
+            asyncio.create_task(log_memory(self.core, self.platform, self.telemetry, self.config.limits.memory_mb))
+        )
 
     def _on_task_done(self, task: asyncio.Task[Any]) -> None:
         if not task.cancelled() and task.exception() is not None:
