Bound and count the requests that clients have not finished sending, on all connections

Callers saw: processes killed for memory under hundreds of clients that stopped half way, wrote slowly, or sent many short fields or chunks. Cause, by memory per kind of crowd and by removing each part in turn: partial bodies were counted nowhere, each chunk was an object, repeated fields had no bound on their number, 256 KB were read at a time, and closed connections stayed until a garbage collection, as parser, connection and the exception of a rejection referred to each other. Change: net/http/request_parser.py keeps a body in one buffer and counts every field; all connections read into one buffer of 16 KB; 1/16 of limits.memory_mb (halved in an upgrade) is for partial requests, beyond which those that held most for longest are refused with 503, reason input_memory (input_memory.py); ended connections are freed at once. Input is parsed in small steps shared among connections (input_scheduler.py). A complete request displaces any connection without one. held_limit is 5/16 now, as input counts too; the test of the figure states that. Two tests of endings were adapted to that reading is paused by 64 KB that are read ahead, not by 16 calls: they check the same.

--- a/frostspindle/core/core.py
+++ b/frostspindle/core/core.py
@@ -11,6 +11,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from collections.abc import Iterable, Sequence
 from typing import Any
 
@@ -42,6 +43,7 @@
 from frostspindle.core.requests import UNKNOWN_COST, ClientRequest, MeasuredCost, Response, ResponseStatus
 from frostspindle.core.steady_clock import clock
 from frostspindle.held_memory import HeldMemory
+from frostspindle.input_memory import InputMemory
 from frostspindle.policy.controller import Controller
 from frostspindle.telemetry import Telemetry
 
@@ -68,6 +70,7 @@
         self.telemetry = telemetry
         self.max_open_requests = max_open_requests  # `submit` rejects requests beyond this
         self.held_memory = HeldMemory(memory_mb)
+        self.input_memory = InputMemory(self.held_memory, time.monotonic)
         self.is_shutting_down = False  # the open requests were ended, and all later ones are rejected
         self.controller = Controller(settings, seed)
         self.dispatcher = EventDispatcher(telemetry)
--- a/frostspindle/held_memory.py
+++ b/frostspindle/held_memory.py
@@ -2,6 +2,7 @@
 
 Everything held for others is charged here in the bytes that it takes, and all of it together stays within HELD_SHARE of
 `limits.memory_mb`. An open request is charged for the result that it may get, so a result that arrives always has room.
+Requests that are partly received have INPUT_SHARE (`input_memory.py`).
 Answers in write buffers have UNSENT_SHARE: once that is used up, further answers wait as the text of their rows until
 the slow readers have read or are disconnected. So rows that wait to be written can't keep out rows that are fetched.
 
@@ -19,6 +20,7 @@
 BYTES_PER_MB = 2**20
 HELD_SHARE = 3 / 16  # of limits.memory_mb
 UNSENT_SHARE = 1 / 16  # of limits.memory_mb, beside HELD_SHARE: answers that their clients do not read yet
+INPUT_SHARE = 1 / 16  # of limits.memory_mb, beside the others: requests that are partly received
 # A result has at most 48,000 bytes by the platform's protocol; a longer one reserves more before it is fetched.
 RESERVED_RESULT_BYTES = 64 * 1024
 EXTENSION_ROOM_BYTES = 512 * 1024  # that new requests leave free, so that a longer result can always be completed
@@ -33,6 +35,10 @@
     REQUESTS = "requests"  # open requests: statements, and room for their results
     RESULTS = "results"  # until their clients have fetched them, and for a repeated GET
     UNSENT = "unsent"  # answers in write buffers
+    INPUT = "input"  # requests that are partly received; input_memory.py says which are refused at the limit
+
+
+SEPARATE_PURPOSES = frozenset((HeldPurpose.UNSENT, HeldPurpose.INPUT))  # each with a limit of its own
 
 
 class ReclaimOrder(IntEnum):
@@ -75,7 +81,9 @@
         self.limit = self._full_limit
         self._full_unsent_limit = int(memory_mb * BYTES_PER_MB * UNSENT_SHARE)
         self.unsent_limit = self._full_unsent_limit
-        self.total = 0  # for all purposes but UNSENT, which has a limit of its own
+        self._full_input_limit = int(memory_mb * BYTES_PER_MB * INPUT_SHARE)
+        self.input_limit = self._full_input_limit
+        self.total = 0  # for all purposes without a limit of their own
         self.used: dict[HeldPurpose, int] = dict.fromkeys(HeldPurpose, 0)
         self.waiting_extensions = 0  # results that wait for more room than was reserved for them
         self.reclaim: Callable[[int], None] | None = None  # drops results that nobody waits for, of so many bytes
@@ -85,22 +93,23 @@
         parts = 2 if is_sharing else 1
         self.limit = self._full_limit // parts
         self.unsent_limit = self._full_unsent_limit // parts
+        self.input_limit = self._full_input_limit // parts
 
     def count(self, purpose: HeldPurpose, change: int) -> None:
         """Add to the bytes held for a purpose; for charges only."""
         self.used[purpose] += change
-        if purpose is not HeldPurpose.UNSENT:
+        if purpose not in SEPARATE_PURPOSES:
             self.total += change
 
     @property
     def held_bytes(self) -> int:
         """The bytes held for all purposes."""
-        return self.total + self.used[HeldPurpose.UNSENT]
+        return self.total + sum(self.used[purpose] for purpose in SEPARATE_PURPOSES)
 
     @property
     def held_limit(self) -> int:
         """The bytes that may be held for all purposes."""
-        return self.limit + self.unsent_limit
+        return self.limit + self.unsent_limit + self.input_limit
 
     @property
     def may_send(self) -> bool:
--- a/frostspindle/lab/crowd.py
+++ b/frostspindle/lab/crowd.py
@@ -144,7 +144,7 @@
         if self._kind is not CrowdKind.UNREAD_FLOOD:
             reading = asyncio.create_task(_discard(reader))
         try:
-            while reading is None or not reading.done():
+            while not (writer.is_closing() or (reading is not None and reading.done())):
                 writer.write(_INPUTS[self._kind](next(self._numbers)))
                 await writer.drain()
                 await asyncio.sleep(0)
--- a/frostspindle/net/http/clients.py
+++ b/frostspindle/net/http/clients.py
@@ -1,8 +1,11 @@
-"""One client connection: parses requests within limits and answers them in order (HTTP pipelining).
+"""One client connection: reads calls within limits and answers them in order (HTTP pipelining).
 
 Only complete calls within the limits are passed to the front, responses leave in the order of the calls, and a
-connection is not closed before its responses have arrived. The parser is httptools (llhttp in strict mode); this module
-adds the limits.
+connection is not closed before its responses have arrived. `request_parser.py` parses and bounds requests.
+
+What clients send is read a little at a time into one buffer of the front, and a few calls are handled in each turn of
+the event loop. While calls wait for their answers, input is read ahead up to READ_AHEAD_BYTES, so that the end of a
+connection is seen behind it.
 
 A connection is closed in three steps, so that no response is lost and every call that was read is answered: the sending
 side is shut down, only while no call is partly received, pending or unread; further input is read and discarded; then
@@ -17,27 +20,27 @@
 from collections import deque
 from typing import Protocol
 
-from httptools import HttpParserError, HttpParserUpgrade, HttpRequestParser
-
 from frostspindle.core import ArrivalClock
 from frostspindle.held_memory import HeldMemory, HeldPurpose, MemoryCharge
-from frostspindle.net import fields as request_fields
+from frostspindle.input_memory import InputMemory
 from frostspindle.net.fields import CallRejectedError
 from frostspindle.net.hangup import SocketWatch
 from frostspindle.net.http.calls import OpenRequest, PendingCall
 from frostspindle.net.http.connection_limits import BUSY, CLOSING, IDLE, NEW, RECEIVING
 from frostspindle.net.http.connection_log import CloseReason, ConnectionLog
+from frostspindle.net.http.input_buffer import READ_AHEAD_BYTES, SHORT_READ_BYTES, InputBuffer
+from frostspindle.net.http.input_scheduler import InputScheduler
+from frostspindle.net.http.request_parser import ParsedRequest, RequestParser
 from frostspindle.telemetry import Telemetry
 
-MAX_BODY_BYTES = 64 * 1024  # of a statement
-MAX_URL_BYTES, MAX_HEADER_BYTES, MAX_HEADERS = 2048, 4096, 64  # length of a path and a header, and headers of a request
-MAX_HEAD_BYTES = 16 * 1024  # the parser reports a header only when it is complete
-MAX_REQUEST_BYTES = MAX_BODY_BYTES + 128 * 1024  # on the wire, with head and chunk framing
 MAX_LINGER_BYTES = 64 << 20  # read and discarded after a rejection
 MAX_WRITE_BYTES = 64 * 1024  # of responses that are joined into one write
-MAX_PIPELINED_CALLS = 16  # accepted on one connection while earlier ones are unanswered
+MAX_PENDING_CALLS = 32  # unanswered, those included that are refused; input beyond them is read ahead, not parsed
+CALLS_PER_STEP = 4  # handled at once; further ones that are read wait for a later turn of the event loop
+SLICES_PER_STEP = 8  # parsed at once
+PARSE_SLICE_BYTES = 512  # passed to the parser at a time, which can't stop between two calls
+SHORT_INPUT_BYTES = 2048  # of a request, with what was parsed of it
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
-_SINGLE_HEADERS = request_fields.SINGLE_HEADERS | {b"host", b"content-encoding"}
 
 
 class ConnectionContext(Protocol):
@@ -49,6 +52,9 @@
     arrival_clock: ArrivalClock
     clients: set[ClientConnection]
     held_memory: HeldMemory
+    input_memory: InputMemory
+    input_scheduler: InputScheduler
+    read_buffer: memoryview  # for the input of any connection, within one callback
     unsent_answers: dict[ClientConnection, None]  # connections whose answers wait until others are read, in order
 
     @property
@@ -75,41 +81,55 @@
         """Write the answers of connections in `unsent_answers`, as there is room again."""
 
 
-class _ParsingStoppedError(Exception):
-    """Raised in a parser callback to stop parsing."""
-
-
-class ClientConnection(asyncio.Protocol):
-    """One client's connection: its parser, its queue of pending calls, and the time in its state.
+class ClientConnection(asyncio.BufferedProtocol):
+    """One client's connection: its input, its queue of pending calls, and the time in its state.
 
     `unread_since_ms`: the earliest time (Unix ms) at which its first bytes can have arrived.
     """
 
     def __init__(self, front: ConnectionContext, unread_since_ms: float) -> None:
-        self.front, self.loop_time = front, front.loop.time
-        self.parser = HttpRequestParser(self)
+        self.front = front
+        self.loop_time = front.loop.time
         self.transport: asyncio.Transport = None  # type: ignore[assignment]  # set in connection_made
+        self.socket_watch: SocketWatch = None  # type: ignore[assignment]  # set with the transport
+        self.state_since = self.loop_time()
+        self.has_called = False
+        self.is_closing = False
+        self.is_over_limit = False  # accepted over the connection limit: its request needs another one to be closed
+
+        # Input.
+        self.parser = RequestParser(self)
+        self.is_parsing = False
+        self.ignores_input = False
+        self.dropped_bytes = 0
+        self.input_since_s = self.state_since  # loop time of the first byte of the request that is partly received
+        self.last_received_at = self.state_since  # loop time
+        # The earliest possible arrival of unread bytes, and of the call that is being parsed.
+        self.unread_since_ms = unread_since_ms
+        self.received_ms = unread_since_ms
+        self.last_poll = 0  # count of the arrival clock when reading was resumed, or last left bytes unread
+        self._input = InputBuffer()
+        self._calls_in_step = 0
+        self._slices_in_step = 0
+
+        # Calls and their answers.
         self.pending_calls: deque[PendingCall] = deque()
         self.requests: dict[OpenRequest, None] = {}  # open, in order; their client last called on this connection
         self.last_result: OpenRequest | None = None
-        self._unsent = MemoryCharge(front.held_memory, HeldPurpose.UNSENT)
-        self.state_since = self.loop_time()
-        self.has_called = self.is_closing = self.ignores_input = self.is_receiving = self.is_head_complete = False
-        self.is_parsing = self.expects_continue = False  # expects_continue: the client waits for a 100
         self.has_pipelined = False  # a call was sent before the response to an earlier one
-        self.is_over_limit = False  # accepted over the connection limit: its request needs another one to be closed
-        # The earliest possible arrival of unread bytes, and of the last bytes that were read.
-        self.unread_since_ms = self.received_ms = unread_since_ms
-        self.last_poll = 0  # count of the arrival clock when reading was resumed
-        self.socket_watch: SocketWatch = None  # type: ignore[assignment]  # set with the transport
         self.expects_poll = False  # its client got a response path (`next`) and has not called it yet
         self.write_paused_at = math.inf
-        self.last_received_at = self.state_since  # loop time
-        self.request_bytes = self.dropped_bytes = self.body_bytes = 0
-        self.rejection: CallRejectedError | None = None
-        self.url = b""
-        self.fields: dict[bytes, bytes] = {}
-        self.body: list[bytes] = []
+        self._unsent = MemoryCharge(front.held_memory, HeldPurpose.UNSENT)
+
+    @property
+    def is_receiving(self) -> bool:
+        """Whether a request is partly received."""
+        return self.parser.is_receiving
+
+    @property
+    def request_bytes(self) -> int:
+        """Bytes received of the partial request."""
+        return self.parser.request_bytes
 
     def state(self) -> int:
         """Return the connection's state, as in connection_limits: NEW, RECEIVING, IDLE, BUSY or CLOSING."""
@@ -140,11 +160,12 @@
         self.front.clients.discard(self)
         self._on_client_closed()
         self._release_unsent()
+        self.parser.close()
 
     def _on_client_closed(self) -> None:
         """The client has closed or shut down its side: cancel its calls, once."""
-        self.is_closing = self.ignores_input = True
-        self.is_receiving = False
+        self.is_closing = True
+        self._ignore_input()
         self.state_since = self.loop_time()
         calls, self.pending_calls = self.pending_calls, deque()
         self.front.unsent_answers.pop(self, None)
@@ -164,75 +185,138 @@
         return True
 
     def has_unread(self) -> bool:
-        """Return whether the socket has unread bytes."""
-        return self.socket_watch.has_unread()
+        """Return whether bytes from the client are not parsed yet, or unread in the socket."""
+        return self._input.size > 0 or self.socket_watch.has_unread()
 
     def pause_writing(self) -> None:
-        """Stop reading while the client does not read its responses, and record since when."""
+        """Handle no further calls while the client does not read its responses, and record since when."""
         self.write_paused_at = self.loop_time()
         self._unsent.resize(self.transport.get_write_buffer_size())
-        self._pause_reading(self.front.arrival_clock.poll_returned_ms)
 
     def resume_writing(self) -> None:
-        """Resume reading unless too many calls are open; a closing connection starts its linger time now."""
+        """Go on with further calls; a closing connection starts its linger time now."""
         self.write_paused_at = math.inf
         if self.is_closing:
             self.state_since = self.loop_time()  # its last response was written only now
         self._release_unsent()
         self.flush()
-        self._resume_reading()
+        self._continue_input()
 
     def _release_unsent(self) -> None:
         if self._unsent.size:
             self._unsent.resize(0)
             self.front.write_waiting_answers()
 
-    def _pause_reading(self, unread_since_ms: float) -> None:
-        if self.transport.is_reading():
-            self.unread_since_ms = unread_since_ms
-            self.transport.pause_reading()
-
-    def _resume_reading(self) -> None:
-        if (
-            self.write_paused_at == math.inf
-            and len(self.pending_calls) < MAX_PIPELINED_CALLS
-            and not self.transport.is_reading()
-        ):
-            self.last_poll = self.front.arrival_clock.count
-            self.transport.resume_reading()
+    # Input.
 
-    def data_received(self, data: bytes) -> None:
-        """Parse the data and write the responses that are ready.
+    def get_buffer(self, _size_hint: int) -> memoryview:
+        """Return the buffer that the next bytes are read into."""
+        buffer = self.front.read_buffer
+        return buffer[:SHORT_READ_BYTES] if self.front.input_memory.is_short else buffer
 
-        A request that is malformed, too long, or asks for another protocol is rejected with a 4xx, the connection's
-        last response. After that up to MAX_LINGER_BYTES are read and discarded. Reading pauses while
-        MAX_PIPELINED_CALLS are open.
-        """
+    def buffer_updated(self, byte_count: int) -> None:
+        """Handle the first of the calls that were read, and write the responses that are ready."""
         self.last_received_at = self.loop_time()
         if self.ignores_input:  # after a rejection: input is read only so that the response arrives
-            self.dropped_bytes += len(data)
-            if self.dropped_bytes > MAX_LINGER_BYTES:
-                self._pause_reading(0.0) if self.pending_calls else self.transport.abort()  # first send the responses
+            self._discard(byte_count)
             return
-        self.request_bytes += len(data)
-        self.received_ms = self.front.arrival_clock.earliest_ms(self.last_poll, self.unread_since_ms)
+        arrival_clock = self.front.arrival_clock
+        received_ms = arrival_clock.earliest_ms(self.last_poll, self.unread_since_ms)
+        self.unread_since_ms = arrival_clock.poll_returned_ms
+        if byte_count >= SHORT_READ_BYTES:  # perhaps not all that had arrived
+            self.unread_since_ms = received_ms
+            self.last_poll = arrival_clock.count
+        self._input.append(bytes(self.front.read_buffer[:byte_count]), received_ms)
+        self.front.input_scheduler.run_or_add(self)
+        self._continue_input()
+
+    @property
+    def has_short_input(self) -> bool:
+        """Whether its input is short, and its client waits for no answer."""
+        return not self.pending_calls and self.parser.request_bytes + self._input.size <= SHORT_INPUT_BYTES
+
+    def process_input(self) -> None:
+        """Parse input, at most CALLS_PER_STEP calls and SLICES_PER_STEP, and write the responses that are ready.
+
+        A request that is malformed, too long, or asks for another protocol is rejected with a 4xx, the connection's
+        last response. After that up to MAX_LINGER_BYTES are read and discarded.
+        """
+        self._calls_in_step = 0
+        self._slices_in_step = 0
         self.is_parsing = True
         try:
-            self.parser.feed_data(data)
-            if self.request_bytes > (MAX_REQUEST_BYTES if self.is_head_complete else MAX_HEAD_BYTES):
-                raise CallRejectedError(413 if self.is_head_complete else 431, "the request is too long")
-        except HttpParserUpgrade:
-            self.reject(CallRejectedError(400, "no other protocol is spoken here"))
+            while self._may_parse():
+                self._slices_in_step += 1
+                self.received_ms = self._input.received_ms
+                self.parser.feed(self._input.take(max(PARSE_SLICE_BYTES, self.parser.missing_body_bytes)))
         except CallRejectedError as rejection:
             self.reject(rejection)
-        except HttpParserError as error:  # httptools wraps a CallRejectedError of a callback
-            if not self.ignores_input:  # else input after the last call or after a hang-up
-                self.reject(self.rejection or CallRejectedError(400, f"unreadable: {error}"))
         finally:
             self.is_parsing = False
         self.flush()
-        if len(self.pending_calls) >= MAX_PIPELINED_CALLS:
-            self._pause_reading(self.received_ms)
+        self._continue_input()
+
+    def _may_parse(self) -> bool:
+        return (
+            self._has_next_input() and self._calls_in_step < CALLS_PER_STEP and self._slices_in_step < SLICES_PER_STEP
+        )
+
+    def _has_next_input(self) -> bool:
+        """Return whether there is input to parse, and not too many calls or responses wait already."""
+        return (
+            self._input.size > 0
+            and not self.ignores_input
+            and len(self.pending_calls) < MAX_PENDING_CALLS
+            and self.write_paused_at == math.inf
+        )
+
+    def _continue_input(self) -> None:
+        """Charge for the input that is held, and go on parsing and reading as far as there is room."""
+        if self.is_parsing:
+            return
+        if self.ignores_input:
+            self._input.clear()
+        self.front.input_memory.hold(self, self._input.size + self.parser.held_bytes)
+        if self._has_next_input():
+            self.front.input_scheduler.add(self)
+        is_full = self._input.size >= READ_AHEAD_BYTES or (self._input.size > 0 and self.front.input_memory.is_short)
+        if is_full:
+            self._pause_reading()
+        else:
+            self._resume_reading()
+
+    def _pause_reading(self) -> None:
+        if self.transport.is_reading():
+            self.transport.pause_reading()
+
+    def _resume_reading(self) -> None:
+        if not self.transport.is_closing() and not self.transport.is_reading():
+            self.last_poll = self.front.arrival_clock.count
+            self.transport.resume_reading()
+
+    def _ignore_input(self) -> None:
+        """Parse nothing more, and keep nothing of what was received."""
+        self.ignores_input = True
+        self.parser.stop()
+        self._input.clear()
+        self.front.input_memory.hold(self, 0)
+        self.front.input_scheduler.discard(self)
+
+    def _discard(self, byte_count: int) -> None:
+        self.dropped_bytes += byte_count
+        if self.dropped_bytes <= MAX_LINGER_BYTES:
+            return
+        if self.pending_calls:  # first send the responses
+            self._pause_reading()
+        else:
+            self.transport.abort()
+
+    def refuse_input(self) -> bool:
+        """Refuse the request that is partly received; not while complete calls may follow in the input."""
+        if not self.is_receiving or self._input.size:
+            return False
+        self.reject(CallRejectedError(503, "Busy"), CloseReason.INPUT_MEMORY)
+        return True
 
     def end(self) -> None:
         """Shut down a connection without open calls, unless the socket has unread bytes."""
@@ -244,8 +328,8 @@
 
         Closing with unread bytes would reset the connection and could lose the last response.
         """
-        self.is_closing = self.ignores_input = True
-        self.is_receiving = False
+        self.is_closing = True
+        self._ignore_input()
         self.state_since = self.loop_time()
         try:
             self.transport.write_eof()
@@ -290,7 +374,7 @@
 
     def reject(self, rejection: CallRejectedError, reason: CloseReason = CloseReason.INVALID_CALL) -> None:
         """Queue an error as the connection's last response and stop parsing."""
-        self.ignores_input, self.is_receiving, self.expects_continue = True, False, False
+        self._ignore_input()
         self.front.connection_log.call_rejected(rejection.status, reason)  # the text may contain client input
         call = PendingCall(self)
         self.pending_calls.append(call)
@@ -323,18 +407,18 @@
             is_last = not self.pending_calls and self._is_last_response(call)
             responses.append(call.encode(is_last))
             size += len(responses[-1])
-        if self.expects_continue and not self.pending_calls:
-            self.expects_continue = False
+        if self.parser.awaits_continue and not self.pending_calls:
+            self.parser.awaits_continue = False
             responses.append(_CONTINUE)
         if not responses:
             return
         self.transport.write(b"".join(responses))
         if is_last:
             self.leave()
-        elif not self.pending_calls:
-            if not self.is_receiving:
-                self.state_since = self.loop_time()
-            self._resume_reading()
+            return
+        if not self.pending_calls and not self.is_receiving:
+            self.state_since = self.loop_time()
+        self._continue_input()
 
     def _may_write(self, call: PendingCall) -> bool:
         """Return whether a response may be written now; if not, charge for those that wait.
@@ -364,75 +448,32 @@
 
     # Callbacks of the parser.
 
-    def _stop_parsing(self, status: int, text: str) -> None:
-        self.rejection = CallRejectedError(status, text)
-        raise self.rejection
-
-    def on_message_begin(self) -> None:
-        """Start a request: reset its fields, and its timer unless it is the first. Stop after the last call."""
-        if self.ignores_input:
-            raise _ParsingStoppedError
-        self.url, self.fields, self.body, self.body_bytes = b"", {}, [], 0
-        self.is_receiving, self.is_head_complete, self.expects_poll = True, False, False
+    def request_started(self) -> None:
+        """Start the timer of a request, unless it is the connection's first."""
+        self.expects_poll = False
+        self.input_since_s = self.loop_time()
         if self.has_called:
-            self.state_since = self.loop_time()
+            self.state_since = self.input_since_s
 
-    def on_url(self, url: bytes) -> None:
-        """Collect the path; reject with 414 beyond MAX_URL_BYTES."""
-        self.url += url
-        if len(self.url) > MAX_URL_BYTES:
-            self._stop_parsing(414, "the path is too long")
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        """Store a header by its lower-case name; reject with 431 beyond the limits, 400 for a repeated single one."""
-        if len(self.fields) >= MAX_HEADERS or len(name) + len(value) > MAX_HEADER_BYTES:
-            self._stop_parsing(431, "too many headers, or too long ones")
-        name = name.lower()
-        if name in self.fields and name in _SINGLE_HEADERS:
-            # The name is one of _SINGLE_HEADERS, not client input.
-            self._stop_parsing(400, f"{name.decode().title()}: given twice")
-        self.fields[name] = value
-
-    def on_headers_complete(self) -> None:
-        """Check the head: 415 for an encoded body, 413 for a length over MAX_BODY_BYTES, `Expect: 100-continue`."""
-        self.is_head_complete = True
-        if b"content-encoding" in self.fields and self.fields[b"content-encoding"] != b"identity":
-            self._stop_parsing(415, "Content-Encoding: not taken here")
-        length = self.fields.get(b"content-length", b"0")
-        if len(length) > 6 or int(length) > MAX_BODY_BYTES:  # the parser accepts only digits
-            self._stop_parsing(413, "the statement is too long")
-        if self.fields.get(b"expect", b"").lower() == b"100-continue" and self.parser.get_http_version() != "1.0":
-            self.expects_continue = True  # sent after the responses to earlier calls
-
-    def on_body(self, chunk: bytes) -> None:
-        """Collect a chunk of the body; reject with 413 beyond MAX_BODY_BYTES in total."""
-        self.expects_continue = False
-        self.body_bytes += len(chunk)
-        if self.body_bytes > MAX_BODY_BYTES:
-            self._stop_parsing(413, "the statement is too long")
-        self.body.append(chunk)
-
-    def on_message_complete(self) -> None:
-        """Queue the call and pass it to the front.
-
-        A CallRejectedError becomes the connection's last response; any other exception is logged and answered with 500.
+    def request_received(self, request: ParsedRequest) -> None:
+        """Queue the call and pass it to the front; raise CallRejectedError if that rejects it.
+
+        Any other exception is logged and answered with 500.
         """
-        self.request_bytes, self.is_receiving, self.has_called, self.expects_continue = 0, False, True, False
+        self._calls_in_step += 1
+        self.has_called = True
         self.has_pipelined = self.has_pipelined or bool(self.pending_calls)
         if self.last_result is not None:
             self.last_result.is_read = not self.has_pipelined  # a call that was sent ahead proves nothing
             self.last_result = None
         call = PendingCall(self)
-        call.last = self.ignores_input = not self.parser.should_keep_alive()
+        call.last = self.ignores_input = request.is_last
         self.pending_calls.append(call)
-        fields, body = self.fields, b"".join(self.body)
-        self.fields = {}  # a resting connection keeps nothing of its last request
-        self.body = []
         try:
-            self.front.call(call, self.parser.get_method(), self.url, fields, body)
-        except CallRejectedError as rejection:
+            self.front.call(call, request.method, request.url, request.fields, request.body)
+        except CallRejectedError:
             self.pending_calls.remove(call)
-            self._stop_parsing(rejection.status, rejection.text)
+            raise
         except Exception as error:  # noqa: BLE001 - a fault ends this call only
             self.front.telemetry.count("faults")
             self.front.telemetry.log("exception_caught", error=repr(error), of="call")
--- /dev/null
+++ b/frostspindle/net/http/input_scheduler.py
@@ -0,0 +1,83 @@
+"""Shares the event loop among connections with input to parse, so that no client delays the others for long.
+
+Each turn of the event loop has TURN_BUDGET_S for input as it is read, and as much for input that waits. A connection
+takes a small step at a time and goes to the end of the line. Short input of a client without an open call goes first:
+it is usually one whole request.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from typing import Protocol
+
+TURN_BUDGET_S = 0.002  # of each turn of the event loop, twice
+
+
+class BacklogConnection(Protocol):
+    """A connection with input that is not parsed yet."""
+
+    @property
+    def has_short_input(self) -> bool:
+        """Whether its input is short, and its client waits for no answer."""
+
+    def process_input(self) -> None:
+        """Parse some input, and add the connection to the scheduler again if there is more."""
+
+
+class InputScheduler:
+    """The connections that wait for a step, in order. `turn` returns the number of the event loop's turn."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, turn: Callable[[], int]) -> None:
+        self._loop = loop
+        self._turn = turn
+        self._short: dict[BacklogConnection, None] = {}
+        self._long: dict[BacklogConnection, None] = {}
+        self._is_scheduled = False
+        self._budget_turn = -1
+        self._used_s = 0.0  # in the turn `_budget_turn`, by input as it is read
+
+    def run_or_add(self, connection: BacklogConnection) -> None:
+        """Let a connection that has read input take a step now, or in a later turn if this one's time is used up."""
+        turn = self._turn()
+        if turn != self._budget_turn:
+            self._budget_turn = turn
+            self._used_s = 0.0
+        if self._used_s >= TURN_BUDGET_S:
+            self.add(connection)
+            return
+        began_s = self._loop.time()
+        connection.process_input()
+        self._used_s += self._loop.time() - began_s
+
+    def add(self, connection: BacklogConnection) -> None:
+        """Let a connection take a step in a later turn."""
+        if connection.has_short_input:
+            self._long.pop(connection, None)
+            self._short[connection] = None
+        else:
+            self._short.pop(connection, None)
+            self._long[connection] = None
+        self._schedule()
+
+    def discard(self, connection: BacklogConnection) -> None:
+        """Forget a connection that has ended."""
+        self._short.pop(connection, None)
+        self._long.pop(connection, None)
+
+    def _schedule(self) -> None:
+        if not self._is_scheduled:
+            self._is_scheduled = True
+            self._loop.call_soon(self._run_turn)
+
+    def _run_turn(self) -> None:
+        self._is_scheduled = False
+        until_s = self._loop.time() + TURN_BUDGET_S
+        try:
+            while (waiting := self._short or self._long) and self._loop.time() < until_s:
+                connection = next(iter(waiting))
+                del waiting[connection]
+                connection.process_input()
+        finally:
+            if self._short or self._long:
+                self._schedule()
--- a/frostspindle/net/platform.py
+++ b/frostspindle/net/platform.py
@@ -21,9 +21,11 @@
 from frostspindle.net.fields import CallRejectedError
 from frostspindle.net.http import connection_limits
 from frostspindle.net.http.calls import FRONT, OpenRequest, PendingCall
-from frostspindle.net.http.clients import MAX_PIPELINED_CALLS, ClientConnection
+from frostspindle.net.http.clients import ClientConnection
 from frostspindle.net.http.connection_limits import RECEIVING, ConnectionStep
 from frostspindle.net.http.connection_log import CloseReason, ConnectionLog
+from frostspindle.net.http.input_buffer import READ_BYTES
+from frostspindle.net.http.input_scheduler import InputScheduler
 from frostspindle.net.http.listener import Listener
 from frostspindle.net.http.request_registry import DepartureReason, RequestRegistry
 from frostspindle.net.http.statements import schema, table_group
@@ -31,6 +33,7 @@
 from frostspindle.telemetry import Telemetry
 
 SWEEP_INTERVAL_S = 0.2
+MAX_PIPELINED_CALLS = 16  # accepted on one connection while earlier ones are unanswered; further requests are refused
 DEFAULT_RETRY_MS = 200  # Retry-After-Ms of the front's own rejections
 CLOSE_GRACE_S = 0.3  # at shutdown, how long to wait for clients that still send
 QUIET_S = 0.04  # a client that sent nothing for this long has finished
@@ -76,6 +79,9 @@
         self.clients: set[ClientConnection] = set()
         self.connection_log = ConnectionLog(telemetry, self.loop.time)
         self.held_memory = core.held_memory
+        self.input_memory = core.input_memory
+        self.input_scheduler = InputScheduler(self.loop, lambda: self.arrival_clock.count)
+        self.read_buffer = memoryview(bytearray(READ_BYTES))
         self.unsent_answers: dict[ClientConnection, None] = {}
         self.listener = Listener(
             self.loop, telemetry, lambda since_ms: ClientConnection(self, since_ms), self._has_room
@@ -227,11 +233,7 @@
         self._make_room(None, connection_limits.RECLAIM_FOR_CONNECTION)
         now = self.loop.time()
         for client in list(self.clients):
-            if (
-                client.is_closing
-                and now - client.state_since > connection_limits.CLOSING_RECLAIM_S
-                and not client.has_unread()
-            ):
+            if client.is_closing and connection_limits.may_abort_closing(now - client.state_since, client.has_unread()):
                 self.clients.discard(client)
                 client.transport.abort()
         return self.open_connections < self.max_clients + self.reserved_connections
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -101,7 +101,7 @@
 # Modules that a serving process without optional parts may load besides the standard library. Imports cost CPU time at
 # each start, and all coordinators of a fleet may start together.
 ALLOWED_MODULES = {
-    "frostspindle": "__main__ clock_file components config core descriptor_sharing handover held_memory ledger "
+    "frostspindle": "__main__ clock_file components config core descriptor_sharing handover held_memory input_memory ledger "
     "memory_log net order policy pools program reload reserved_descriptor serving shared shutdown_plan signals "
     "telemetry timers",
     "frostspindle.config": "addresses agreed_settings cores document errors fleet operator_calls operator_file "
@@ -111,7 +111,8 @@
     "interfaces ledger messages requests steady_clock",
     "frostspindle.ledger": "rule_index tenant_rules tenants",
     "frostspindle.net": "discovery engines fields hangup http operator platform result_room",
-    "frostspindle.net.http": "attempts calls clients connection_limits connection_pool "
+    "frostspindle.net.http": "accept_queue attempts calls clients connection_limits connection_log connection_pool "
+    "input_buffer input_scheduler request_parser "
     "duplicate_responses engine_connection "
     "listener load_reports replies request_registry results statements",
     "frostspindle.order": "key_queue service shared_cells",  # only if a class is in order
--- a/tests/test_crowds.py
+++ b/tests/test_crowds.py
@@ -37,6 +37,11 @@
     [
         CrowdKind.HALF_BODY,
         CrowdKind.SMALL_CHUNKS,
+        CrowdKind.SLOW_BODY,
+        CrowdKind.SHORT_FIELDS,
+        CrowdKind.SAME_FIELDS,
+        CrowdKind.WIDE_HEAD,
+        CrowdKind.SILENT,
     ],
 )
 def test_memory_stays_within_its_limit_under_partly_sent_requests(kind, tmp_path):
--- a/tests/test_endings_clients.py
+++ b/tests/test_endings_clients.py
@@ -444,7 +444,9 @@
                 raise OSError(failures.pop(), "for a moment")
             return real.accept()
 
-        listener._socket = unittest.mock.Mock(accept=accept, fileno=real.fileno, close=real.close)
+        listener._socket = unittest.mock.Mock(
+            accept=accept, fileno=real.fileno, close=real.close, getsockopt=real.getsockopt
+        )
         lag = Lag()
         began, began_unix = clock(), time.time()
         self.assertEqual((await self.call("DELETE", json.loads(body)["next"]))[0], 204)
@@ -496,6 +498,7 @@
         plain = await self.open_plain_socket()
         plain.sendall(b"".join(post(n) for n in range(16)))
         await engine.seen("POST")
+        plain.sendall(b"GET /ping HTTP/1.1\r\n\r\n" * 5000)  # more than is read ahead of the answers
         await self.until(lambda: not self.client.transport.is_reading())
         self.go_away(plain, "shut")
         await self.until(lambda: not self.program.core.open, 2.0)
@@ -572,7 +575,7 @@
     async def test_receive_time_precedes_the_wait_for_earlier_calls(self):
         await self.start()
         asks = self.capture_requests()
-        with unittest.mock.patch("frostspindle.net.http.clients.MAX_PIPELINED_CALLS", 1):
+        with unittest.mock.patch("frostspindle.net.http.clients.MAX_PENDING_CALLS", 1):
             _, writer = await self.open()
             writer.write(post(1))
             await self.until(lambda: asks)
--- a/tests/test_held_memory.py
+++ b/tests/test_held_memory.py
@@ -128,7 +128,7 @@
             self.assertEqual((await self.call("GET", paths[1]))[0], 200)
             self.assertGreater(self.memory.used[HeldPurpose.RESULTS], 6 * MAX_RESULT_BYTES)
             figures = json.loads((await self.operate("show-stat"))[0])
-            self.assertEqual((figures["held_bytes"], figures["held_limit"]), (self.memory.total, 32 * 2**20 // 4))
+            self.assertEqual((figures["held_bytes"], figures["held_limit"]), (self.memory.total, 32 * 2**20 * 5 // 16))
             await self.until(lambda: not self.program.platform.registry.open)
         self.assertEqual((self.memory.total, set(self.memory.used.values())), (0, {0}))
 
--- a/tests/test_imports.py
+++ b/tests/test_imports.py
@@ -14,6 +14,7 @@
     "simulator_adapter",
     "catalogue division handover held_memory ledger pools predicates reserved_descriptor shutdown_plan signals store "
     "telemetry timers",
+    "input_memory",
     "config core",
     "host",
     "clock_file effective_config fleet net operator_client operator_tables order shared",
--- a/tests/test_operator.py
+++ b/tests/test_operator.py
@@ -82,7 +82,7 @@
                 "hosts_listed": 1,
                 "hosts_down": 0,
                 "held_bytes": self.program.core.held_memory.held_bytes,
-                "held_limit": 192 * 2**20 // 4,
+                "held_limit": 192 * 2**20 * 5 // 16,
             },
         )
         self.program.report()
