Keep the turn of others when clients send small or unsound calls at full speed; bound TDS input

Callers saw: beside a few clients that sent small calls or empty TDS packets at full speed, others were answered late or never. Cause: all that one read brought, up to 256 KB or 11,900 calls, was handled in one turn of the event loop (HTTP), and read after read without a turn for others (TDS); empty packets neither counted nor started a message's timer. TDS reads 2 KB in a turn, a message has 64 packets and one more for each 128 bytes of max_batch_bytes at most, its partial messages count as input and are refused at the limit (17809 or 40501, reason input_memory). Lines that a crowd can cause are limited to 10 a second, event and reason. Class: work and memory bounded for each message, not for each turn and for all connections.

--- a/frostspindle/net/platform.py
+++ b/frostspindle/net/platform.py
@@ -77,7 +77,7 @@
         self.max_memory_mb = max((*core.settings.kind_memory_mb, 1.0))
         self.classes = {name.encode(): number for number, name in enumerate(config.classes)}
         self.clients: set[ClientConnection] = set()
-        self.connection_log = ConnectionLog(telemetry, self.loop.time)
+        self.connection_log = ConnectionLog(telemetry)
         self.held_memory = core.held_memory
         self.input_memory = core.input_memory
         self.input_scheduler = InputScheduler(self.loop, lambda: self.arrival_clock.count)
--- a/frostspindle/net/tds/codec.py
+++ b/frostspindle/net/tds/codec.py
@@ -14,6 +14,8 @@
 EOM, IGNORE, RESET_CONNECTION = 0x01, 0x02, 0x08
 HEADER = struct.Struct(">BBHHBB")
 DEFAULT_PACKET_BYTES, MIN_PACKET_BYTES, MAX_PACKET_BYTES = 4096, 512, 32767
+MAX_SHORT_PACKETS = 64  # of a message, whatever its length; only the last should be short
+MIN_MEAN_PACKET_BYTES = 128  # of the longest message
 VERSION = 0x74000004
 
 # Tokens.
@@ -68,13 +70,15 @@
 
     def __init__(self, max_bytes: int) -> None:
         self.max_bytes = max_bytes  # of one message
+        self.max_packets = MAX_SHORT_PACKETS + max_bytes // MIN_MEAN_PACKET_BYTES  # of one message
+        self._packets = 0  # of the partial message
         self._data, self._body = bytearray(), bytearray()
         self._kind = -1
 
     @property
     def is_partial(self) -> bool:
-        """Whether a message is partly received."""
-        return bool(self._data or self._body)
+        """Whether a message is partly received, even if its packets so far are empty."""
+        return bool(self._data or self._body) or self._kind != -1
 
     @property
     def held_bytes(self) -> int:
@@ -100,6 +104,9 @@
                 raise MessageTooLongError(f"a message of more than {self.max_bytes} bytes")
             if len(self._data) < length:
                 return
+            self._packets += 1
+            if self._packets > self.max_packets:
+                raise ProtocolError(f"a message of more than {self.max_packets} packets")
             self._kind = kind
             self._body += self._data[HEADER.size : length]
             del self._data[:length]
@@ -107,6 +114,7 @@
                 message = Message(kind, status, bytes(self._body))
                 self._body.clear()
                 self._kind = -1
+                self._packets = 0
                 yield message
 
 
--- a/frostspindle/net/tds/front.py
+++ b/frostspindle/net/tds/front.py
@@ -187,6 +187,7 @@
                 session.refuse_late()
             elif len(self.sessions) > self.tds.max_sessions and not self._make_room(session):
                 self.telemetry.count("sessions_refused", FRONT)
+                self.telemetry.log_repeated("tds_session_ended", "too_many_sessions")
                 session.refuse(TOO_MANY, "All sessions are in use; connect again later", 20)
             else:
                 await self._run_guarded(session)
@@ -211,6 +212,7 @@
             return False
         task = max(candidates, key=lambda entry: entry[:3])[3]
         self.telemetry.count("places_cleared", FRONT)
+        self.telemetry.log_repeated("tds_session_ended", "place_needed")
         self.sessions.pop(task).writer.transport.abort()
         task.cancel()
         return True
@@ -231,7 +233,7 @@
             await session.run()
         except codec.ProtocolError as error:
             self.telemetry.count("bad_streams", FRONT)
-            self.telemetry.log("tds_stream_rejected", error=str(error))
+            self.telemetry.log_repeated("tds_stream_rejected", "invalid_stream", error=str(error))
             session.refuse(BAD_STREAM, f"The incoming TDS stream is incorrect: {error}", 20)
         except (OSError, TimeoutError):
             self.telemetry.count("broken_sessions", FRONT)
--- a/frostspindle/net/tds/session.py
+++ b/frostspindle/net/tds/session.py
@@ -27,7 +27,7 @@
 FRONT = "tds"
 REFUSED, FAILED = 40501, 50001
 UNSUPPORTED, LOGIN_FAILED, TOO_MANY, BAD_STREAM = 50010, 18456, 17809, 4002
-READ_BYTES = 16 * 1024
+READ_BYTES = 2 * 1024  # parsed in one turn of the event loop: a quarter of a thousand packets at most
 MESSAGE_TIMEOUT_S = 2.4  # from a message's first byte until it is complete, as for HTTP clients
 SEND_TIMEOUT_S = 30.0  # the session of a client that does not read is closed
 LINGER_TIMEOUT_S = 1.0  # how long input is read and discarded after the sending side was shut down
@@ -105,7 +105,9 @@
         self.ticket = ""  # of the last batch
         self.is_ending = False  # the sending side was shut down; input is discarded
         self.socket_watch = SocketWatch(writer.transport)
+        writer.transport.max_size = READ_BYTES  # type: ignore[attr-defined]  # read at a time; asyncio's is 256 KB
         self._message_began_s: float | None = None  # loop time at which a partial message was first seen
+        self.input_since_s = self.waiting_since_s  # loop time of the first byte of the partial message
         self._last_active_s = self.waiting_since_s  # loop time of the shutdown of the sending side, or of later input
         self._linger_timer: asyncio.TimerHandle | None = None
         self._charge = MemoryCharge(front.core.held_memory, HeldPurpose.RESULTS)  # of the response being sent
@@ -117,11 +119,30 @@
             if not data or self.is_ending:
                 return None
             self.messages += self.splitter.feed(data)
+            self._charge_input()
             if len(self.messages) > MAX_QUEUED_MESSAGES:
                 raise codec.ProtocolError("too many messages ahead of their answers")
         self._message_began_s = None
         return self.messages.pop(0)
 
+    def _charge_input(self) -> None:
+        """Charge for the message that is partly received."""
+        held_bytes = self.splitter.held_bytes
+        if not held_bytes:
+            self.input_since_s = self.loop.time()
+        self.front.core.input_memory.hold(self, held_bytes)
+
+    def refuse_input(self) -> bool:
+        """Refuse the message that is partly received, as too much memory is held; not while a batch runs."""
+        if self.is_ending or self.busy or self.messages or not self.splitter.is_partial:
+            return False
+        self.front.telemetry.count("sessions_ended_input_memory", FRONT)
+        self.front.telemetry.log_repeated("tds_session_ended", "input_memory", held_bytes=self.splitter.held_bytes)
+        self.splitter = codec.PacketReassembler(self.front.tds.max_batch_bytes)
+        self.front.core.input_memory.hold(self, 0)
+        self.refuse_late()
+        return True
+
     async def _read(self) -> bytes:
         """Return the next bytes; raise ProtocolError if a partial message is not completed in time."""
         if not self.splitter.is_partial:
@@ -129,6 +150,7 @@
         elif self._message_began_s is None:
             self._message_began_s = self.loop.time()
         began_s = self._message_began_s
+        await asyncio.sleep(0)  # let others have a turn: a client that sends at full speed always has bytes to read
         try:
             async with asyncio.timeout_at(began_s + MESSAGE_TIMEOUT_S if began_s is not None else None) as limit:
                 return await self.reader.read(READ_BYTES)
@@ -218,6 +240,7 @@
         if self._linger_timer is not None:
             self._linger_timer.cancel()
         self._charge.release()
+        self.front.core.input_memory.hold(self, 0)
         self.writer.close()
 
     # Messages.
--- a/frostspindle/telemetry.py
+++ b/frostspindle/telemetry.py
@@ -19,6 +19,7 @@
 from structlog.typing import EventDict
 
 MAX_LINES_PER_S = 200  # a repeating fault must not use up the core's CPU time
+MAX_REPEATED_LINES_PER_S = 10  # of one event and reason that many clients can cause at once
 
 
 # The counter's name, the front and the class name; the last two may be empty. A plain tuple, because one is created for
@@ -55,6 +56,28 @@
         return True, dropped_before
 
 
+class _RepeatedLines:
+    """The lines of one event and reason in the current second."""
+
+    __slots__ = ("_second", "_written", "suppressed")
+
+    def __init__(self) -> None:
+        self._second = -1
+        self._written = 0
+        self.suppressed = 0  # since the last line
+
+    def take(self, now_s: float) -> bool:
+        """Return whether a line may be written at `now_s`; count it as suppressed if not."""
+        if int(now_s) != self._second:
+            self._second = int(now_s)
+            self._written = 0
+        self._written += 1
+        if self._written <= MAX_REPEATED_LINES_PER_S:
+            return True
+        self.suppressed += 1
+        return False
+
+
 class _JsonLogger(structlog.BoundLoggerBase):
     """Adds the node and the worker, which are bound to the logger, to each line."""
 
@@ -89,6 +112,7 @@
         self.on_count_changed: Callable[[CounterKey, int], None] | None = None  # called with the new total
         self._logger = _json_logger(sink or sys.stderr.buffer, name, worker)
         self._rate_limiter = LogRateLimiter(MAX_LINES_PER_S)
+        self._repeated: dict[tuple[str, str], _RepeatedLines] = {}  # by event and reason
 
     def up_s(self) -> float:
         """Return how long this process has run, in s; steps of the wall clock have no effect on it."""
@@ -114,6 +138,20 @@
         if is_allowed:
             self._write(now_s, event, fields)
 
+    def log_repeated(self, event: str, reason: str, **fields: Any) -> None:
+        """Log an event that many clients can cause at once; `reason` must be one of a few fixed texts.
+
+        Beyond MAX_REPEATED_LINES_PER_S of the event and reason, lines are left out; the next one has their number in
+        `suppressed`. So one crowd does not use up the lines of all other events.
+        """
+        lines = self._repeated.setdefault((event, reason), _RepeatedLines())
+        if not lines.take(time.monotonic()):
+            return
+        if lines.suppressed:
+            fields["suppressed"] = lines.suppressed
+            lines.suppressed = 0
+        self.log(event, reason=reason, **fields)
+
     def report(self, **fields: Any) -> None:
         """Write all counters and the given fields as one event; the rate limit does not apply."""
         rows = [
