Send nothing meant for an engine's process to another one at its address

Shown here by tests: polls and DELETE for a query went to another engine at the address, whose answers counted as the first one's; a query that waited for a connection as its engine restarted was sent to the new, cold process; after a changed dial TDS batches went on to the old server on pooled sessions; a reload without a change made a TDS server ready that had told its shutdown. Cause: a pool or a session was told by the engine's number and address, not by its process. Change: a retired pool opens no connection once another engine has its address, and sends no query; TDS sessions carry address and start of their process. Class: identity by address.

--- a/frostspindle/net/engines.py
+++ b/frostspindle/net/engines.py
@@ -60,6 +60,10 @@
         self.reclaim_idle(pool)
         return False
 
+    def has_successor(self, pool: ConnectionPool) -> bool:
+        """Return whether the address of a retired pool is now that of another engine process."""
+        return any(other.state.address == pool.state.address for other in self.pools.values())
+
     def reclaim_idle(self, pool: ConnectionPool) -> None:
         """Close an idle connection of another engine; the loop frees its descriptor later."""
         if pool_with_idle := next(
--- a/frostspindle/net/http/connection_pool.py
+++ b/frostspindle/net/http/connection_pool.py
@@ -49,6 +49,9 @@
     def may_open(self, pool: ConnectionPool) -> bool:
         """Return whether the limits allow one more connection."""
 
+    def has_successor(self, pool: ConnectionPool) -> bool:
+        """Return whether the address of a retired pool is now that of another engine process."""
+
     def reclaim_idle(self, pool: ConnectionPool) -> None:
         """Close an idle connection of another engine; the loop frees its descriptor later."""
 
@@ -171,6 +174,8 @@
 
     async def _open(self) -> EngineConnection | None:
         """Open a connection; return None if it was reset at once."""
+        if self.is_retired and self.driver.has_successor(self):
+            raise PoolExhaustedError("another process has the address of this engine", refused=True)
         self.opening += 1
         self.driver.opening += 1
         try:
@@ -246,7 +251,8 @@
         may_send = False
         try:
             await self.driver.core.catch_up()
-            may_send = self.driver.core.may_send(attempt)
+            # The attempt was decided for this pool's process; its successor is another one, which starts cold.
+            may_send = not self.is_retired and self.driver.core.may_send(attempt)
         finally:
             if not may_send:
                 self.release(connection)
--- a/frostspindle/net/tds/driver.py
+++ b/frostspindle/net/tds/driver.py
@@ -11,6 +11,7 @@
 import zlib
 from collections import deque
 from collections.abc import Awaitable, Callable, Iterable
+from typing import NamedTuple
 
 from frostspindle.config import HEALTH_CODES, TdsEngine, TdsSection, address
 from frostspindle.core import Attempt, Core, EngineState, clock
@@ -41,11 +42,23 @@
         self.numbers = set(numbers)
 
 
+class _EngineProcess(NamedTuple):
+    """One process of an engine: a later start, or another address, is another process."""
+
+    address: tuple[str, int]
+    since_ms: float
+
+
+def _process_of(state: EngineState) -> _EngineProcess:
+    return _EngineProcess(state.address, state.entry.since_ms)
+
+
 class _Connection:
     """One logged-in session at an engine."""
 
     def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, max_bytes: int) -> None:
         self.reader, self.writer = reader, writer
+        self.process: _EngineProcess | None = None  # that it leads to, once it is logged in
         self.used, self.idle_at = False, 0.0
         self.splitter = codec.PacketReassembler(max_bytes)
         self._stray_read: asyncio.Task[bytes] | None = None
@@ -189,11 +202,19 @@
             and HEALTH_CODES[engine.state] == Health.READY
         ):
             since_ms = clock()  # it returns with a cold cache
-        entry = EngineEntry(
-            number, 0, self.kinds[engine.cores, engine.memory_mb], 0, HEALTH_CODES[engine.state], 1.0, since_ms
-        )
+        health = HEALTH_CODES[engine.state]
+        if health == Health.READY and self._reports_shutdown(number, engine):
+            health = Health.DRAINING  # by its own word, until it accepts log-ins again
+        entry = EngineEntry(number, 0, self.kinds[engine.cores, engine.memory_mb], 0, health, 1.0, since_ms)
         return EngineState(entry, engine.name, address(engine.dial, engine.name), self)
 
+    def _reports_shutdown(self, number: int, engine: TdsEngine) -> bool:
+        """Return whether the process at an engine's address has told that it shuts down."""
+        known_state = self.states.get(number)
+        if known_state is None or known_state.address != address(engine.dial, engine.name):
+            return False
+        return number in self._watched_engines and known_state.entry.health == Health.DRAINING
+
     def _with_health(self, state: EngineState, health: int, since_ms: float | None = None) -> EngineState:
         entry = state.entry._replace(health=health, since_ms=state.entry.since_ms if since_ms is None else since_ms)
         return EngineState(entry, state.name, state.address, self)
@@ -242,9 +263,10 @@
     # The core's interface.
 
     def update_engine(self, engine: EngineState) -> None:
-        """Close the idle sessions of a removed engine; other changes need no action."""
-        if engine.entry.health == Health.GONE:
-            for key in [key for key in self._idle if key[0] == engine.entry.engine]:
+        """Close the idle sessions of an engine's process that was removed or replaced by another one."""
+        is_gone = engine.entry.health == Health.GONE
+        for key in [key for key in self._idle if key[0] == engine.entry.engine]:
+            if is_gone or self._idle[key][0].process != _process_of(engine):
                 for connection in self._idle.pop(key):
                     connection.close()
 
@@ -272,8 +294,8 @@
             async with asyncio.timeout(self.left_s(attempt)):
                 connection = await self._connect(attempt)
                 await self.core.catch_up()
-                # The engine may have begun to drain during the wait for a connection.
-                if connection is not None and not self.core.may_send(attempt):
+                # The engine may have begun to drain, or been replaced, during the wait for a connection.
+                if connection is not None and not self._may_send(attempt, connection):
                     outcome = attempt.unsent_outcome
                 elif connection is not None:
                     outcome = AttemptOutcome.RESET
@@ -311,6 +333,13 @@
             connection.close()
         self.core.attempt_ended(attempt, outcome, (), tokens)
 
+    def _may_send(self, attempt: Attempt, connection: _Connection) -> bool:
+        return self._leads_to_current(attempt.engine, connection) and self.core.may_send(attempt)
+
+    def _leads_to_current(self, engine: int, connection: _Connection) -> bool:
+        """Return whether a session leads to the engine's present process."""
+        return connection.process == _process_of(self.states[engine])
+
     async def _reserve_longest_result(self, attempt: Attempt) -> None:
         """Wait for room for the longest result; the engine waits meanwhile, as nothing more is read."""
         size = RESULT_COPIES * self.tds.max_result_bytes
@@ -329,9 +358,11 @@
         state = self.states[attempt.engine]
         try:
             async with asyncio.timeout(self.core.settings.connect_timeout_ms / 1000.0):
-                return await _Connection.open(
+                connection = await _Connection.open(
                     state.address, self.tds, attempt.request.database, self.tds.max_result_bytes
                 )
+                connection.process = _process_of(state)
+                return connection
         except (SessionUnavailableError, TimeoutError) as error:
             self.telemetry.log("connect_failed", engine=state.name, error=str(error))
             if isinstance(error, SessionUnavailableError) and error.numbers & SHUTTING_DOWN:
@@ -363,6 +394,9 @@
         return AttemptOutcome.OK, result.tokens
 
     def _return_to_pool(self, attempt: Attempt, connection: _Connection) -> None:
+        if not self._leads_to_current(attempt.engine, connection):
+            connection.close()
+            return
         idle = self._idle.setdefault((attempt.engine, attempt.request.database), deque())
         connection.set_idle()
         idle.append(connection)
