Send nothing for clients whose end is hidden, and no id twice, also at the other process of an upgrade

Cause: the end of a connection is behind the unread input, which flow control holds back at the client; ids were known while open, in one process or one supervisor's workers only. A DELETE on an unknown path during an upgrade is told to the other process, which looks before it sends. Class: presence and identity known to one connection or process only.

--- a/frostspindle/components/registry.py
+++ b/frostspindle/components/registry.py
@@ -112,6 +112,12 @@
     return KeyOrderComponent(program)
 
 
+def _request_ids(program: ProgramContext) -> Component:
+    from frostspindle.components.http_requests import RequestIdsComponent
+
+    return RequestIdsComponent(program)
+
+
 def _snmp(program: ProgramContext) -> Component:
     from frostspindle.components.snmp import SnmpComponent
 
@@ -145,11 +151,12 @@
     Registration("subscriptions", lambda config: config.operator.subscriptions is not None, _subscriptions),
     Registration("settings", lambda config: config.operator.settings is not None, _settings),
     Registration("key_order", _has_key_order, _key_order),
+    Registration("request_ids", lambda config: True, _request_ids),
     Registration("snmp", lambda config: config.operator.snmp is not None, _snmp),
 )
 START_ORDER = {
     Phase.BEFORE_ENDPOINTS: ("operator_port",),
-    Phase.WITH_ENGINES: ("key_order",),
+    Phase.WITH_ENGINES: ("key_order", "request_ids"),
     Phase.WITH_CORE: (
         "recovery",
         "subscriptions",
@@ -175,7 +182,7 @@
         "fleet",
         "key_order",  # before attempts are cut off, as other processes still wait for their positions
     ),
-    Phase.WITH_ENGINES: (),
+    Phase.WITH_ENGINES: ("request_ids",),  # once no attempt runs any more
 }
 
 
--- a/frostspindle/core/__init__.py
+++ b/frostspindle/core/__init__.py
@@ -10,7 +10,14 @@
 from frostspindle.core.core import Core
 from frostspindle.core.drivers import Driver, EngineState
 from frostspindle.core.figures import CLASS_FIGURES
-from frostspindle.core.interfaces import AdmissionGate, EventObserver, KeyOrder, RequestInterceptor
+from frostspindle.core.interfaces import (
+    AdmissionGate,
+    EventObserver,
+    IdState,
+    KeyOrder,
+    RequestIdRegistry,
+    RequestInterceptor,
+)
 from frostspindle.core.requests import (
     SUBREQUEST_FRONT,
     UNKNOWN_COST,
@@ -34,8 +41,10 @@
     "Driver",
     "EngineState",
     "EventObserver",
+    "IdState",
     "KeyOrder",
     "MeasuredCost",
+    "RequestIdRegistry",
     "RequestInterceptor",
     "Response",
     "ResponseStatus",
--- a/frostspindle/core/core.py
+++ b/frostspindle/core/core.py
@@ -104,6 +104,7 @@
         if self.interceptor is not None and not self.is_shutting_down:
             is_accepted = self.interceptor.try_take(request)
             if is_accepted is not None:
+                request.was_sent = is_accepted  # as subrequests, which are not told apart here
                 return is_accepted
         if self.ledger.open_count >= self.max_open_requests:
             self._count_refused(request)
@@ -169,6 +170,7 @@
         """
         reason = self._withheld_reason(attempt)
         if reason is None:
+            attempt.request.was_sent = True
             return True
         self.telemetry.log(
             "attempt_withheld",
--- a/frostspindle/core/interfaces.py
+++ b/frostspindle/core/interfaces.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Sequence
+from enum import Enum
 from typing import Protocol
 
 from frostspindle.core.attempts import Attempt
@@ -10,6 +11,30 @@
 from frostspindle.core.requests import ClientRequest
 
 
+class IdState(Enum):
+    """Whether a request with an id may be accepted."""
+
+    FREE = "free"
+    OPEN_ELSEWHERE = "open elsewhere"
+    MAY_HAVE_RUN = "may have run"
+
+
+class RequestIdRegistry(Protocol):
+    """The ids of requests in all processes of this coordinator that share a folder."""
+
+    def claim(self, request_id: int, searches_others: bool) -> IdState:
+        """Register an id as open here if it is free; `searches_others`: also by the other processes' ids."""
+
+    def release(self, request_id: int, may_have_run: bool) -> None:
+        """End the claim of an id; `may_have_run`: it is remembered, as its request must not run again."""
+
+    def cancel(self, request_id: int) -> None:
+        """Tell the other processes that the client of a request has cancelled it."""
+
+    def is_cancelled(self, request_id: int) -> bool:
+        """Return whether another process was told that a request is cancelled."""
+
+
 class KeyOrder(Protocol):
     """Keeps the requests of a key in order across processes; calls Core.key_order_reached to release a waiting one."""
 
--- a/frostspindle/core/requests.py
+++ b/frostspindle/core/requests.py
@@ -76,6 +76,8 @@
     is_finished: bool = False
     # The client is away and may return; nothing is sent until then. Set directly, as above.
     is_suspended: bool = False
+    # An attempt was about to be written, so the request may have run. Set directly, as above.
+    was_sent: bool = False
     charge: MemoryCharge | None = None  # of its statement and its result, from `Core.submit` until it is answered
 
     def release_memory(self) -> None:
--- a/frostspindle/cores/bootstrap.py
+++ b/frostspindle/cores/bootstrap.py
@@ -24,7 +24,7 @@
     listener: int
     paths: dict[int, str]  # mesh address by slot
     tds: int | None = None
-    order: str = ""  # folder of the workers' shared key order state; empty if no class is ordered
+    order: str = ""  # folder of the order of keys and the ids of requests, which the workers share
 
 
 def monotonic_ms() -> float:
--- a/frostspindle/cores/link.py
+++ b/frostspindle/cores/link.py
@@ -56,7 +56,7 @@
 
     @property
     def order(self) -> Path | None:
-        """Folder of the workers' shared key order state; None if no class is ordered."""
+        """Folder of the order of keys and the ids of requests, which the workers share."""
         return Path(self.bootstrap.order) if self.bootstrap.order else None
 
     @property
--- a/frostspindle/cores/mesh.py
+++ b/frostspindle/cores/mesh.py
@@ -110,6 +110,8 @@
         self.last_result: OpenRequest | None = None
         self.is_waiting = True
 
+    hides_end = False  # the client's own connection is at the worker that relays the call
+
     def is_connected(self) -> bool:
         """Return whether the call still waits for its reply."""
         return self.is_waiting
--- a/frostspindle/cores/supervisor.py
+++ b/frostspindle/cores/supervisor.py
@@ -109,10 +109,8 @@
         self._tick()
 
     def _key_order_folder(self) -> str:
-        """Return the folder for the workers' shared key order state; an empty string if no class is ordered."""
-        if not any(cls.in_order for cls in self.config.settings.classes):
-            return ""
-        if self.shared.order is None:  # without $TMPDIR no other process shares the key order with these workers
+        """Return the folder for what the workers share in files: the order of keys, and the ids of requests."""
+        if self.shared.order is None:  # without $TMPDIR no other process shares it with these workers
             self._own_order_folder = tempfile.TemporaryDirectory(prefix="frostspindle-")
             return self._own_order_folder.name
         return str(self.shared.order)
--- a/frostspindle/cores/worker_processes.py
+++ b/frostspindle/cores/worker_processes.py
@@ -57,7 +57,7 @@
     ) -> None:
         cores_config = config.operator.cores
         self.slots: list[WorkerProcess] = []
-        self.key_order_folder = ""  # of the workers' shared key order state
+        self.key_order_folder = ""  # of what the workers share in files
         self._config = config
         self._board = board
         self._control = control
--- a/frostspindle/net/http/calls.py
+++ b/frostspindle/net/http/calls.py
@@ -14,7 +14,7 @@
 
 import msgspec
 
-from frostspindle.core import ClientRequest, Response
+from frostspindle.core import ClientRequest, Response, ResponseStatus
 from frostspindle.held_memory import HeldMemory, HeldPurpose, MemoryCharge
 from frostspindle.net.http.results import encode_page
 
@@ -30,6 +30,10 @@
     requests: dict[OpenRequest, None]  # open, in order; their client last called on this connection
     last_result: OpenRequest | None  # whose last rows were sent here, until the client's next call
 
+    @property
+    def hides_end(self) -> bool:
+        """Whether the client has sent so much ahead that the end of its connection would not be seen."""
+
     def flush(self) -> None:
         """Write the responses that are ready, in the order of the calls."""
 
@@ -45,6 +49,7 @@
         "charge",
         "client_until_s",
         "connection",
+        "may_have_run",
         "pages",
         "path",
         "request",
@@ -65,6 +70,7 @@
         self.path = path
         self.charge = held_memory.charge(HeldPurpose.RESULTS, 0)  # while it has a path
         self.request: ClientRequest | None = None
+        self.may_have_run = False  # once there is a response: an attempt may have run
         self.response: Response | None = None  # without its result, which is in `pages`
         self.pages: list[bytes] = []  # text of the rows that the client gets at once
         self.client_until_s = math.inf  # loop time until which the client waits; set at its submission
@@ -81,6 +87,8 @@
             if response.result is not None:
                 self.pages = response.result.client_pages()
             self.response = response._replace(result=None)
+            was_sent = self.request is not None and self.request.was_sent
+            self.may_have_run = was_sent and response.status != ResponseStatus.REJECTED
             self.request = None
             self.on_settled(self)
 
--- a/frostspindle/net/http/clients.py
+++ b/frostspindle/net/http/clients.py
@@ -184,6 +184,11 @@
             return False
         return True
 
+    @property
+    def hides_end(self) -> bool:
+        """Whether the client has sent so much ahead that the end of its connection would not be seen."""
+        return not self.transport.is_reading() and self.socket_watch.has_unread()
+
     def has_unread(self) -> bool:
         """Return whether bytes from the client are not parsed yet, or unread in the socket."""
         return self._input.size > 0 or self.socket_watch.has_unread()
--- a/frostspindle/net/http/connection_log.py
+++ b/frostspindle/net/http/connection_log.py
@@ -23,6 +23,9 @@
     ABORTED = "abort"  # the client does not read its responses, or has not closed its side within the linger time
     INVALID_CALL = "invalid_call"
     TOO_MANY_CALLS = "too_many_calls"  # ahead of their answers
+    HIDDEN_END = "hidden_end"  # so much was sent ahead that the end of the connection would not be seen
+    ID_OPEN = "id_open"  # in this process or another one
+    ID_MAY_HAVE_RUN = "id_may_have_run"
     OPEN_REQUESTS = "open_requests"  # the core has as many as it may have, or holds as much memory as it may
 
 
--- a/frostspindle/net/http/request_registry.py
+++ b/frostspindle/net/http/request_registry.py
@@ -29,21 +29,24 @@
     CONNECTION_ENDED = "connection ended"  # before the client got a path
     DELETED = "deleted"
     NOT_RETURNED = "not returned"  # within RETURN_TIMEOUT_S
+    DELETED_ELSEWHERE = "deleted elsewhere"  # at the other process of an upgrade
 
 
 class RequestRegistry:
     """The open requests of this front, by id and by path, and their results."""
 
-    def __init__(self, core: Core, loop: asyncio.AbstractEventLoop, on_released: Callable[[str], None]) -> None:
+    def __init__(self, core: Core, loop: asyncio.AbstractEventLoop, on_released: Callable[[OpenRequest], None]) -> None:
         self.core = core
         self.loop = loop
         self.on_released = on_released
+        self.is_cancelled_elsewhere: Callable[[str], bool] = lambda ticket: False  # in the other process of an upgrade
         self.held_memory = core.held_memory
         self.held_memory.reclaim = self._reclaim
         self.ids: set[str] = set()  # of open requests
         self.open: dict[str, OpenRequest] = {}  # by path
         self._time_over: dict[OpenRequest, None] = {}  # with a path and a response; their clients' time is over
         self._fetched: dict[OpenRequest, None] = {}  # with a path, kept for a repeated GET; the oldest first
+        self.on_refused_unseen: Callable[[], None] = lambda: None
         self._last_number = 0
         self._hold_until: dict[PendingCall, float] = {}  # in the order of expiry, as all calls wait equally long
         self._hold_timer: asyncio.TimerHandle | None = None
@@ -64,7 +67,7 @@
         if opened.path in self.open:
             self._charge(opened)
         self.ids.discard(opened.ticket)
-        self.on_released(opened.ticket)
+        self.on_released(opened)
         calls, opened.waiting_calls = opened.waiting_calls, []
         for call in calls:
             self._hold_until.pop(call, None)
@@ -231,10 +234,27 @@
         connection = opened.connection
         if opened.response is not None or connection is None:
             return False
-        if connection.is_connected():
-            return True
-        self.connection_ended(connection)
-        return False
+        if not connection.is_connected():
+            self.connection_ended(connection)
+            return False
+        if self.is_cancelled_elsewhere(opened.ticket):
+            self.abandon(opened, DepartureReason.DELETED_ELSEWHERE)
+            return False
+        if connection.hides_end:
+            self._refuse_unseen(opened)
+            return False
+        return True
+
+    def _refuse_unseen(self, opened: OpenRequest) -> None:
+        """Answer a request that may not be sent, as its client may have closed its connection behind unread input."""
+        request = opened.request
+        assert request is not None
+        self.on_refused_unseen()
+        self.core.client_disconnected(request)
+        if request.was_sent:  # an earlier attempt
+            opened.on_response(Response(ResponseStatus.FAILED))
+        else:
+            opened.on_response(Response(ResponseStatus.REJECTED))
 
     def abandon(self, opened: OpenRequest, reason: DepartureReason) -> None:
         """Cancel a request whose client has stopped waiting, and free the engine."""
--- a/frostspindle/net/platform.py
+++ b/frostspindle/net/platform.py
@@ -24,6 +24,7 @@
 from frostspindle.net.http.clients import ClientConnection
 from frostspindle.net.http.connection_limits import RECEIVING, ConnectionStep
 from frostspindle.net.http.connection_log import CloseReason, ConnectionLog
+from frostspindle.net.http.id_claims import IdClaims, WorkerIds
 from frostspindle.net.http.input_buffer import READ_BYTES
 from frostspindle.net.http.input_scheduler import InputScheduler
 from frostspindle.net.http.listener import Listener
@@ -40,15 +41,9 @@
 FINAL_PASSES = 5  # over the connections after the grace period, to answer late calls
 
 
-class WorkerRelay(Protocol):
+class WorkerRelay(WorkerIds, Protocol):
     """Connects this front to the fronts of other workers; not used in a single process."""
 
-    def claim(self, ticket: str) -> CallRejectedError | None:
-        """Reserve a request id for this worker; return a CallRejectedError if it is not available."""
-
-    def release(self, ticket: str) -> None:
-        """Release a request id once its request has completed."""
-
     def relay_call(self, call: PendingCall, method: bytes, path: str, url: bytes) -> bool:
         """Relay a call for an unknown path to the worker that owns it; return whether there is one."""
 
@@ -67,6 +62,8 @@
         self.loop = asyncio.get_running_loop()
         self.sockets = config.limits.sockets  # descriptors of this process; clients get a share
         self.arrival_clock = ArrivalClock.of(self.loop)
+        self.connection_log = ConnectionLog(telemetry)
+        self.id_claims = IdClaims(self.connection_log)
         self.share_descriptors(False)
         self.prefix = ""  # of response paths; identifies the worker if there are several
         self.relay: WorkerRelay | None = None
@@ -77,7 +74,6 @@
         self.max_memory_mb = max((*core.settings.kind_memory_mb, 1.0))
         self.classes = {name.encode(): number for number, name in enumerate(config.classes)}
         self.clients: set[ClientConnection] = set()
-        self.connection_log = ConnectionLog(telemetry)
         self.held_memory = core.held_memory
         self.input_memory = core.input_memory
         self.input_scheduler = InputScheduler(self.loop, lambda: self.arrival_clock.count)
@@ -86,7 +82,9 @@
         self.listener = Listener(
             self.loop, telemetry, lambda since_ms: ClientConnection(self, since_ms), self._has_room
         )
-        self.registry = RequestRegistry(core, self.loop, self._released)
+        self.registry = RequestRegistry(core, self.loop, self.id_claims.release)
+        self.registry.is_cancelled_elsewhere = self.id_claims.is_cancelled_elsewhere
+        self.registry.on_refused_unseen = lambda: self.connection_log.call_refused(CloseReason.HIDDEN_END)
         self.connection_ended = self.registry.connection_ended
         self._sweeper: asyncio.TimerHandle | None = None
         self._drained_at = math.inf
@@ -100,6 +98,7 @@
         """Accept from the inherited socket or a new one. Raise OSError if it cannot be opened."""
         if self.relay is not None:
             self.listener.may_accept = self.relay.accepts
+            self.id_claims.workers = self.relay
         self.listener.start(self.config)
         self._sweep()
 
@@ -168,7 +167,8 @@
         await asyncio.sleep(QUIET_S / 4.0)
 
     def share_descriptors(self, is_sharing: bool) -> None:
-        """Set the connection limits; while two processes serve, they share the descriptors."""
+        """Set the connection limits; while two processes serve, they share the descriptors and tell each other ids."""
+        self.id_claims.is_sharing = is_sharing
         self.max_clients = connection_limits.max_connections(self.sockets, is_sharing)
         self.reserved_connections = connection_limits.reserved_connections(self.max_clients, is_sharing)
 
@@ -319,10 +319,7 @@
         if opened is None and self.relay is not None and self.relay.relay_call(call, method, path, url):
             return
         if method == b"DELETE":
-            if opened is None:
-                raise CallRejectedError(404, "no such request")
-            self.registry.abandon(opened, DepartureReason.DELETED)
-            call.reply(204)
+            self._delete(call, path, opened)
         elif method != b"GET":
             raise CallRejectedError(405, "only POST, GET and DELETE")
         elif opened is None or not (page.isascii() and page.isdecimal()) or len(page) > 4:
@@ -331,6 +328,14 @@
             call.opened, call.page = opened, int(page)
             self.registry.wait(call)
 
+    def _delete(self, call: PendingCall, path: str, opened: OpenRequest | None) -> None:
+        """Cancel a request, which may belong to the other process of an upgrade; reject a DELETE on any other path."""
+        if opened is not None:
+            self.registry.abandon(opened, DepartureReason.DELETED)
+        elif not self.id_claims.cancel_elsewhere(path):
+            raise CallRejectedError(404, "no such request")
+        call.reply(204)
+
     def _post(self, call: PendingCall, class_name: bytes, fields: dict[bytes, bytes], body: bytes) -> None:
         """Validate a request and submit it to the core if there is capacity."""
         if class_name not in self.classes:
@@ -352,7 +357,8 @@
             raise CallRejectedError(409, "X-Request-Id: this request is already open")
         if not call.client.is_connected():
             return
-        if not self._has_capacity(call, number) or not self._claim_id(call, request_head.ticket):
+        is_repeatable = class_settings.idempotency == Idempotency.IDEMPOTENT
+        if not self._has_capacity(call, number) or not self._claim_id(call, request_head.ticket, is_repeatable):
             return
         opened = self.registry.new(request_head.ticket, f"/call/{class_name.decode()}/{self.prefix}")
         request = ClientRequest(
@@ -411,9 +417,9 @@
             return CloseReason.REJECTED_IN_DRAIN
         return None
 
-    def _claim_id(self, call: PendingCall, ticket: str) -> bool:
-        """Reserve the request's id among the workers; if that fails, answer or reject the call."""
-        rejection = self.relay.claim(ticket) if self.relay is not None else None
+    def _claim_id(self, call: PendingCall, ticket: str, is_repeatable: bool) -> bool:
+        """Claim the request's id among workers and processes; if that fails, answer or reject the call."""
+        rejection = self.id_claims.claim(ticket, is_repeatable)
         if rejection is None:
             return True
         if rejection.status < 500:
@@ -430,12 +436,12 @@
         try:
             self.annotate_request(request, fields)
         except CallRejectedError:
-            self._released(request.ticket)
+            self.id_claims.release_unsent(request.ticket)
             raise
 
     def _submit(self, call: PendingCall, opened: OpenRequest, request: ClientRequest) -> None:
         if not self.core.submit(request):
-            self._released(request.ticket)
+            self.id_claims.release_unsent(request.ticket)
             self.connection_log.call_refused(CloseReason.OPEN_REQUESTS)
             call.reply(503, {"failure": "Busy"}, self.retry_after_header)
             return
@@ -446,10 +452,6 @@
         self.registry.ids.add(request.ticket)
         self.registry.wait(call)
 
-    def _released(self, ticket: str) -> None:
-        if self.relay is not None:
-            self.relay.release(ticket)
-
 
 def _read_statement(body: bytes) -> str:
     """Return the statement in a body; raise CallRejectedError if there is none."""
--- a/frostspindle/order/shared_cells.py
+++ b/frostspindle/order/shared_cells.py
@@ -1,8 +1,9 @@
-"""Memory-mapped cell files, one for each process of a coordinator, with the queue positions of its requests.
+"""Memory-mapped cell files, one for each process of a coordinator, with a key and a stamp in each cell.
 
-This module defines the files `turns-*`: their format, the lock that shows that the owner is alive, and for how long
-the cells of a dead process count. A process never writes to another's file and validates its size and header. It
-removes the file of a dead process only when no query with a position in it can still run at an engine.
+The files `turns-*` hold the queue positions of requests, `ids-*` their ids. This module defines their format, the lock
+that shows that the owner is alive, and for how long the cells of a dead process count. A process never writes to
+another's file and validates its size and header. It removes the file of a dead process only when no cell in it counts
+any more: no query with a position in it can still run at an engine.
 """
 
 from __future__ import annotations
@@ -32,9 +33,9 @@
 
     cell_count = CELL_COUNT
 
-    def __init__(self, folder: Path) -> None:
+    def __init__(self, folder: Path, prefix: str = FILE_PREFIX) -> None:
         self.owner: int = secrets.randbits(62) | 1
-        self.path: Path = folder / f"{FILE_PREFIX}{os.getpid()}-{self.owner:x}"
+        self.path: Path = folder / f"{prefix}{os.getpid()}-{self.owner:x}"
         self._memory_barrier = threading.Lock()
         unpublished = folder / f".{self.path.name}"  # renamed once the file is complete and locked
         self._file: BinaryIO = open(unpublished, "w+b")
@@ -128,11 +129,14 @@
     `clock` returns monotonic ms; the cells of a dead process count for `retention_ms`.
     """
 
-    def __init__(self, folder: Path, clock: Callable[[], float], retention_ms: float) -> None:
+    def __init__(
+        self, folder: Path, clock: Callable[[], float], retention_ms: float, prefix: str = FILE_PREFIX
+    ) -> None:
         self.folder: Path = folder
+        self.prefix: str = prefix  # of the files' names
         self.clock: Callable[[], float] = clock
         self.retention_ms: float = retention_ms
-        self.own_file = OwnCellFile(folder)
+        self.own_file = OwnCellFile(folder, prefix)
         self.unreadable_files: int = 0  # each file counts once
         self._peers: dict[str, _PeerCellFile] = {}
         self._unreadable_names: set[str] = set()
@@ -163,7 +167,7 @@
         A process creates its file before it accepts requests, so every file with an earlier position is in the folder.
         """
         try:
-            names = {name for name in os.listdir(self.folder) if name.startswith(FILE_PREFIX)}
+            names = {name for name in os.listdir(self.folder) if name.startswith(self.prefix)}
         except OSError:
             return  # keep using the files that are already mapped, even if the folder was removed
         names.discard(self.own_file.path.name)
