Soak: crowds beside the clients, signals in quick series, and the memory of all processes

Cause: the soak had no crowds and drew signals apart from each other. Change: a third of the series of seeds has a crowd of one kind, in a process of its own, against 80 MB for all processes of the coordinator together; every second seed has 4 to 12 signals within milliseconds, while serving and in the drain.

--- a/frostspindle/lab/crowd.py
+++ b/frostspindle/lab/crowd.py
@@ -54,6 +54,11 @@
 }
 
 
+def is_of_crowd(ticket: str) -> bool:
+    """Return whether a request's id, in hex, is one of a crowd's."""
+    return int(ticket, 16) >= FIRST_ID
+
+
 def post_head(number: int, fields: bytes = b"") -> bytes:
     """Return the head of a request without its end."""
     return b"POST /call/lookup HTTP/1.1\r\nHost: c\r\nX-Request-Id: %016x\r\nX-Timeout-Ms: 2000\r\n%b" % (
--- a/frostspindle/lab/crowd_run.py
+++ b/frostspindle/lab/crowd_run.py
@@ -20,6 +20,7 @@
 from frostspindle.lab.crowd import HOST, CrowdKind
 from frostspindle.lab.engines import Bus, Engine, coordinator_config, host_entry
 from frostspindle.lab.faults.runner import Process, free_port
+from frostspindle.lab.process_memory import resident_mb
 
 ENGINES = 3
 USUAL_CLIENTS = 6  # half of them open a connection for each request
@@ -27,7 +28,6 @@
 USUAL_TIMEOUT_S = 3.0
 CROSSING_S = 0.05  # a request whose connection ends this soon after it was written crossed its close
 MAX_RETRIES = 2  # of a refused request, as clients do
-KB = 1024.0
 SAMPLE_INTERVAL_S = 0.02
 
 
@@ -75,7 +75,7 @@
         """Return the memory of the process and its workers; what they share counts once."""
         if self.child is None:
             return 0.0
-        return sum(_proportional_kb(pid) for pid in _with_children(self.child.pid)) / KB
+        return resident_mb(self.child.pid)
 
 
 class CrowdRun:
@@ -208,20 +208,3 @@
         if self._connection is not None:
             self._connection[1].close()
             self._connection = None
-
-
-def _with_children(pid: int) -> list[int]:
-    try:
-        children = Path(f"/proc/{pid}/task/{pid}/children").read_text().split()
-    except OSError:
-        return [pid]
-    return [pid, *(int(child) for child in children)]
-
-
-def _proportional_kb(pid: int) -> int:
-    """Return the proportional set size of a process in KB; 0 if it has ended."""
-    with suppress(OSError):
-        for line in Path(f"/proc/{pid}/smaps_rollup").read_text().splitlines():
-            if line.startswith("Pss:"):
-                return int(line.split()[1])
-    return 0
--- a/frostspindle/lab/soak/checker.py
+++ b/frostspindle/lab/soak/checker.py
@@ -10,8 +10,10 @@
 from dataclasses import dataclass, field
 from typing import Any
 
+from frostspindle.lab.crowd import is_of_crowd
 from frostspindle.lab.soak.clients import Client, KeyPacer
 from frostspindle.lab.soak.engines import QUERY_EXPIRY_S, FaultyEngine
+from frostspindle.lab.soak.plan import CROWD_MEMORY_MB
 from frostspindle.lab.soak.processes import SoakProcess
 from frostspindle.lab.soak.records import Drain, EngineRun, Request, RequestClass
 
@@ -33,6 +35,7 @@
     pacer: KeyPacer
     drains: list[Drain]
     lag_s: float = 0.0
+    peak_mb: float = 0.0  # of all processes of the coordinator together, in a run with a crowd
 
 
 @dataclass(slots=True)
@@ -56,6 +59,7 @@
         *_check_order(requests, runs, records.pacer),
         *_check_drains(runs, records),
         *_check_processes(records.processes),
+        *_check_memory(records.peak_mb),
     ]
     for violation in violations:
         if violation.rule == "exit":
@@ -88,6 +92,8 @@
     run_counts = Counter(run.ticket for run in runs)
     for ticket, count in run_counts.items():
         request = requests.get(ticket)
+        if request is None and is_of_crowd(ticket):
+            continue
         if request is None:
             yield Violation("unknown", f"an engine received a query with ticket {ticket}, which no client sent")
         elif request.request_class is RequestClass.LOAD and count > 1:
@@ -134,6 +140,11 @@
                 )
 
 
+def _check_memory(peak_mb: float) -> Iterable[Violation]:
+    if peak_mb > CROWD_MEMORY_MB:
+        yield Violation("memory", f"{peak_mb:.1f} MB of {CROWD_MEMORY_MB:.0f}")
+
+
 def _check_processes(processes: list[SoakProcess]) -> Iterable[Violation]:
     for process in processes:
         if process.exit_code is None:
--- a/frostspindle/lab/soak/plan.py
+++ b/frostspindle/lab/soak/plan.py
@@ -7,6 +7,8 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
+from frostspindle.lab.crowd import CrowdKind
+
 ENGINES = 4
 CLIENTS = 16
 KEYS = 3
@@ -27,6 +29,19 @@
 OUTAGE_PERIOD = 4  # one of this many seeds has an outage
 MIN_OUTAGE_S = 1.1  # longer than a request is held before it is answered with a path
 MAX_OUTAGE_S = 1.8
+CROWD_PERIOD = 3  # one of this many series of three seeds has a crowd, in each topology
+CROWD_CONNECTIONS = 200  # more than a coordinator with so few descriptors accepts
+FLOODS = {  # with so many connections
+    CrowdKind.PING_FLOOD: 3,
+    CrowdKind.POST_FLOOD: 3,
+    CrowdKind.UNREAD_FLOOD: 30,
+    CrowdKind.INVALID_FLOOD: 10,
+}
+CROWD_KINDS = tuple(kind for kind in CrowdKind if not kind.startswith("tds"))
+CROWD_MEMORY_MB = 80.0  # of the coordinator, in a run with a crowd; two workers need 40 each
+SERIES_PERIOD = 2  # one of this many seeds has a series of signals
+SERIES_LENGTHS = (4, 12)
+MAX_SERIES_INTERVAL_S = 0.01
 
 
 class Topology(StrEnum):
@@ -86,6 +101,14 @@
     number: signal.Signals
 
 
+@dataclass(frozen=True, slots=True)
+class PlannedCrowd:
+    """A crowd of clients that send partial or unwanted input, from readiness on."""
+
+    kind: CrowdKind
+    connections: int
+
+
 @dataclass(frozen=True, slots=True)
 class SoakPlan:
     """The complete plan of a run."""
@@ -99,6 +122,7 @@
     outage: Outage | None
     clock_steps: tuple[ClockStep, ...]
     has_socket_faults: bool
+    crowd: PlannedCrowd | None
     start_signals: tuple[TimedSignal, ...]  # times after the start of the process
     serving_signals: tuple[TimedSignal, ...]  # times after readiness
     drain_signals: tuple[TimedSignal, ...]  # times after SIGTERM
@@ -125,12 +149,37 @@
         outage=outage,
         clock_steps=_draw_clock_steps(seed, serving_s),
         has_socket_faults=seed % SOCKET_FAULT_PERIOD == 1,
+        crowd=_draw_crowd(seed),
         start_signals=_draw_signals(rng, START_SIGNALS, 3, 0.3),
-        serving_signals=_draw_signals(rng, START_SIGNALS, 4, serving_s),
-        drain_signals=_draw_signals(rng, (*START_SIGNALS, signal.SIGTERM), 4, 1.5),
+        serving_signals=_with_series(seed, "serving", serving_s, _draw_signals(rng, START_SIGNALS, 4, serving_s)),
+        drain_signals=_with_series(
+            seed, "drain", 1.5, _draw_signals(rng, (*START_SIGNALS, signal.SIGTERM), 4, 1.5), signal.SIGTERM
+        ),
     )
 
 
+def _draw_crowd(seed: int) -> PlannedCrowd | None:
+    if seed // 3 % CROWD_PERIOD != CROWD_PERIOD - 1:
+        return None
+    kind = random.Random(f"soak crowd {seed}").choice(CROWD_KINDS)
+    return PlannedCrowd(kind, FLOODS.get(kind, CROWD_CONNECTIONS))
+
+
+def _with_series(
+    seed: int, phase: str, within_s: float, signals: tuple[TimedSignal, ...], *more: signal.Signals
+) -> tuple[TimedSignal, ...]:
+    """Add a quick series of signals at one moment of a phase, in some seeds."""
+    rng = random.Random(f"soak series {seed} {phase}")
+    if seed % SERIES_PERIOD:
+        return signals
+    at_s = rng.uniform(0.0, within_s)
+    series = []
+    for _ in range(rng.randint(*SERIES_LENGTHS)):
+        series.append(TimedSignal(at_s, rng.choice((*START_SIGNALS, *more))))
+        at_s += rng.uniform(0.0, MAX_SERIES_INTERVAL_S)
+    return tuple(sorted((*signals, *series), key=lambda timed: timed.at_s))
+
+
 def _draw_faults(rng: random.Random, serving_s: float) -> tuple[EngineFault, ...]:
     """Draw three to six faults, some of which reach into the drain; the first engine is never absent."""
     faults: list[EngineFault] = []
--- a/frostspindle/lab/soak/processes.py
+++ b/frostspindle/lab/soak/processes.py
@@ -14,7 +14,7 @@
 from frostspindle.lab.engines import coordinator_config
 from frostspindle.lab.faults.runner import Process, free_port
 from frostspindle.lab.soak.lag import LagWatch
-from frostspindle.lab.soak.plan import SOCKETS, SoakPlan, TimedSignal, Topology
+from frostspindle.lab.soak.plan import CROWD_MEMORY_MB, SOCKETS, SoakPlan, TimedSignal, Topology
 from frostspindle.lab.soak.records import RequestClass
 from frostspindle.lab.soak.stepped_clock import SteppedClock
 
@@ -119,7 +119,8 @@
 def write_files(folder: Path, plan: SoakPlan, events: list[dict[str, Any]], bus_port: int) -> None:
     """Write the files of a process, with all events of the event bus up to now."""
     folder.mkdir(exist_ok=True)
-    config = coordinator_config([], bus_port, sockets=SOCKETS)
+    limits = {} if plan.crowd is None else {"memory_mb": CROWD_MEMORY_MB}
+    config = coordinator_config([], bus_port, sockets=SOCKETS, **limits)
     config["name"] = "soak"
     config["seed"] = f"{plan.seed:016x}"
     config["known"] = {"offset": len(events), "batch": events}
--- a/frostspindle/lab/soak/report.py
+++ b/frostspindle/lab/soak/report.py
@@ -16,6 +16,8 @@
     outage = ", outage" if plan.outage is not None else ""
     steps = ", clock steps " + " ".join(f"{step.seconds:+.0f}" for step in plan.clock_steps) if plan.clock_steps else ""
     faults = ", socket faults" if plan.has_socket_faults else ""
+    if plan.crowd is not None:
+        faults += f", crowd {plan.crowd.kind} of {plan.crowd.connections}"
     deadline = f", deadline {plan.class_deadline_s} s"
     counts = ", ".join(f"{name} {count}" for name, count in sorted(result.counts.items()))
     verdict = f"{len(result.violations)} rules broken" if result.violations else "passed"
--- a/frostspindle/lab/soak/run.py
+++ b/frostspindle/lab/soak/run.py
@@ -14,6 +14,7 @@
 from frostspindle.lab.engines import Bus, host_entry
 from frostspindle.lab.soak.checker import Records, Violation, find_violations
 from frostspindle.lab.soak.clients import Client, ConnectionGate, IdleClient, KeyPacer
+from frostspindle.lab.soak.crowd import SoakCrowd
 from frostspindle.lab.soak.engines import FaultyEngine
 from frostspindle.lab.soak.lag import LagWatch
 from frostspindle.lab.soak.plan import (
@@ -61,6 +62,7 @@
         self.processes: list[SoakProcess] = []
         self.pacer = KeyPacer()
         self.clients: list[Client] = []
+        self.crowd: SoakCrowd | None = None
         self._folder = folder
         self.clock = SteppedClock(folder)
         self._ended = asyncio.Event()
@@ -76,6 +78,7 @@
             process = await self._start_process(self.plan.start_signals)
             gate = ConnectionGate(process.http)
             self._start_clients(gate)
+            self._start_crowd(gate.port)
             self._tasks += [asyncio.create_task(self._play_fault(fault)) for fault in self.plan.faults]
             self._tasks.append(asyncio.create_task(self._step_clock()))
             if self.plan.outage is not None:
@@ -85,7 +88,22 @@
         finally:
             lag.close()
             await self._close()
-        return Records(self.clients, self.engines, self.processes, self.pacer, self.drains, lag.worst_s)
+        return Records(self.clients, self.engines, self.processes, self.pacer, self.drains, lag.worst_s, self._peak_mb)
+
+    @property
+    def _peak_mb(self) -> float:
+        return self.crowd.peak_mb if self.crowd is not None else 0.0
+
+    def _start_crowd(self, port: int) -> None:
+        if self.plan.crowd is None:
+            return
+        seconds = self.plan.serving_s + NEW_CONNECTIONS_AFTER_SIGTERM_S
+        self.crowd = SoakCrowd(self.plan.crowd, port, seconds, self._running_pids)
+        self._tasks.append(asyncio.create_task(self.crowd.run()))
+
+    def _running_pids(self) -> list[int]:
+        children = [process.child for process in self.processes]
+        return [child.pid for child in children if child is not None and child.returncode is None]
 
     async def _start_stand_ins(self) -> None:
         for engine in self.engines:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -29,6 +29,8 @@
     assert {fault.kind for plan in plans for fault in plan.faults} == set(FaultKind)
     assert any(plan.outage for plan in plans)
     assert any(plan.has_socket_faults for plan in plans)
+    assert {plan.topology for plan in plans if plan.crowd} == set(Topology)
+    assert any(len(plan.drain_signals) > 4 for plan in plans)  # a series
     assert {step.seconds > 0.0 for plan in plans for step in plan.clock_steps} == {True, False}
     # Deadlines below 1 s and above 3 s, the longest that counts for the time of the kill.
     assert min(plan.class_deadline_s for plan in plans) < 1.0 < 3.0 < max(plan.class_deadline_s for plan in plans)
@@ -125,3 +127,10 @@
     assert rules(exit_code=1) == ["exit"]
     assert rules(lines=[{"event": "exception_caught", "ts": 1.0}]) == ["log"]
     assert rules(surplus=["unsolicited bytes"]) == ["surplus"]
+
+
+def test_memory_is_checked_in_a_run_with_a_crowd():
+    records = Records([], [], [], KeyPacer(), [], peak_mb=79.9)
+    assert find_violations(records) == []
+    records.peak_mb = 80.1
+    assert [violation.rule for violation in find_violations(records)] == ["memory"]
