Handle the end of a connection once if a write fails as it can be written again

Cause: asyncio calls resume_writing in the middle of its own write; a write of the protocol in there that fails schedules the end of the connection, and asyncio, once it goes on, ends it again. Change: answers that wait are written in the next turn; the same at the operators' port for streams. Class: work in a callback of the transport that may end the transport. Result: the test fails without the change, passes with it.

--- a/frostspindle/net/http/clients.py
+++ b/frostspindle/net/http/clients.py
@@ -199,13 +199,20 @@
         self._unsent.resize(self.transport.get_write_buffer_size())
 
     def resume_writing(self) -> None:
-        """Go on with further calls; a closing connection starts its linger time now."""
+        """Go on with further calls in the next turn; a closing connection starts its linger time now."""
         self.write_paused_at = math.inf
         if self.is_closing:
             self.state_since = self.loop_time()  # its last response was written only now
+        # asyncio reports the end of a connection twice if a write fails within this callback.
+        self.front.loop.call_soon(self._on_writable)
+
+    def _on_writable(self) -> None:
+        if self.write_paused_at < math.inf:  # paused again
+            return
         self._release_unsent()
-        self.flush()
-        self._continue_input()
+        if not self.transport.is_closing():
+            self.flush()
+            self._continue_input()
 
     def _release_unsent(self) -> None:
         if self._unsent.size:
--- a/frostspindle/net/operator.py
+++ b/frostspindle/net/operator.py
@@ -51,6 +51,7 @@
         self.server = server
         self.received = b""
         self.stream: CallerStream | None = None
+        self._is_write_paused = False
         self.transport: asyncio.Transport = None  # type: ignore[assignment]  # set in connection_made
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -98,11 +99,17 @@
         self.transport.close()
 
     def pause_writing(self) -> None:
+        self._is_write_paused = True
         if self.stream is not None:
             self.stream.paused(True)
 
     def resume_writing(self) -> None:
-        if self.stream is not None:
+        # asyncio reports the end of a connection twice if a write fails within this callback.
+        self._is_write_paused = False
+        asyncio.get_running_loop().call_soon(self._on_writable)
+
+    def _on_writable(self) -> None:
+        if self.stream is not None and not self._is_write_paused and not self.transport.is_closing():
             self.stream.paused(False)
 
     def _time_out(self) -> None:
--- a/tests/test_input_memory.py
+++ b/tests/test_input_memory.py
@@ -7,6 +7,7 @@
 
 from frostspindle.held_memory import HeldMemory, HeldPurpose
 from frostspindle.input_memory import InputMemory
+from frostspindle.net.http.request_parser import ParsedRequest
 
 INPUT_SHARE = 1 / 16  # of limits.memory_mb, as docs/operators.md states
 
@@ -80,3 +81,45 @@
         for client in clients:
             client.close()
         await self.until(lambda: not held.used[HeldPurpose.INPUT])
+
+
+class FailingSocket:
+    """A connected socket whose peer has reset it: it takes what was buffered, and fails at the next write."""
+
+    def __init__(self, connected):
+        self.connected, self.has_failed = connected, False
+
+    def __getattr__(self, name):
+        return getattr(self.connected, name)
+
+    def send(self, data):
+        if self.has_failed:
+            raise ConnectionResetError
+        self.has_failed = True
+        return len(data)
+
+
+class FailingWrites(EdgeCase):
+    """Writes that fail once the system takes more."""
+
+    # Guards against: the end of a connection was handled twice, with an exception in the log, if the write of a waiting
+    # answer failed as the system took more.
+    async def test_write_that_fails_as_a_connection_can_be_written_again_ends_it_once(self):
+        await self.start()
+        loop, errors = asyncio.get_running_loop(), []
+        loop.set_exception_handler(lambda _, context: errors.append(context))
+        _, writer = await asyncio.open_connection("127.0.0.1", self.program.platform.port)
+        self.addCleanup(writer.close)
+        await self.until(lambda: self.program.platform.clients)
+        (client,) = self.program.platform.clients
+        transport = client.transport
+        transport._buffer.extend(b"x")  # as after a write that the system took in part
+        client.pause_writing()
+        transport._protocol_paused = True
+        for _ in range(2):
+            client.request_received(ParsedRequest(b"GET", b"/ping", {}, b"", False))
+        transport._sock = FailingSocket(transport._sock)
+        loop._add_writer(transport._sock_fd, transport._write_ready)
+        await self.until(lambda: not self.program.platform.clients)
+        await asyncio.sleep(0)
+        self.assertEqual(errors, [])
