Tell the decision module of requests that are answered at their deadline

Cause: the core answers a request whose deadline has passed unanswered, as in a busy process; without an attempt that removed its entry, and what was to tell the decision module looked for the entry first. The module kept the request, sent it later, and counted its engine as busy with it from then on. Change: the module is told in any case. Class: state dropped by one of two owners before the other is told; the other callers of respond act for the module or before it knows the request (read). Result: the test fails without the change, passes with it.

--- a/frostspindle/core/event_handlers.py
+++ b/frostspindle/core/event_handlers.py
@@ -200,8 +200,9 @@
         if entry is None or entry.final_state:
             return
         self._telemetry.log("request_deadline_passed", request=event.number)
-        self._ledger.respond(event.number, Response(ResponseStatus.FAILED))
-        self._drop(now, event.number, "overdue")
+        self._ledger.respond(event.number, Response(ResponseStatus.FAILED))  # which may remove the entry
+        self._notify_policy(now, policy.ClientDisconnected(event.number))
+        self._ledger.remove_if_complete(entry)
 
     def _drop(self, now: float, number: int, reason: str) -> None:
         entry = self._ledger.entries.get(number)
