Take the age of a queued connection from the system, also at an inherited socket

Cause: connections waited at the inherited socket as the new process started, which took its own start for the earliest time at which they can have come; a crowd makes them wait. Without TCP_INFO the estimate is as before.

--- a/frostspindle/net/http/listener.py
+++ b/frostspindle/net/http/listener.py
@@ -14,7 +14,7 @@
 
 from frostspindle.config import Config
 from frostspindle.core import ArrivalClock, clock
-from frostspindle.net.http.accept_queue import TCP_INFO_BYTES, AcceptQueue, queue_length
+from frostspindle.net.http.tcp_info import TCP_INFO_BYTES, connection_age_ms
 from frostspindle.telemetry import Telemetry
 
 MAX_ACCEPTS_PER_TURN = 16  # connections accepted in one turn of the event loop
@@ -50,8 +50,8 @@
         self.may_accept: Callable[[], bool] | None = None
         self.port = 0
         self._socket: socket.socket | None = None
-        self._queue = AcceptQueue(clock())
-        self._max_queued: int | None = None  # connections that the system queues at most, if this process set it
+        self._queued_since_ms = clock()  # no queued connection arrived before this
+        self._has_seen_queue_empty = True  # else, on an inherited socket, connections may be older than that
         self._last_poll = 0  # count of the arrival clock when the queue was looked at
         self._joining: set[asyncio.Task[Any]] = set()
         self._failure_logged_at_s = -math.inf
@@ -71,9 +71,9 @@
             host, _ = config.listen
             family = socket.AF_INET6 if ":" in host else socket.AF_INET
             listening = socket.create_server(config.listen, family=family, backlog=BACKLOG)
-            self._max_queued = BACKLOG + 1
         listening.setblocking(False)
-        self._queue = AcceptQueue(clock())
+        self._queued_since_ms = clock()
+        self._has_seen_queue_empty = inherited is None
         self._socket = listening
         self.port = listening.getsockname()[1]
         self._resume()
@@ -108,21 +108,20 @@
         self.loop.call_later(seconds, self._resume, accept_first)
 
     def _note_poll(self) -> None:
-        self._queue.record_earliest(self.arrival_clock.earliest_ms(self._last_poll, self._queue.since_ms))
+        self._queued_since_ms = self.arrival_clock.earliest_ms(self._last_poll, self._queued_since_ms)
         self._last_poll = self.arrival_clock.count
-        now_ms = clock()
-        length = self._queue_length()
-        if length is not None:
-            self._queue.record_length(now_ms, length)
 
-    def _queue_length(self) -> int | None:
-        """Return how many connections are queued, or the most that can be; None if neither is known."""
-        assert self._socket is not None
+    def _earliest_arrival_ms(self, accepted: socket.socket) -> float:
+        """Return the earliest time at which the first bytes of a connection can have arrived, in Unix ms."""
+        now_ms = clock()
         try:
-            length = queue_length(self._socket.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO_BYTES))
+            age_ms = connection_age_ms(accepted.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO_BYTES))
         except OSError:
-            length = None
-        return self._max_queued if length is None else length
+            age_ms = None
+        if age_ms is None:
+            return self._queued_since_ms
+        connected_ms = now_ms - age_ms
+        return max(connected_ms, self._queued_since_ms) if self._has_seen_queue_empty else connected_ms
 
     def _accept(self) -> None:
         """Accept up to MAX_ACCEPTS_PER_TURN connections while there is room; the others stay queued."""
@@ -154,7 +153,8 @@
         try:
             accepted, _ = self._socket.accept()
         except BlockingIOError:
-            self._queue.record_empty(self.arrival_clock.poll_returned_ms)
+            self._queued_since_ms = self.arrival_clock.poll_returned_ms
+            self._has_seen_queue_empty = True
             return False  # another process accepted it
         except (InterruptedError, ConnectionAbortedError):
             return False
@@ -165,7 +165,7 @@
         # asyncio does not see that a socket accepted by a listener that was created by address is TCP: small responses
         # would be held back, and be lost with a reset.
         accepted.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        protocol = self.make_protocol(self._queue.accept())
+        protocol = self.make_protocol(self._earliest_arrival_ms(accepted))
         joining = self.loop.create_task(self.loop.connect_accepted_socket(lambda: protocol, accepted))
         self._joining.add(joining)
         joining.add_done_callback(self._joining.discard)
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -111,8 +111,8 @@
     "interfaces ledger messages requests steady_clock",
     "frostspindle.ledger": "rule_index tenant_rules tenants",
     "frostspindle.net": "discovery engines fields hangup http operator platform result_room",
-    "frostspindle.net.http": "accept_queue attempts calls clients connection_limits connection_log connection_pool "
-    "id_claims input_buffer input_scheduler request_parser "
+    "frostspindle.net.http": "attempts calls clients connection_limits connection_log connection_pool "
+    "id_claims input_buffer input_scheduler request_parser tcp_info "
     "duplicate_responses engine_connection "
     "listener load_reports replies request_registry results statements",
     "frostspindle.order": "key_queue request_ids service shared_cells",  # two of them only if a class is in order
--- a/tests/test_endings_clients.py
+++ b/tests/test_endings_clients.py
@@ -444,9 +444,7 @@
                 raise OSError(failures.pop(), "for a moment")
             return real.accept()
 
-        listener._socket = unittest.mock.Mock(
-            accept=accept, fileno=real.fileno, close=real.close, getsockopt=real.getsockopt
-        )
+        listener._socket = unittest.mock.Mock(accept=accept, fileno=real.fileno, close=real.close)
         lag = Lag()
         began, began_unix = clock(), time.time()
         self.assertEqual((await self.call("DELETE", json.loads(body)["next"]))[0], 204)
