--- a/frostspindle/net/tds/session.py
+++ b/frostspindle/net/tds/session.py
@@ -200,7 +200,7 @@
         self._write_eof()
 
     def _write_eof(self) -> None:
-        """Shut down the sending side once the system has taken the last response; asyncio does not catch errors later."""
+        """Shut down the sending side once the last response was taken; asyncio does not catch an error later."""
         if self.writer.transport.is_closing():
             return
         if self.has_unsent():
