Keep an engine's partial answer in one buffer, and read engines and the bus in smaller pieces

Found on the related paths of the incident: an engine that answers in chunks of two bytes and does not end took 450 KB for 20 KB of text, at each connection; what is reserved for a result is 64 KB. Cause: as with clients' bodies, an object for each chunk. Change: one buffer; 64 KB are read at a time from engines, 16 KB from TDS engines and from the event bus, of which each short line costs a turn of the event loop. Not shown by real processes.

--- a/frostspindle/net/discovery.py
+++ b/frostspindle/net/discovery.py
@@ -28,6 +28,7 @@
 SILENCE_TIMEOUT_GROWTH = 1.5
 CONNECT_TIMEOUT_S = 0.5
 MAX_LINE_BYTES = 1 << 20
+READ_BYTES = 16 * 1024  # handled in one turn of the event loop: of the shortest lines, some thousands
 MIN_BACKOFF_S = 0.05
 MAX_BACKOFF_S = 0.5
 MAX_RETRIES_OF_INVALID_LINE = 2  # after that the line is skipped
@@ -59,8 +60,9 @@
         self._partial_line = bytearray()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Store the transport."""
+        """Store the transport, and limit what one turn of the event loop reads."""
         self.transport: asyncio.Transport = transport  # type: ignore[assignment]
+        transport.max_size = READ_BYTES  # type: ignore[attr-defined]  # asyncio's is 256 KB
 
     def data_received(self, data: bytes) -> None:
         """Pass each complete line to `on_line` and record the time of the last one.
--- a/frostspindle/net/http/engine_connection.py
+++ b/frostspindle/net/http/engine_connection.py
@@ -24,6 +24,7 @@
 )
 
 OK_STATUS = 200
+READ_BYTES = 64 * 1024  # a whole page of the platform's protocol
 
 
 class ConnectionBrokenError(Exception):
@@ -91,7 +92,7 @@
         self.opened_ms = self.last_response_ms = clock()  # Unix ms
         self.response_bytes = self.header_count = self.status = 0
         self.headers: dict[bytes, bytes] = {}
-        self.body: list[bytes] = []
+        self.body = bytearray()  # one buffer, however small the chunks are
         self.poll = select.poll()
         self._recent = RecentResponses()
         self._is_checked = False  # the response to this call is checked for being a copy
@@ -110,6 +111,7 @@
         """
         self.transport = transport  # type: ignore[assignment]
         self.transport.set_write_buffer_limits(0)  # report every buffered byte
+        transport.max_size = READ_BYTES  # type: ignore[attr-defined]  # read at a time; asyncio's is 256 KB
         self.pool.connection_opened(self)
         self.poll.register(transport.get_extra_info("socket").fileno(), select.POLLIN)
 
@@ -119,6 +121,7 @@
         if self.timer is not None:
             self.timer.cancel()
         self.pool.connection_closed(self)
+        self.body = bytearray()
         self._fail(ConnectionBrokenError(repr(error) if error else "the engine ended its connection"))
 
     def pause_writing(self) -> None:
@@ -164,9 +167,9 @@
 
     def _take_reply(self) -> EngineReply:
         """Return the response that was received last; the connection, which may rest now, does not keep it."""
-        reply = EngineReply(self.status, self.headers, b"".join(self.body))
+        reply = EngineReply(self.status, self.headers, bytes(self.body))
         self.headers = {}
-        self.body = []
+        self.body = bytearray()
         return reply
 
     def _deliver(self, reply: EngineReply) -> None:
@@ -206,7 +209,7 @@
         self.pool.confirmations.record_genuine(reply.status, now_s)
         self.is_complete = True
         self.headers = {}
-        self.body = []
+        self.body = bytearray()
         self.idle_since_s = now_s
         self._deliver(reply)
 
@@ -238,7 +241,9 @@
             self.is_reusable = False
             self.pool.count_copy()
             raise InvalidReplyError("more than one response")
-        self.headers, self.body, self.header_count = {}, [], 0
+        self.headers = {}
+        self.body = bytearray()
+        self.header_count = 0
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Store a header by its lower-case name; raise InvalidReplyError beyond the limits."""
@@ -261,13 +266,13 @@
 
     def on_body(self, chunk: bytes) -> None:
         """Collect a chunk of the body; `data_received` limits the total."""
-        self.body.append(chunk)
+        self.body += chunk
 
     def on_message_complete(self) -> None:
         """Mark a final response (not 1xx) as complete; without keep-alive the connection is not reused."""
         if self.status < 200:
             return
-        reply = EngineReply(self.status, self.headers, b"".join(self.body))
+        reply = EngineReply(self.status, self.headers, bytes(self.body))
         if self._doubtful is not None:  # so the previous one was a copy
             self.pool.count_copy()
             self._has_copies = True
--- a/frostspindle/net/tds/driver.py
+++ b/frostspindle/net/tds/driver.py
@@ -58,6 +58,7 @@
 
     def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, max_bytes: int) -> None:
         self.reader, self.writer = reader, writer
+        writer.transport.max_size = READ_BYTES  # type: ignore[attr-defined]  # read at a time; asyncio's is 256 KB
         self.process: _EngineProcess | None = None  # that it leads to, once it is logged in
         self.used, self.idle_at = False, 0.0
         self.splitter = codec.PacketReassembler(max_bytes)
