Ask the system for a connection's age only where the queue's own estimate is far

Cause: the look at TCP_INFO went in for every connection, although the queue is empty as a rule and tells the age within milliseconds; where sockets are emulated, its clock may be another one. Change: asked only if the estimate is 50 ms or more, or the socket is inherited and its queue was never seen empty.

--- a/frostspindle/net/http/listener.py
+++ b/frostspindle/net/http/listener.py
@@ -24,6 +24,7 @@
 # Pause in accepting after an accept failed, as for lack of descriptors. A DELETE may be queued, and nothing may be sent
 # to engines later than 0.1 s after its client has left.
 FAILED_PAUSE_S = 0.02
+CLOSE_ESTIMATE_MS = 50.0  # a connection that is no older than this by the queue needs no better estimate
 FAILURE_LOG_INTERVAL_S = 1.0  # between two log lines about failing accepts
 
 
@@ -114,6 +115,8 @@
     def _earliest_arrival_ms(self, accepted: socket.socket) -> float:
         """Return the earliest time at which the first bytes of a connection can have arrived, in Unix ms."""
         now_ms = clock()
+        if self._has_seen_queue_empty and now_ms - self._queued_since_ms < CLOSE_ESTIMATE_MS:
+            return self._queued_since_ms
         try:
             age_ms = connection_age_ms(accepted.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO_BYTES))
         except OSError:
