Let partial requests with unread input make way, and give long input a smaller part of a turn

Cause: connections with a partial request were not closed for others while bytes were unread, which is so for as long as their clients send; so places came free only by time-out, and new connections waited. Change: what is unread behind a partial request counts as the rest of it, unless the client has sent calls ahead, and is refused with it; short input goes first, long input has 1 ms of a turn. Class: who is slowest to send keeps its place longest.

--- a/frostspindle/lab/soak/plan.py
+++ b/frostspindle/lab/soak/plan.py
@@ -38,6 +38,7 @@
     CrowdKind.INVALID_FLOOD: 10,
 }
 CROWD_KINDS = tuple(kind for kind in CrowdKind if not kind.startswith("tds"))
+CROWD_SERVING_S = 1.5  # by which a run with a crowd serves longer, as fewer requests come through in its time
 CROWD_MEMORY_MB = 80.0  # of the coordinator, in a run with a crowd; two workers need 40 each
 SERIES_PERIOD = 2  # one of this many seeds has a series of signals
 SERIES_LENGTHS = (4, 12)
@@ -139,17 +140,18 @@
     topology = (Topology.SINGLE, Topology.UPGRADE, Topology.WORKERS)[seed % 3]
     serving_s = rng.uniform(MIN_SERVING_S, MAX_SERVING_S)
     outage = _draw_outage(seed, serving_s)
+    crowd = _draw_crowd(seed)
     return SoakPlan(
         seed=seed,
         topology=topology,
         has_idle_clients=seed // 3 % 3 == 1,
         class_deadline_s=_draw_deadline_s(seed),
-        serving_s=serving_s,
+        serving_s=serving_s + (CROWD_SERVING_S if crowd is not None else 0.0),
         faults=_drop_absences_within(outage, _draw_faults(rng, serving_s)),
         outage=outage,
         clock_steps=_draw_clock_steps(seed, serving_s),
         has_socket_faults=seed % SOCKET_FAULT_PERIOD == 1,
-        crowd=_draw_crowd(seed),
+        crowd=crowd,
         start_signals=_draw_signals(rng, START_SIGNALS, 3, 0.3),
         serving_signals=_with_series(seed, "serving", serving_s, _draw_signals(rng, START_SIGNALS, 4, serving_s)),
         drain_signals=_with_series(
--- a/frostspindle/net/http/clients.py
+++ b/frostspindle/net/http/clients.py
@@ -337,7 +337,7 @@
 
     def refuse_input(self) -> bool:
         """Refuse the request that is partly received; not while complete calls may follow in the input."""
-        if not self.is_receiving or self._input.size:
+        if not self.is_receiving or (self._input.size and (self.has_pipelined or self.pending_calls)):
             return False
         self.reject(CallRejectedError(503, "Busy"), CloseReason.INPUT_MEMORY)
         return True
@@ -388,8 +388,16 @@
         )
 
     def reclaim(self) -> bool:
-        """Close to free the descriptor; return False if calls are open, or bytes are unwritten or unread."""
-        if self.pending_calls or self.write_paused_at < math.inf or self.has_unread():
+        """Close to free the descriptor; return False if calls are open, or bytes are unwritten or unread.
+
+        What is unread behind a partial request is the rest of it, unless the client has sent calls ahead before.
+        """
+        if self.pending_calls or self.write_paused_at < math.inf:
+            return False
+        if self.is_receiving and not self.has_pipelined:
+            self.reject(CallRejectedError(503, "Busy"), CloseReason.TOO_MANY_CONNECTIONS)
+            return True
+        if self.has_unread():
             return False
         if self.is_receiving:
             self.reject(CallRejectedError(503, "Busy"), CloseReason.TOO_MANY_CONNECTIONS)
--- a/frostspindle/net/http/input_scheduler.py
+++ b/frostspindle/net/http/input_scheduler.py
@@ -1,8 +1,8 @@
 """Shares the event loop among connections with input to parse, so that no client delays the others for long.
 
-Each turn of the event loop has TURN_BUDGET_S for input as it is read, and as much for input that waits. A connection
-takes a small step at a time and goes to the end of the line. Short input of a client without an open call goes first:
-it is usually one whole request.
+Each turn of the event loop has TURN_BUDGET_S for short input as it is read, and as much for input that waits. A
+connection takes a small step at a time and goes to the end of the line. Short input of a client without an open call
+goes first: it is usually one whole request. Long input has LONG_BUDGET_S of a turn.
 """
 
 from __future__ import annotations
@@ -12,6 +12,7 @@
 from typing import Protocol
 
 TURN_BUDGET_S = 0.002  # of each turn of the event loop, twice
+LONG_BUDGET_S = 0.001  # of each turn, within the above
 
 
 class BacklogConnection(Protocol):
@@ -38,7 +39,9 @@
         self._used_s = 0.0  # in the turn `_budget_turn`, by input as it is read
 
     def run_now(self, connection: BacklogConnection) -> bool:
-        """Let a connection that has read input take a step now; return False if this turn's time is used up."""
+        """Let a connection that has read short input take a step now; return False if this turn's time is used up."""
+        if not connection.has_short_input:
+            return False
         turn = self._turn()
         if turn != self._budget_turn:
             self._budget_turn = turn
@@ -72,12 +75,17 @@
 
     def _run_turn(self) -> None:
         self._is_scheduled = False
-        until_s = self._loop.time() + TURN_BUDGET_S
+        began_s = self._loop.time()
         try:
-            while (waiting := self._short or self._long) and self._loop.time() < until_s:
-                connection = next(iter(waiting))
-                del waiting[connection]
-                connection.process_input()
+            self._run(self._short, began_s + TURN_BUDGET_S)
+            self._run(self._long, began_s + LONG_BUDGET_S)
         finally:
             if self._short or self._long:
                 self._schedule()
+
+    def _run(self, waiting: dict[BacklogConnection, None], until_s: float) -> None:
+        """Let connections take steps in turn until a time."""
+        while waiting and self._loop.time() < until_s:
+            connection = next(iter(waiting))
+            del waiting[connection]
+            connection.process_input()
