--- a/tests/test_input_memory.py
+++ b/tests/test_input_memory.py
@@ -106,9 +106,8 @@
 class FailingWrites(EdgeCase):
     """Writes that fail once the system takes more."""
 
-    # Guards against: the end of a connection was handled twice, with an exception in the log, if the write of a waiting
-    # answer failed as the system took more.
-    async def test_write_that_fails_as_a_connection_can_be_written_again_ends_it_once(self):
+    async def stuck_client(self):
+        """Return a connection whose client has not read all, and the errors that reach the event loop."""
         await self.start()
         loop, errors = asyncio.get_running_loop(), []
         loop.set_exception_handler(lambda _, context: errors.append(context))
@@ -120,29 +119,27 @@
         transport._buffer.extend(b"x")  # as after a write that the system took in part
         client.pause_writing()
         transport._protocol_paused = True
-        for _ in range(2):
-            client.request_received(ParsedRequest(b"GET", b"/ping", {}, b"", False))
         transport._sock = FailingSocket(transport._sock)
-        loop._add_writer(transport._sock_fd, transport._write_ready)
+        return client, errors
+
+    async def write_on(self, client):
+        """Let the system take what is buffered, and wait for the end of the connection."""
+        asyncio.get_running_loop()._add_writer(client.transport._sock_fd, client.transport._write_ready)
         await self.until(lambda: not self.program.platform.clients)
         await asyncio.sleep(0)
+
+    # Guards against: the end of a connection was handled twice, with an exception in the log, if the write of a waiting
+    # answer failed as the system took more.
+    async def test_write_that_fails_as_a_connection_can_be_written_again_ends_it_once(self):
+        client, errors = await self.stuck_client()
+        for _ in range(2):
+            client.request_received(ParsedRequest(b"GET", b"/ping", {}, b"", False))
+        await self.write_on(client)
         self.assertEqual(errors, [])
 
     # Guards against: an exception in the log if a client reset its connection before it had read its last response.
     async def test_reset_before_the_last_response_was_taken_raises_nothing(self):
-        await self.start()
-        loop, errors = asyncio.get_running_loop(), []
-        loop.set_exception_handler(lambda _, context: errors.append(context))
-        _, writer = await asyncio.open_connection("127.0.0.1", self.program.platform.port)
-        self.addCleanup(writer.close)
-        await self.until(lambda: self.program.platform.clients)
-        (client,) = self.program.platform.clients
-        transport = client.transport
-        transport._sock = FailingSocket(transport._sock)
-        transport._buffer.extend(b"x")
-        client.pause_writing()
-        transport._protocol_paused = True
+        client, errors = await self.stuck_client()
         client.leave()
-        loop._add_writer(transport._sock_fd, transport._write_ready)
-        await self.until(lambda: not self.program.platform.clients)
+        await self.write_on(client)
         self.assertEqual(errors, [])
