Log how each attempt ends without a response, why engine connections end, and each retry

Cause: the release of an attempt was logged only for requests with an ordering key; no line told that a request was sent again, why a poll failed, that connections to an engine were retired or why one ended. Change: attempt_released for all attempts (HTTP and TDS), attempt_retried, poll_failed, engine_connection_ended and engine_connections_retired with reasons, and their counters; no decision changes.

--- a/frostspindle/core/actions.py
+++ b/frostspindle/core/actions.py
@@ -66,12 +66,30 @@
             # Two attempts of one request in flight at once is the costliest violation. The decision module never
             # requests it; this is a safeguard.
             raise RuntimeError(f"request {action.request} is settled or has an attempt in flight")
+        if entry.attempts:
+            self._log_retry(now, attempt, entry.attempts[-1])
         entry.attempts.append(attempt)
         self._telemetry.count("sent", entry.request.front, attempt.class_name)
         engine.driver.start_attempt(attempt)
         if self._hooks.on_engine_changed is not None:
             self._hooks.on_engine_changed(attempt.engine, ())
 
+    def _log_retry(self, now: float, attempt: Attempt, previous: Attempt) -> None:
+        self._telemetry.count("retried", attempt.request.front, attempt.class_name)
+        self._telemetry.log(
+            "attempt_retried",
+            request=attempt.request.number,
+            ticket=attempt.request.ticket,
+            attempt=attempt.number,
+            engine=self._engine_name(attempt),
+            previous_engine=self._engine_name(previous),
+            since_previous_ms=round(now - previous.sent_ms, 1),
+        )
+
+    def _engine_name(self, attempt: Attempt) -> str:
+        engine = self._engines.get(attempt.engine)
+        return engine.name if engine is not None else ""
+
     def _new_attempt(self, now: float, action: policy.StartAttempt, entry: RequestEntry) -> Attempt:
         request = entry.request
         timeout_ms = action.timeout_ms or max(1.0, request.received_ms + request.timeout_ms - now)
--- a/frostspindle/net/engines.py
+++ b/frostspindle/net/engines.py
@@ -16,6 +16,7 @@
 from frostspindle.net.http.attempts import AttemptEnd, AttemptRunner, DirectAttempt
 from frostspindle.net.http.connection_pool import RESPONSE_TIMEOUT_S, ConnectionPool, PoolExhaustedError
 from frostspindle.net.http.engine_connection import ConnectionBrokenError
+from frostspindle.net.http.engine_log import EngineCloseReason, EngineLog, RetirementReason
 from frostspindle.net.http.load_reports import LoadReportParser
 from frostspindle.net.http.replies import EngineReply, InvalidReplyError
 from frostspindle.policy import AttemptOutcome, Health
@@ -25,6 +26,12 @@
 IDLE_SWEEP_S = 1.0  # interval at which idle connections are checked
 
 
+def _retirement_reason(before: EngineState, now: EngineState) -> RetirementReason:
+    if now.entry.health == Health.GONE:
+        return RetirementReason.REMOVED
+    return RetirementReason.RESTARTED if before.address == now.address else RetirementReason.MOVED
+
+
 class HttpEngines(TaskDriver):
     """The driver of HTTP engines."""
 
@@ -33,13 +40,14 @@
     def __init__(self, config: Config, core: Core, telemetry: Telemetry) -> None:
         super().__init__(core)
         self.telemetry = telemetry
+        self.log = EngineLog(telemetry)
         self.loop = asyncio.get_running_loop()
         self.idle_s = pools.idle_timeout_ms(config.idle_ms) / 1000.0
         self.sockets = config.limits.sockets
         self.share_descriptors(False)
         self.opening = self.established = self.waiters = 0
         self.load_reports = LoadReportParser(telemetry, core.settings.load_report_columns)
-        self.runner = AttemptRunner(core, telemetry, self.load_reports)
+        self.runner = AttemptRunner(core, telemetry, self.load_reports, self.log)
         self.pools: dict[int, ConnectionPool] = {}
         self.retired: set[ConnectionPool] = set()  # pools whose connections are not all closed yet
         self._idle_timer = self.loop.call_later(IDLE_SWEEP_S, self._close_idle)
@@ -74,14 +82,14 @@
             ),
             None,
         ):
-            pool_with_idle.idle[0].drop()
+            pool_with_idle.idle[0].drop(EngineCloseReason.MAKE_ROOM)
 
     def _close_idle(self) -> None:
         self._idle_timer = self.loop.call_later(IDLE_SWEEP_S, self._close_idle)
         before = self.loop.time() - self.idle_s
         for pool in self.pools.values():
             while pool.idle and pool.idle[0].idle_since_s < before:
-                pool.idle.pop(0).drop()
+                pool.idle.pop(0).drop(EngineCloseReason.IDLE)
         self.retired = {pool for pool in self.retired if pool.established}
 
     # The core's interface.
@@ -99,6 +107,8 @@
         )
         if pool is not None and (restarted or engine.entry.health == Health.GONE):
             del self.pools[number]
+            reason = _retirement_reason(pool.state, engine)
+            self.log.connections_retired(engine.name, reason, len(pool.established), len(pool.idle))
             pool.retire()
             self.retired.add(pool)
             pool = None
@@ -120,7 +130,7 @@
         await super().close()
         for pool in [*self.pools.values(), *self.retired]:
             for connection in list(pool.established):
-                connection.drop()
+                connection.drop(EngineCloseReason.EXITING)
 
     # One attempt.
 
--- a/frostspindle/net/http/attempts.py
+++ b/frostspindle/net/http/attempts.py
@@ -23,6 +23,7 @@
 )
 from frostspindle.net.http.duplicate_responses import confirmation_time_s
 from frostspindle.net.http.engine_connection import ConnectionBrokenError, EngineConnection, RequestNotWrittenError
+from frostspindle.net.http.engine_log import EngineLog, PollFailure
 from frostspindle.net.http.load_reports import LoadReportParser
 from frostspindle.net.http.replies import MAX_PAGE_BYTES, MAX_RESULT_BYTES, EngineReply, InvalidReplyError
 from frostspindle.net.http.results import ResultText
@@ -60,11 +61,25 @@
     EXPIRED = "expired"  # not polled for so long that the engine must have dropped it
 
 
+def poll_failure(error: Exception) -> PollFailure:
+    """Return why a poll got no usable response, by the exception of `ConnectionPool.call`."""
+    match error:
+        case PoolExhaustedError():
+            if error.not_attempted:
+                return PollFailure.NOT_ATTEMPTED
+            return PollFailure.REFUSED if error.refused else PollFailure.UNAVAILABLE
+        case TimeoutError():
+            return PollFailure.TIMEOUT
+        case InvalidReplyError():
+            return PollFailure.INVALID_RESPONSE
+    return PollFailure.BROKEN
+
+
 class AttemptRunner:
     """Runs attempts at HTTP engines; the state of each is in its AttemptProgress."""
 
-    def __init__(self, core: Core, telemetry: Telemetry, load_reports: LoadReportParser) -> None:
-        self.core, self.telemetry, self.load_reports = core, telemetry, load_reports
+    def __init__(self, core: Core, telemetry: Telemetry, load_reports: LoadReportParser, log: EngineLog) -> None:
+        self.core, self.telemetry, self.load_reports, self.log = core, telemetry, load_reports, log
 
     def header_fields(self, attempt: Attempt, progress: AttemptProgress) -> str:
         """Return the header fields of the POST; built as it is written, as waiting for a connection takes time."""
@@ -229,13 +244,16 @@
                 is_open = False
                 return reply
             except PoolExhaustedError as error:
+                self._log_failed_poll(pool, attempt, error)
                 if error.refused:
                     return None
-            except TimeoutError:  # no response: poll again until the attempt's deadline
+            except TimeoutError as error:  # no response: poll again until the attempt's deadline
+                self._log_failed_poll(pool, attempt, error)
                 is_open = False
                 progress.was_unanswered = True
             except (ConnectionBrokenError, InvalidReplyError) as error:
                 is_open = False
+                self._log_failed_poll(pool, attempt, error)
                 self._record_failure(pool, attempt, error)
                 broken += 1
                 if broken >= MAX_BROKEN_RESPONSES:
@@ -248,6 +266,9 @@
             new_connection = progress.is_doubtful = True
             await asyncio.sleep(0.0 if wired[0] else 0.2)
 
+    def _log_failed_poll(self, pool: ConnectionPool, attempt: Attempt, error: Exception) -> None:
+        self.log.poll_failed(pool.state.name, attempt.request.ticket, poll_failure(error), repr(error))
+
     async def _fetch_pages(
         self, pool: ConnectionPool, attempt: Attempt, path: str, first: EngineReply, progress: AttemptProgress
     ) -> ResultText | None:
@@ -303,17 +324,18 @@
         began_ms = clock()
         reason = await self._end_query(pool, attempt, progress)
         self.telemetry.count(f"attempts_released_{reason}")
-        if attempt.request.key:
-            now_ms = clock()
-            self.telemetry.log(
-                "attempt_released",
-                ticket=attempt.request.ticket,
-                engine=pool.state.name,
-                reason=reason,
-                waited_ms=round(now_ms - began_ms, 1),
-                unpolled_ms=round(now_ms - progress.polled_until_ms, 1),
-                unanswered=progress.was_unanswered,
-            )
+        now_ms = clock()
+        self.telemetry.log(
+            "attempt_released",
+            request=attempt.request.number,
+            ticket=attempt.request.ticket,
+            attempt=attempt.number,
+            engine=pool.state.name,
+            reason=reason,
+            waited_ms=round(now_ms - began_ms, 1),
+            unpolled_ms=round(now_ms - progress.polled_until_ms, 1),
+            unanswered=progress.was_unanswered,
+        )
 
     async def _end_query(self, pool: ConnectionPool, attempt: Attempt, progress: AttemptProgress) -> ReleaseReason:
         """Send the DELETE; wait for expiry if its response, or the lack of one, does not prove the end."""
--- a/frostspindle/net/http/connection_pool.py
+++ b/frostspindle/net/http/connection_pool.py
@@ -17,6 +17,7 @@
 from frostspindle.core import Attempt, Core, EngineState, clock
 from frostspindle.net.http.duplicate_responses import ConfirmationBackoff, confirmation_time_s
 from frostspindle.net.http.engine_connection import ConnectionSettings, EngineConnection, ResponseWaiter
+from frostspindle.net.http.engine_log import EngineCloseReason, EngineLog
 from frostspindle.net.http.replies import EngineReply, InvalidReplyError
 
 RESPONSE_TIMEOUT_S = 0.5  # engines answer polls within 250 ms; a lost response is polled again
@@ -32,15 +33,17 @@
 class PoolExhaustedError(Exception):
     """No connection was available; nothing was written."""
 
-    def __init__(self, text: str, refused: bool = False, full: bool = False) -> None:
+    def __init__(self, text: str, refused: bool = False, full: bool = False, not_attempted: bool = False) -> None:
         super().__init__(text)
         self.refused, self.full = refused, full  # refused: by the engine's machine; full: by the local limits
+        self.not_attempted = not_attempted  # no connection was opened, as another process has the address
 
 
 class PoolContext(ConnectionSettings, Protocol):
     """State shared by the pools of all engines."""
 
     core: Core
+    log: EngineLog
     pools: dict[int, ConnectionPool]
     opening: int
     established: int  # established connections of all pools
@@ -73,7 +76,7 @@
         """Drop the idle connections, as the process has ended; the others end with their calls."""
         self.is_retired = True
         for connection in self.idle:
-            connection.drop()
+            connection.drop(EngineCloseReason.RETIRED)
         self.idle.clear()
 
     def count_copy(self) -> None:
@@ -86,8 +89,9 @@
         self.established.add(connection)
         self.driver.established += 1
 
-    def connection_closed(self, connection: EngineConnection) -> None:
+    def connection_closed(self, connection: EngineConnection, reason: EngineCloseReason, error: str) -> None:
         """Remove a connection that has ended and wake the next waiting call."""
+        self.driver.log.connection_ended(self.state.name, reason, connection.has_call, error)
         if connection in self.established:
             self.established.remove(connection)
             self.driver.established -= 1
@@ -109,7 +113,8 @@
     def release(self, connection: EngineConnection) -> None:
         """Return a connection to the pool and wake the next waiting call; drop it if it cannot be reused."""
         if not connection.is_reusable or self.is_retired:
-            connection.drop()
+            is_unusable = not connection.is_reusable
+            connection.drop(EngineCloseReason.INVALID_RESPONSE if is_unusable else EngineCloseReason.RETIRED)
             return
         self.idle.append(connection)
         self._wake_waiter()
@@ -124,7 +129,7 @@
                 self.idle.remove(connection)
             if connection.is_usable():
                 return connection
-            connection.drop()
+            connection.drop(EngineCloseReason.IDLE)
         return None
 
     async def acquire(
@@ -175,7 +180,8 @@
     async def _open(self) -> EngineConnection | None:
         """Open a connection; return None if it was reset at once."""
         if self.is_retired and self.driver.has_successor(self):
-            raise PoolExhaustedError("another process has the address of this engine", refused=True)
+            text = "another process has the address of this engine"
+            raise PoolExhaustedError(text, refused=True, not_attempted=True)
         self.opening += 1
         self.driver.opening += 1
         try:
@@ -194,7 +200,7 @@
             self.driver.opening -= 1
         if connection.is_usable():
             return connection
-        connection.drop()
+        connection.drop(EngineCloseReason.BROKEN)
         return None
 
     async def call(
--- a/frostspindle/net/http/engine_connection.py
+++ b/frostspindle/net/http/engine_connection.py
@@ -14,6 +14,7 @@
 
 from frostspindle.core import clock
 from frostspindle.net.http.duplicate_responses import MIN_CONFIRMATION_S, ConfirmationBackoff, RecentResponses
+from frostspindle.net.http.engine_log import EngineCloseReason
 from frostspindle.net.http.replies import (
     MAX_HEADER_BYTES,
     MAX_HEADERS,
@@ -57,7 +58,7 @@
     def connection_opened(self, connection: EngineConnection) -> None:
         """Register a connection that has been opened."""
 
-    def connection_closed(self, connection: EngineConnection) -> None:
+    def connection_closed(self, connection: EngineConnection, reason: EngineCloseReason, error: str) -> None:
         """Remove a connection that has ended."""
 
     def release(self, connection: EngineConnection) -> None:
@@ -101,6 +102,7 @@
         self._doubtful: EngineReply | None = None  # may be a copy of an earlier response; another one may follow
         self._doubt_timer: asyncio.TimerHandle | None = None
         self._has_copies = False  # a copy was received during this call
+        self._close_reason: EngineCloseReason | None = None
 
     # Callbacks of asyncio.
 
@@ -120,7 +122,8 @@
         self.is_reusable = False
         if self.timer is not None:
             self.timer.cancel()
-        self.pool.connection_closed(self)
+        unexpected = EngineCloseReason.BROKEN if error is not None else EngineCloseReason.ENGINE_CLOSED
+        self.pool.connection_closed(self, self._close_reason or unexpected, repr(error) if error else "")
         self.body = bytearray()
         self._fail(ConnectionBrokenError(repr(error) if error else "the engine ended its connection"))
 
@@ -134,7 +137,8 @@
 
     def eof_received(self) -> None:
         """Abort the connection, as the engine has closed its side."""
-        self.drop()  # a close would first write the rest of a call to an engine that has ended
+        # A close would first write the rest of a call to an engine that has ended.
+        self.drop(EngineCloseReason.ENGINE_CLOSED)
 
     def data_received(self, data: bytes) -> None:
         """Parse the data and pass a complete response to the waiter.
@@ -144,7 +148,7 @@
         """
         if self.waiter is None or self.waiter.done():
             self.pool.count_copy()
-            self.drop()  # unsolicited: it could be taken for the next call's response
+            self.drop(EngineCloseReason.UNSOLICITED)  # it could be taken for the next call's response
             return
         self.response_bytes += len(data)
         try:
@@ -163,7 +167,7 @@
         elif self.response_bytes > MAX_RESPONSE_BYTES:
             self._fail(InvalidReplyError("the response is too long"))
         if not self.is_reusable:
-            self.drop()
+            self.drop(EngineCloseReason.INVALID_RESPONSE)
 
     def _take_reply(self) -> EngineReply:
         """Return the response that was received last; the connection, which may rest now, does not keep it."""
@@ -204,7 +208,7 @@
         if not is_confirmed or not self.pool.confirmations.accepts_unconfirmed(now_s):
             self._doubtful = reply
             self._fail(ConnectionBrokenError("the response may be a copy of an earlier one"))
-            self.drop()
+            self.drop(EngineCloseReason.INVALID_RESPONSE)
             return
         self.pool.confirmations.record_genuine(reply.status, now_s)
         self.is_complete = True
@@ -294,15 +298,22 @@
             and not self.poll.poll(0)
         )
 
-    def drop(self) -> None:
-        """Abort the connection."""
+    @property
+    def has_call(self) -> bool:
+        """Whether a call was written whose response has not come."""
+        return self.waiter is not None and not self.is_complete
+
+    def drop(self, reason: EngineCloseReason) -> None:
+        """Abort the connection; the first reason that is given is logged."""
+        self._close_reason = self._close_reason or reason
         self.is_reusable = False
         self.transport.abort()
 
     def expire(self) -> None:
         """Fail an overdue call by TimeoutError or RequestNotWrittenError and abort the connection."""
+        self._close_reason = self._close_reason or EngineCloseReason.OVERDUE
         self._fail(TimeoutError())  # type: ignore[arg-type]
-        self.drop()
+        self.drop(EngineCloseReason.OVERDUE)
 
     def request(self, data: bytes, within_s: float, waiter: ResponseWaiter, confirm_s: float = -1.0) -> None:
         """Write a call at once; `waiter` gets its response or an error, after `within_s` a TimeoutError.
@@ -341,7 +352,7 @@
         self._end_doubt()
         self.waiter = None
         if not self.is_complete:  # further input would belong to no call
-            self.drop()
+            self.drop(EngineCloseReason.ABANDONED)
 
     def detach(self) -> bool:
         """Stop waiting for the response; return whether the connection is kept until it comes and then released."""
--- a/frostspindle/net/tds/driver.py
+++ b/frostspindle/net/tds/driver.py
@@ -11,6 +11,7 @@
 import zlib
 from collections import deque
 from collections.abc import Awaitable, Callable, Iterable
+from enum import StrEnum
 from typing import NamedTuple
 
 from frostspindle.config import HEALTH_CODES, TdsEngine, TdsSection, address
@@ -42,6 +43,16 @@
         self.numbers = set(numbers)
 
 
+class BatchEnd(StrEnum):
+    """How a batch that got no complete response ended here; the values are parts of counter names."""
+
+    ATTENTION_CONFIRMED = "attention_confirmed"
+    ATTENTION_UNCONFIRMED = "attention_unconfirmed"
+    CONNECTION_LOST = "connection_lost"
+    INVALID_RESPONSE = "invalid_response"
+    FAULT = "fault"
+
+
 class _EngineProcess(NamedTuple):
     """One process of an engine: a later start, or another address, is another process."""
 
@@ -291,6 +302,7 @@
         """
         connection: _Connection | None = None
         outcome, tokens = AttemptOutcome.CONNECT_FAILED, None
+        batch_end: BatchEnd | None = None
         try:
             async with asyncio.timeout(self.left_s(attempt)):
                 connection = await self._connect(attempt)
@@ -307,6 +319,7 @@
                     self._return_to_pool(attempt, connection)
                     connection = None
         except (OSError, EOFError) as error:
+            batch_end = BatchEnd.CONNECTION_LOST
             self.telemetry.log("tds_engine_failed", engine=self.states[attempt.engine].name, error=repr(error))
         except MessageTooLongError:
             outcome = AttemptOutcome.OK
@@ -316,6 +329,7 @@
             self.telemetry.count("results_too_long", "tds")
         except codec.ProtocolError as error:
             outcome = AttemptOutcome.ERROR
+            batch_end = BatchEnd.INVALID_RESPONSE
             self.telemetry.count("engine_bad_replies", "tds")
             self.telemetry.log("engine_reply_rejected", engine=self.states[attempt.engine].name, error=str(error))
         except TimeoutError:
@@ -324,6 +338,7 @@
             outcome = AttemptOutcome.CANCELLED
         except Exception as error:  # noqa: BLE001 - a fault must not affect other attempts
             outcome = AttemptOutcome.ERROR if connection is not None else outcome
+            batch_end = BatchEnd.FAULT
             self.telemetry.count("faults")
             self.telemetry.log("exception_caught", error=repr(error), of="tds attempt")
         if connection is not None and connection.used and outcome in (AttemptOutcome.TIMEOUT, AttemptOutcome.CANCELLED):
@@ -332,8 +347,21 @@
             return
         if connection is not None:
             connection.close()
+            if batch_end is not None:
+                self._log_batch_end(attempt, batch_end)
         self.core.attempt_ended(attempt, outcome, (), tokens)
 
+    def _log_batch_end(self, attempt: Attempt, reason: BatchEnd) -> None:
+        self.telemetry.count(f"batches_released_{reason}", "tds")
+        self.telemetry.log(
+            "attempt_released",
+            request=attempt.request.number,
+            ticket=attempt.request.ticket,
+            attempt=attempt.number,
+            engine=self.states[attempt.engine].name,
+            reason=reason,
+        )
+
     def _may_send(self, attempt: Attempt, connection: _Connection) -> bool:
         return self._leads_to_current(attempt.engine, connection) and self.core.may_send(attempt)
 
@@ -415,11 +443,14 @@
 
     async def _free(self, attempt: Attempt, connection: _Connection, outcome: int) -> None:
         """Cancel the batch by Attention and close the session, which also ends an unconfirmed batch."""
+        batch_end = BatchEnd.ATTENTION_UNCONFIRMED
         try:
             if await connection.attention():
+                batch_end = BatchEnd.ATTENTION_CONFIRMED
                 self.telemetry.count("attentions_confirmed", "tds")
         finally:
             connection.close()
+            self._log_batch_end(attempt, batch_end)
             self.core.attempt_ended(attempt, outcome)
 
     async def health_check(self, engine: int) -> None:
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -113,7 +113,7 @@
     "frostspindle.net": "discovery engines fields hangup http operator platform result_room",
     "frostspindle.net.http": "attempts calls clients connection_limits connection_log connection_pool "
     "id_claims input_buffer input_scheduler request_parser tcp_info "
-    "duplicate_responses engine_connection "
+    "duplicate_responses engine_connection engine_log "
     "listener load_reports replies request_registry results statements",
     "frostspindle.order": "key_queue request_ids service shared_cells",  # two of them only if a class is in order
     "frostspindle.policy": "actions admission completion controller deadlines dispatch engine_registry engine_state "
