--- /dev/null
+++ b/tests/attempt_overlap.py
@@ -0,0 +1,179 @@
+"""A coordinator process between scripted engines and a client; checks that no two attempts of a request overlap."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import socket
+import tempfile
+import time
+import unittest
+from pathlib import Path
+from typing import Any
+
+from frostspindle.lab.engines import Bus, EngineConnection, coordinator_config, host_entry
+from frostspindle.lab.faults.runner import Process, free_port
+from frostspindle.lab.soak.clients import Connection
+from frostspindle.lab.soak.engines import QUERY_EXPIRY_S, FaultyEngine
+from frostspindle.lab.soak.records import EngineRun
+from frostspindle.operator_client import call_operator
+
+RUN_S = 2.6  # of each query at its first engine: longer than the 2 s after which a query expires that is not polled
+TIMEOUT_MS = 7000
+FIRST_TICKET = "00000000000000a1"
+WORKERS_FILE = "[cores]\nworkers = 2\n"
+
+
+class SlowEngine(FaultyEngine):
+    """An engine whose queries take `run_s`."""
+
+    run_s = RUN_S
+
+    def __init__(self, name: str) -> None:
+        super().__init__(name, seed=0)
+        self.listed_name = name
+        self.deletes_answered = True
+
+    def call(
+        self,
+        connection: EngineConnection,
+        method: bytes,
+        url: bytes,
+        fields: dict[bytes, bytes],
+        body: bytes,
+        first: float,
+    ) -> None:
+        """Record and answer a call; a DELETE that is lost on its way is neither recorded nor answered."""
+        if method == b"DELETE" and not self.deletes_answered:
+            return
+        super().call(connection, method, url, fields, body, first)
+
+    def _record_post(self, fields: dict[bytes, bytes], first: float, now: float) -> None:
+        super()._record_post(fields, first, now)
+        self.delay_s = self.run_s
+
+    @property
+    def open_connections(self) -> list[EngineConnection]:
+        """The connections that the engine has not lost."""
+        return list(self.lines)
+
+    def reset_connections(self) -> None:
+        """Reset all connections; the queries run on."""
+        self._abort_connections()
+
+    def stop_listening(self) -> None:
+        """Refuse new connections, as an engine that drains; open connections and queries go on."""
+        self.server.close()
+
+    async def restart(self) -> None:
+        """End the process with its queries and start another one at its address."""
+        self.server.close()
+        self._abort_connections()
+        self._forget_queries()
+        self.server = await self.listen(self.port)
+
+
+class OverlapCase(unittest.IsolatedAsyncioTestCase):
+    """Runs a coordinator as a process of its own, with or without workers, and two engines."""
+
+    async def start(self, workers: bool = False, engines: int = 2) -> None:
+        self.engines = [SlowEngine(f"s-{number:08x}") for number in range(1, engines + 1)]
+        for engine in self.engines:
+            await engine.start()
+            self.addCleanup(engine.close)
+        self.bus = await Bus().start()
+        self.addCleanup(self.bus.server.close)
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.bus.say(*(host_entry(engine.name, engine.port) for engine in self.engines), whole=True)
+        self.process = self._process(Path(folder.name), workers)
+        await self.process.start()
+        self.addAsyncCleanup(self.process.end)
+        started = (lambda line: "workers" in line) if workers else (lambda line: True)
+        await self.process.until(lambda: any(map(started, self.process.events("coordinator_started"))))
+
+    def _process(self, folder: Path, workers: bool) -> Process:
+        process = Process(0, folder)
+        process.http, process.operator_port = free_port(socket.SOCK_STREAM), free_port(socket.SOCK_STREAM)
+        config = coordinator_config([], self.bus.port)
+        config["known"] = {"offset": len(self.bus.events), "batch": self.bus.events[:]}
+        (folder / "config.json").write_text(json.dumps(config))
+        (folder / "operator.toml").write_text(WORKERS_FILE if workers else "")
+        return process
+
+    # The client.
+
+    async def connect(self) -> Connection:
+        connection = Connection(*await asyncio.open_connection("127.0.0.1", self.process.http))
+        self.addCleanup(connection.close)
+        return connection
+
+    def post(self, connection: Connection, ticket: str = FIRST_TICKET, request_class: str = "lookup") -> None:
+        statement = "SELECT name FROM calls_17.notes"
+        connection.writer.write(
+            f"POST /call/{request_class} HTTP/1.1\r\nHost: s\r\nX-Request-Id: {ticket}\r\n"
+            f"X-Timeout-Ms: {TIMEOUT_MS}\r\nX-Cost-Ms: 50\r\nX-Memory: 16\r\n"
+            f"Content-Length: {len(statement)}\r\n\r\n{statement}".encode()
+        )
+
+    async def final_status(self, connection: Connection) -> int:
+        """Follow the paths that the client is told, and return the status of the final response."""
+        async with asyncio.timeout(TIMEOUT_MS / 1000.0 + 3.0):
+            while True:
+                answer = await connection.answer()
+                path: Any = answer.body.get("next")
+                if answer.status != 200 or path is None:
+                    return answer.status
+                connection.writer.write(f"GET {path} HTTP/1.1\r\nHost: s\r\n\r\n".encode())
+
+    async def send(self, ticket: str = FIRST_TICKET) -> asyncio.Task[int]:
+        """Send a lookup; return the task that waits for its final status, once an engine has the query."""
+        connection = await self.connect()
+        self.post(connection, ticket)
+        answered = asyncio.create_task(self.final_status(connection))
+        self.addCleanup(answered.cancel)
+        await self.until(lambda: self.runs(ticket))
+        return answered
+
+    # Engines and their list.
+
+    @property
+    def first(self) -> SlowEngine:
+        """The engine that got the first query."""
+        run = min((run for engine in self.engines for run in engine.runs), key=lambda run: run.started_at)
+        return next(engine for engine in self.engines if run in engine.runs)
+
+    def announce(self, engine: SlowEngine, health: str = "active", name: str = "", port: int = 0, age_s: float = -1.0):
+        """Publish an entry of the list; `age_s`: for how long its process has run, if it is told."""
+        born_ms = round((time.time() - age_s) * 1000.0) if age_s >= 0.0 else 0.0
+        self.bus.say(host_entry(name or engine.name, port or engine.port, health, born_ms))
+
+    async def list_applied(self) -> None:
+        """Wait until the coordinator has applied a further change of the list."""
+        count = len(self.process.events("engine_updated"))
+        await self.process.until(lambda: len(self.process.events("engine_updated")) > count, 10.0)
+
+    async def operate(self, call: str) -> str:
+        return await asyncio.to_thread(call_operator, ("127.0.0.1", self.process.operator_port), call)
+
+    async def until(self, condition: Any, within_s: float = 20.0) -> None:
+        async with asyncio.timeout(within_s):
+            while not condition():
+                await asyncio.sleep(0.005)
+
+    # The check.
+
+    def runs(self, ticket: str = FIRST_TICKET) -> list[EngineRun]:
+        """The attempts of a request at all engines, in the order in which they came whole."""
+        runs = [run for engine in self.engines for run in engine.runs if run.ticket == ticket]
+        return sorted(runs, key=lambda run: run.received_at)
+
+    def assert_no_overlap(self, ticket: str = FIRST_TICKET) -> None:
+        """Check that each attempt came after the one before it had ended."""
+        runs = self.runs(ticket)
+        overlaps = []
+        for earlier, later in zip(runs, runs[1:], strict=False):
+            overlap_s = earlier.may_run_until(QUERY_EXPIRY_S) - later.received_at
+            if overlap_s > 0.0:
+                overlaps.append(f"{later.engine} got it {overlap_s:.3f} s before its end at {earlier.engine}")
+        self.assertEqual(overlaps, [])
--- /dev/null
+++ b/tests/test_attempt_overlap.py
@@ -0,0 +1,113 @@
+"""No attempt of a request is sent while an earlier one may still run: real processes, late and early engine lists.
+
+Each test has a line above it that names the failure which it guards against.
+"""
+
+from attempt_overlap import OverlapCase
+
+
+class LateLists(OverlapCase):
+    # Guards against: the list told late that an engine had restarted, while a query ran in the new process; the query
+    # was taken for ended, and sent to another engine at once.
+    async def test_query_at_a_restarted_engine_whose_start_is_listed_late(self):
+        await self.start()
+        for engine in self.engines:
+            await engine.restart()
+        answered = await self.send()
+        self.announce(self.first, age_s=1.0)
+        self.assertEqual(await answered, 200)
+        self.assert_no_overlap()
+
+    # Guards against: an engine was listed at another address while its process at the one before still ran a query.
+    async def test_query_at_the_address_that_an_engine_had_before(self):
+        await self.start(engines=3)
+        successor = self.engines.pop()
+        answered = await self.send()
+        self.announce(self.first, port=successor.port, age_s=0.0)
+        self.assertEqual(await answered, 200)
+        self.engines.append(successor)
+        self.assert_no_overlap()
+
+
+class EarlyLists(OverlapCase):
+    # Guards against: an engine that the list calls gone has still a query, and its connection breaks.
+    async def test_query_at_an_engine_that_is_listed_as_gone_too_early(self):
+        await self.start()
+        answered = await self.send()
+        self.announce(self.first, "left")
+        await self.list_applied()
+        self.first.reset_connections()
+        await answered
+        self.assert_no_overlap()
+
+
+class EnginesThatDrain(OverlapCase):
+    async def drain_and_reset(self, is_listed: bool) -> None:
+        await self.start()
+        answered = await self.send()
+        first = self.first
+        first.stop_listening()
+        if is_listed:
+            self.announce(first, "leaving")
+            await self.list_applied()
+        first.reset_connections()
+        await answered
+        self.assert_no_overlap()
+
+    # Guards against: the same, told by the list.
+    async def test_reset_at_an_engine_that_drains(self):
+        await self.drain_and_reset(is_listed=True)
+
+
+class Bans(OverlapCase):
+    async def ban_and_unban(self, workers: bool) -> None:
+        await self.start(workers)
+        answered = await self.send()
+        name = self.first.name
+        await self.operate(f"disable-server {name}")
+        await self.operate(f"enable-server {name}")
+        self.assertEqual(await answered, 200)
+        self.assert_no_overlap()
+
+    # Guards against: the end of a ban counts as a start of the engine, and so as the end of the queries that it has.
+    async def test_query_at_an_engine_whose_ban_ends(self):
+        await self.ban_and_unban(workers=False)
+
+    # Guards against: the same with two workers.
+    async def test_query_at_an_engine_whose_ban_ends_with_workers(self):
+        await self.ban_and_unban(workers=True)
+
+
+class LostCalls(OverlapCase):
+    # Guards against: an engine hangs and answers neither polls nor the DELETE, which is lost on its way.
+    async def test_engine_that_hangs_and_never_gets_the_delete(self):
+        await self.start()
+        answered = await self.send()
+        first = self.first
+        first.deletes_answered = False
+        first.silent = True
+        await answered
+        self.assertGreater(len(self.runs()), 1)
+        self.assert_no_overlap()
+
+    # Guards against: a DELETE that was written counts as received although it was lost.
+    async def test_delete_that_is_lost_while_polls_are_answered(self):
+        await self.start()
+        for engine in self.engines:
+            engine.run_s = 30.0
+            engine.deletes_answered = False
+        await (await self.send())
+        self.assert_no_overlap()
+
+
+class RestartedEngines(OverlapCase):
+    # Guards against: polls and DELETE answered by the process after a restart count as words of the one before it.
+    async def test_query_of_the_process_before_a_restart(self):
+        await self.start()
+        answered = await self.send()
+        await self.first.restart()
+        self.assertEqual(await answered, 200)
+        self.assert_no_overlap()
+
+
+del OverlapCase  # keep pytest from collecting it here as well
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -10,6 +10,7 @@
 import unittest
 import unittest.mock
 from pathlib import Path
+from types import SimpleNamespace
 
 import aiohttp
 from aiohttp import web
@@ -184,18 +185,20 @@
     async def test_only_a_poll_with_a_connection_counts_as_a_poll(self):
         class Peer:
             wired = False
+            state = SimpleNamespace(name="s-00000001")
 
             async def call(self, method, path, wired, **arguments):
                 wired[0] = self.wired
                 raise TimeoutError
 
         await self.start()
+        attempt = SimpleNamespace(request=SimpleNamespace(ticket="x"))
         for Peer.wired in (False, True):
             course = AttemptProgress(clock())
             course.last_poll_ms = 5.0
             with self.assertRaises(TimeoutError):
                 async with asyncio.timeout(0.05):
-                    await self.program.driver.runner.poll(Peer(), None, "/v1/store/x/", 0, course)
+                    await self.program.driver.runner.poll(Peer(), attempt, "/v1/store/x/", 0, course)
             self.assertEqual(course.last_poll_ms > 5.0, Peer.wired)
 
     async def test_close_and_delete_of_a_client_cancel_the_query(self):
