Take no refused connection for the end of an engine's process

Callers saw: two attempts out at once for up to 2.1 s where an engine drains (it refuses connections and completes its work), its list entry comes late and the connection under a query is reset. Cost: a retry after a crash is sent up to 2.1 s later.

--- a/frostspindle/net/http/attempts.py
+++ b/frostspindle/net/http/attempts.py
@@ -28,7 +28,7 @@
 from frostspindle.net.http.replies import MAX_PAGE_BYTES, MAX_RESULT_BYTES, EngineReply, InvalidReplyError
 from frostspindle.net.http.results import ResultText
 from frostspindle.net.result_room import wait_for_room
-from frostspindle.policy import AttemptOutcome, Health, Idempotency
+from frostspindle.policy import AttemptOutcome, Idempotency
 from frostspindle.pools import AttemptProgress
 from frostspindle.telemetry import Telemetry
 
@@ -57,7 +57,7 @@
 
     DELETED = "deleted"  # its process answered the DELETE
     DELETE_WRITTEN = "delete_written"  # the complete DELETE reached a live machine
-    REFUSED = "refused"  # its engine refuses connections, so the process has ended
+    REFUSED = "refused"  # no connection for the DELETE; the query is never sent again, so nothing waits for its end
     EXPIRED = "expired"  # not polled for so long that the engine must have dropped it
 
 
@@ -355,11 +355,7 @@
                     return ReleaseReason.DELETED
                 break
             except PoolExhaustedError as error:
-                is_draining = pool.state.entry.health == Health.DRAINING
-                is_closed = error.refused or error.not_attempted
-                if is_closed and never_resent:
-                    return ReleaseReason.REFUSED
-                if error.refused and progress.refusal_ends_query(holds_key, is_draining):
+                if never_resent and (error.refused or error.not_attempted):
                     return ReleaseReason.REFUSED
             except (ConnectionBrokenError, TimeoutError, InvalidReplyError) as error:
                 if isinstance(error, RequestNotWrittenError):
--- a/frostspindle/pools.py
+++ b/frostspindle/pools.py
@@ -100,16 +100,6 @@
         """Return whether a connection opened at `opened_ms` leads to the process that has the query."""
         return opened_ms <= self.started_ms
 
-    def refusal_ends_query(self, holds_key: bool, is_draining: bool) -> bool:
-        """Return whether a refused connection counts as the end of the process that has the query.
-
-        A refusal alone is no proof: a draining engine refuses connections too, and keeps running its queries. It counts
-        as the end where waiting longer would make a retry too late for its client: if the engine responded to each call
-        until its connections broke, and is not known to drain. It never counts if the request has an ordering key, as
-        the end would then release the next request of that key.
-        """
-        return not (holds_key or is_draining or self.was_unanswered)
-
     def remaining_wait_ms(self, now_ms: float, deleted_ms: float, connections: Iterable[Connection]) -> float:
         """Return the ms until the query can no longer run; 0 if an old connection got a response after the DELETE.
 
--- a/tests/test_attempt_overlap.py
+++ b/tests/test_attempt_overlap.py
@@ -93,6 +93,11 @@
         await answered
         self.assert_no_overlap()
 
+    # Guards against: an engine that drains refuses connections; with a reset of the query's connection that counted as
+    # the end of its process while the list did not tell the drain.
+    async def test_reset_at_an_engine_that_drains_before_its_list_entry(self):
+        await self.drain_and_reset(is_listed=False)
+
     # Guards against: the same, told by the list.
     async def test_reset_at_an_engine_that_drains(self):
         await self.drain_and_reset(is_listed=True)
