Keep the id of a settled request taken while an attempt of it may run

Callers could see: two attempts of one id out at once, as a client whose connection broke sent its request again: the first was settled as its client had left, its id was free at once, and the second was sent while the first one's query was being cancelled. Cause: the claim of an id ended with the answer, not with the last attempt. Change: the core tells the front when a settled request can no longer run (ClientRequest.on_complete), and until then the id is refused: 503, 502 where the class must not run twice, 409 at other workers and processes as for an open one. New reason id_may_run.

--- a/frostspindle/core/core.py
+++ b/frostspindle/core/core.py
@@ -131,6 +131,10 @@
             request.is_finished = True
             self.dispatcher.enqueue(ClientLeft(request))
 
+    def may_run(self, request: ClientRequest) -> bool:
+        """Return whether an attempt of a request, also of a settled one, may be running at an engine."""
+        return self.ledger.may_run(request)
+
     def suspend_request(self, request: ClientRequest) -> None:
         """Start no further attempts of a request whose client is away and may return; those in flight continue."""
         if request.is_suspended or request.is_finished:
--- a/frostspindle/core/ledger.py
+++ b/frostspindle/core/ledger.py
@@ -134,19 +134,26 @@
             if not attempt.is_finished:
                 self._engines[attempt.engine].driver.cancel_attempt(attempt)
         if all(attempt.is_finished for attempt in entry.attempts):
-            self.release_key(entry.request)
+            self.complete(entry.request)
 
     def remove_if_complete(self, entry: RequestEntry) -> None:
         """Remove the entry of a request if it is settled and has no attempt in flight."""
         if entry.final_state and not entry.has_attempt_in_flight:
             self.entries.pop(entry.request.number, None)
             entry.request.release_memory()
-            self.release_key(entry.request)
+            self.complete(entry.request)
 
-    def release_key(self, request: ClientRequest) -> None:
-        """Release the ordering key of a request that can no longer run at any engine."""
+    def complete(self, request: ClientRequest) -> None:
+        """Release the ordering key of a request that can no longer run at any engine, and notify its front."""
         if request.key and self._hooks.key_order is not None:
             self._hooks.key_order.on_request_finished(request.number)
+        if request.on_complete is not None:
+            request.on_complete()
+
+    def may_run(self, request: ClientRequest) -> bool:
+        """Return whether an attempt of a request may be running at an engine."""
+        entry = self.entries.get(request.number)
+        return entry is not None and entry.has_attempt_in_flight
 
     def uses_engine(self, engine: int) -> bool:
         """Return whether an attempt is in flight at an engine."""
--- a/frostspindle/core/requests.py
+++ b/frostspindle/core/requests.py
@@ -78,6 +78,8 @@
     is_suspended: bool = False
     # An attempt was about to be written, so the request may have run. Set directly, as above.
     was_sent: bool = False
+    # Set by the front as the request is settled while an attempt of it may run; called once none can run any more.
+    on_complete: Callable[[], None] | None = None
     charge: MemoryCharge | None = None  # of its statement and its result, from `Core.submit` until it is answered
 
     def release_memory(self) -> None:
--- a/frostspindle/net/http/calls.py
+++ b/frostspindle/net/http/calls.py
@@ -63,7 +63,11 @@
     )
 
     def __init__(
-        self, on_settled: Callable[[OpenRequest], None], ticket: str, path: str, held_memory: HeldMemory
+        self,
+        on_settled: Callable[[OpenRequest, ClientRequest | None], None],
+        ticket: str,
+        path: str,
+        held_memory: HeldMemory,
     ) -> None:
         self.on_settled = on_settled
         self.ticket = ticket
@@ -87,10 +91,10 @@
             if response.result is not None:
                 self.pages = response.result.client_pages()
             self.response = response._replace(result=None)
-            was_sent = self.request is not None and self.request.was_sent
+            request, self.request = self.request, None
+            was_sent = request is not None and request.was_sent
             self.may_have_run = was_sent and response.status != ResponseStatus.REJECTED
-            self.request = None
-            self.on_settled(self)
+            self.on_settled(self, request)
 
 
 class PendingCall:
--- a/frostspindle/net/http/connection_log.py
+++ b/frostspindle/net/http/connection_log.py
@@ -26,6 +26,7 @@
     HIDDEN_END = "hidden_end"  # so much was sent ahead that the end of the connection would not be seen
     ID_OPEN = "id_open"  # in this process or another one
     ID_MAY_HAVE_RUN = "id_may_have_run"
+    ID_MAY_RUN = "id_may_run"  # an attempt of a request that was settled, whose client sends it again
     OPEN_REQUESTS = "open_requests"  # the core has as many as it may have, or holds as much memory as it may
 
 
--- a/frostspindle/net/http/id_claims.py
+++ b/frostspindle/net/http/id_claims.py
@@ -10,7 +10,6 @@
 
 from frostspindle.core import IdState, RequestIdRegistry
 from frostspindle.net.fields import CallRejectedError
-from frostspindle.net.http.calls import OpenRequest
 from frostspindle.net.http.connection_log import CloseReason, ConnectionLog
 
 _TICKET_OF_PATH = re.compile(r"-([0-9a-f]{16})\Z")  # at the end of a response path
@@ -35,9 +34,13 @@
         self.is_sharing = False  # another process of this coordinator runs, as in an upgrade
         self._connection_log = connection_log
         self._not_repeatable: set[str] = set()  # open ids of classes that must not run twice
+        self._held: set[str] = set()  # of settled requests of which an attempt may be running
 
     def claim(self, ticket: str, is_repeatable: bool) -> CallRejectedError | None:
-        """Claim an id; return the rejection if it is open elsewhere, or must not run again and may have run."""
+        """Claim an id; return the rejection if it is open elsewhere, may be running, or must not run again."""
+        if ticket in self._held:
+            self._connection_log.call_refused(CloseReason.ID_MAY_RUN)
+            return CallRejectedError(503, "Busy") if is_repeatable else CallRejectedError(502, "Failed")
         rejection = self.workers.claim(ticket) if self.workers is not None else None
         if rejection is None:
             rejection = self._claim_shared(ticket, is_repeatable)
@@ -60,10 +63,14 @@
                 return CallRejectedError(502, "Failed")
         return None
 
-    def release(self, opened: OpenRequest) -> None:
-        """Release the id of a request that was answered or abandoned; remember one that must not run again."""
-        must_be_remembered = opened.may_have_run and opened.ticket in self._not_repeatable
-        self._release(opened.ticket, must_be_remembered)
+    def hold(self, ticket: str) -> None:
+        """Keep the id of a settled request claimed, as an attempt of it may be running."""
+        self._held.add(ticket)
+
+    def release(self, ticket: str, may_have_run: bool) -> None:
+        """Release the id of a settled request of which no attempt is running; remember one that must not run again."""
+        self._held.discard(ticket)
+        self._release(ticket, may_have_run and ticket in self._not_repeatable)
 
     def release_unsent(self, ticket: str) -> None:
         """Release the id of a request that was not submitted."""
--- a/frostspindle/net/http/request_registry.py
+++ b/frostspindle/net/http/request_registry.py
@@ -12,9 +12,10 @@
 from collections.abc import Callable, Iterator
 from enum import StrEnum
 
-from frostspindle.core import Core, Response, ResponseStatus
+from frostspindle.core import ClientRequest, Core, Response, ResponseStatus
 from frostspindle.held_memory import RESULT_OVERHEAD_BYTES, ReclaimOrder
 from frostspindle.net.http.calls import FRONT, CallConnection, OpenRequest, PendingCall
+from frostspindle.net.http.id_claims import IdClaims
 from frostspindle.net.http.results import held_bytes
 
 POLL_HOLD_S = 1.0  # a call waits this long for its response, then the client gets a path to poll
@@ -35,10 +36,10 @@
 class RequestRegistry:
     """The open requests of this front, by id and by path, and their results."""
 
-    def __init__(self, core: Core, loop: asyncio.AbstractEventLoop, on_released: Callable[[OpenRequest], None]) -> None:
+    def __init__(self, core: Core, loop: asyncio.AbstractEventLoop, id_claims: IdClaims) -> None:
         self.core = core
         self.loop = loop
-        self.on_released = on_released
+        self.id_claims = id_claims
         self.is_cancelled_elsewhere: Callable[[str], bool] = lambda ticket: False  # in the other process of an upgrade
         self.held_memory = core.held_memory
         self.held_memory.reclaim = self._reclaim
@@ -62,17 +63,25 @@
         path = f"{prefix}{self._last_number:x}-{ticket}"
         return OpenRequest(self._settled, ticket, path, self.held_memory)
 
-    def _settled(self, opened: OpenRequest) -> None:
+    def _settled(self, opened: OpenRequest, request: ClientRequest | None) -> None:
         self._unbind(opened)
         if opened.path in self.open:
             self._charge(opened)
         self.ids.discard(opened.ticket)
-        self.on_released(opened)
+        self._release_id(opened, request)
         calls, opened.waiting_calls = opened.waiting_calls, []
         for call in calls:
             self._hold_until.pop(call, None)
             self.send_response(call)
 
+    def _release_id(self, opened: OpenRequest, request: ClientRequest | None) -> None:
+        """Release the id of a settled request, once no attempt of it can be running."""
+        if request is None or not self.core.may_run(request):
+            self.id_claims.release(opened.ticket, opened.may_have_run)
+            return
+        self.id_claims.hold(opened.ticket)
+        request.on_complete = lambda: self.id_claims.release(opened.ticket, opened.may_have_run)
+
     def wait(self, call: PendingCall) -> None:
         """Answer the call now, when the request completes, or after POLL_HOLD_S with a path to poll."""
         assert call.opened is not None
--- a/frostspindle/net/platform.py
+++ b/frostspindle/net/platform.py
@@ -82,7 +82,7 @@
         self.listener = Listener(
             self.loop, telemetry, lambda since_ms: ClientConnection(self, since_ms), self._has_room
         )
-        self.registry = RequestRegistry(core, self.loop, self.id_claims.release)
+        self.registry = RequestRegistry(core, self.loop, self.id_claims)
         self.registry.is_cancelled_elsewhere = self.id_claims.is_cancelled_elsewhere
         self.registry.on_refused_unseen = lambda: self.connection_log.call_refused(CloseReason.HIDDEN_END)
         self.connection_ended = self.registry.connection_ended
--- a/tests/test_attempt_overlap.py
+++ b/tests/test_attempt_overlap.py
@@ -144,6 +144,52 @@
         self.assert_no_overlap()
 
 
+class RepeatedRequests(OverlapCase):
+    # Guards against: a client whose connection breaks sends its request again under the same id, while the attempt of
+    # the first one is still at its engine.
+    async def test_request_that_is_sent_again_after_its_connection_broke(self):
+        await self.start()
+        for engine in self.engines:
+            engine.deletes_answered = False
+        connection = await self.connect()
+        self.post(connection)
+        await self.until(self.runs)
+        connection.writer.transport.abort()
+        second = await self.connect()
+        self.post(second)
+        await self.final_status(second)
+        self.assert_no_overlap()
+
+    # Guards against: the same with workers, of which another one may get the request the second time.
+    async def test_request_that_is_sent_again_to_any_worker(self):
+        await self.start(workers=True)
+        for engine in self.engines:
+            engine.deletes_answered = False
+        tickets = [f"{number:016x}" for number in range(1, 9)]
+        for ticket in tickets:
+            connection = await self.connect()
+            self.post(connection, ticket)
+            await self.until(lambda ticket=ticket: self.runs(ticket))
+            connection.writer.transport.abort()
+            second = await self.connect()
+            self.post(second, ticket)
+            self.assertIn(await self.final_status(second), (200, 409, 503))
+            self.assert_no_overlap(ticket)
+
+    # Guards against: an id that stays taken after its attempt has ended.
+    async def test_request_that_is_sent_again_after_its_attempt_has_ended_is_served(self):
+        await self.start()
+        connection = await self.connect()
+        self.post(connection)
+        await self.until(self.runs)
+        connection.writer.transport.abort()
+        await self.process.until(lambda: self.process.events("attempt_released"))
+        second = await self.connect()
+        self.post(second)
+        self.assertEqual(await self.final_status(second), 200)
+        self.assert_no_overlap()
+
+
 class RestartedEngines(OverlapCase):
     # Guards against: polls and DELETE answered by the process after a restart count as words of the one before it.
     async def test_query_of_the_process_before_a_restart(self):
