Lab: draw no port twice, keep exit codes of signalled processes, tell why one is not ready

Seen: a soak run reported exit code 255 once ('Unknown child process', in a suite of test_soak.py; 5 further suites passed), and a fleet of five was not ready within 60 s once (suite beside four others; 3 of 3 alone passed; no log was kept). Cause: asyncio's Popen.send_signal reaps a child that has just ended, so that the watcher finds none and reports 255; free_port returned a port that was drawn for another process and not bound yet, for a fleet of 15 ports in one of some 200 starts by the range's size (reckoned, not seen). Change: signals go by os.kill; a port is drawn once; until() tells exit code and log.

--- a/frostspindle/lab/faults/runner.py
+++ b/frostspindle/lab/faults/runner.py
@@ -27,19 +27,27 @@
 SIGNALS = {"kill": signal.SIGKILL, "stop": signal.SIGSTOP, "cont": signal.SIGCONT}
 READY_S = 60.0  # leaves time for a busy machine
 EPHEMERAL_PORT_MIN = 32_768  # the kernel assigns ports from here on
+MIN_PORT = 10_240
 _PORTS = random.SystemRandom()  # parallel tests must not draw the same ports, whatever their seeds
+_drawn_ports: set[int] = set()
+REPORTED_LINES = 10  # of a process's log, if it does not become ready
 
 
 def free_port(kind: int = socket.SOCK_DGRAM) -> int:
     """Return a loopback port that was free when it was checked; raise OSError after 200 ports in use.
 
     The port is never in the ephemeral range: the kernel could assign it to a connection or to a bind to port 0 before
-    the caller binds it.
+    the caller binds it. None is returned twice, as the processes of a fleet bind theirs only once all are drawn.
     """
+    if len(_drawn_ports) > (EPHEMERAL_PORT_MIN - MIN_PORT) // 2:
+        _drawn_ports.clear()
     for _ in range(200):
-        port = _PORTS.randrange(10_240, EPHEMERAL_PORT_MIN)
+        port = _PORTS.randrange(MIN_PORT, EPHEMERAL_PORT_MIN)
+        if port in _drawn_ports:
+            continue
         with socket.socket(socket.AF_INET, kind) as probe, suppress(OSError):
             probe.bind(("127.0.0.1", port))
+            _drawn_ports.add(port)
             return port
     raise OSError("no free loopback port found in 200 attempts")
 
@@ -113,12 +121,16 @@
     async def until(self, condition: Callable[[], Any], within_s: float = READY_S) -> Any:
         """Wait until `condition()` is true, check it at each new log line, and return its value.
 
-        Raise TimeoutError after `within_s` seconds.
+        Raise TimeoutError after `within_s` seconds, with the state of the process and the end of its log.
         """
-        async with asyncio.timeout(within_s):
-            while not (result := condition()):
-                self.changed.clear()
-                await self.changed.wait()
+        try:
+            async with asyncio.timeout(within_s):
+                while not (result := condition()):
+                    self.changed.clear()
+                    await self.changed.wait()
+        except TimeoutError:
+            code = self.child.returncode if self.child is not None else None
+            raise TimeoutError(f"{self.name}, exit code {code}: {self.lines[-REPORTED_LINES:]}") from None
         return result
 
     async def figures(self, call: str = "show-fleet") -> dict[str, Any]:
@@ -129,7 +141,9 @@
     def send_signal(self, number: int) -> None:
         """Send a signal to the process; do nothing if it is not running."""
         if self.child is not None and self.child.returncode is None:
-            self.child.send_signal(number)
+            # Popen.send_signal would first reap a child that has just ended, and its exit code would be lost.
+            with suppress(ProcessLookupError):
+                os.kill(self.child.pid, number)
 
     async def end(self, number: int = signal.SIGTERM) -> int | None:
         """End the process with a signal and return its exit code, or None if no process was started.
@@ -144,7 +158,7 @@
             async with asyncio.timeout(20.0):
                 code = await self.child.wait()
         except TimeoutError:
-            self.child.kill()
+            self.send_signal(signal.SIGKILL)
             code = await self.child.wait()
         if self.reader is not None:
             await self.reader
--- a/frostspindle/lab/soak/processes.py
+++ b/frostspindle/lab/soak/processes.py
@@ -93,7 +93,7 @@
         if await self._ends_within(kill_after_s) or await self._ends_within(lag.lost_s(self.terminated_at)):
             self.exit_code = self.child.returncode
         else:
-            self.child.kill()
+            self.send_signal(signal.SIGKILL)
             await self.child.wait()
         sending.cancel()
         self.exited_at = time.time()
@@ -110,7 +110,7 @@
     async def close(self) -> None:
         """Kill the process if it still runs, and read its log to the end."""
         if self.child is not None and self.child.returncode is None:
-            self.child.kill()
+            self.send_signal(signal.SIGKILL)
             await self.child.wait()
         if self.reader is not None:
             await self.reader
