Write what the event loop reports as log lines

Operators saw: where accept fails at the operators' port, a traceback of ten lines of plain text between the JSON lines. Cause: asyncio accepts there itself and reports by its own logger. Change: an exception handler of the loop in coordinator, worker and supervisor: accept_failed, else exception_caught.

--- a/frostspindle/cores/supervisor.py
+++ b/frostspindle/cores/supervisor.py
@@ -13,7 +13,7 @@
 from typing import Any
 
 from frostspindle import config as configuration
-from frostspindle import signals
+from frostspindle import loop_reports, signals
 from frostspindle.config import Config, ConfigError
 from frostspindle.cores.bootstrap import monotonic_ms
 from frostspindle.cores.control_publisher import ControlPublisher
@@ -231,6 +231,7 @@
     """
     supervisor = Supervisor(config)
     loop = asyncio.get_running_loop()
+    loop_reports.install(loop, supervisor.telemetry)
     for signal_number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(signal_number, supervisor.stopping.set)
     loop.add_signal_handler(signal.SIGUSR1, supervisor.report)
--- a/frostspindle/program.py
+++ b/frostspindle/program.py
@@ -12,7 +12,7 @@
 from pathlib import Path
 from typing import Any, Protocol
 
-from frostspindle import signals
+from frostspindle import loop_reports, signals
 from frostspindle.components.base import BanListener
 from frostspindle.components.registry import Components, Phase
 from frostspindle.config import Config
@@ -377,6 +377,7 @@
     Raise ConfigError for a fault in a file that an optional part reads, OSError for an address that can't be bound.
     """
     program = Program(config, link)
+    loop_reports.install(asyncio.get_running_loop(), program.telemetry)
     signals.handle(asyncio.get_running_loop(), program.stopping.set, program.report, program.reload)
     await program.start()
     # Exclude the long-lived objects of the start from garbage collection, whose pauses would delay responses.
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -102,8 +102,8 @@
 # each start, and all coordinators of a fleet may start together.
 ALLOWED_MODULES = {
     "frostspindle": "__main__ clock_file components config core descriptor_sharing handover held_memory input_memory "
-    "ledger memory_log net order policy pools program query_lifetime reload reserved_descriptor serving shared "
-    "shutdown_plan signals telemetry timers",
+    "ledger loop_reports memory_log net order policy pools program query_lifetime reload reserved_descriptor serving "
+    "shared shutdown_plan signals telemetry timers",
     "frostspindle.config": "addresses agreed_settings cores document errors fleet operator_calls operator_file "
     "ownership reader recovery replica tds tenants",
     "frostspindle.components": "base http_requests operator_port registry",
--- a/tests/test_imports.py
+++ b/tests/test_imports.py
@@ -23,7 +23,7 @@
     "settings",
     "recovery scatter subscriptions",
     "components",
-    "descriptor_sharing memory_log reload",
+    "descriptor_sharing loop_reports memory_log reload",
     "program",
     "cores",
     "serving",
