Cancel the query first where an engine's error does not prove its end

Callers could see: a second attempt beside the first after a copy of an earlier error whose connection then broke, or after 503 without X-Shed. Change: such an error still fails the attempt, but the query is cancelled first and the attempt ends with the proof.

--- a/frostspindle/net/http/attempts.py
+++ b/frostspindle/net/http/attempts.py
@@ -28,7 +28,6 @@
 PENDING_STATUS = 202
 ERROR_STATUS = 500
 PRIORITY_STATUS = 204  # of the response to a priority that was taken
-SHED_STATUSES = (503, 504)
 LONGER_RESULT_BYTES = MAX_RESULT_BYTES + MAX_PAGE_BYTES - RESERVED_RESULT_BYTES  # beyond what each request has
 KEEP_RESULT_S = 1.0  # interval of polls while a result waits at its engine; engines keep it for 2 s
 POLL_RETRY_S = 0.2  # delay after a poll that was not written
@@ -146,13 +145,18 @@
 
     def _failure(self, query: EngineQuery, reply: EngineReply, report: tuple[float, ...]) -> AttemptEnd:
         """Return the end that an error reports."""
+        if reply.may_be_copy:
+            return AttemptEnd(AttemptOutcome.ERROR, report, may_still_run=True)
         if not query.is_from_its_process(reply):
             # The process does not know the query: the POST was lost, or this is not the one that has it.
             self.telemetry.count("queries_unknown")
             return AttemptEnd(AttemptOutcome.CANCELLED, report, may_still_run=True)
-        if reply.status in SHED_STATUSES and reply.headers.get(b"x-shed") == b"1":
+        if reply.status == ERROR_STATUS:
+            return AttemptEnd(AttemptOutcome.ERROR, report)
+        if reply.headers.get(b"x-shed") == b"1":
             return AttemptEnd(AttemptOutcome.OVERLOADED, report)
-        return AttemptEnd(AttemptOutcome.ERROR, report)
+        # Without X-Shed the protocol gives 503 and 504 no meaning.
+        return AttemptEnd(AttemptOutcome.ERROR, report, may_still_run=True)
 
     def immediate_end(self, query: EngineQuery, reply: EngineReply) -> AttemptEnd | None:
         """Return the end if the response to a POST is final, else None."""
--- a/frostspindle/net/http/engine_connection.py
+++ b/frostspindle/net/http/engine_connection.py
@@ -180,7 +180,8 @@
         """Pass a response to the waiter as that of the call."""
         if self._is_checked:
             self._recent.record(reply, self.loop.time())
-        self.confirmed_ms = self.written_ms
+        if not reply.may_be_copy:
+            self.confirmed_ms = self.written_ms
         if self.waiter is not None and not self.waiter.done():
             self.waiter.set_result(reply)
 
@@ -230,7 +231,7 @@
         self._end_doubt()
         if doubtful is not None and doubtful.status != OK_STATUS:
             # An error response is accepted: polling by its id could reach another request with that id.
-            doubtful.headers.pop(b"x-shed", None)  # a possible copy is no proof that the query never ran
+            doubtful.may_be_copy = True
             self._deliver(doubtful)
             return
         if self.has_unwritten:
--- a/frostspindle/net/http/engine_query.py
+++ b/frostspindle/net/http/engine_query.py
@@ -52,4 +52,6 @@
 
     def is_from_its_process(self, reply: EngineReply) -> bool:
         """Return whether a reply is known to come from the process that has the query."""
+        if reply.may_be_copy:
+            return False
         return self.lifetime.is_acknowledged and self.lifetime.leads_to_process(reply.connection, self.pool.established)
--- a/frostspindle/net/http/replies.py
+++ b/frostspindle/net/http/replies.py
@@ -24,12 +24,13 @@
 class EngineReply:
     """One complete response of an engine; `check_page` validates it as a page and sets `pages`."""
 
-    __slots__ = ("status", "headers", "body", "pages", "connection")
+    __slots__ = ("status", "headers", "body", "pages", "connection", "may_be_copy")
     connection: ConnectionLife  # over which it came; set as it is checked
 
     def __init__(self, status: int, headers: dict[bytes, bytes], body: bytes) -> None:
         self.status, self.headers, self.body = status, headers, body
         self.pages = 0
+        self.may_be_copy = False  # of an earlier response on its connection, so that it proves nothing
 
     def check_page(self, number: int) -> None:
         """Validate it as the response to a poll for page `number`; else raise InvalidReplyError.
