Take no request whose ticket an earlier attempt may still be running under

Could be seen on spread tables: a client's request that came again under its id, after its connection broke, was sent in parts whose tickets follow from that id, beside the first parts. Cause: only the HTTP front's ids were kept to the end of the attempts. Change: the ledger counts attempts by ticket, and Core.submit refuses a request with such a ticket.

--- a/frostspindle/core/actions.py
+++ b/frostspindle/core/actions.py
@@ -69,6 +69,7 @@
         if entry.attempts:
             self._log_retry(now, attempt, entry.attempts[-1])
         entry.attempts.append(attempt)
+        self._ledger.attempt_started(entry.request.ticket)
         self._telemetry.count("sent", entry.request.front, attempt.class_name)
         engine.driver.start_attempt(attempt)
         if self._hooks.on_engine_changed is not None:
--- a/frostspindle/core/core.py
+++ b/frostspindle/core/core.py
@@ -95,7 +95,10 @@
         return self.ledger.open_count + (self.interceptor.open if self.interceptor is not None else 0)
 
     def submit(self, request: ClientRequest) -> bool:
-        """Queue a request. Return False if too many are open, or too much memory is held for others.
+        """Queue a request. Return False if it can't be accepted now.
+
+        That is so if too many are open, if too much memory is held for others, or while an attempt of an earlier
+        request with its ticket may be running: engines would have two queries of one id.
 
         The front must reject such a request, without the decision module.
 
@@ -106,7 +109,7 @@
             if is_accepted is not None:
                 request.was_sent = is_accepted  # as subrequests, which are not told apart here
                 return is_accepted
-        if self.ledger.open_count >= self.max_open_requests:
+        if self.ledger.open_count >= self.max_open_requests or self.ledger.is_ticket_running(request.ticket):
             self._count_refused(request)
             return False
         request.charge = self.held_memory.admit(request.statement)
@@ -236,6 +239,7 @@
         if attempt.is_finished:
             return
         attempt.is_finished = True
+        self.ledger.attempt_ended(attempt.request.ticket)
         attempt.may_still_run = may_still_run
         attempt.task = None  # break the reference cycle, which would have to wait for the garbage collector
         self.dispatcher.enqueue(AttemptCompleted(attempt, outcome, report, result, clock(), needed, may_still_run))
--- a/frostspindle/core/ledger.py
+++ b/frostspindle/core/ledger.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Sequence
 from dataclasses import dataclass, field
 
@@ -54,6 +55,7 @@
     ) -> None:
         self.entries: dict[int, RequestEntry] = {}  # by request number
         self.open_count = 0  # accepted requests that are not settled
+        self._running: Counter[str] = Counter()  # attempts that have not ended, by the ticket of their request
         self._last_number = 0
         self._hooks = hooks
         self._classes = classes
@@ -156,6 +158,20 @@
         if request.on_complete is not None:
             request.on_complete()
 
+    def attempt_started(self, ticket: str) -> None:
+        """Record that an attempt of the request with a ticket starts."""
+        self._running[ticket] += 1
+
+    def attempt_ended(self, ticket: str) -> None:
+        """Record that an attempt of the request with a ticket has ended."""
+        self._running[ticket] -= 1
+        if self._running[ticket] <= 0:
+            del self._running[ticket]
+
+    def is_ticket_running(self, ticket: str) -> bool:
+        """Return whether an attempt of any request with a ticket, also of a settled one, may be running."""
+        return ticket in self._running
+
     def may_run(self, request: ClientRequest) -> bool:
         """Return whether an attempt of a request may be running at an engine."""
         entry = self.entries.get(request.number)
--- a/tests/test_unproven_ends.py
+++ b/tests/test_unproven_ends.py
@@ -5,9 +5,11 @@
 from dataclasses import replace
 
 from aiohttp import web
-from peers import LOAD, page
+from peers import LOAD, SQL, at_work, page
 from test_endings_attempts import Crossing
 
+from frostspindle.core import SUBREQUEST_FRONT, ClientRequest, clock
+
 EXPIRY_MS = 700.0
 ERROR = b"HTTP/1.1 500 X\r\nContent-Length: 0\r\n\r\n"
 
@@ -72,4 +74,28 @@
         self.assertGreaterEqual(posted_at[2] - posted_at[1], EXPIRY_MS / 1000.0)
 
 
+class TicketsThatComeAgain(Crossing):
+    # Guards against: a part of a query on spread tables, whose ticket follows from its client's id, was sent again as
+    # the client sent its request again, while the first one's attempt ran.
+    async def test_core_takes_no_request_while_an_attempt_with_its_ticket_may_run(self):
+        (engine,) = await self.start()
+        go = asyncio.Event()
+        engine.script = at_work(go)
+        asking = asyncio.create_task(self.ask(number=1))
+        await engine.seen("POST")
+        answers = []
+
+        def submit():
+            return self.core.submit(
+                ClientRequest(SUBREQUEST_FRONT, 0, f"{1:016x}", SQL, clock(), 2000.0, answers.append)
+            )
+
+        self.assertFalse(submit())
+        go.set()
+        self.assertEqual((await asking)[0], 200)
+        self.assertTrue(submit())
+        await self.until(lambda: answers)
+        self.assertEqual(len(engine.of("POST")), 2)
+
+
 del Crossing  # keep pytest from collecting it here as well
