--- a/tests/attempt_overlap.py
+++ b/tests/attempt_overlap.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import signal
 import socket
 import tempfile
 import time
@@ -66,9 +67,35 @@
         self.server.close()
 
 
+class InheritingProcess(Process):
+    """A process of an upgrade: it serves at a listening socket that both processes inherit."""
+
+    def __init__(self, number: int, folder: Path, listening: socket.socket) -> None:
+        super().__init__(number, folder)
+        self.listening = listening
+        self.inherited_descriptors = (listening.fileno(),)
+        self.http = listening.getsockname()[1]
+
+    def process_environment(self) -> dict[str, str]:
+        """Return the environment; both processes have one coordinator's name."""
+        return {
+            **super().process_environment(),
+            "LB_NAME": "upgraded",
+            "LB_INHERITED_FD": str(self.listening.fileno()),
+        }
+
+
 class OverlapCase(unittest.IsolatedAsyncioTestCase):
     """Runs a coordinator as a process of its own, with or without workers, and two engines."""
 
+    listening: socket.socket | None = None
+
+    async def start_upgradable(self) -> None:
+        """Start the first process of an upgrade, on an inherited socket."""
+        self.listening = socket.create_server(("127.0.0.1", 0), backlog=64)
+        self.addCleanup(self.listening.close)
+        await self.start()
+
     async def start(self, workers: bool = False, engines: int = 2) -> None:
         self.engines = [SlowEngine(f"s-{number:08x}") for number in range(1, engines + 1)]
         for engine in self.engines:
@@ -85,9 +112,27 @@
         started = (lambda line: "workers" in line) if workers else (lambda line: True)
         await self.process.until(lambda: any(map(started, self.process.events("coordinator_started"))))
 
+    async def start_successor(self) -> Process:
+        """Start the second process of an upgrade, and have the first one leave; return the second."""
+        successor = self._new_process(1, self.process.folder)
+        await successor.start()
+        self.addAsyncCleanup(successor.end)
+        await successor.until(lambda: successor.events("coordinator_started"))
+        self.process.send_signal(signal.SIGTERM)
+        await self.process.until(lambda: self.process.events("shutdown_started"))
+        return successor
+
+    def _new_process(self, number: int, folder: Path) -> Process:
+        if self.listening is None:
+            process = Process(number, folder)
+            process.http = free_port(socket.SOCK_STREAM)
+        else:
+            process = InheritingProcess(number, folder, self.listening)
+        process.operator_port = free_port(socket.SOCK_STREAM)
+        return process
+
     def _process(self, folder: Path, workers: bool) -> Process:
-        process = Process(0, folder)
-        process.http, process.operator_port = free_port(socket.SOCK_STREAM), free_port(socket.SOCK_STREAM)
+        process = self._new_process(0, folder)
         config = coordinator_config([], self.bus.port)
         config["known"] = {"offset": len(self.bus.events), "batch": self.bus.events[:]}
         (folder / "config.json").write_text(json.dumps(config))
--- a/tests/test_attempt_overlap.py
+++ b/tests/test_attempt_overlap.py
@@ -3,6 +3,9 @@
 Each test has a line above it that names the failure which it guards against.
 """
 
+import os
+import signal
+
 from attempt_overlap import OverlapCase
 
 
@@ -190,6 +193,48 @@
         self.assert_no_overlap()
 
 
+class Restarts(OverlapCase):
+    # Guards against: a query whose connection broke as its coordinator was shutting down was sent again at once.
+    async def test_query_of_a_coordinator_that_shuts_down(self):
+        await self.start()
+        answered = await self.send()
+        self.process.send_signal(signal.SIGTERM)
+        await self.process.until(lambda: self.process.events("shutdown_started"))
+        self.first.stop_listening()
+        self.first.reset_connections()
+        self.assertIn(await answered, (200, 503))
+        self.assert_no_overlap()
+
+    # Guards against: the new process of an upgrade sent a request that came again, beside the old one's attempt.
+    async def test_request_that_is_sent_again_to_the_other_process_of_an_upgrade(self):
+        await self.start_upgradable()
+        for engine in self.engines:
+            engine.deletes_answered = False
+        connection = await self.connect()
+        self.post(connection)
+        await self.until(self.runs)
+        await self.start_successor()
+        connection.writer.transport.abort()
+        second = await self.connect()
+        self.post(second)
+        self.assertIn(await self.final_status(second), (200, 409, 503))
+        self.assert_no_overlap()
+
+    # Guards against: a request that came again after its worker had been killed was sent beside that worker's attempt.
+    async def test_request_that_is_sent_again_after_the_workers_were_killed(self):
+        await self.start(workers=True)
+        connection = await self.connect()
+        self.post(connection)
+        await self.until(self.runs)
+        for worker in self.process.events("worker_started"):
+            os.kill(worker["pid"], signal.SIGKILL)
+        await self.process.until(lambda: len(self.process.events("worker_started")) == 4)
+        second = await self.connect()
+        self.post(second)
+        await self.final_status(second)
+        self.assert_no_overlap()
+
+
 class RestartedEngines(OverlapCase):
     # Guards against: polls and DELETE answered by the process after a restart count as words of the one before it.
     async def test_query_of_the_process_before_a_restart(self):
