Wait for the late response to a POST on its own connection

Could be seen where the network holds bytes back for longer than a call's timeout and delivers them after their connection has ended: the query began at its engine 0.7 s after it had been given up, and ran for 0.6 s beside the next attempt. Cause: the connection was dropped with the timeout, so that nothing could tell that the POST had come.

--- a/frostspindle/net/http/attempts.py
+++ b/frostspindle/net/http/attempts.py
@@ -21,7 +21,7 @@
 from frostspindle.net.http.results import ResultText
 from frostspindle.net.result_room import wait_for_room
 from frostspindle.policy import AttemptOutcome
-from frostspindle.query_lifetime import QueryLifetime
+from frostspindle.query_lifetime import UNPOLLED_QUERY_EXPIRY_MS, QueryLifetime
 from frostspindle.telemetry import Telemetry
 
 OK_STATUS = 200
@@ -60,6 +60,7 @@
             STORE_PATH,
             attempt.request.statement.encode(),
             lambda: self._header_fields(attempt, lifetime),
+            late_s=UNPOLLED_QUERY_EXPIRY_MS / 1000.0,
             page=0,
             until_ms=attempt.ends_at_ms,
             sending=attempt,
--- a/frostspindle/net/http/connection_pool.py
+++ b/frostspindle/net/http/connection_pool.py
@@ -285,7 +285,7 @@
         if call.page is not None:  # its response must not be a copy of another query's response
             confirm_s = confirmation_time_s((call.until_ms - clock()) / 1000.0)
         call.connection, call.was_written = connection, True
-        connection.request(head.encode() + call.body, call.within_s, waiter, confirm_s)
+        connection.request(head.encode() + call.body, call.within_s, waiter, confirm_s, call.late_s)
         call.written_ms = connection.written_ms
         if call.sending is not None and not connection.transport.get_write_buffer_size():
             self.driver.core.count_written(call.sending)
--- a/frostspindle/net/http/direct_attempt.py
+++ b/frostspindle/net/http/direct_attempt.py
@@ -78,8 +78,9 @@
 
     def _release_connection(self) -> None:
         self._is_over, self.query.attempt.task = True, None  # breaks a reference cycle
-        self._connection.end_call()
-        self.query.pool.release(self._connection)
+        if self._connection.waiter is self:  # else it is kept for a late response
+            self._connection.end_call()
+            self.query.pool.release(self._connection)
 
     # Interface for the driver.
 
--- a/frostspindle/net/http/engine_call.py
+++ b/frostspindle/net/http/engine_call.py
@@ -25,6 +25,7 @@
     body: bytes = b""
     head: Callable[[], str] = str  # returns the header fields, as the call is written
     within_s: float = RESPONSE_TIMEOUT_S
+    late_s: float = 0.0  # after the timeout: for which its connection is kept, as a response may come late
     page: int | None = None  # of a result, as which its response is validated
     until_ms: float = math.inf  # the request's deadline, in Unix ms
     sending: Attempt | None = None  # the attempt whose POST this is
--- a/frostspindle/net/http/engine_connection.py
+++ b/frostspindle/net/http/engine_connection.py
@@ -103,6 +103,8 @@
         self._doubt_timer: asyncio.TimerHandle | None = None
         self._has_copies = False  # a copy was received during this call
         self._close_reason: EngineCloseReason | None = None
+        self._late_s = 0.0  # for which the connection is kept after its call is overdue
+        self._is_detached = False  # nobody waits for the response to the call
 
     # Callbacks of asyncio.
 
@@ -311,19 +313,46 @@
         self.is_reusable = False
         self.transport.abort()
 
-    def expire(self) -> None:
+    def _on_overdue(self) -> None:
+        """Fail an overdue call by TimeoutError; keep the connection for its late response, if the call asked for that.
+
+        The response, or its lack, then shows whether the engine has received the call.
+        """
+        waiter, late_s = self.waiter, self._late_s
+        self._late_s = 0.0
+        if late_s <= 0.0 or not self._may_be_answered():
+            self._expire()
+            return
+        self.deadline_s = self.loop.time() + late_s
+        self.timer = self.loop.call_at(self.deadline_s, self._on_timer)
+        if not self._is_detached:
+            self._detach()
+            assert waiter is not None
+            waiter.set_exception(TimeoutError())
+
+    def _may_be_answered(self) -> bool:
+        """Return whether a call was written completely and may get its response on this connection."""
+        is_open = self.is_reusable and not self.is_complete
+        return is_open and not self.has_unwritten and self._doubtful is None
+
+    def _expire(self) -> None:
         """Fail an overdue call by TimeoutError or RequestNotWrittenError and abort the connection."""
         self._close_reason = self._close_reason or EngineCloseReason.OVERDUE
         self._fail(TimeoutError())  # type: ignore[arg-type]
         self.drop(EngineCloseReason.OVERDUE)
 
-    def request(self, data: bytes, within_s: float, waiter: ResponseWaiter, confirm_s: float = -1.0) -> None:
+    def request(
+        self, data: bytes, within_s: float, waiter: ResponseWaiter, confirm_s: float = -1.0, late_s: float = 0.0
+    ) -> None:
         """Write a call at once; `waiter` gets its response or an error, after `within_s` a TimeoutError.
 
         A response that equals a recent one is held back until it is known not to be a copy, for at most `confirm_s`
-        after this call; it is not checked if `confirm_s` is negative.
+        after this call; it is not checked if `confirm_s` is negative. After the TimeoutError the connection is kept for
+        `late_s`, so that a late response can come.
         """
         self.waiter = waiter
+        self._late_s = late_s
+        self._is_detached = False
         self.is_complete, self.response_bytes = False, 0
         now_s = self.loop.time()
         self._is_checked = confirm_s >= 0.0
@@ -348,7 +377,7 @@
         if self.loop.time() < self.deadline_s:
             self.timer = self.loop.call_at(self.deadline_s, self._on_timer)
         else:
-            self.expire()
+            self._on_overdue()
 
     def end_call(self) -> None:
         """Stop waiting for the response; drop the connection if the response is not complete."""
@@ -362,10 +391,14 @@
         if not self.is_reusable or self.is_complete or self.has_unwritten:
             return False  # the rest of a call must not be written any more
         # The response is on its way, and a new connection costs the engine more.
+        self._detach()
+        return True
+
+    def _detach(self) -> None:
+        self._is_detached = True
         detached: asyncio.Future[EngineReply] = self.loop.create_future()
         detached.add_done_callback(self._on_detached_response)
         self.waiter = detached
-        return True
 
     def _on_detached_response(self, waiter: asyncio.Future[EngineReply]) -> None:
         """Release the connection, as the response to a cancelled call has come or failed."""
--- a/tests/attempt_overlap.py
+++ b/tests/attempt_overlap.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import json
 import signal
 import socket
@@ -67,6 +68,37 @@
         self.server.close()
 
 
+class DelayingRelay:
+    """Stands in front of an engine, and passes the bytes of a POST on late, also after its connection has ended."""
+
+    def __init__(self, engine: SlowEngine, delay_s: float) -> None:
+        self.engine = engine
+        self.delay_s = delay_s
+        self.delayed = 0  # number of POSTs
+
+    async def start(self) -> DelayingRelay:
+        """Listen on 127.0.0.1 and return self."""
+        self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self.port = self.server.sockets[0].getsockname()[1]
+        return self
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        engine_reader, engine_writer = await asyncio.open_connection("127.0.0.1", self.engine.port)
+        back = asyncio.create_task(self._copy(engine_reader, writer))
+        await self._copy(reader, engine_writer, is_delayed=True)
+        engine_writer.close()
+        back.cancel()
+        writer.close()
+
+    async def _copy(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, is_delayed: bool = False) -> None:
+        with contextlib.suppress(ConnectionError):
+            while data := await reader.read(65536):
+                if is_delayed and data.startswith(b"POST") and not self.delayed:
+                    self.delayed += 1
+                    await asyncio.sleep(self.delay_s)
+                writer.write(data)
+
+
 class InheritingProcess(Process):
     """A process of an upgrade: it serves at a listening socket that both processes inherit."""
 
@@ -105,13 +137,21 @@
         self.addCleanup(self.bus.server.close)
         folder = tempfile.TemporaryDirectory()
         self.addCleanup(folder.cleanup)
-        self.bus.say(*(host_entry(engine.name, engine.port) for engine in self.engines), whole=True)
+        await self.before_start()
+        self.bus.say(*(host_entry(engine.name, self.port_of(engine)) for engine in self.engines), whole=True)
         self.process = self._process(Path(folder.name), workers)
         await self.process.start()
         self.addAsyncCleanup(self.process.end)
         started = (lambda line: "workers" in line) if workers else (lambda line: True)
         await self.process.until(lambda: any(map(started, self.process.events("coordinator_started"))))
 
+    async def before_start(self) -> None:
+        """Start what stands between the coordinator and the engines; tests override this."""
+
+    def port_of(self, engine: SlowEngine) -> int:
+        """Return the port that an engine is listed with."""
+        return engine.port
+
     async def start_successor(self) -> Process:
         """Start the second process of an upgrade, and have the first one leave; return the second."""
         successor = self._new_process(1, self.process.folder)
--- a/tests/test_attempt_overlap.py
+++ b/tests/test_attempt_overlap.py
@@ -6,7 +6,7 @@
 import os
 import signal
 
-from attempt_overlap import OverlapCase
+from attempt_overlap import DelayingRelay, OverlapCase
 
 
 class LateLists(OverlapCase):
@@ -193,6 +193,25 @@
         self.assert_no_overlap()
 
 
+class LatePosts(OverlapCase):
+    async def before_start(self) -> None:
+        self.relays = {engine: await DelayingRelay(engine, 1.2).start() for engine in self.engines}
+        for relay in self.relays.values():
+            self.addCleanup(relay.server.close)
+
+    def port_of(self, engine):
+        return self.relays[engine].port
+
+    # Guards against: a POST that the network held back for longer than its call's timeout came to its engine after
+    # another process's word that it had no such query, and ran there beside the next attempt.
+    async def test_post_that_comes_to_its_engine_late(self) -> None:
+        await self.start()
+        answered = await self.send()
+        self.assertEqual(await answered, 200)
+        self.assertGreater(sum(relay.delayed for relay in self.relays.values()), 0)
+        self.assert_no_overlap()
+
+
 class Restarts(OverlapCase):
     # Guards against: a query whose connection broke as its coordinator was shutting down was sent again at once.
     async def test_query_of_a_coordinator_that_shuts_down(self):
