Answer at once where a lost attempt leaves no time for another one

Callers saw, since a lost attempt is waited for: a refusal only at the deadline, though no further attempt could be made in time. Cause: the decision module heard of the loss with its proof, up to 2.1 s later. Change: AttemptLost tells when the engine will have dropped the query, once the usual proof (0.35 s) has not come; the module refuses or fails the request then if its class, attempts or time allow no other. The key and the id stay taken as before. The order's test of a silent engine keeps that query silent for good: on the connection that is now kept, its late response and a DELETE proved the end after 0.85 s.

--- a/frostspindle/core/core.py
+++ b/frostspindle/core/core.py
@@ -223,6 +223,13 @@
                 policy.ProgressReported(attempt.request.number, attempt.number, attempt.engine, kind, value)
             )
 
+    def attempt_lost(self, attempt: Attempt, until_ms: float) -> None:
+        """Record that an attempt is given up; its engine may run it until `until_ms`, and `attempt_ended` follows."""
+        if not attempt.is_finished:
+            self.dispatcher.enqueue(
+                policy.AttemptLost(attempt.request.number, attempt.number, attempt.engine, until_ms)
+            )
+
     def attempt_ended(
         self,
         attempt: Attempt,
--- a/frostspindle/core/event_handlers.py
+++ b/frostspindle/core/event_handlers.py
@@ -87,6 +87,7 @@
             ShutdownStarted: self._on_shutdown_started,
             policy.KeyOrderReached: self._on_key_order_reached,
             policy.ProgressReported: self._notify_policy,
+            policy.AttemptLost: self._notify_policy,
             policy.HealthCheckCompleted: self._notify_policy,
             policy.WorkerLoadReported: self._notify_policy,
             policy.TimerFired: self._notify_policy,
--- a/frostspindle/net/engines.py
+++ b/frostspindle/net/engines.py
@@ -223,8 +223,12 @@
     async def _cancel(self, query: EngineQuery, end: AttemptEnd) -> None:
         """Cancel a query at its engine, and report the end of its attempt once it can no longer be running."""
         began_ms = clock()
+        attempt = query.attempt
+        cancellation = QueryCancellation(
+            query, self._is_never_resent(attempt), lambda until_ms: self.core.attempt_lost(attempt, until_ms)
+        )
         try:
-            reason = await QueryCancellation(query, self._is_never_resent(query.attempt)).run()
+            reason = await cancellation.run()
             end = end._replace(may_still_run=reason is ReleaseReason.NOT_RESENT)
             if reason is not ReleaseReason.UNSENT:
                 self._log_release(query, reason, clock() - began_ms)
--- a/frostspindle/net/http/query_cancellation.py
+++ b/frostspindle/net/http/query_cancellation.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from enum import StrEnum
 
 from frostspindle.core import clock
@@ -20,6 +21,7 @@
 DELETED_STATUS = 204
 CANCEL_TIMEOUT_S = 0.3  # of one DELETE
 MAX_NEW_CONNECTIONS = 2  # DELETEs that may open a connection
+USUAL_PROOF_MS = 350.0  # an engine holds a call for 250 ms, whose connection then carries a DELETE
 CHECK_INTERVAL_S = 0.05  # at which idle connections are looked for
 
 
@@ -35,9 +37,12 @@
 class QueryCancellation:
     """The cancellation of one query."""
 
-    def __init__(self, query: EngineQuery, is_never_resent: bool) -> None:
+    def __init__(self, query: EngineQuery, is_never_resent: bool, on_lost: Callable[[float], None]) -> None:
+        """Create a cancellation; `on_lost` gets the time of the query's expiry (Unix ms) if only that will end it."""
         self._query = query
         self._is_never_resent = is_never_resent
+        self._on_lost = on_lost
+        self._is_lost = False  # no proof came within USUAL_PROOF_MS
         self._may_have_arrived = False  # a DELETE was written
         self._answered_on: ConnectionLife | None = None  # over which a DELETE that would end the query was answered
 
@@ -88,7 +93,11 @@
     async def _wait_for_expiry(self) -> ReleaseReason:
         """Return once the query has expired, or a DELETE on an idle connection to its process was answered."""
         lifetime = self._query.lifetime
+        began_ms = clock()
         while (left_ms := lifetime.remaining_wait_ms(clock())) > 0:
+            if clock() - began_ms > USUAL_PROOF_MS and not self._is_lost:
+                self._is_lost = True
+                self._on_lost(clock() + left_ms)
             await asyncio.sleep(min(CHECK_INTERVAL_S, left_ms / 1000.0))
             if not self._is_deleted() and self._is_delete_useful():
                 await self._delete(new_connection=False)
--- a/frostspindle/policy/__init__.py
+++ b/frostspindle/policy/__init__.py
@@ -19,6 +19,7 @@
 from frostspindle.policy.controller import Controller
 from frostspindle.policy.events import (
     AttemptEnded,
+    AttemptLost,
     AttemptOutcome,
     ClientDisconnected,
     EndpointListKind,
@@ -43,6 +44,7 @@
 __all__ = [
     "Action",
     "AttemptEnded",
+    "AttemptLost",
     "AttemptOutcome",
     "CancelAttempt",
     "ClassSettings",
--- a/frostspindle/policy/controller.py
+++ b/frostspindle/policy/controller.py
@@ -88,6 +88,7 @@
             events.RequestArrived: self._on_request,
             events.ResponseStarted: self._on_response_started,
             events.ProgressReported: self._on_progress,
+            events.AttemptLost: self._on_attempt_lost,
             events.AttemptEnded: self._on_attempt_ended,
             events.ClientDisconnected: self._on_client_disconnected,
             events.RequestSuspended: self._on_request_suspended,
@@ -219,6 +220,12 @@
         if engine is not None and attempt is not None:
             self.outliers.record_progress(engine, attempt, event, now)
 
+    def _on_attempt_lost(self, now: float, event: events.AttemptLost) -> None:
+        request = self.state.requests.get(event.request)
+        if request is not None:
+            self.redispatcher.end_if_not_retried(request, event.until_ms, now)
+            self.dispatcher.release(now)
+
     def _on_attempt_ended(self, now: float, event: events.AttemptEnded) -> None:
         engine = self.state.engines.get(event.engine)
         attempt = engine.attempts.pop((event.request, event.attempt), None) if engine else None
--- a/frostspindle/policy/events.py
+++ b/frostspindle/policy/events.py
@@ -114,6 +114,15 @@
     value: float
 
 
+class AttemptLost(NamedTuple):
+    """Event: an attempt is given up, and its engine may run it until `until_ms`; AttemptEnded follows by then."""
+
+    request: int
+    attempt: int
+    engine: int
+    until_ms: float
+
+
 class AttemptEnded(NamedTuple):
     """Event: an attempt has ended, `elapsed_ms` after it was sent.
 
@@ -200,6 +209,7 @@
     | RequestArrived
     | ResponseStarted
     | ProgressReported
+    | AttemptLost
     | AttemptEnded
     | ClientDisconnected
     | RequestSuspended
--- a/frostspindle/policy/retries.py
+++ b/frostspindle/policy/retries.py
@@ -92,17 +92,29 @@
             return
         if outcome != AttemptOutcome.NOT_SENT:  # also if it sheds load, as while shutting down: it would shed again
             request.avoided_engines.add(engine.id)
+        if self._allows_retry(request, now, now):
+            self._waiting.add(request, now)
+        else:
+            self._completion.end_unserved(request, now)
+
+    def end_if_not_retried(self, request: RequestState, free_at_ms: float, now: float) -> None:
+        """End a request whose running attempt is lost, if no further one can start once it has ended, at `free_at_ms`.
+
+        Its client need not wait until then for the answer.
+        """
+        if not request.finished and not self._allows_retry(request, free_at_ms, now):
+            self._completion.end_unserved(request, now)
+
+    def _allows_retry(self, request: RequestState, start_at_ms: float, now: float) -> bool:
+        """Return whether the class, the attempt limit and the time left allow another attempt from `start_at_ms` on."""
         request.done_ratio = 0.0
         self._estimates.estimate(request)
-        time_left_ms = request.deadline_at_ms - now - DEADLINE_MARGIN_MS
-        if (
-            len(request.attempts) >= self._state.settings.max_attempts
-            or not time_left_ms > self._estimates.run_ms(request)
-            or not self._retries.allows_resend(request, None, now)
-        ):
-            self._completion.end_unserved(request, now)
-        else:
-            self._waiting.add(request, now)
+        time_left_ms = request.deadline_at_ms - start_at_ms - DEADLINE_MARGIN_MS
+        return (
+            len(request.attempts) < self._state.settings.max_attempts
+            and time_left_ms > self._estimates.run_ms(request)
+            and self._retries.allows_resend(request, None, now)
+        )
 
     def relocate(self, request: RequestState, attempt: AttemptState, now: float) -> bool:
         """Cancel an attempt so that the request is sent to another engine; return whether it was cancelled.
--- a/tests/attempt_overlap.py
+++ b/tests/attempt_overlap.py
@@ -186,11 +186,11 @@
         self.addCleanup(connection.close)
         return connection
 
-    def post(self, connection: Connection, ticket: str = FIRST_TICKET, request_class: str = "lookup") -> None:
+    def post(self, connection: Connection, ticket: str = FIRST_TICKET, timeout_ms: int = TIMEOUT_MS) -> None:
         statement = "SELECT name FROM calls_17.notes"
         connection.writer.write(
-            f"POST /call/{request_class} HTTP/1.1\r\nHost: s\r\nX-Request-Id: {ticket}\r\n"
-            f"X-Timeout-Ms: {TIMEOUT_MS}\r\nX-Cost-Ms: 50\r\nX-Memory: 16\r\n"
+            f"POST /call/lookup HTTP/1.1\r\nHost: s\r\nX-Request-Id: {ticket}\r\n"
+            f"X-Timeout-Ms: {timeout_ms}\r\nX-Cost-Ms: 50\r\nX-Memory: 16\r\n"
             f"Content-Length: {len(statement)}\r\n\r\n{statement}".encode()
         )
 
--- a/tests/test_attempt_overlap.py
+++ b/tests/test_attempt_overlap.py
@@ -3,6 +3,7 @@
 Each test has a line above it that names the failure which it guards against.
 """
 
+import asyncio
 import os
 import signal
 
@@ -101,6 +102,19 @@
     async def test_reset_at_an_engine_that_drains_before_its_list_entry(self):
         await self.drain_and_reset(is_listed=False)
 
+    # Guards against: a client waited for its deadline, though its request could not be sent again in its time.
+    async def test_request_that_cannot_be_sent_again_in_its_time_is_refused_at_once(self):
+        await self.start()
+        connection = await self.connect()
+        self.post(connection, timeout_ms=2000)
+        await self.until(self.runs)
+        self.first.stop_listening()
+        reset_at = asyncio.get_running_loop().time()
+        self.first.reset_connections()
+        self.assertEqual(await self.final_status(connection), 503)
+        self.assertLess(asyncio.get_running_loop().time() - reset_at, 1.0)
+        self.assert_no_overlap()
+
     # Guards against: the same, told by the list.
     async def test_reset_at_an_engine_that_drains(self):
         await self.drain_and_reset(is_listed=True)
--- a/tests/test_order.py
+++ b/tests/test_order.py
@@ -542,6 +542,8 @@
                 sent.append(int(ticket, 16))
             if request.method != "DELETE" and int(ticket, 16) == 1 or request.method == "POST":
                 called_at.append(clock())
+            if request.method != "DELETE" and int(ticket, 16) == 1:
+                return asyncio.Event().wait()  # a late response would prove that the DELETE ends it
             return responds.wait() if not responds.is_set() else None
 
         engine.script = script
