Keep ids taken whose query an ending process leaves behind

Callers could see: in an upgrade a request that came again, after the old process had ended, sent beside the query that the old one had left at its engine. Cause: the end of the process cut the wait for the query short and gave its id free; and the new process looked for ids of others only while another ran. Change: an id whose attempt ended without proof stays claimed in the folder, and ids of an ended process are looked for 3 s more.

--- a/frostspindle/core/event_handlers.py
+++ b/frostspindle/core/event_handlers.py
@@ -246,7 +246,7 @@
             self._ledger.remove_if_complete(entry)
         else:
             # The entry was removed after an exception; such a request has at most one attempt in flight, this one.
-            self._ledger.complete(request)
+            self._ledger.complete(request, event.may_still_run)
 
     def _report_outcome(self, event: AttemptCompleted) -> None:
         """Report an outcome to the admission gate and the counters, and log it unless it is OK or CANCELLED."""
--- a/frostspindle/core/ledger.py
+++ b/frostspindle/core/ledger.py
@@ -32,11 +32,15 @@
         """Whether an attempt is in flight; only the last can be, as each starts after the previous one has ended."""
         return bool(self.attempts) and not self.attempts[-1].is_finished
 
+    @property
+    def may_still_run(self) -> bool:
+        """Whether the last attempt has ended without proof, so that its engine may be running it."""
+        return bool(self.attempts) and self.attempts[-1].may_still_run
+
     @property
     def allows_attempt(self) -> bool:
         """Whether an attempt may start: the request is open, and no earlier attempt can be running."""
-        may_run = bool(self.attempts) and (not self.attempts[-1].is_finished or self.attempts[-1].may_still_run)
-        return not (self.final_state or may_run)
+        return not (self.final_state or self.has_attempt_in_flight or self.may_still_run)
 
 
 class RequestLedger:
@@ -142,21 +146,21 @@
             if not attempt.is_finished:
                 self._engines[attempt.engine].driver.cancel_attempt(attempt)
         if all(attempt.is_finished for attempt in entry.attempts):
-            self.complete(entry.request)
+            self.complete(entry.request, entry.may_still_run)
 
     def remove_if_complete(self, entry: RequestEntry) -> None:
         """Remove the entry of a request if it is settled and has no attempt in flight."""
         if entry.final_state and not entry.has_attempt_in_flight:
             self.entries.pop(entry.request.number, None)
             entry.request.release_memory()
-            self.complete(entry.request)
+            self.complete(entry.request, entry.may_still_run)
 
-    def complete(self, request: ClientRequest) -> None:
-        """Release the ordering key of a request that can no longer run at any engine, and notify its front."""
+    def complete(self, request: ClientRequest, may_still_run: bool) -> None:
+        """Release the ordering key of a request whose attempts have ended, and notify its front."""
         if request.key and self._hooks.key_order is not None:
             self._hooks.key_order.on_request_finished(request.number)
         if request.on_complete is not None:
-            request.on_complete()
+            request.on_complete(may_still_run)
 
     def attempt_started(self, ticket: str) -> None:
         """Record that an attempt of the request with a ticket starts."""
--- a/frostspindle/core/requests.py
+++ b/frostspindle/core/requests.py
@@ -78,8 +78,9 @@
     is_suspended: bool = False
     # An attempt was about to be written, so the request may have run. Set directly, as above.
     was_sent: bool = False
-    # Set by the front as the request is settled while an attempt of it may run; called once none can run any more.
-    on_complete: Callable[[], None] | None = None
+    # Set by the front as the request is settled while an attempt of it may run. Called once the last one has ended,
+    # with whether it may still run all the same, as nothing has proven its end.
+    on_complete: Callable[[bool], None] | None = None
     charge: MemoryCharge | None = None  # of its statement and its result, from `Core.submit` until it is answered
 
     def release_memory(self) -> None:
--- a/frostspindle/net/http/id_claims.py
+++ b/frostspindle/net/http/id_claims.py
@@ -5,13 +5,17 @@
 
 from __future__ import annotations
 
+import math
 import re
+import time
+from collections.abc import Callable
 from typing import Protocol
 
 from frostspindle.core import IdState, RequestIdRegistry
 from frostspindle.net.fields import CallRejectedError
 from frostspindle.net.http.connection_log import CloseReason, ConnectionLog
 
+ENDED_PROCESS_SEARCH_S = 3.0  # for which ids of an ended process are looked for: engines may still run its queries
 _TICKET_OF_PATH = re.compile(r"-([0-9a-f]{16})\Z")  # at the end of a response path
 
 
@@ -28,14 +32,27 @@
 class IdClaims:
     """The ids that this front has claimed; `workers` and `shared` are None where there are none."""
 
-    def __init__(self, connection_log: ConnectionLog) -> None:
+    def __init__(self, connection_log: ConnectionLog, monotonic_s: Callable[[], float] = time.monotonic) -> None:
         self.workers: WorkerIds | None = None
         self.shared: RequestIdRegistry | None = None
-        self.is_sharing = False  # another process of this coordinator runs, as in an upgrade
+        self._is_sharing = False
+        self._searches_until_s = -math.inf
+        self._monotonic_s = monotonic_s
         self._connection_log = connection_log
         self._not_repeatable: set[str] = set()  # open ids of classes that must not run twice
         self._held: set[str] = set()  # of settled requests of which an attempt may be running
 
+    @property
+    def is_sharing(self) -> bool:
+        """Whether another process of this coordinator runs, as in an upgrade."""
+        return self._is_sharing
+
+    @is_sharing.setter
+    def is_sharing(self, is_sharing: bool) -> None:
+        if self._is_sharing and not is_sharing:
+            self._searches_until_s = self._monotonic_s() + ENDED_PROCESS_SEARCH_S
+        self._is_sharing = is_sharing
+
     def claim(self, ticket: str, is_repeatable: bool) -> CallRejectedError | None:
         """Claim an id; return the rejection if it is open elsewhere, may be running, or must not run again."""
         if ticket in self._held:
@@ -53,7 +70,7 @@
     def _claim_shared(self, ticket: str, is_repeatable: bool) -> CallRejectedError | None:
         if self.shared is None:
             return None
-        searches_others = self.is_sharing or not is_repeatable
+        searches_others = self.is_sharing or not is_repeatable or self._monotonic_s() < self._searches_until_s
         match self.shared.claim(int(ticket, 16), searches_others):
             case IdState.OPEN_ELSEWHERE:
                 self._connection_log.call_refused(CloseReason.ID_OPEN)
@@ -67,10 +84,17 @@
         """Keep the id of a settled request claimed, as an attempt of it may be running."""
         self._held.add(ticket)
 
-    def release(self, ticket: str, may_have_run: bool) -> None:
-        """Release the id of a settled request of which no attempt is running; remember one that must not run again."""
+    def release(self, ticket: str, may_have_run: bool, may_still_run: bool = False) -> None:
+        """Release the id of a settled request of which no attempt is running; remember one that must not run again.
+
+        Where the wait for a running attempt was cut short, as this process ends, an id that may run again stays claimed
+        for the other process of an upgrade.
+        """
+        is_remembered = may_have_run and ticket in self._not_repeatable
+        if may_still_run and not is_remembered:
+            return
         self._held.discard(ticket)
-        self._release(ticket, may_have_run and ticket in self._not_repeatable)
+        self._release(ticket, is_remembered)
 
     def release_unsent(self, ticket: str) -> None:
         """Release the id of a request that was not submitted."""
--- a/frostspindle/net/http/request_registry.py
+++ b/frostspindle/net/http/request_registry.py
@@ -80,7 +80,9 @@
             self.id_claims.release(opened.ticket, opened.may_have_run)
             return
         self.id_claims.hold(opened.ticket)
-        request.on_complete = lambda: self.id_claims.release(opened.ticket, opened.may_have_run)
+        request.on_complete = lambda may_still_run: self.id_claims.release(
+            opened.ticket, opened.may_have_run, may_still_run
+        )
 
     def wait(self, call: PendingCall) -> None:
         """Answer the call now, when the request completes, or after POLL_HOLD_S with a path to poll."""
--- a/tests/test_attempt_overlap.py
+++ b/tests/test_attempt_overlap.py
@@ -253,6 +253,23 @@
         self.assertIn(await self.final_status(second), (200, 409, 503))
         self.assert_no_overlap()
 
+    # Guards against: the same once the old process had ended, while its query could still run.
+    async def test_request_that_is_sent_again_after_the_old_process_of_an_upgrade_has_ended(self):
+        await self.start_upgradable()
+        for engine in self.engines:
+            engine.deletes_answered = False
+        connection = await self.connect()
+        self.post(connection)
+        await self.until(self.runs)
+        connection.writer.transport.abort()
+        await self.start_successor()
+        await self.process.child.wait()
+        self.assertEqual(self.runs()[0].ended_at, None)  # else the test shows nothing
+        second = await self.connect()
+        self.post(second)
+        self.assertIn(await self.final_status(second), (409, 503))
+        self.assert_no_overlap()
+
     # Guards against: a request that came again after its worker had been killed was sent beside that worker's attempt.
     async def test_request_that_is_sent_again_after_the_workers_were_killed(self):
         await self.start(workers=True)
