--- a/frostspindle/lab/soak/engines.py
+++ b/frostspindle/lab/soak/engines.py
@@ -19,7 +19,27 @@
 
 
 class FaultyConnection(EngineConnection):
-    """A connection that may write a response twice."""
+    """A connection that may write a response twice, and be given the bytes of a POST late, also after its end."""
+
+    _held = 0  # chunks that are held back
+
+    def data_received(self, data: bytes) -> None:
+        """Take data now, or later while POSTs are held back and until those before it were taken."""
+        engine = self.engine
+        assert isinstance(engine, FaultyEngine)
+        if not self._held and not (engine.post_delay_s and data.startswith(b"POST")):
+            super().data_received(data)
+            return
+        self._held += 1
+        asyncio.get_running_loop().call_later(engine.post_delay_s, self._take_held, data, engine.process, time.time())
+
+    def _take_held(self, data: bytes, process: int, sent_at: float) -> None:
+        self._held -= 1
+        self.first = self.first or sent_at
+        engine = self.engine
+        assert isinstance(engine, FaultyEngine)
+        if process == engine.process:  # else the process that it was meant for has ended
+            super().data_received(data)
 
     def say(self, status: int, body: bytes = b"", head: str = "") -> None:
         """Write a response; an engine that duplicates sometimes writes a second copy some milliseconds later."""
@@ -42,6 +62,8 @@
         self.duplicates = False
         self.sheds = False
         self.slow = False
+        self.post_delay_s = 0.0  # for which the network holds POSTs back
+        self.process = 0  # number of restarts
         self.runs: list[EngineRun] = []
         self._open_runs: dict[str, EngineRun] = {}  # by ticket
         self._expiry_task: asyncio.Task[None] | None = None
@@ -150,6 +172,7 @@
 
     async def restart(self) -> None:
         """End the process with its queries and start another one at the same address."""
+        self.process += 1
         self._abort_connections()
         self.forget_queries()
         await self._listen_again()
@@ -162,6 +185,10 @@
         for connection in list(self.lines):
             connection.transport.abort()
 
+    def hold_posts(self, delay_s: float) -> None:
+        """Let the network hold POSTs back for so long; 0: no longer."""
+        self.post_delay_s = delay_s
+
     def forget_queries(self) -> None:
         """Drop all queries, as an ended process does; their runs stay open, as the coordinator can't see the end."""
         self.results.clear()
--- a/frostspindle/lab/soak/fault_player.py
+++ b/frostspindle/lab/soak/fault_player.py
@@ -47,6 +47,8 @@
                 await self._drain(fault)
             case FaultKind.CRASH:
                 await self._crash(fault)
+            case FaultKind.LATE_POST:
+                await self._hold_posts(fault)
             case _:
                 self._current[fault.engine].begin(fault.kind)
                 await asyncio.sleep(fault.length_s)
@@ -58,6 +60,12 @@
         await asyncio.sleep(fault.length_s)
         await operate(f"enable-server {name}")
 
+    async def _hold_posts(self, fault: EngineFault) -> None:
+        engine = self._current[fault.engine]
+        engine.hold_posts(fault.held_s)
+        await asyncio.sleep(fault.length_s)
+        engine.hold_posts(0.0)
+
     async def _replace(self, fault: EngineFault) -> None:
         """End an engine and start another one, with another name, at its address."""
         before = self._current[fault.engine]
--- a/frostspindle/lab/soak/plan.py
+++ b/frostspindle/lab/soak/plan.py
@@ -43,6 +43,11 @@
 LIST_FAULT_PERIOD = 4  # one of this many seeds has faults of the endpoint list, and each from LIST_FAULT_SEEDS on
 LIST_FAULT_SEEDS = 10_000
 LIST_FAULTS = (2, 4)
+LATE_POST_SEEDS = 20_000  # each seed from here on has POSTs that are delivered late
+LATE_POSTS = (1, 3)
+POST_DELAYS_S = (0.6, 1.6)  # longer than a call's timeout
+VERY_LATE_POST_SEEDS = 30_000  # from here on POSTs may be delivered after their query was given up
+MAX_POST_DELAY_S = 4.0
 LATE_LIST_RATE = 0.7
 MAX_LIST_DELAY_S = 3.0
 SERIES_PERIOD = 2  # one of this many seeds has a series of signals
@@ -74,6 +79,7 @@
     EARLY_GONE = "early gone"  # listed as gone while its process still runs; then it ends and restarts
     EARLY_RESTART = "early restart"  # a restart is listed before the process ends
     BAN = "ban"  # operators take it out and back in; the process is not touched
+    LATE_POST = "late post"  # the network holds POSTs back for longer than their timeout, and then delivers them
 
 
 ABSENCES = {
@@ -94,7 +100,7 @@
     FaultKind.EARLY_RESTART,
     FaultKind.BAN,
 )
-USUAL_KINDS = tuple(kind for kind in FaultKind if kind not in LIST_FAULT_KINDS)
+USUAL_KINDS = tuple(kind for kind in FaultKind if kind not in (*LIST_FAULT_KINDS, FaultKind.LATE_POST))
 
 
 @dataclass(frozen=True, slots=True)
@@ -106,6 +112,7 @@
     engine: int
     kind: FaultKind
     listed_after_s: float = 0.0  # how late the endpoint list tells what has happened
+    held_s: float = 0.0  # for which POSTs are held back
 
 
 @dataclass(frozen=True, slots=True)
@@ -175,6 +182,8 @@
     faults = _draw_faults(rng, serving_s)
     if _has_list_faults(seed):
         faults = _with_list_faults(seed, serving_s, faults)
+    if seed >= LATE_POST_SEEDS:
+        faults = _with_late_posts(seed, serving_s, faults)
     return SoakPlan(
         seed=seed,
         topology=topology,
@@ -247,6 +256,25 @@
     return tuple(sorted(all_faults, key=lambda fault: fault.at_s))
 
 
+def _with_late_posts(seed: int, serving_s: float, faults: tuple[EngineFault, ...]) -> tuple[EngineFault, ...]:
+    """Add times in which POSTs to an engine are delivered late."""
+    rng = random.Random(f"soak late posts {seed}")
+    shortest_s, longest_s = POST_DELAYS_S
+    if seed >= VERY_LATE_POST_SEEDS:
+        longest_s = MAX_POST_DELAY_S
+    late = [
+        EngineFault(
+            rng.uniform(0.1, serving_s),
+            rng.uniform(0.2, 1.0),
+            rng.randrange(1, ENGINES),
+            FaultKind.LATE_POST,
+            held_s=rng.uniform(shortest_s, longest_s),
+        )
+        for _ in range(rng.randint(*LATE_POSTS))
+    ]
+    return tuple(sorted((*faults, *late), key=lambda fault: fault.at_s))
+
+
 def _draw_list_delay_s(rng: random.Random) -> float:
     return rng.uniform(0.0, MAX_LIST_DELAY_S) if rng.random() < LATE_LIST_RATE else 0.0
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -19,7 +19,7 @@
 from frostspindle.lab.soak.run import play_all
 
 # Each topology with and without idle clients, and each kind of fault.
-CI_SEEDS = (0, 1, 2, 3, 4, 5, 6, 7, 8, 10, 12, 15, 16, 17, 24)
+CI_SEEDS = (0, 1, 2, 3, 4, 5, 6, 7, 8, 10, 12, 15, 16, 17, 24, 20_000)
 CONCURRENT_RUNS = 3
 
 
