--- a/review/kit_2.py
+++ b/review/kit_2.py
@@ -29,6 +29,7 @@
 BROKEN, HELD, NOT_RUN = 1, 0, 2  # exit codes of a case
 HOLD_S = 0.25  # an engine answers a call at the latest after this
 EXPIRY_S = 2.0  # an engine drops a query that was not asked for in this time
+FIRST_RETRANSMISSION_S = 0.2  # usual shortest time after which TCP sends again what was not confirmed
 READY_S = 30.0  # a coordinator must be ready within this
 
 
@@ -108,6 +109,7 @@
         self.name, self.record, self.work_s, self.rows, self.columns = name, record, work_s, rows, columns
         self.runs: list[Run] = []
         self.by_ticket: dict[str, Run] = {}
+        self.deleted: dict[str, float] = {}  # when the last DELETE of a query came whole
         self.is_refusing = False  # as an engine that drains: new queries get 503 with X-Shed
         self.is_hanging = False  # answers nothing
         self.after_answer: Callable[[asyncio.StreamWriter, int, bytes], None] | None = None  # a fault
@@ -207,6 +209,8 @@
             return await self._news(run)
         run = self.by_ticket.get(parts[2]) if len(parts) > 2 else None
         if method == "DELETE":
+            self.record.line(self.name, f"DELETE {parts[2]}")
+            self.deleted[parts[2]] = time.time()
             if run is not None:
                 self._end(run, "deleted")
                 del self.by_ticket[run.ticket]
@@ -301,11 +305,21 @@
 # A link to an engine that can be cut.
 
 
+def sent_again_at(written_at: float, over_at: float) -> float:
+    """Return when TCP sends again, after a cut, what was written during it: 0.2 s later, then doubled."""
+    wait_s = FIRST_RETRANSMISSION_S
+    at = written_at + wait_s
+    while at < over_at:
+        wait_s *= 2.0
+        at += wait_s
+    return at
+
+
 class Link:
     """The network between a coordinator and one engine.
 
     While it is cut, open connections are silent and new ones never come up. What was written into a connection before
-    it was closed arrives once the cut is over, as TCP sends it again; what a sender reset is lost, as it sends no more.
+    it was closed arrives after the cut, when TCP sends it again; what a sender reset is lost, as it sends no more.
     """
 
     BACKLOG = 1
@@ -392,7 +406,9 @@
             while True:
                 data = await loop.sock_recv(source, 65536)
                 if self.is_cut:
+                    written_at = time.time()
                     await self._over.wait()
+                    await asyncio.sleep(sent_again_at(written_at, time.time()) - time.time())
                     if source.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
                         raise ConnectionResetError  # the sender has reset it, and sends nothing again
                 if not data:
@@ -427,6 +443,7 @@
     failure: str = ""
     rows: list[list[str]] = field(default_factory=list)
     connections: int = 0
+    path: str = ""  # the last that it was told
 
     @property
     def outcome(self) -> str:
@@ -508,7 +525,8 @@
         answer = json.loads(data) if data else {}
         request.rows += answer.get("rows", [])
         if status == 200 and isinstance(answer, dict) and answer.get("next"):
-            call = f"GET {answer['next']} HTTP/1.1\r\nHost: app.svc\r\n\r\n".encode()
+            request.path = answer["next"]
+            call = f"GET {request.path} HTTP/1.1\r\nHost: app.svc\r\n\r\n".encode()
             repeats = 0
             continue
         request.status = status
@@ -592,6 +610,39 @@
     }
 
 
+def sofia_settings() -> dict[str, Any]:
+    """Return settings with the figures of the site sofia-head-office, for a deployment with one coordinator."""
+    settings = bole_settings()
+    settings["kinds"] = ["std-16"]
+    settings["failureDomains"] = ["hall-a", "hall-b", "hall-c"]
+    settings["weightKind"] = "silent"
+    settings["overShareWorth"] = 0.2
+    settings["clients"] = {"marksRetry": True}
+    settings["categories"] = [
+        category("tile-lookup", "repeatable", 500.0, 2500.0, 1.0, aimStretch=2.0, lateShare=0.1),
+        category("storm-report", "repeatable", 1500.0, 20000.0, 12.0, aimStretch=2.5, lateShare=0.3),
+        category("scan-load", "once", 3000.0, 25000.0, 20.0, aimStretch=2.5, lateShare=0.6, inOrder=True),
+    ]
+    settings["deductions"] = {"crossZone": 0.02, "lateFail": 0.057, "probe": 0.01, "waste": 0.056}
+    settings["domain"] |= {"kindCores": [16], "notePeriod": 2000.0, "saysCost": True}
+    settings["limits"] |= {"mostTries": 4, "cpuUsPerS": 400000}
+    settings["parties"] = [
+        {"name": "franchise-east", "allowancePerS": 110.0, "portion": 0.44},
+        {"name": "franchise-west", "allowancePerS": 82.0, "portion": 0.33},
+        {"name": "franchise-north", "allowancePerS": 32.0, "portion": 0.13},
+        {"name": "franchise-south", "allowancePerS": 25.0, "portion": 0.1},
+    ]
+    settings["report"] = {"how": "pull", "columns": ["concurrent", "load_share", "x1"]}
+    settings["rules"] |= {
+        "startCapacity": 0.36,
+        "warmWithin": 14000.0,
+        "tipMultiple": 2.5,
+        "fall": 2000.0,
+        "orderPause": 0.0,
+    }
+    return settings
+
+
 class Coordinator:
     """One coordinator, started with the `run` line of the deploy file."""
 
