--- a/review/kit_2.py
+++ b/review/kit_2.py
@@ -444,6 +444,8 @@
     rows: list[list[str]] = field(default_factory=list)
     connections: int = 0
     path: str = ""  # the last that it was told
+    written_at: float = 0.0  # when the system had taken the last byte of its first POST
+    came_new: bool = False  # this went over a new connection
 
     @property
     def outcome(self) -> str:
@@ -470,12 +472,16 @@
         self.port = port
         self.reader: asyncio.StreamReader | None = None
         self.writer: asyncio.StreamWriter | None = None
+        self.is_new = False  # it was opened by the last call of `open`
 
     async def open(self) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
         """Return the connection, a new one if there is none."""
-        if self.reader is None or self.writer is None or self.writer.is_closing() or self.reader.at_eof():
+        self.is_new = self.reader is None or self.writer is None or self.writer.is_closing() or self.reader.at_eof()
+        if self.is_new:
             self.close()
             self.reader, self.writer = await asyncio.open_connection("127.0.0.1", self.port)
+            self.writer.transport.set_write_buffer_limits(0)  # so that `drain` waits until the system has taken all
+        assert self.reader is not None and self.writer is not None
         return self.reader, self.writer
 
     def close(self) -> None:
@@ -511,7 +517,11 @@
     while True:
         try:
             reader, writer = await line.open()
+            is_new = line.is_new
             writer.write(call)
+            await writer.drain()
+            if not request.written_at:
+                request.written_at, request.came_new = time.time(), is_new
             first, head, data = await read_message(reader)
         except (EOFError, OSError):
             line.close()
