--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,10 +1,13 @@
-"""All engines slow down together: do the requests of a key run one at a time if two classes keep order?"""
+"""Idle clients fill the descriptors: are the loads of a key run in the order in which they were taken?"""
 
 from __future__ import annotations
 
 import asyncio
 import random
+import subprocess
+import sys
 import time
+from pathlib import Path
 
 from kit_2 import (
     Bus,
@@ -15,93 +18,101 @@
     Run,
     Stage,
     ask,
-    category,
     host,
     main,
     new_ticket,
     sofia_settings,
 )
 
-ENGINES = 3
+ENGINES = 6
+HALLS = ("hall-a", "hall-b", "hall-c")
+SILENT_CLIENTS, SILENT_PROCESSES = 900, 3
 KEYS = 8
-ROUNDS = 5
-ROUND_S = 7.0
-SLOW_AFTER_S = 9.0
-SLOW_S = 14.0
-SLOWER = 2.5
-LOAD_S = (1.4, 1.8)  # how long a scan-load runs
-EDIT_S = (0.2, 0.4)
-EDIT_AFTER_S = 2.6  # a key's scan-edit is sent so long after its scan-load, which usually has ended by then
-SLACK_S = 0.05  # "every time limit is 50 ms longer"
+LENGTH_S = 45.0
+LEAST_GAP_S, GAP_S = 0.060, 0.070  # between two requests of a key
+LEAST_NEW_GAP_S, NEW_GAP_S = 0.250, 0.260  # after one that came over a new connection
+END_S = 4.0
 
 
 async def case(stage: Stage) -> list[str]:
     """Play the case and return the breaks of the rule."""
-    rng = random.Random(9)
+    rng = random.Random(10)
     record = stage.record
     bus = await Bus().start()
     engines = []
-    slow_from = slow_until = 0.0
-
-    def work_s(cls: str, statement: str) -> float:
-        seconds = rng.uniform(*(LOAD_S if cls == "scan-load" else EDIT_S))
-        return seconds * SLOWER if stage.trouble and slow_from <= time.time() < slow_until else seconds
-
     columns = ("concurrent", "load_share", "x1")
     for number in range(ENGINES):
-        engine = Engine(f"s-0000000{number + 1}", record, work_s, lambda statement: "a\t1\tx\n", columns)
+        name = f"s-0000000{number + 1}"
+        engine = Engine(name, record, lambda cls, statement: rng.uniform(0.05, 0.2), lambda statement: "", columns)
         engines.append(stage.add(await engine.start()))
-    bus.tell(*(host(e.name, e.port, f"hall-{'abc'[i]}", "std-16") for i, e in enumerate(engines)), whole=True)
-    settings = sofia_settings()
-    settings["categories"].append(
-        category("scan-edit", "once", 3000.0, 25000.0, 10.0, aimStretch=2.5, lateShare=0.6, inOrder=True)
-    )
-    settings["domain"] |= {"classThreads": [1, 3, 2, 1], "classLoad": [False, False, True, False]}
-    settings["domain"]["blockedByLoads"] = [False, False, False, False]
+    bus.tell(*(host(e.name, e.port, HALLS[i % 3], "std-16") for i, e in enumerate(engines)), whole=True)
     coordinator = stage.add(Coordinator("n1", stage.folder, record))
-    coordinator.configure(bus, settings)
+    coordinator.configure(bus, sofia_settings())
     await coordinator.start()
 
-    requests: list[Request] = []
-    slow_from = time.time() + SLOW_AFTER_S
-    slow_until = slow_from + SLOW_S
+    until = time.time() + LENGTH_S
+    if stage.trouble:
+        for _ in range(SILENT_PROCESSES):
+            stage.add(SilentClients(coordinator.port, SILENT_CLIENTS // SILENT_PROCESSES, until))
+    loads: list[Request] = []
     await asyncio.gather(
-        *(use_key(coordinator.port, f"{number:016x}", requests, stage, rng) for number in range(1, KEYS + 1))
+        *(load_key(coordinator.port, number, until - END_S, loads, stage) for number in range(1, KEYS + 1))
     )
-    outcomes = [f"{request.cls} {request.outcome}" for request in requests]
+    outcomes = [request.outcome for request in loads]
     print({outcome: outcomes.count(outcome) for outcome in sorted(set(outcomes))})
-    return out_of_order([run for engine in engines for run in engine.runs], requests)
+    return out_of_order([run for engine in engines for run in engine.runs], loads)
+
+
+class SilentClients:
+    """A process with clients that say nothing."""
+
+    def __init__(self, port: int, count: int, until: float) -> None:
+        script = str(Path(__file__).with_name("silent_clients.py"))
+        self.process = subprocess.Popen([sys.executable, script, str(port), str(count), str(until)])
+
+    def stop(self) -> None:
+        """End the process."""
+        self.process.kill()
+        self.process.wait()
 
 
-async def use_key(port: int, key: str, requests: list[Request], stage: Stage, rng: random.Random) -> None:
-    """Send a scan-load and then a scan-edit of a key in each round, each on a connection of its own."""
-    lines = ClientLine(port), ClientLine(port)
-    await asyncio.sleep(rng.uniform(0.0, 1.0))
-    for _ in range(ROUNDS):
+async def load_key(port: int, number: int, until: float, loads: list[Request], stage: Stage) -> None:
+    """Send pairs of loads of a key: the first one over a new connection, the second one over one that was just used."""
+    kept = ClientLine(port)
+    while time.time() < until:
+        lookup = Request(new_ticket(), "tile-lookup", f"SELECT tile FROM radar_{number}.tiles", 2.5, 120.0)
+        lookup.tenant = "franchise-east"
+        await ask(kept, lookup, stage.record)
         tasks = []
-        for line, cls, cost_ms in zip(lines, ("scan-load", "scan-edit"), (3200.0, 300.0), strict=True):
-            statement = f"UPDATE scans_{int(key, 16)}.sweeps SET note = '{new_ticket()}'"
-            request = Request(new_ticket(), cls, statement, 25.0, cost_ms)
-            request.key, request.tenant = key, "franchise-east"
-            requests.append(request)
+        new = ClientLine(port)
+        for line in (new, kept):
+            statement = f"INSERT INTO scans_{number}.sweeps VALUES ('{new_ticket()}')"
+            request = Request(new_ticket(), "scan-load", statement, 25.0, 300.0)
+            request.key, request.tenant = f"{number:016x}", "franchise-east"
+            loads.append(request)
             tasks.append(asyncio.create_task(ask(line, request, stage.record)))
-            await asyncio.sleep(EDIT_AFTER_S)
-        await asyncio.gather(asyncio.sleep(ROUND_S - 2.0 * EDIT_AFTER_S), *tasks)
+            while not request.written_at and not request.answered_at:
+                await asyncio.sleep(0.001)
+            await asyncio.sleep(NEW_GAP_S if request.came_new else GAP_S)
+        await asyncio.gather(*tasks)
+        new.close()
+        await asyncio.sleep(0.2)
 
 
-def out_of_order(runs: list[Run], requests: list[Request]) -> list[str]:
-    """Return the requests that came to an engine while an earlier one of their key was out, or after a later one."""
+def out_of_order(runs: list[Run], loads: list[Request]) -> list[str]:
+    """Return the loads that came to an engine after one of their key that was taken later."""
     broken = []
-    taken = {request.ticket: number for number, request in enumerate(requests)}
-    key_of = {request.ticket: request.key for request in requests}
-    for key in sorted(set(key_of.values())):
-        own = sorted((run for run in runs if key_of[run.ticket] == key), key=lambda run: run.came_at)
+    run_of = {run.ticket: run for run in runs}
+    for key in sorted({request.key for request in loads}):
+        own = [request for request in loads if request.key == key and request.ticket in run_of]
         for earlier, later in zip(own, own[1:], strict=False):
-            overlap_s = earlier.out_until() - later.came_at
-            if overlap_s > SLACK_S or taken[later.ticket] < taken[earlier.ticket]:
+            gap_s = later.written_at - earlier.written_at
+            is_apart = gap_s >= (LEAST_NEW_GAP_S if earlier.came_new else LEAST_GAP_S)
+            late_s = run_of[earlier.ticket].came_at - run_of[later.ticket].came_at
+            if is_apart and late_s > 0.0:
                 broken.append(
-                    f"order: {later.cls} {later.ticket} of key {key} came to {later.engine} {overlap_s * 1000.0:.0f} ms"
-                    f" before the end of {earlier.cls} {earlier.ticket} at {earlier.engine} ({earlier.ending})"
+                    f"order: load {earlier.ticket} of key {key} came to an engine {late_s * 1000.0:.0f} ms after"
+                    f" {later.ticket}, which was written {gap_s * 1000.0:.0f} ms after it"
                 )
     return broken
 
--- a/review/kit_2.py
+++ b/review/kit_2.py
@@ -764,6 +764,10 @@
     stage = Stage(folder, record, os.environ.get("TROUBLE", "1") != "0")
 
     async def play() -> list[str]:
+        task = asyncio.current_task()
+        assert task is not None
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(number, task.cancel)
         try:
             async with asyncio.timeout(limit_s):
                 return await case(stage)
@@ -778,7 +782,7 @@
             record.line("RULE BROKEN", text)
         code = BROKEN if broken else HELD
         print(f"{len(broken)} breaks; " + ("; ".join(broken[:3]) if broken else "the rule held"))
-    except Exception as error:  # noqa: BLE001 - a case that can't run says so
+    except (Exception, asyncio.CancelledError) as error:  # noqa: BLE001 - a case that can't run says so
         record.line("case", f"couldn't run: {error!r}")
         print(f"couldn't run: {error!r}")
     finally:
